Lay the frame: package, checks, result codes, protocols and the scenario harness

Cause: nothing stood yet; every slice needs one set of names, messages and checks to build on. Weighed: Tornado's AsyncHTTPClient for calls to engines. It opens a connection a call too, but it hides whether a byte left this host and can't be dropped mid-call, and a true 'not run' needs the first. platform/http_call.py uses Tornado's HTTP/1.1 connection instead.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios and their steps."""
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the steps share: starting programs, calling them, reading journals."""
--- /dev/null
+++ b/src/pimentodale/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host's program: wires the slices together."""
--- /dev/null
+++ b/src/pimentodale/platform/engine_messages.py
@@ -0,0 +1,174 @@
+"""Messages of the engines' extension, as docs/reference/protocols.md gives them.
+
+The router's client and the stand-in engine share these types, so that they can't drift apart.
+"""
+
+from __future__ import annotations
+
+from typing import Final, Literal
+
+import msgspec
+
+PREFIX_CHARS: Final = 256
+"""Characters of a prompt that a prefix hash covers."""
+
+EngineState = Literal["live", "leaving", "loading"]
+"""Whether an engine takes new work."""
+
+
+class Hop(msgspec.Struct, frozen=True):
+    """One stage of a route."""
+
+    replica: str
+    """Name of the engine."""
+
+    address: str
+    """Its `IP:PORT`."""
+
+    first_layer: int
+    """First layer that it runs."""
+
+    last_layer: int
+    """Layer after the last one that it runs."""
+
+
+class StageReceipt(msgspec.Struct, frozen=True):
+    """An engine's word that it ran layers for one token."""
+
+    replica: str
+    """Name of the engine."""
+
+    first_layer: int
+    """First layer that it ran."""
+
+    last_layer: int
+    """Layer after the last one that it ran."""
+
+
+class EngineCall(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Field `pimentodale` of a completion request to an engine."""
+
+    request_id: str
+    """The caller's request."""
+
+    attempt: int
+    """Counts the router's attempts at it, from 1."""
+
+    workspace: str = ""
+    """The caller's workspace."""
+
+    priority: int = 0
+    """Higher goes first."""
+
+    route: list[Hop]
+    """Stages in the order of their layers; the first is the engine called."""
+
+    resume_tokens: list[str] = []
+    """Tokens that the caller has already; the answer goes on after them."""
+
+    kv_source: str = ""
+    """`IP:PORT` of an engine that may export the KV cache; empty to recompute."""
+
+
+class TokenNote(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Field `pimentodale` of a chunk from an engine."""
+
+    request_id: str
+    """The request that the chunk answers."""
+
+    attempt: int
+    """The attempt that it answers."""
+
+    index: int = -1
+    """The token's place in the whole answer; -1 in a chunk without token."""
+
+    token: str = ""
+    """The token's text."""
+
+    receipt: list[StageReceipt] = []
+    """Who ran which layers, in the order that they ran."""
+
+    stage_lost: str = ""
+    """Name of a stage that was lost; the stream ends here."""
+
+
+class EngineRefusal(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Field `pimentodale` of an engine's 4xx or 5xx answer."""
+
+    busy: str = ""
+    """Name of a stage whose slots are all taken."""
+
+    leaving: str = ""
+    """Name of a stage that takes no new work."""
+
+    mismatch: str = ""
+    """Why the route does not fit the engine."""
+
+    stage_lost: str = ""
+    """Name of a stage that could not be reached."""
+
+
+class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of `GET /v1/pimentodale/load`."""
+
+    replica: str
+    """Name of the engine."""
+
+    model: str
+    """Model that it holds a range of."""
+
+    first_layer: int
+    """First layer that it holds."""
+
+    last_layer: int
+    """Layer after the last one that it holds."""
+
+    slots: int
+    """Streams that it holds at once."""
+
+    active: int
+    """Streams that it holds now."""
+
+    queued: int = 0
+    """Streams that wait for a slot."""
+
+    tokens_per_s: float
+    """Rated tokens a second for its range."""
+
+    state: EngineState = "live"
+    """Whether it takes new work."""
+
+    version: str = ""
+    """Version of the model."""
+
+    adapters: list[str] = []
+    """Adapters that are loaded."""
+
+    role: str = "both"
+    """`prefill`, `decode` or `both`."""
+
+    boot_id: str = ""
+    """Changes with each start of the engine."""
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A prompt prefix that came into an engine's cache or left it."""
+
+    sequence: int
+    """Counts the engine's events; gaps happen."""
+
+    prefix_hash: str
+    """SHA-256 (hex) of the prompt's first `PREFIX_CHARS` characters."""
+
+    stored: bool
+    """Whether it came (or left)."""
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Answer of `GET /v1/pimentodale/cache_events`."""
+
+    events: list[CacheEvent]
+    """Events after the asked-for sequence number."""
+
+    next: int
+    """Sequence number to ask for next."""
--- /dev/null
+++ b/src/pimentodale/platform/http_call.py
@@ -0,0 +1,285 @@
+"""One HTTP exchange on a fresh connection of its own.
+
+A call on its own connection can't be caught by another connection that went silent, says exactly
+whether any byte left this host, and can be dropped at any moment. Built on Tornado's HTTP/1.1
+connection; Tornado's `AsyncHTTPClient` hides the first and can't do the last.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, HTTPInputError, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from pimentodale.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable
+
+    from tornado.httputil import ResponseStartLine
+    from tornado.iostream import IOStream
+
+    from pimentodale.addresses import Address
+
+MAX_HEADER_BYTES: Final = 64 * 1024
+"""Longest response header that is accepted."""
+
+MAX_BODY_BYTES: Final = 64 * 1024 * 1024
+"""Longest response body that is accepted."""
+
+CONNECT_TIMEOUT_MS: Final = 1000.0
+"""How long a connection may take to open."""
+
+_QUEUED_CHUNKS: Final = 64
+"""Chunks kept between the connection and its reader before the connection waits."""
+
+
+class CallFault(msgspec.Struct, frozen=True):
+    """Why an exchange failed."""
+
+    sent: bool
+    """Whether any byte of the request may have reached the other side."""
+
+    silent: bool
+    """Whether it failed by waiting, as against a connection that closed or was refused."""
+
+    message: str
+    """What happened, in a short sentence."""
+
+
+class CallRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What to send."""
+
+    method: str
+    """HTTP method."""
+
+    path: str
+    """Path with its query."""
+
+    headers: dict[str, str] = {}
+    """Request headers besides Host and Content-Length."""
+
+    body: bytes = b""
+    """Request body."""
+
+
+class CallReply(msgspec.Struct, frozen=True):
+    """A whole response."""
+
+    status: int
+    """HTTP status."""
+
+    headers: dict[str, str]
+    """Response headers, names in their canonical case."""
+
+    body: bytes
+    """Response body."""
+
+
+class HttpCall:
+    """An exchange whose response body is read chunk by chunk.
+
+    Use `open_call`, then `chunks`; `close` drops the connection at once and may be repeated.
+    """
+
+    __slots__ = ("_connection", "_reader", "_response", "_stream")
+
+    def __init__(self, stream: IOStream, connection: HTTP1Connection) -> None:
+        self._stream = stream
+        self._connection = connection
+        self._response = _Response()
+        self._reader: asyncio.Future[bool] | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the response."""
+        return self._response.status
+
+    @property
+    def headers(self) -> HTTPHeaders:
+        """Headers of the response."""
+        return self._response.headers
+
+    async def chunks(self, silence_timeout_ms: float) -> AsyncIterator[Result[bytes, CallFault]]:
+        """Read the body.
+
+        Args:
+            silence_timeout_ms: Longest wait for a chunk.
+
+        Yields:
+            Each chunk as it arrives; at most one fault, after which nothing follows.
+        """
+        while True:
+            try:
+                chunk = await asyncio.wait_for(
+                    self._response.queue.get(), silence_timeout_ms / MS_PER_S
+                )
+            except TimeoutError:
+                yield Error(CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms"))
+                return
+            if chunk is not None:
+                yield Ok(chunk)
+                continue
+            if not self._response.whole:
+                yield Error(CallFault(True, False, "the connection closed inside the response"))
+            return
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._stream.close()
+        if self._reader is not None and not self._reader.done():
+            self._reader.cancel()
+
+    async def _send(self, request: CallRequest, address: Address) -> None:
+        """Write the request and wait for the response's header."""
+        headers = HTTPHeaders(request.headers)
+        headers["Host"] = str(address)
+        headers["Content-Length"] = str(len(request.body))
+        headers["Connection"] = "close"
+        start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
+        await self._connection.write_headers(start_line, headers, request.body)
+        self._connection.finish()
+        self._reader = asyncio.ensure_future(self._connection.read_response(self._response))
+        self._reader.add_done_callback(self._response.end)
+        await self._response.header
+
+
+async def open_call(
+    address: Address,
+    request: CallRequest,
+    header_timeout_ms: float,
+    connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+) -> Result[HttpCall, CallFault]:
+    """Connect, send a request and read the response's header.
+
+    Args:
+        address: Where to connect.
+        request: What to send.
+        header_timeout_ms: Longest wait for the header once connected.
+        connect_timeout_ms: Longest wait for the connection.
+
+    Returns:
+        The open call, or the fault; `sent` is False only if no byte was handed over.
+    """
+    try:
+        stream = await asyncio.wait_for(
+            TCPClient().connect(address.ip, address.port), connect_timeout_ms / MS_PER_S
+        )
+    except TimeoutError:
+        return Error(CallFault(False, True, f"no connection to {address} in time"))
+    except (OSError, StreamClosedError) as error:
+        return Error(CallFault(False, False, f"no connection to {address}: {error}"))
+    stream.set_nodelay(True)
+    parameters = HTTP1ConnectionParameters(
+        no_keep_alive=True, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+    )
+    call = HttpCall(stream, HTTP1Connection(stream, True, parameters))
+    try:
+        await asyncio.wait_for(call._send(request, address), header_timeout_ms / MS_PER_S)
+    except TimeoutError:
+        call.close()
+        return Error(CallFault(True, True, f"{address} sent no header in time"))
+    except (OSError, StreamClosedError, HTTPInputError, EOFError) as error:
+        call.close()
+        return Error(CallFault(True, False, f"{address} gave no response: {error}"))
+    except asyncio.CancelledError:
+        call.close()
+        raise
+    return Ok(call)
+
+
+async def fetch(
+    address: Address, request: CallRequest, timeout_ms: float
+) -> Result[CallReply, CallFault]:
+    """Make a whole exchange.
+
+    Args:
+        address: Where to connect.
+        request: What to send.
+        timeout_ms: Longest time for all of it.
+
+    Returns:
+        The whole response, or the fault.
+    """
+    try:
+        return await asyncio.wait_for(
+            _fetch_unbounded(address, request, timeout_ms), timeout_ms / MS_PER_S
+        )
+    except TimeoutError:
+        return Error(CallFault(True, True, f"{address} gave no whole response in time"))
+
+
+async def _fetch_unbounded(
+    address: Address, request: CallRequest, timeout_ms: float
+) -> Result[CallReply, CallFault]:
+    """Read a whole response, each wait bounded by the same time-out."""
+    opened = await open_call(address, request, timeout_ms, min(timeout_ms, CONNECT_TIMEOUT_MS))
+    if opened.is_error():
+        return Error(opened.error)
+    call = opened.ok
+    parts: list[bytes] = []
+    try:
+        async for chunk in call.chunks(timeout_ms):
+            if chunk.is_error():
+                return Error(chunk.error)
+            parts.append(chunk.ok)
+    finally:
+        call.close()
+    return Ok(CallReply(call.status, dict(call.headers.get_all()), b"".join(parts)))
+
+
+class _Response(HTTPMessageDelegate):
+    """Receives one response and queues its chunks; `None` marks the end."""
+
+    __slots__ = ("header", "headers", "queue", "status", "whole")
+
+    def __init__(self) -> None:
+        self.header: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.headers = HTTPHeaders()
+        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(_QUEUED_CHUNKS)
+        self.status = 0
+        self.whole = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the header; an interim response is passed over."""
+        code = getattr(start_line, "code", 0)
+        if 100 <= code < 200:
+            return
+        self.status = code
+        self.headers = headers
+        if not self.header.done():
+            self.header.set_result(None)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None]:
+        """Queue a chunk; the connection waits while the queue is full."""
+        return self.queue.put(chunk)
+
+    def finish(self) -> None:
+        """Note that the body is whole."""
+        self.whole = True
+
+    def end(self, reader: asyncio.Future[bool]) -> None:
+        """Mark the end once the connection's reader is done, however it ended."""
+        error = None if reader.cancelled() else reader.exception()
+        if not self.header.done():
+            self.header.set_exception(error or StreamClosedError())
+            # Nobody may be waiting any more after a time-out.
+            self.header.exception()
+        if self.queue.full():
+            # The reader is behind; a task hands over the mark once there is room.
+            _end_tasks.add(task := asyncio.ensure_future(self.queue.put(None)))
+            task.add_done_callback(_end_tasks.discard)
+        else:
+            self.queue.put_nowait(None)
+
+
+_end_tasks: set[asyncio.Future[None]] = set()
+"""Tasks that hand over an end mark, kept so that they are not collected."""
--- /dev/null
+++ b/src/pimentodale/platform/key_value.py
@@ -0,0 +1,146 @@
+"""Interface to the platform's key-value service.
+
+`etcd_gateway` speaks the published protocol; everything else of the project knows only this.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from expression import Result
+
+
+class KeyValue(msgspec.Struct, frozen=True):
+    """One stored key."""
+
+    key: str
+    """The key."""
+
+    value: bytes
+    """Its value."""
+
+    create_revision: int
+    """The service's revision at which the key was created."""
+
+    mod_revision: int
+    """The service's revision of its last change."""
+
+    lease_id: int = 0
+    """The lease that the key goes with; 0 for none."""
+
+
+class StoreFault(msgspec.Struct, frozen=True):
+    """Why a call to the service gave no answer."""
+
+    may_have_applied: bool
+    """Whether a write may have taken effect all the same."""
+
+    message: str
+    """What happened."""
+
+
+class RangeReply(msgspec.Struct, frozen=True):
+    """Keys read at one revision."""
+
+    revision: int
+    """The service's revision when they were read."""
+
+    items: list[KeyValue]
+    """The keys in order."""
+
+
+class Compare(msgspec.Struct, frozen=True):
+    """A condition on one key of a transaction."""
+
+    key: str
+    """The key."""
+
+    mod_revision: int
+    """Required revision of its last change; 0 means that the key must not exist."""
+
+
+class Put(msgspec.Struct, frozen=True):
+    """A write within a transaction."""
+
+    key: str
+    """The key."""
+
+    value: bytes
+    """Its new value."""
+
+    lease_id: int = 0
+    """The lease that it goes with; 0 for none."""
+
+
+class Delete(msgspec.Struct, frozen=True):
+    """A removal within a transaction."""
+
+    key: str
+    """The key, or the first key when `range_end` is given."""
+
+    range_end: str = ""
+    """Exclusive end of the range of keys; empty for just one."""
+
+
+class TxnReply(msgspec.Struct, frozen=True):
+    """How a transaction ended."""
+
+    revision: int
+    """The service's revision after it."""
+
+    succeeded: bool
+    """Whether all conditions held and the writes took effect."""
+
+    items: list[KeyValue] = []
+    """When they did not hold: the compared keys as they were (absent ones left out)."""
+
+
+class WatchBatch(msgspec.Struct, frozen=True):
+    """Changes that a watch reports together."""
+
+    revision: int
+    """The service's revision up to which changes have been reported."""
+
+    puts: list[KeyValue]
+    """Keys written, in order."""
+
+    deletes: list[str]
+    """Keys removed."""
+
+
+class KeyValueStore(Protocol):
+    """What the project asks of the key-value service. Every call is bounded in time."""
+
+    async def read(
+        self, key: str, range_end: str = "", limit: int = 0
+    ) -> Result[RangeReply, StoreFault]:
+        """Read one key, or the keys from `key` up to before `range_end`; `limit` 0 reads all."""
+
+    async def txn(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> Result[TxnReply, StoreFault]:
+        """Apply the writes if every condition holds."""
+
+    async def grant_lease(self, ttl_ms: float) -> Result[int, StoreFault]:
+        """Create a lease; returns its id."""
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFault]:
+        """Renew a lease; returns its remaining time in ms, 0 or less when it has lapsed."""
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
+        """End a lease and remove its keys."""
+
+    def watch(
+        self, prefix: str, from_revision: int, silence_timeout_ms: float
+    ) -> AsyncIterator[Result[WatchBatch, StoreFault]]:
+        """Report changes under a prefix from a revision on; ends after one fault."""
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the exclusive end of the range of keys that start with `prefix`."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
