--- a/src/pimentodale/platform/key_value.py
+++ b/src/pimentodale/platform/key_value.py
@@ -117,9 +117,12 @@
     """What the project asks of the key-value service. Every call is bounded in time."""
 
     async def read(
-        self, key: str, range_end: str = "", limit: int = 0
+        self, key: str, range_end: str = "", limit: int = 0, keys_only: bool = False
     ) -> Result[RangeReply, StoreFault]:
-        """Read one key, or the keys from `key` up to before `range_end`; `limit` 0 reads all."""
+        """Read one key, or the keys from `key` up to before `range_end`; `limit` 0 reads all.
+
+        With `keys_only` the values stay empty, for callers that just look for a change.
+        """
 
     async def txn(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
@@ -136,9 +139,14 @@
         """End a lease and remove its keys."""
 
     def watch(
-        self, prefix: str, from_revision: int, silence_timeout_ms: float
+        self, prefix: str, from_revision: int, silence_timeout_ms: float, range_end: str = ""
     ) -> AsyncIterator[Result[WatchBatch, StoreFault]]:
-        """Report changes under a prefix from a revision on; ends after one fault."""
+        """Report changes under a prefix from a revision on; ends after one fault.
+
+        With `range_end` the keys from `prefix` up to before it are watched instead. The first batch
+        is empty and says the service's revision at the start; one below `from_revision` - 1 tells
+        that the service was restored to an old state. A quiet watch yields empty batches too.
+        """
 
 
 def prefix_end(prefix: str) -> str:
--- /dev/null
+++ b/src/pimentodale/standin/weight_store.py
@@ -0,0 +1,152 @@
+"""Stand-in for the weight store: hands out places in its rate-limited line."""
+
+from __future__ import annotations
+
+import msgspec
+
+from pimentodale.clock import MS_PER_S, Clock, create_clock
+from pimentodale.standin.http_parts import (
+    Journal,
+    Listener,
+    Outage,
+    PartHandler,
+    apply_outage,
+    create_application,
+)
+
+
+class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Settings of the part."""
+
+    listen: str
+    """`IP:PORT` for callers."""
+
+    admin_listen: str = ""
+    """`IP:PORT` for the admin paths alone; stays open when `listen` refuses."""
+
+    bytes_per_s: float = 1e9
+    """Rate at which weights are read."""
+
+    journal: str = ""
+    """File that receives a JSON line for each reservation; empty for none."""
+
+    faults: Outage = Outage()
+    """Faults from the start."""
+
+
+class ReservationRequest(msgspec.Struct, frozen=True):
+    """Body of `POST /v1/reservations`."""
+
+    bytes: int
+    """Size of the load."""
+
+    holder: str
+    """Who will load."""
+
+
+class Reservation(msgspec.Struct, frozen=True):
+    """Answer of `POST /v1/reservations`."""
+
+    start_after_ms: float
+    """When the load may start, from now."""
+
+
+class ReservationEntry(msgspec.Struct, frozen=True):
+    """One line of the journal."""
+
+    wall_ms: float
+    """When it was asked for."""
+
+    holder: str
+    """Who asked."""
+
+    bytes: int
+    """Size of the load."""
+
+    start_after_ms: float
+    """What was answered."""
+
+
+class WeightStorePart:
+    """The running stand-in."""
+
+    __slots__ = ("clock", "faults", "free_ms", "journal", "listener", "settings")
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.faults = settings.faults
+        self.free_ms = 0.0
+        self.journal = Journal(settings.journal)
+        self.listener: Listener | None = None
+
+    def reserve(self, request: ReservationRequest) -> Reservation:
+        """Take the next place in the line."""
+        now_ms = self.clock.now_ms()
+        start_ms = max(now_ms, self.free_ms)
+        self.free_ms = start_ms + request.bytes / self.settings.bytes_per_s * MS_PER_S
+        reservation = Reservation(start_ms - now_ms)
+        self.journal.write(
+            ReservationEntry(
+                self.clock.wall_ms(), request.holder, request.bytes, reservation.start_after_ms
+            )
+        )
+        return reservation
+
+
+class WeightStoreHandler(PartHandler):
+    """What the paths share."""
+
+    part: WeightStorePart
+    """The running stand-in."""
+
+    def initialize(self, part: WeightStorePart) -> None:
+        """Take the part."""
+        self.part = part
+
+
+class ReservationsHandler(WeightStoreHandler):
+    """`/v1/reservations`."""
+
+    async def post(self) -> None:
+        """Hand out a place."""
+        if not await self.meet_outage(self.part.faults):
+            return
+        request = self.read(ReservationRequest)
+        if request is not None:
+            self.reply(self.part.reserve(request))
+
+
+class FaultsHandler(WeightStoreHandler):
+    """`/admin/faults`."""
+
+    def get(self) -> None:
+        """Answer the faults as they stand."""
+        self.reply(self.part.faults)
+
+    async def post(self) -> None:
+        """Replace the faults."""
+        faults = self.read(Outage)
+        if faults is None:
+            return
+        if faults.down_mode == "refuse" and not self.part.settings.admin_listen:
+            self.refuse(400, "down_mode refuse needs admin_listen, or nothing could mend it")
+            return
+        self.part.faults = faults
+        await self.reply(faults)
+        if self.part.listener is not None:
+            await apply_outage(faults, self.part.listener)
+
+
+async def start_part(settings: Settings) -> None:
+    """Start the stand-in; it runs as long as the process."""
+    part = WeightStorePart(settings, create_clock())
+    handlers: dict[str, type[PartHandler]] = {
+        "/v1/reservations": ReservationsHandler,
+        "/admin/faults": FaultsHandler,
+    }
+    application = create_application(handlers, {"part": part})
+    part.listener = Listener(settings.listen, application)
+    await apply_outage(part.faults, part.listener)
+    if settings.admin_listen:
+        Listener(settings.admin_listen, application).open()
