--- a/src/pimentodale/standin/host_list.py
+++ b/src/pimentodale/standin/host_list.py
@@ -14,8 +14,8 @@
 from pimentodale.standin.http_parts import (
     Listener,
     Outage,
+    OutageState,
     PartHandler,
-    apply_outage,
     create_application,
 )
 
@@ -78,15 +78,14 @@
 class HostListPart:
     """The running stand-in."""
 
-    __slots__ = ("clock", "faults", "groups", "listeners", "pending", "settings")
+    __slots__ = ("clock", "groups", "outage", "pending", "settings")
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
         self.settings = settings
         self.clock = clock
-        self.faults = settings.faults
+        self.outage = OutageState(settings.faults, bool(settings.admin_listen))
         self.groups = settings.targets
         self.pending: list[PendingList] = []
-        self.listeners: list[Listener] = []
 
     def replace(self, groups: list[TargetGroup]) -> None:
         """Take a new list, to be shown after the lag."""
@@ -127,7 +126,7 @@
 
     async def get(self) -> None:
         """Answer the list."""
-        if await self.meet_outage(self.part.faults):
+        if await self.meet_outage(self.part.outage.faults):
             self.reply(self.part.shown(self.substitutions))
 
 
@@ -148,36 +147,16 @@
         self.reply(groups)
 
 
-class FaultsHandler(HostListHandler):
-    """`/admin/faults`."""
-
-    def get(self) -> None:
-        """Answer the faults as they stand."""
-        self.reply(self.part.faults)
-
-    async def post(self) -> None:
-        """Replace the faults."""
-        faults = self.read(Outage)
-        if faults is None:
-            return
-        if faults.down_mode == "refuse" and not self.part.settings.admin_listen:
-            self.refuse(400, "down_mode refuse needs admin_listen, or nothing could mend it")
-            return
-        self.part.faults = faults
-        await self.reply(faults)
-        for listener in self.part.listeners:
-            await apply_outage(faults, listener)
-
-
 async def start_part(settings: Settings) -> None:
     """Start the stand-in; it runs as long as the process."""
     part = HostListPart(settings, create_clock())
     plain = _create_application(part, {})
-    part.listeners.append(Listener(settings.listen, plain))
+    part.outage.listeners.append(Listener(settings.listen, plain))
     for view in settings.views:
-        part.listeners.append(Listener(view.listen, _create_application(part, view.substitutions)))
-    for listener in part.listeners:
-        await apply_outage(part.faults, listener)
+        part.outage.listeners.append(
+            Listener(view.listen, _create_application(part, view.substitutions))
+        )
+    await part.outage.apply()
     if settings.admin_listen:
         Listener(settings.admin_listen, plain).open()
 
@@ -188,6 +167,5 @@
     handlers: dict[str, type[PartHandler]] = {
         "/targets": TargetsHandler,
         "/admin/targets": AdminTargetsHandler,
-        "/admin/faults": FaultsHandler,
     }
-    return create_application(handlers, arguments)
+    return create_application(handlers, arguments, part.outage)
--- a/src/pimentodale/standin/http_parts.py
+++ b/src/pimentodale/standin/http_parts.py
@@ -11,6 +11,7 @@
 import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.routing import PathMatches, Rule
 from tornado.web import Application, RequestHandler
 
 from pimentodale.addresses import parse_address
@@ -33,6 +34,9 @@
 RESET_LINGER: Final = struct.pack("ii", 1, 0)
 """Makes closing a socket send a reset."""
 
+REFUSE_NEEDS_ADMIN: Final = "down_mode refuse needs admin_listen, or nothing could mend it"
+"""Why a part without an admin address can't refuse connections."""
+
 _tasks: set[asyncio.Task[None]] = set()
 """Background tasks, kept so that they are not collected."""
 
@@ -148,6 +152,50 @@
         )
 
 
+class OutageState:
+    """The faults of a part and the ports that they close."""
+
+    __slots__ = ("faults", "has_admin_port", "listeners")
+
+    def __init__(self, faults: Outage, has_admin_port: bool) -> None:
+        self.faults = faults
+        self.has_admin_port = has_admin_port
+        self.listeners: list[Listener] = []
+
+    async def apply(self) -> None:
+        """Open or close the ports as the faults say."""
+        for listener in self.listeners:
+            await apply_outage(self.faults, listener)
+
+
+class OutageHandler(PartHandler):
+    """`/admin/faults` of parts that have no faults besides outages."""
+
+    outage: OutageState
+    """The part's faults."""
+
+    def initialize(self, outage: OutageState) -> None:
+        """Take the part's faults."""
+        self.outage = outage
+
+    def get(self) -> None:
+        """Answer the faults as they stand."""
+        self.reply(self.outage.faults)
+
+    async def post(self) -> None:
+        """Replace the faults."""
+        faults = self.read(Outage)
+        if faults is None:
+            return
+        if faults.down_mode == "refuse" and not self.outage.has_admin_port:
+            self.refuse(400, REFUSE_NEEDS_ADMIN)
+            return
+        self.outage.faults = faults
+        # The answer leaves first, as its own connection may be dropped next.
+        await self.reply(faults)
+        await self.outage.apply()
+
+
 class HealthHandler(PartHandler):
     """`GET /healthz`."""
 
@@ -190,16 +238,23 @@
 
 
 def create_application(
-    handlers: dict[str, type[PartHandler]], arguments: dict[str, object]
+    handlers: dict[str, type[PartHandler]],
+    arguments: dict[str, object],
+    outage: OutageState | None = None,
 ) -> Application:
     """Return the application of a listener, `/healthz` included.
 
     Args:
         handlers: Handler of each path.
         arguments: Given to the `initialize` of each.
+        outage: Makes `/admin/faults` set these faults.
     """
-    rules = [(path, handler, arguments) for path, handler in handlers.items()]
-    return Application([*rules, ("/healthz", HealthHandler)], log_function=lambda _handler: None)
+    rules: list[Rule] = [Rule(PathMatches("/healthz"), HealthHandler)]
+    for path, handler in handlers.items():
+        rules.append(Rule(PathMatches(path), handler, arguments))
+    if outage is not None:
+        rules.append(Rule(PathMatches("/admin/faults"), OutageHandler, {"outage": outage}))
+    return Application(rules, log_function=lambda _handler: None)
 
 
 def spawn(work: Coroutine[Any, Any, None], name: str) -> None:
--- a/src/pimentodale/standin/weight_store.py
+++ b/src/pimentodale/standin/weight_store.py
@@ -9,8 +9,8 @@
     Journal,
     Listener,
     Outage,
+    OutageState,
     PartHandler,
-    apply_outage,
     create_application,
 )
 
@@ -70,15 +70,14 @@
 class WeightStorePart:
     """The running stand-in."""
 
-    __slots__ = ("clock", "faults", "free_ms", "journal", "listener", "settings")
+    __slots__ = ("clock", "free_ms", "journal", "outage", "settings")
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
         self.settings = settings
         self.clock = clock
-        self.faults = settings.faults
+        self.outage = OutageState(settings.faults, bool(settings.admin_listen))
         self.free_ms = 0.0
         self.journal = Journal(settings.journal)
-        self.listener: Listener | None = None
 
     def reserve(self, request: ReservationRequest) -> Reservation:
         """Take the next place in the line."""
@@ -110,43 +109,21 @@
 
     async def post(self) -> None:
         """Hand out a place."""
-        if not await self.meet_outage(self.part.faults):
+        if not await self.meet_outage(self.part.outage.faults):
             return
         request = self.read(ReservationRequest)
         if request is not None:
             self.reply(self.part.reserve(request))
 
 
-class FaultsHandler(WeightStoreHandler):
-    """`/admin/faults`."""
-
-    def get(self) -> None:
-        """Answer the faults as they stand."""
-        self.reply(self.part.faults)
-
-    async def post(self) -> None:
-        """Replace the faults."""
-        faults = self.read(Outage)
-        if faults is None:
-            return
-        if faults.down_mode == "refuse" and not self.part.settings.admin_listen:
-            self.refuse(400, "down_mode refuse needs admin_listen, or nothing could mend it")
-            return
-        self.part.faults = faults
-        await self.reply(faults)
-        if self.part.listener is not None:
-            await apply_outage(faults, self.part.listener)
-
-
 async def start_part(settings: Settings) -> None:
     """Start the stand-in; it runs as long as the process."""
     part = WeightStorePart(settings, create_clock())
     handlers: dict[str, type[PartHandler]] = {
         "/v1/reservations": ReservationsHandler,
-        "/admin/faults": FaultsHandler,
     }
-    application = create_application(handlers, {"part": part})
-    part.listener = Listener(settings.listen, application)
-    await apply_outage(part.faults, part.listener)
+    application = create_application(handlers, {"part": part}, part.outage)
+    part.outage.listeners.append(Listener(settings.listen, application))
+    await part.outage.apply()
     if settings.admin_listen:
         Listener(settings.admin_listen, application).open()
