Add the configuration slice and pimentodale-ctl config and token

Cause: accepted files have to be in force everywhere within seconds and never revert, through races, bad files, outages and a service that is restored to an old state.

Failures found on the way, each with a test: the relay swallowed a reset, so a watch behind it ended only by silence ("a relay hands a reset on": failed with the old relay, passes now).

--- a/features/key_value.feature
+++ b/features/key_value.feature
@@ -90,3 +90,8 @@
     Then a read through the relay fails at once
     When the relay is mended with a delay of 80 ms
     Then a read through the relay takes at least 160 ms
+
+  Scenario: a relay hands a reset on
+    Given a key-value stand-in behind a relay
+    When a watch through the relay is open and the stand-in is restored
+    Then that watch ends within 500 ms, not by silence
--- a/features/steps/key_value.py
+++ b/features/steps/key_value.py
@@ -402,3 +402,24 @@
     start = time.monotonic()
     assert run(context.relayed.read("k")).is_ok()
     assert (time.monotonic() - start) * 1000 >= least_ms
+
+
+@when("a watch through the relay is open and the stand-in is restored")
+def restore_behind_relay(context: Any) -> None:
+    async def watch() -> Any:
+        restored = 0.0
+        async for batch in context.relayed.watch("k", 0, 5000.0):
+            if batch.is_error():
+                return batch.error, (time.monotonic() - restored) * 1000
+            restored = time.monotonic()
+            await asyncio.to_thread(http, f"{context.admin}/restore", {})
+        return None
+
+    context.watched = run(watch())
+
+
+@then("that watch ends within {most_ms:d} ms, not by silence")
+def check_reset_handed_on(context: Any, most_ms: int) -> None:
+    fault, passed_ms = context.watched
+    assert not fault.silent, fault
+    assert passed_ms < most_ms, passed_ms
--- /dev/null
+++ b/features/support/fleet.py
@@ -0,0 +1,130 @@
+"""Configuration followers in one process, over the real stand-in, with links that can be cut."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+from pimentodale.addresses import parse_address
+from pimentodale.clock import create_clock
+from pimentodale.configuration.follower import Follower, create_follower
+from pimentodale.platform.etcd_gateway import create_etcd_gateway
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from pimentodale.configuration.documents import Configuration
+
+T = TypeVar("T")
+
+GOSSIP_S: Final = 0.05
+CALL_TIMEOUT_MS: Final = 1000.0
+POLL_INTERVAL_MS: Final = 4000.0
+
+
+@dataclass(slots=True)
+class Host:
+    """One follower."""
+
+    name: str
+    follower: Follower
+    task: asyncio.Task[None]
+    seen: list[int] = field(default_factory=list)
+    """Revisions in the order that they came into force."""
+
+    errors: list[str] = field(default_factory=list)
+    """What is wrong with the order, noted as it happens."""
+
+
+class Fleet:
+    """Followers that tell each other, on an event loop of their own."""
+
+    def __init__(self, store_address: str, seed: int) -> None:
+        self.store_address = store_address
+        self.seed = seed
+        self.hosts: dict[str, Host] = {}
+        self.cut: set[str] = set()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.gossip = asyncio.run_coroutine_threadsafe(self._gossip(), self.loop)
+
+    def call(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run a coroutine on the fleet's loop."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(30)
+
+    def add(self, name: str, watcher: bool) -> Host:
+        """Start a host."""
+        return self.call(self._add(name, watcher))
+
+    def stop_host(self, name: str) -> None:
+        """Stop a host for good."""
+        host = self.hosts.pop(name)
+        self.loop.call_soon_threadsafe(host.task.cancel)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        self.call(self._stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def revisions(self) -> set[int]:
+        """Return the revisions in force over all hosts."""
+        return {host.follower.current().revision for host in self.hosts.values()}
+
+    def failed(self) -> list[str]:
+        """Return what went wrong: a revision that fell, or a task that ended."""
+        wrong = [error for host in self.hosts.values() for error in host.errors]
+        for host in self.hosts.values():
+            if host.task.done():
+                wrong.append(f"{host.name}: its task ended: {host.task}")
+        if self.gossip.done():
+            wrong.append(f"gossip ended: {self.gossip.exception()}")
+        return wrong
+
+    async def _add(self, name: str, watcher: bool) -> Host:
+        store = create_etcd_gateway(
+            [parse_address(self.store_address)], create_clock(), CALL_TIMEOUT_MS
+        )
+        follower = create_follower(
+            store,
+            create_clock(),
+            random.Random(f"{self.seed} {name}"),
+            name,
+            lambda: watcher,
+            POLL_INTERVAL_MS,
+        )
+        host = Host(name, follower, asyncio.create_task(follower.run()))
+
+        def note(configuration: Configuration) -> None:
+            if host.seen and configuration.revision <= host.seen[-1]:
+                host.errors.append(f"{name}: {configuration.revision} after {host.seen[-1]}")
+            host.seen.append(configuration.revision)
+
+        follower.on_change(note)
+        self.hosts[name] = host
+        return host
+
+    async def _gossip(self) -> None:
+        """Carry snapshots from hosts with a higher revision to those with a lower one."""
+        while True:
+            await asyncio.sleep(GOSSIP_S)
+            joined = [host for host in self.hosts.values() if host.name not in self.cut]
+            if not joined:
+                continue
+            newest = max(joined, key=lambda host: host.follower.current().revision)
+            for host in joined:
+                if host.follower.current().revision < newest.follower.current().revision:
+                    await host.follower.offer(newest.follower.snapshot())
+
+    async def _stop(self) -> None:
+        tasks = [host.task for host in self.hosts.values()]
+        for task in tasks:
+            task.cancel()
+        self.gossip.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/pimentodale/configuration/files.py
@@ -0,0 +1,123 @@
+"""One configuration file, checked alone."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+import yaml
+from expression import Error, Ok, Result
+
+from pimentodale.configuration.documents import ConfigurationFile
+from pimentodale.yaml_files import parse_yaml
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FILE_NAME: Final = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,120}\.ya?ml$")
+"""Form of a file's name."""
+
+MAX_FILE_BYTES: Final = 900_000
+"""Longest file: the key-value service holds values up to a megabyte."""
+
+CACHED_FILES: Final = 8192
+"""Checked files that are kept, so that a change costs the checking of what changed."""
+
+_REMOVED: Final = re.compile(r"^(models|workspaces|services)/[^/]+$|^placements/[^/]+/[^/]+$")
+
+
+class FileProblem(msgspec.Struct, frozen=True, order=True):
+    """Why a file, or its part in the whole, was not accepted."""
+
+    name: str
+    """Name of the file."""
+
+    field: str
+    """Path of the field, or the line."""
+
+    problem: str
+    """What was wrong and how to mend it."""
+
+    def __str__(self) -> str:
+        """Return the one-line message for people."""
+        return f"{self.name}: {self.field}: {self.problem}"
+
+
+def check_file(name: str, text: str) -> Result[ConfigurationFile, FileProblem]:
+    """Check one file alone.
+
+    Args:
+        name: Its name in the folder.
+        text: Its YAML text.
+
+    Returns:
+        The typed file, or the first thing that is wrong with it.
+    """
+    if not FILE_NAME.match(name):
+        return Error(FileProblem(name, "name", "not like 10-models.yaml; rename it"))
+    size_bytes = len(text.encode())
+    if size_bytes > MAX_FILE_BYTES:
+        problem = f"{size_bytes} octets; split it into files of up to {MAX_FILE_BYTES}"
+        return Error(FileProblem(name, "size", problem))
+    if "*" in text and _has_alias(text):
+        return Error(FileProblem(name, "text", "YAML aliases are not taken; write it out"))
+    parsed = parse_yaml(text, ConfigurationFile, name)
+    if parsed.is_error():
+        return Error(FileProblem(name, parsed.error.field, parsed.error.problem))
+    found = _find_problem(name, parsed.ok)
+    return Ok(parsed.ok) if found is None else Error(found)
+
+
+def create_file_check() -> Callable[[str, str], Result[ConfigurationFile, FileProblem]]:
+    """Create a `check_file` that remembers; it may run in a thread, one call at a time."""
+    checked: dict[str, tuple[str, Result[ConfigurationFile, FileProblem]]] = {}
+
+    def check(name: str, text: str) -> Result[ConfigurationFile, FileProblem]:
+        known = checked.pop(name, None)
+        if known is None or known[0] != text:
+            known = (text, check_file(name, text))
+        # Put back last, so that the first entry is the one used longest ago.
+        checked[name] = known
+        if len(checked) > CACHED_FILES:
+            del checked[next(iter(checked))]
+        return known[1]
+
+    return check
+
+
+def _has_alias(text: str) -> bool:
+    """Whether the YAML uses aliases, which can make a short text huge."""
+    loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+    try:
+        return any(isinstance(event, yaml.AliasEvent) for event in yaml.parse(text, Loader=loader))
+    except yaml.YAMLError:
+        # What is not YAML gets its error from the reading proper.
+        return False
+
+
+def _find_problem(name: str, file: ConfigurationFile) -> FileProblem | None:
+    """Look for what the types alone can't rule out."""
+    for kind in ("models", "workspaces", "services"):
+        names = [entry.name for entry in getattr(file, kind)]
+        for number, entry_name in enumerate(names):
+            if entry_name in names[:number]:
+                problem = f"'{entry_name}' is there twice; keep one"
+                return FileProblem(name, f"{kind}[{number}]", problem)
+    for number, workspace in enumerate(file.workspaces):
+        if not workspace.token_sha256s:
+            problem = "no token; make one with pimentodale-ctl token"
+            return FileProblem(name, f"workspaces[{number}].token_sha256s", problem)
+    for number, service in enumerate(file.services):
+        for step, operation in enumerate(service.operations):
+            place = f"services[{number}].operations[{step}]"
+            if not operation.path.startswith("/"):
+                return FileProblem(name, f"{place}.path", "has to start with /")
+            if operation.keyless and operation.repeatable:
+                problem = "only a call that is not repeatable can be keyless; drop one of the two"
+                return FileProblem(name, f"{place}.keyless", problem)
+    for number, removed in enumerate(file.removed):
+        if not _REMOVED.match(removed):
+            problem = f"'{removed}' is not like models/NAME or placements/MODEL/FAILURE_DOMAIN"
+            return FileProblem(name, f"removed[{number}]", problem)
+    return None
--- /dev/null
+++ b/src/pimentodale/configuration/folder_store.py
@@ -0,0 +1,231 @@
+"""The folder and the accepted snapshot in the key-value service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.configuration.snapshots import Snapshot, decode_snapshot, encode_snapshot
+from pimentodale.logs import get_log
+from pimentodale.platform.key_value import Compare, Delete, Put, prefix_end
+
+if TYPE_CHECKING:
+    from pimentodale.platform.key_value import (
+        KeyValue,
+        KeyValueStore,
+        StoreFault,
+        TxnReply,
+        WatchBatch,
+    )
+
+ACCEPTED_KEY: Final = "pimentodale/accepted"
+"""Key of the accepted snapshot."""
+
+FOLDER_PREFIX: Final = "pimentodale/folder/"
+"""Prefix of the operators' files."""
+
+VIEW_END: Final = prefix_end(FOLDER_PREFIX)
+"""Exclusive end of the keys that one read or watch covers: the snapshot, then the folder."""
+
+SYNC_FILES: Final = 50
+"""Files that one transaction of a write-back covers."""
+
+SYNC_BYTES: Final = 512 * 1024
+"""Octets of text that one transaction of a write-back covers, unless a single file has more."""
+
+
+class FolderFile(msgspec.Struct, frozen=True):
+    """A file as the key-value service holds it."""
+
+    name: str
+    """Its name."""
+
+    text: str
+    """Its text; octets that are not UTF-8 are shown replaced, and then it is not YAML."""
+
+    mod_revision: int
+    """The service's revision of its last change."""
+
+
+class FolderView(msgspec.Struct):
+    """Snapshot and folder as they stood together at one revision of the service."""
+
+    revision: int
+    """That revision."""
+
+    accepted: Snapshot
+    """The snapshot; an empty one when there is none or it can't be read."""
+
+    accepted_mod_revision: int
+    """The service's revision of its last change; 0 when there is none."""
+
+    folder: dict[str, FolderFile]
+    """Files by name."""
+
+    def texts(self) -> dict[str, str]:
+        """Return the folder's texts by name."""
+        return {name: file.text for name, file in self.folder.items()}
+
+    def apply(self, batch: WatchBatch) -> bool:
+        """Take changes that a watch reported; return whether there were any."""
+        self.revision = max(self.revision, batch.revision)
+        for item in batch.puts:
+            self._put(item)
+        for key in batch.deletes:
+            if key == ACCEPTED_KEY:
+                self.accepted, self.accepted_mod_revision = Snapshot(), 0
+            self.folder.pop(key.removeprefix(FOLDER_PREFIX), None)
+        return bool(batch.puts or batch.deletes)
+
+    def _put(self, item: KeyValue) -> None:
+        """Take one key."""
+        if item.key == ACCEPTED_KEY:
+            self.accepted = read_snapshot(item.value)
+            self.accepted_mod_revision = item.mod_revision
+        elif item.key.startswith(FOLDER_PREFIX):
+            name = item.key.removeprefix(FOLDER_PREFIX)
+            text = item.value.decode(errors="replace")
+            self.folder[name] = FolderFile(name, text, item.mod_revision)
+
+
+def read_snapshot(value: bytes) -> Snapshot:
+    """Read a stored snapshot; one that can't be read counts as none, so that it gets replaced."""
+    decoded = decode_snapshot(value)
+    if decoded.is_ok():
+        return decoded.ok
+    get_log("configuration").error("The stored snapshot is no good.", problem=decoded.error)
+    return Snapshot()
+
+
+async def read_view(store: KeyValueStore) -> Result[FolderView, StoreFault]:
+    """Read snapshot and folder together.
+
+    Args:
+        store: The key-value service.
+
+    Returns:
+        The view, or the fault.
+    """
+    reply = await store.read(ACCEPTED_KEY, VIEW_END)
+    if reply.is_error():
+        return Error(reply.error)
+    view = FolderView(reply.ok.revision, Snapshot(), 0, {})
+    for item in reply.ok.items:
+        view._put(item)
+    return Ok(view)
+
+
+async def is_unchanged(store: KeyValueStore, view: FolderView) -> bool:
+    """Whether the service still holds just what the view shows, found out without the values.
+
+    Args:
+        store: The key-value service.
+        view: What was seen last; its revision is brought up to date if nothing changed.
+
+    Returns:
+        False also if the service can't be asked.
+    """
+    reply = await store.read(ACCEPTED_KEY, VIEW_END, keys_only=True)
+    if reply.is_error() or reply.ok.revision < view.revision:
+        return False
+    found = {item.key: item.mod_revision for item in reply.ok.items}
+    known = {FOLDER_PREFIX + name: file.mod_revision for name, file in view.folder.items()}
+    if view.accepted_mod_revision:
+        known[ACCEPTED_KEY] = view.accepted_mod_revision
+    if found != known:
+        return False
+    view.revision = reply.ok.revision
+    return True
+
+
+async def write_snapshot(
+    store: KeyValueStore, encoded: bytes, mod_revision: int
+) -> Result[TxnReply, StoreFault]:
+    """Write the snapshot if it is still as it was read.
+
+    Args:
+        store: The key-value service.
+        encoded: The new snapshot.
+        mod_revision: Revision of the snapshot that it follows; 0 when there was none.
+
+    Returns:
+        How the transaction ended, or the fault.
+    """
+    return await store.txn([Compare(ACCEPTED_KEY, mod_revision)], [Put(ACCEPTED_KEY, encoded)])
+
+
+async def write_back(
+    store: KeyValueStore, view: FolderView, snapshot: Snapshot
+) -> Result[bool, StoreFault]:
+    """Make a restored service say again what is in force.
+
+    First the snapshot is written, marked as pending; from then on no host takes the folder for
+    edits. Then the folder follows in transactions of bounded size, and last the mark goes. Files
+    that an operator changed after the mark are newer than it and stay. Any host may go on where
+    another stopped.
+
+    Args:
+        store: The key-value service.
+        view: What the service says.
+        snapshot: What is in force.
+
+    Returns:
+        Whether all was written; False when another host changed the snapshot meanwhile.
+    """
+    marked_revision = view.accepted_mod_revision
+    if not (view.accepted.folder_pending and view.accepted.revision == snapshot.revision):
+        marked = msgspec.structs.replace(snapshot, folder_pending=True)
+        reply = await write_snapshot(store, encode_snapshot(marked), marked_revision)
+        if reply.is_error():
+            return Error(reply.error)
+        if not reply.ok.succeeded:
+            return Ok(False)
+        marked_revision = reply.ok.revision
+    synced = await _sync_folder(store, view, snapshot, marked_revision)
+    if synced.is_error() or not synced.ok:
+        return synced
+    clear = msgspec.structs.replace(snapshot, folder_pending=False, store_revision=marked_revision)
+    last = await write_snapshot(store, encode_snapshot(clear), marked_revision)
+    return last.map(lambda reply: reply.succeeded)
+
+
+async def _sync_folder(
+    store: KeyValueStore, view: FolderView, snapshot: Snapshot, marked_revision: int
+) -> Result[bool, StoreFault]:
+    """Write the folder's files that differ from the snapshot, as long as it stays marked."""
+    writes: list[Put | Delete] = []
+    compares = [Compare(ACCEPTED_KEY, marked_revision)]
+    size_bytes = 0
+    for write in _differences(view, snapshot, marked_revision):
+        name = write.key.removeprefix(FOLDER_PREFIX)
+        file_bytes = len(write.value) if isinstance(write, Put) else 0
+        if writes and (len(writes) == SYNC_FILES or size_bytes + file_bytes > SYNC_BYTES):
+            reply = await store.txn(compares, writes)
+            if reply.is_error() or not reply.ok.succeeded:
+                return reply.map(lambda _reply: False)
+            writes, compares, size_bytes = [], compares[:1], 0
+        known = view.folder.get(name)
+        writes.append(write)
+        compares.append(Compare(write.key, 0 if known is None else known.mod_revision))
+        size_bytes += file_bytes
+    if not writes:
+        return Ok(True)
+    last = await store.txn(compares, writes)
+    return last.map(lambda reply: reply.succeeded)
+
+
+def _differences(view: FolderView, snapshot: Snapshot, marked_revision: int) -> list[Put | Delete]:
+    """Return the writes that make the folder say what the snapshot says."""
+    writes: list[Put | Delete] = []
+    texts = {file.name: file.text for file in snapshot.files}
+    for name, text in texts.items():
+        known = view.folder.get(name)
+        if known is not None and (known.text == text or known.mod_revision > marked_revision):
+            continue
+        writes.append(Put(FOLDER_PREFIX + name, text.encode()))
+    for name, known in view.folder.items():
+        if name not in texts and known.mod_revision <= marked_revision:
+            writes.append(Delete(FOLDER_PREFIX + name))
+    return writes
--- /dev/null
+++ b/src/pimentodale/configuration/snapshots.py
@@ -0,0 +1,86 @@
+"""The accepted snapshot: what is in force, as the key-value service keeps it and peers pass it on."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Final
+
+import msgpack
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.configuration.files import FileProblem
+
+MAX_SNAPSHOT_BYTES: Final = 1_000_000
+"""Largest encoded snapshot: the key-value service holds values up to a megabyte."""
+
+MAX_PLAIN_BYTES: Final = 32 * 1024 * 1024
+"""Largest decoded snapshot that is read."""
+
+_COMPRESSION_LEVEL: Final = 6
+
+
+class AcceptedFile(msgspec.Struct, frozen=True):
+    """A file in the form that is in force."""
+
+    name: str
+    """Its name in the folder."""
+
+    text: str
+    """Its YAML text."""
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """All that is in force, under one revision."""
+
+    revision: int = 0
+    """Rises by one with each accepted change; 0 before the first."""
+
+    store_revision: int = 0
+    """The key-value service's revision at which the folder was read."""
+
+    files: list[AcceptedFile] = []
+    """Files in the order of their names."""
+
+    problems: list[FileProblem] = []
+    """Files of the folder that are not in force as they stand, and why."""
+
+    folder_pending: bool = False
+    """Whether the folder is being written back after the service was restored to an old state."""
+
+    accepted_by: str = ""
+    """Host that accepted the change."""
+
+    accepted_wall_ms: float = 0.0
+    """When it did, in ms since the Unix epoch."""
+
+    def says_the_same(self, other: Snapshot) -> bool:
+        """Whether the other has the same files and problems."""
+        return self.files == other.files and self.problems == other.problems
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the compressed form."""
+    plain: bytes = msgpack.packb(msgspec.to_builtins(snapshot))
+    return zlib.compress(plain, _COMPRESSION_LEVEL)
+
+
+def decode_snapshot(encoded: bytes) -> Result[Snapshot, str]:
+    """Read the compressed form.
+
+    Args:
+        encoded: From the key-value service or a peer.
+
+    Returns:
+        The snapshot, or why the octets are not one.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        plain = inflater.decompress(encoded, MAX_PLAIN_BYTES)
+        if not inflater.eof:
+            return Error("the compressed snapshot is cut short or too large")
+        return Ok(msgspec.convert(msgpack.unpackb(plain), Snapshot))
+    except zlib.error as error:
+        return Error(f"the snapshot is not compressed as it should be: {error}")
+    except (ValueError, msgpack.UnpackException, RecursionError) as error:
+        return Error(f"the snapshot can't be read: {error}")
--- /dev/null
+++ b/src/pimentodale/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Program `pimentodale-ctl`, a small module for each group of commands."""
--- /dev/null
+++ b/src/pimentodale/ctl/config_show.py
@@ -0,0 +1,155 @@
+"""`config pull`, `list`, `diff` and `status`."""
+
+from __future__ import annotations
+
+import asyncio
+import difflib
+import sys
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.configuration.follower import FollowerStatus
+from pimentodale.ctl.exit_codes import ExitCode
+from pimentodale.ctl.key_value_option import load_view, open_store
+from pimentodale.ctl.local_folder import RevisionRecord, read_folder, write_record
+from pimentodale.platform.http_call import CallRequest, fetch
+
+if TYPE_CHECKING:
+    from pimentodale.addresses import Address
+    from pimentodale.configuration.folder_store import FolderView
+    from pimentodale.ctl.config_commands import (
+        DiffCommand,
+        ListCommand,
+        PullCommand,
+        StatusCommand,
+    )
+
+STATUS_TIMEOUT_MS: Final = 3000.0
+"""Longest wait for a host's answer."""
+
+
+async def run_pull(command: PullCommand) -> ExitCode:
+    """Copy the folder here."""
+    loaded = await _load(command.key_value)
+    if loaded.is_error():
+        return loaded.error
+    files = loaded.ok.folder.values()
+    try:
+        command.folder.mkdir(parents=True, exist_ok=True)
+        for file in files:
+            (command.folder / file.name).write_bytes(file.text.encode())
+        record = RevisionRecord({})
+        for file in files:
+            record.note(file.name, file.text, file.mod_revision)
+        write_record(command.folder, record)
+    except OSError as error:
+        print(f"{command.folder}: {error.strerror}", file=sys.stderr)
+        return ExitCode.FAILED
+    print(f"{len(files)} files of revision {loaded.ok.revision}")
+    return ExitCode.OK
+
+
+async def run_list(command: ListCommand) -> ExitCode:
+    """List files."""
+    loaded = await _load(command.key_value)
+    if loaded.is_error():
+        return loaded.error
+    view = loaded.ok
+    accepted = {file.name: file.text for file in view.accepted.files}
+    problems = {problem.name: problem for problem in view.accepted.problems}
+    print(
+        f"in force: revision {view.accepted.revision}, by {view.accepted.accepted_by or 'nobody'}"
+    )
+    for name in sorted({*view.folder, *accepted}):
+        file = view.folder.get(name)
+        place = "removed" if file is None else f"revision {file.mod_revision}"
+        if name in problems:
+            state = f"not in force as it stands: {problems[name]}"
+        elif accepted.get(name) == (None if file is None else file.text):
+            state = "in force"
+        else:
+            state = "not accepted yet"
+        print(f"{name}\t{place}\t{state}")
+    return ExitCode.OK
+
+
+async def run_diff(command: DiffCommand) -> ExitCode:
+    """Show differences, the service's side first."""
+    read = read_folder(command.folder)
+    if read.is_error():
+        print(read.error.message, file=sys.stderr)
+        return ExitCode.FAILED
+    loaded = await _load(command.key_value)
+    if loaded.is_error():
+        return loaded.error
+    theirs = loaded.ok.texts()
+    for name in sorted({*theirs, *read.ok}):
+        lines = difflib.unified_diff(
+            theirs.get(name, "").splitlines(),
+            read.ok.get(name, "").splitlines(),
+            f"service/{name}",
+            f"local/{name}",
+            lineterm="",
+        )
+        for line in lines:
+            print(line)
+    return ExitCode.OK
+
+
+async def run_status(command: StatusCommand) -> ExitCode:
+    """Ask hosts for their revisions."""
+    try:
+        addresses = [parse_address(text) for text in command.entry]
+    except BadAddressError as error:
+        print(f"--entry: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    if not addresses:
+        print("give --entry IP:PORT, once for each host", file=sys.stderr)
+        return ExitCode.USAGE
+    answers = await asyncio.gather(*(_ask(address) for address in addresses))
+    for address, answer in zip(addresses, answers, strict=True):
+        print(f"{address}\t{_describe(answer.ok) if answer.is_ok() else answer.error}")
+    statuses = [answer.ok for answer in answers if answer.is_ok()]
+    for problem in sorted({problem for status in statuses for problem in status.problems}):
+        print(f"not in force as it stands: {problem}")
+    if len(statuses) < len(answers):
+        return ExitCode.UNREACHABLE
+    agreed = len({status.revision for status in statuses}) == 1
+    return ExitCode.OK if agreed else ExitCode.DISAGREEMENT
+
+
+async def _load(key_value: list[str]) -> Result[FolderView, ExitCode]:
+    """Read snapshot and folder."""
+    store = open_store(key_value)
+    if store.is_error():
+        return Error(store.error)
+    return await load_view(store.ok)
+
+
+async def _ask(address: Address) -> Result[FollowerStatus, str]:
+    """Ask one host."""
+    request = CallRequest(method="GET", path="/admin/configuration")
+    reply = await fetch(address, request, STATUS_TIMEOUT_MS)
+    if reply.is_error():
+        return Error(reply.error.message)
+    if reply.ok.status != 200:
+        return Error(f"answered HTTP {reply.ok.status}")
+    try:
+        return Ok(msgspec.json.decode(reply.ok.body, type=FollowerStatus))
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        return Error(f"its answer can't be read: {error}")
+
+
+def _describe(status: FollowerStatus) -> str:
+    """Return a host's line."""
+    parts = [f"{status.host}\trevision {status.revision} (from {status.source})"]
+    if status.watching:
+        parts.append("watching")
+    if status.store_fault:
+        parts.append(f"key-value service: {status.store_fault}")
+    if status.refusal:
+        parts.append(status.refusal)
+    return "; ".join(parts)
--- a/src/pimentodale/platform/etcd_gateway.py
+++ b/src/pimentodale/platform/etcd_gateway.py
@@ -148,7 +148,7 @@
                 return
             async for chunk in call.chunks(silence_timeout_ms):
                 if chunk.is_error():
-                    yield Error(StoreFault(False, chunk.error.message))
+                    yield Error(StoreFault(False, chunk.error.message, chunk.error.silent))
                     return
                 buffer += chunk.ok
                 if len(buffer) > MAX_LINE_BYTES:
--- a/src/pimentodale/platform/key_value.py
+++ b/src/pimentodale/platform/key_value.py
@@ -43,6 +43,9 @@
     message: str
     """What happened."""
 
+    silent: bool = False
+    """Whether a watch ended because nothing was heard, as on a connection that went silent."""
+
 
 class RangeReply(msgspec.Struct, frozen=True):
     """Keys read at one revision."""
--- a/src/pimentodale/standin/relay.py
+++ b/src/pimentodale/standin/relay.py
@@ -121,7 +121,8 @@
         self.links.add(link)
         try:
             await self._relay(link, reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except* OSError:
+            # One end failed; the other is to see a reset too.
             pass
         finally:
             self.links.discard(link)
@@ -141,30 +142,29 @@
             target.ip, target.port, local_addr=source
         )
         link.streams.append(far_writer)
-        await asyncio.gather(
-            self._carry(link, reader, far_writer), self._carry(link, far_reader, writer)
-        )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._carry(link, reader, far_writer))
+            group.create_task(self._carry(link, far_reader, writer))
 
     async def _carry(
         self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Carry octets one way, each after the delay."""
         queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUED_CHUNKS)
-        loop = asyncio.get_running_loop()
-
-        async def fill() -> None:
-            while True:
-                chunk = await reader.read(CHUNK_BYTES)
-                await queue.put((loop.time() + self.faults.delay_ms / MS_PER_S, chunk))
-                if not chunk:
-                    return
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._fill(queue, reader))
+            group.create_task(self._empty(link, queue, writer))
 
-        filling = asyncio.ensure_future(fill())
-        try:
-            await self._empty(link, queue, writer)
-            await filling
-        finally:
-            filling.cancel()
+    async def _fill(
+        self, queue: asyncio.Queue[tuple[float, bytes]], reader: asyncio.StreamReader
+    ) -> None:
+        """Read until the end of the stream, and note when each chunk is due."""
+        loop = asyncio.get_running_loop()
+        while True:
+            chunk = await reader.read(CHUNK_BYTES)
+            await queue.put((loop.time() + self.faults.delay_ms / MS_PER_S, chunk))
+            if not chunk:
+                return
 
     async def _empty(
         self, link: Link, queue: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter
