--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -102,6 +102,21 @@
     Then the service says within 10 s again what was in force, in snapshot and folder
     And all followers have the model "tulip" within 5 s
 
+  Scenario: a write-back that stopped half way is finished, and a newer edit stays
+    Given a service whose write-back of 130 files stopped after the mark, with a newer edit
+    When a fleet of 3 followers of which 2 watch starts over it
+    Then all followers have the workspace "part-129" within 5 s
+    And the folder holds all 130 files and the newer edit within 10 s
+    And all followers have the workspace "newer" within 5 s
+
+  Scenario: the watches go silent
+    Given a fleet of 4 followers of which 2 watch
+    And an operator pushes the starting folder
+    And all followers have the model "tulip" within 5 s
+    When the connections of all followers go silent
+    And the file "20-workspaces.yaml" gets workspace "yard" behind the operators' backs
+    Then all followers have the workspace "yard" within 12 s
+
   Scenario: two histories with one number settle on a higher one
     Given a fleet of 2 followers of which 2 watch
     And an operator pushes the starting folder
--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -110,10 +110,8 @@
         "admin_listen": f"{site.ip(12)}:2380",
     }
     start_key_value(context, relay)
-    context.fleet = Fleet(relay["listen"], site.seed)
-    context.add_cleanup(context.fleet.stop)
-    for number in range(hosts):
-        context.fleet.add(f"h{number}", number < watchers)
+    context.fleet_address = relay["listen"]
+    start_fleet(context, hosts, watchers)
 
 
 @step("an operator pushes the starting folder")
@@ -390,6 +388,54 @@
     wait_until(says_it, "the service says what was in force", span_s)
 
 
+def start_fleet(context: Any, hosts: int, watchers: int) -> None:
+    context.fleet = Fleet(context.fleet_address, context.site.seed)
+    context.add_cleanup(context.fleet.stop)
+    for number in range(hosts):
+        context.fleet.add(f"h{number}", number < watchers)
+
+
+@given("a service whose write-back of {count:d} files stopped after the mark, with a newer edit")
+def given_half_way(context: Any, count: int) -> None:
+    start_key_value(context)
+    context.fleet_address = context.store_address
+    names = [f"part-{number}" for number in range(count)]
+    files = [AcceptedFile(f"{name}.yaml", workspaces(name)) for name in sorted(names)]
+    old = {"part-1.yaml": workspaces("old"), "gone.yaml": workspaces("gone")}
+    put_behind(context, old)
+    marked = encode_snapshot(Snapshot(revision=9, files=files, folder_pending=True))
+    assert run(context.store.txn([], [Put(ACCEPTED_KEY, marked)])).ok.succeeded
+    context.half_way = {file.name: file.text for file in files}
+    context.half_way["part-2.yaml"] = workspaces("part-2", "newer")
+    put_behind(context, {"part-2.yaml": context.half_way["part-2.yaml"]})
+
+
+@when("a fleet of {hosts:d} followers of which {watchers:d} watch starts over it")
+def start_over_it(context: Any, hosts: int, watchers: int) -> None:
+    start_fleet(context, hosts, watchers)
+
+
+@then("the folder holds all {count:d} files and the newer edit within {span_s:d} s")
+def check_finished(context: Any, count: int, span_s: int) -> None:
+    assert len(context.half_way) == count
+
+    def finished() -> bool:
+        view = stored_view(context)
+        return view.texts() == context.half_way and not view.accepted.folder_pending
+
+    wait_until(finished, "the write-back is finished", span_s)
+
+
+@when("the connections of all followers go silent")
+def silence_followers(context: Any) -> None:
+    assert http(context.link_admin, {"silent": True}).status == 200
+
+
+@when('the file "{file}" gets workspace "{name}" behind the operators\' backs')
+def add_behind(context: Any, file: str, name: str) -> None:
+    put_behind(context, {file: workspaces("hall", name)})
+
+
 @step('the service goes back to its copy while only a new follower "{name}" can reach it')
 def go_back_alone(context: Any, name: str) -> None:
     assert http(context.link_admin, {"cut": True}).status == 200
--- a/src/pimentodale/configuration/files.py
+++ b/src/pimentodale/configuration/files.py
@@ -99,11 +99,12 @@
 def _find_problem(name: str, file: ConfigurationFile) -> FileProblem | None:
     """Look for what the types alone can't rule out."""
     for kind in ("models", "workspaces", "services"):
-        names = [entry.name for entry in getattr(file, kind)]
-        for number, entry_name in enumerate(names):
-            if entry_name in names[:number]:
-                problem = f"'{entry_name}' is there twice; keep one"
+        names: set[str] = set()
+        for number, entry in enumerate(getattr(file, kind)):
+            if entry.name in names:
+                problem = f"'{entry.name}' is there twice; keep one"
                 return FileProblem(name, f"{kind}[{number}]", problem)
+            names.add(entry.name)
     for number, workspace in enumerate(file.workspaces):
         if not workspace.token_sha256s:
             problem = "no token; make one with pimentodale-ctl token"
--- a/src/pimentodale/configuration/folder_store.py
+++ b/src/pimentodale/configuration/folder_store.py
@@ -23,6 +23,9 @@
 ACCEPTED_KEY: Final = "pimentodale/accepted"
 """Key of the accepted snapshot."""
 
+ACCEPTED_REVISION_KEY: Final = "pimentodale/accepted-revision"
+"""Key that says the snapshot's revision, always written with it, so that polls stay small."""
+
 FOLDER_PREFIX: Final = "pimentodale/folder/"
 """Prefix of the operators' files."""
 
@@ -131,6 +134,7 @@
     if reply.is_error() or reply.ok.revision < view.revision:
         return False
     found = {item.key: item.mod_revision for item in reply.ok.items}
+    found.pop(ACCEPTED_REVISION_KEY, None)
     known = {FOLDER_PREFIX + name: file.mod_revision for name, file in view.folder.items()}
     if view.accepted_mod_revision:
         known[ACCEPTED_KEY] = view.accepted_mod_revision
@@ -140,20 +144,40 @@
     return True
 
 
+async def read_accepted_revision(store: KeyValueStore) -> Result[int, StoreFault]:
+    """Read the stored snapshot's revision alone; 0 when there is none."""
+    reply = await store.read(ACCEPTED_REVISION_KEY)
+    if reply.is_error():
+        return Error(reply.error)
+    digits = reply.ok.items[0].value if reply.ok.items else b""
+    return Ok(int(digits) if digits.isdigit() else 0)
+
+
+async def read_accepted(store: KeyValueStore) -> Result[Snapshot, StoreFault]:
+    """Read the stored snapshot; an empty one when there is none."""
+    reply = await store.read(ACCEPTED_KEY)
+    if reply.is_error():
+        return Error(reply.error)
+    return Ok(read_snapshot(reply.ok.items[0].value) if reply.ok.items else Snapshot())
+
+
 async def write_snapshot(
-    store: KeyValueStore, encoded: bytes, mod_revision: int
+    store: KeyValueStore, snapshot: Snapshot, encoded: bytes, mod_revision: int
 ) -> Result[TxnReply, StoreFault]:
-    """Write the snapshot if it is still as it was read.
+    """Write the snapshot if the stored one is still as it was read.
 
     Args:
         store: The key-value service.
-        encoded: The new snapshot.
-        mod_revision: Revision of the snapshot that it follows; 0 when there was none.
+        snapshot: The new snapshot.
+        encoded: Its encoded form.
+        mod_revision: Revision of the stored one that it follows; 0 when there was none.
 
     Returns:
         How the transaction ended, or the fault.
     """
-    return await store.txn([Compare(ACCEPTED_KEY, mod_revision)], [Put(ACCEPTED_KEY, encoded)])
+    revision = Put(ACCEPTED_REVISION_KEY, str(snapshot.revision).encode())
+    writes = [Put(ACCEPTED_KEY, encoded), revision]
+    return await store.txn([Compare(ACCEPTED_KEY, mod_revision)], writes)
 
 
 async def write_back(
@@ -177,7 +201,7 @@
     marked_revision = view.accepted_mod_revision
     if not (view.accepted.folder_pending and view.accepted.revision == snapshot.revision):
         marked = msgspec.structs.replace(snapshot, folder_pending=True)
-        reply = await write_snapshot(store, encode_snapshot(marked), marked_revision)
+        reply = await write_snapshot(store, marked, encode_snapshot(marked), marked_revision)
         if reply.is_error():
             return Error(reply.error)
         if not reply.ok.succeeded:
@@ -187,7 +211,7 @@
     if synced.is_error() or not synced.ok:
         return synced
     clear = msgspec.structs.replace(snapshot, folder_pending=False, store_revision=marked_revision)
-    last = await write_snapshot(store, encode_snapshot(clear), marked_revision)
+    last = await write_snapshot(store, clear, encode_snapshot(clear), marked_revision)
     return last.map(lambda reply: reply.succeeded)
 
 
--- a/src/pimentodale/configuration/follower.py
+++ b/src/pimentodale/configuration/follower.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from pimentodale.configuration.files import FileProblem
-from pimentodale.configuration.folder_store import ACCEPTED_KEY, read_snapshot
+from pimentodale.configuration.folder_store import read_accepted, read_accepted_revision
 from pimentodale.configuration.in_force import InForce
-from pimentodale.configuration.snapshots import Snapshot, decode_snapshot
+from pimentodale.configuration.snapshots import decode_snapshot
 from pimentodale.configuration.watcher import Watcher
 from pimentodale.logs import get_log
 
@@ -90,7 +90,6 @@
         "_is_watcher",
         "_log",
         "_poll_interval_ms",
-        "_polled_mod_revision",
         "_rng",
         "_store",
         "_store_fault",
@@ -116,7 +115,6 @@
         self._host = host
         self._is_watcher = is_watcher
         self._poll_interval_ms = poll_interval_ms
-        self._polled_mod_revision = -1
         self._store_fault = ""
         self._log = get_log("configuration")
 
@@ -188,31 +186,23 @@
         self._store_fault = ""
 
     async def _poll(self) -> StoreFault | None:
-        """Look once whether the snapshot changed, then wait for the next time."""
-        looked = await self._store.read(ACCEPTED_KEY, keys_only=True)
-        if looked.is_error():
-            return looked.error
-        mod_revision = looked.ok.items[0].mod_revision if looked.ok.items else 0
-        if mod_revision != self._polled_mod_revision:
-            fault = await self._read_snapshot()
+        """Look once whether the service says another revision, then wait for the next time."""
+        stored = await read_accepted_revision(self._store)
+        if stored.is_error():
+            return stored.error
+        if stored.ok > self.current().revision:
+            snapshot = await read_accepted(self._store)
+            if snapshot.is_error():
+                return snapshot.error
+            await self._in_force.adopt(snapshot.ok, "store")
+        elif stored.ok < self.current().revision:
+            fault = await self._watcher.write_back_if_behind()
             if fault is not None:
                 return fault
-            self._polled_mod_revision = mod_revision
         self._note_service_works()
         await self._wait_for_poll()
         return None
 
-    async def _read_snapshot(self) -> StoreFault | None:
-        """Read the snapshot and take it, or mend a service that is behind."""
-        reply = await self._store.read(ACCEPTED_KEY)
-        if reply.is_error():
-            return reply.error
-        stored = read_snapshot(reply.ok.items[0].value) if reply.ok.items else Snapshot()
-        await self._in_force.adopt(stored, "store")
-        if not self._in_force.is_ahead_of(stored):
-            return None
-        return await self._watcher.write_back_if_behind()
-
     async def _wait_for_poll(self) -> None:
         """Wait for the next poll, or until this host is to watch."""
         end_ms = self._clock.now_ms() + self._poll_interval_ms * (0.5 + self._rng.random())
--- a/src/pimentodale/configuration/watcher.py
+++ b/src/pimentodale/configuration/watcher.py
@@ -179,7 +179,8 @@
         snapshot, mod_revision = view.accepted, view.accepted_mod_revision
         store_revision = view.revision
         accepted = await self._in_force.evaluate(snapshot, view.texts())
-        if accepted is None:
+        if accepted is None or view.accepted_mod_revision != mod_revision:
+            # Another watcher accepted meanwhile; the change that told so is looked at next.
             return None
         following = Snapshot(
             revision=snapshot.revision + 1,
@@ -200,7 +201,7 @@
             )
             return None
         self._in_force.refusal = ""
-        reply = await write_snapshot(self._store, encoded, mod_revision)
+        reply = await write_snapshot(self._store, following, encoded, mod_revision)
         if reply.is_error():
             return reply.error
         if reply.ok.succeeded:
--- a/src/pimentodale/ctl/config_edit.py
+++ b/src/pimentodale/ctl/config_edit.py
@@ -8,7 +8,7 @@
 
 from pimentodale.clock import Clock, create_clock
 from pimentodale.configuration.edits import Edit, EditsDone, write_edits
-from pimentodale.configuration.folder_store import ACCEPTED_KEY, read_snapshot
+from pimentodale.configuration.folder_store import read_accepted
 from pimentodale.ctl.config_check import check_edits, report_problems
 from pimentodale.ctl.exit_codes import ExitCode
 from pimentodale.ctl.key_value_option import load_view, open_store
@@ -196,10 +196,9 @@
     """Wait until a host has accepted or refused what was written."""
     end_ms = clock.now_ms() + wait_ms
     while clock.now_ms() < end_ms:
-        reply = await store.read(ACCEPTED_KEY)
-        items = reply.ok.items if reply.is_ok() else []
-        snapshot = read_snapshot(items[0].value) if items else None
-        if snapshot is not None and snapshot.store_revision >= done.revision:
+        accepted = await read_accepted(store)
+        if accepted.is_ok() and accepted.ok.store_revision >= done.revision:
+            snapshot = accepted.ok
             names = {edit.name for edit in done.written}
             problems = [str(problem) for problem in snapshot.problems if problem.name in names]
             report_problems(problems)
