--- a/src/pimentodale/platform/engine_messages.py
+++ b/src/pimentodale/platform/engine_messages.py
@@ -172,3 +172,72 @@
 
     next: int
     """Sequence number to ask for next."""
+
+
+class EngineOrder(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Body of `POST /v1/pimentodale/orders`; it names the wished end, so a repeat is harmless."""
+
+    fencing_number: int
+    """Number of the steward's lease; engines that check refuse one lower than the highest seen."""
+
+    order: Literal["load", "unload", "adapter", "version", "role", "drain"]
+    """What is wished."""
+
+    model: str = ""
+    """For `load`: the model."""
+
+    version: str = ""
+    """For `load` and `version`: the version."""
+
+    adapters: list[str] = []
+    """For `load` and `adapter`: all adapters that the engine should hold."""
+
+    role: str = ""
+    """For `load` and `role`: `prefill`, `decode` or `both`."""
+
+    first_layer: int = 0
+    """For `load`: first layer to hold."""
+
+    last_layer: int = 0
+    """For `load`: layer after the last one to hold."""
+
+
+class EngineHolding(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine holds, or should."""
+
+    model: str
+    """The model; empty for none."""
+
+    version: str
+    """Its version."""
+
+    adapters: list[str]
+    """Its adapters."""
+
+    role: str
+    """`prefill`, `decode` or `both`."""
+
+    first_layer: int
+    """First layer."""
+
+    last_layer: int
+    """Layer after the last one."""
+
+    state: EngineState
+    """Whether it takes new work."""
+
+
+class EngineStateReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of `GET /v1/pimentodale/state` and of an order that was taken."""
+
+    replica: str
+    """Name of the engine."""
+
+    wished: EngineHolding
+    """What it was ordered to hold."""
+
+    reached: EngineHolding
+    """What it holds."""
+
+    highest_fencing_number: int
+    """Highest number of an order that it has followed; 0 before the first."""
