--- /dev/null
+++ b/src/pimentodale/callers/app.py
@@ -0,0 +1,63 @@
+"""The paths that an entry host answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from pimentodale.callers.generation import GenerationHandler
+from pimentodale.callers.reads import (
+    HealthHandler,
+    MetricsHandler,
+    ModelsHandler,
+    ReadinessHandler,
+    TraceHandler,
+    UnknownPathHandler,
+)
+from pimentodale.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from pimentodale.callers.context import CallerContext
+
+MAX_DRAINED_BYTES: Final = 256 * 1024 * 1024
+"""How much of a refused body is read and dropped before its connection is closed."""
+
+IDLE_CONNECTION_TIMEOUT_MS: Final = 600_000.0
+"""How long a caller's idle connection is kept."""
+
+
+def create_application(context: CallerContext, extra_handlers: list[Any]) -> Application:
+    """Return the application of one entry host.
+
+    Args:
+        context: State shared by its handlers.
+        extra_handlers: Tornado rules of other slices.
+    """
+    shared = {"context": context}
+    handlers = [
+        (r"/v1/chat/completions", GenerationHandler, {**shared, "kind": "chat"}),
+        (r"/v1/completions", GenerationHandler, {**shared, "kind": "completion"}),
+        (r"/v1/models", ModelsHandler, shared),
+        (r"/healthz", HealthHandler, shared),
+        (r"/readyz", ReadinessHandler, shared),
+        (r"/metrics", MetricsHandler, shared),
+        (r"/admin/trace", TraceHandler, shared),
+        *extra_handlers,
+    ]
+    return Application(
+        handlers,
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=shared,
+        log_function=lambda _handler: None,
+    )
+
+
+def create_server(application: Application) -> HTTPServer:
+    """Return the HTTP server; the handlers bound each body themselves."""
+    return HTTPServer(
+        application,
+        max_body_size=MAX_DRAINED_BYTES,
+        idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_MS / MS_PER_S,
+    )
--- /dev/null
+++ b/src/pimentodale/callers/base.py
@@ -0,0 +1,193 @@
+"""What all callers' handlers share: who calls, until when, and how they are refused."""
+
+from __future__ import annotations
+
+import math
+import re
+import uuid
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.web import HTTPError, RequestHandler, stream_request_body
+
+from pimentodale.clock import MS_PER_S
+from pimentodale.logs import get_log
+from pimentodale.results import Refusal, ResultCode, create_refusal
+from pimentodale.tracing.traceparent import create_trace, parse_traceparent
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from pimentodale.callers.context import CallerContext
+    from pimentodale.tracing.tracer import Span
+
+MAX_TIMEOUT_MS: Final = 3_600_000.0
+"""Longest deadline that a caller may ask for."""
+
+MAX_KEY_CHARS: Final = 255
+"""Longest Idempotency-Key or request id."""
+
+_VISIBLE_ASCII: Final = re.compile(r"^[\x21-\x7e]+$")
+_log = get_log("callers")
+
+S = TypeVar("S")
+
+
+class Handler(RequestHandler):
+    """Base of all handlers: answers and refusals as JSON."""
+
+    context: CallerContext
+    """Shared state."""
+
+    def initialize(self, context: CallerContext) -> None:
+        """Take the shared state."""
+        self.context = context
+
+    def answer(self, value: object, status: int = 200) -> None:
+        """Finish with a JSON body."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(value))
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Finish with a refusal, at once."""
+        self.context.metrics.results[refusal.code] += 1
+        if refusal.retry_after_ms is not None:
+            self.set_header("Retry-After", str(math.ceil(refusal.retry_after_ms / MS_PER_S)))
+        if refusal.code is ResultCode.UNAUTHENTICATED:
+            self.set_header("WWW-Authenticate", "Bearer")
+        self.answer(refusal, refusal.http_status)
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Turn Tornado's own errors into numbered refusals."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, HTTPError) and status_code == 405:
+            self.refuse(create_refusal(ResultCode.METHOD_NOT_ALLOWED, "Use another method."))
+            return
+        if isinstance(error, HTTPError) and status_code < 500:
+            self.refuse(create_refusal(ResultCode.MALFORMED_REQUEST, str(error)))
+            return
+        message = "This program met a fault of its own; its log has the details."
+        self.refuse(create_refusal(ResultCode.INTERNAL, message, ran=self.ran_on_fault()))
+
+    def ran_on_fault(self) -> Any:
+        """Return whether work may have run when this handler fails unexpectedly."""
+        from pimentodale.results import Ran
+
+        return Ran.NOT_RUN
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log unexpected faults with their trace."""
+        if isinstance(value, HTTPError):
+            return
+        _log.error("A handler failed.", path=self.request.path, exc_info=(typ, value, tb))
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Not used by handlers that don't stream their body."""
+        raise NotImplementedError
+
+
+@stream_request_body
+class CallerHandler(Handler):
+    """Base of handlers for callers' work: reads the body within bounds and names the request."""
+
+    def initialize(self, context: CallerContext) -> None:
+        """Take the shared state and prepare to read a body."""
+        super().initialize(context)
+        self.body = bytearray()
+        self.accepted_ms = context.clock.now_ms()
+        self.request_id = ""
+        self.handed_over = False
+        self._span: Span | None = None
+
+    def prepare(self) -> None:
+        """Refuse what can be refused by the header alone."""
+        self.request_id = self._read_request_id()
+        self.set_header("X-Request-Id", self.request_id)
+        parent = parse_traceparent(self.request.headers.get("traceparent")) or create_trace()
+        self._span = self.context.tracer.start(
+            "request", self.request_id, parent, path=self.request.path
+        )
+        self.set_header("traceparent", self._span.context().header())
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > self.context.max_body_bytes:
+            self.refuse(self._too_large())
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        if self._finished:
+            return
+        self.body += chunk
+        if len(self.body) > self.context.max_body_bytes:
+            self.body.clear()
+            self.refuse(self._too_large())
+
+    @property
+    def span(self) -> Span:
+        """The request's span."""
+        assert self._span is not None
+        return self._span
+
+    def ran_on_fault(self) -> Any:
+        """Return `may_have_run` once the work was handed over."""
+        from pimentodale.results import Ran
+
+        return Ran.MAY_HAVE_RUN if self.handed_over else Ran.NOT_RUN
+
+    def on_finish(self) -> None:
+        """Close the request's span."""
+        if self._span is None:
+            return
+        self.context.tracer.end(self._span, status=str(self.get_status()))
+        self.context.metrics.request.record(self.context.clock.now_ms() - self.accepted_ms)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse and note why in the trace."""
+        if self._span is not None:
+            self._span.attributes["refused"] = refusal.name
+            self._span.attributes["reason"] = refusal.message
+        super().refuse(refusal)
+
+    def read_deadline_ms(self, default_timeout_ms: float) -> Result[float, Refusal]:
+        """Return the monotonic deadline from `X-Request-Timeout-Ms`."""
+        text = self.request.headers.get("X-Request-Timeout-Ms")
+        if text is None:
+            return Ok(self.accepted_ms + default_timeout_ms)
+        try:
+            timeout_ms = float(text)
+        except ValueError:
+            timeout_ms = math.nan
+        if not 0 < timeout_ms <= MAX_TIMEOUT_MS:
+            message = f"X-Request-Timeout-Ms has to be a number above 0 up to {MAX_TIMEOUT_MS:.0f}."
+            return Error(create_refusal(ResultCode.BAD_HEADER, message))
+        return Ok(self.accepted_ms + timeout_ms)
+
+    def read_idempotency_key(self) -> Result[str, Refusal]:
+        """Return the `Idempotency-Key`; empty when there is none."""
+        key = self.request.headers.get("Idempotency-Key")
+        if key is None:
+            return Ok("")
+        if len(key) > MAX_KEY_CHARS or not _VISIBLE_ASCII.match(key):
+            message = f"Idempotency-Key has to be 1 to {MAX_KEY_CHARS} visible ASCII characters."
+            return Error(create_refusal(ResultCode.BAD_HEADER, message))
+        return Ok(key)
+
+    def take(self, result: Result[S, Refusal]) -> S | None:
+        """Return a result's value, or refuse and return `None`."""
+        if result.is_ok():
+            return result.ok
+        self.refuse(result.error)
+        return None
+
+    def _read_request_id(self) -> str:
+        """Return the caller's request id if it can be used, else a new one."""
+        given = self.request.headers.get("X-Request-Id", "")
+        if given and len(given) <= MAX_KEY_CHARS and _VISIBLE_ASCII.match(given):
+            return given
+        return uuid.uuid4().hex
+
+    def _too_large(self) -> Refusal:
+        """Refuse a body over the bound."""
+        message = f"The body is over {self.context.max_body_bytes} bytes; send a smaller one."
+        return create_refusal(ResultCode.BODY_TOO_LARGE, message)
--- /dev/null
+++ b/src/pimentodale/callers/context.py
@@ -0,0 +1,46 @@
+"""What the callers' handlers work with; the entry program fills it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pimentodale.callers.authentication import Authenticator
+    from pimentodale.clock import Clock
+    from pimentodale.configuration.documents import Configuration
+    from pimentodale.metrics import Metrics
+    from pimentodale.pipelines.generate import PipelineMeans
+    from pimentodale.results import Refusal
+    from pimentodale.tracing.tracer import Tracer
+
+
+@dataclass(slots=True)
+class CallerContext:
+    """State and means shared by all handlers of one entry host."""
+
+    clock: Clock
+    """Source of time."""
+
+    tracer: Tracer
+    """Keeps spans."""
+
+    metrics: Metrics
+    """Counts."""
+
+    configuration: Callable[[], Configuration]
+    """Returns the configuration in force."""
+
+    authenticator: Authenticator
+    """Finds workspaces."""
+
+    pipelines: PipelineMeans
+    """What generations work with."""
+
+    unready: Callable[[], Refusal | None]
+    """Why this host takes no new work, if it doesn't."""
+
+    max_body_bytes: int
+    """Largest request body."""
--- /dev/null
+++ b/src/pimentodale/platform/engine_client.py
@@ -0,0 +1,255 @@
+"""Client of one engine: a stream of tokens, and the small calls beside it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.platform.engine_messages import EngineLoad, EngineRefusal, TokenNote
+from pimentodale.platform.http_call import CallFault, CallRequest, fetch, open_call
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from pimentodale.addresses import Address
+    from pimentodale.platform.engine_messages import EngineCall
+    from pimentodale.platform.http_call import HttpCall
+
+HTTP_OK: Final = 200
+"""Status of an opened stream."""
+
+_DATA: Final = b"data:"
+_DONE: Final = b"[DONE]"
+_MAX_LINE_BYTES: Final = 256 * 1024
+
+
+class EngineToken(msgspec.Struct, frozen=True):
+    """A token as an engine gave it, not verified yet."""
+
+    note: TokenNote
+    """The extension's field."""
+
+
+class EngineFinish(msgspec.Struct, frozen=True):
+    """An engine's word that the answer is whole."""
+
+    reason: str
+    """`stop` or `length`."""
+
+    prompt_tokens: int
+    """Tokens of the prompt."""
+
+    completion_tokens: int
+    """Tokens of the answer, resumed ones included."""
+
+
+class EngineFault(msgspec.Struct, frozen=True):
+    """Why a stream from an engine can't go on."""
+
+    message: str
+    """What happened."""
+
+    sent: bool = True
+    """Whether the engine may have got any byte of the request."""
+
+    silent: bool = False
+    """Whether nothing came for too long, as against a connection that closed."""
+
+    refused: EngineRefusal | None = None
+    """Set when the engine answered that it ran nothing."""
+
+    stage_lost: str = ""
+    """A later stage that the head has lost."""
+
+    malformed: bool = False
+    """Whether the engine's answer was not in its protocol."""
+
+
+EngineEvent = EngineToken | EngineFinish
+"""What a stream yields."""
+
+
+class _Choice(msgspec.Struct):
+    """The part of a chunk's choice that is read."""
+
+    finish_reason: str | None = None
+
+
+class _Usage(msgspec.Struct):
+    """Token counts of the last chunk."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Chunk(msgspec.Struct):
+    """The part of a chunk that is read."""
+
+    pimentodale: TokenNote | None = None
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+
+
+class _RefusalBody(msgspec.Struct):
+    """Body of a 4xx or 5xx answer."""
+
+    pimentodale: EngineRefusal
+
+
+_chunk_decoder: Final = msgspec.json.Decoder(_Chunk)
+_refusal_decoder: Final = msgspec.json.Decoder(_RefusalBody)
+
+
+class EngineStream:
+    """An accepted completion; iterate `events`, and `close` it in any case."""
+
+    __slots__ = ("_call",)
+
+    def __init__(self, call: HttpCall) -> None:
+        self._call = call
+
+    async def events(
+        self, silence_timeout_ms: float
+    ) -> AsyncIterator[Result[EngineEvent, EngineFault]]:
+        """Read the stream.
+
+        Args:
+            silence_timeout_ms: Longest wait for the next bytes.
+
+        Yields:
+            Tokens, then one finish; or one fault, after which nothing follows.
+        """
+        finish: EngineFinish | None = None
+        async for line in _lines(self._call, silence_timeout_ms):
+            if line.is_error():
+                yield Error(line.error)
+                return
+            if line.ok == _DONE:
+                break
+            event = _parse_chunk(line.ok)
+            if event.is_error() or isinstance(event.ok, EngineToken):
+                yield event
+                continue
+            finish = event.ok
+        if finish is None:
+            yield Error(EngineFault("the stream ended without its finish", malformed=True))
+            return
+        yield Ok(finish)
+
+    def close(self) -> None:
+        """Drop the connection, which cancels the work at all stages."""
+        self._call.close()
+
+
+async def open_stream(
+    address: Address,
+    path: str,
+    body: dict[str, Any],
+    call: EngineCall,
+    headers: dict[str, str],
+    header_timeout_ms: float,
+) -> Result[EngineStream, EngineFault]:
+    """Ask the head of a route for a completion.
+
+    Args:
+        address: The head engine.
+        path: `/v1/chat/completions` or `/v1/completions`.
+        body: The caller's request.
+        call: The extension's field.
+        headers: Such as `traceparent`.
+        header_timeout_ms: Longest wait for the engine to accept.
+
+    Returns:
+        The open stream, or why there is none.
+    """
+    payload = {**body, "stream": True, "pimentodale": call}
+    payload.pop("stream_options", None)
+    request = CallRequest(
+        method="POST",
+        path=path,
+        headers={"Content-Type": "application/json", **headers},
+        body=msgspec.json.encode(payload),
+    )
+    opened = await open_call(address, request, header_timeout_ms)
+    if opened.is_error():
+        return Error(_fault_of(opened.error))
+    if opened.ok.status == HTTP_OK:
+        return Ok(EngineStream(opened.ok))
+    return Error(await _read_refusal(opened.ok, header_timeout_ms))
+
+
+async def read_load(address: Address, timeout_ms: float) -> Result[EngineLoad, EngineFault]:
+    """Read an engine's load report; also proves that the engine answers.
+
+    Args:
+        address: The engine.
+        timeout_ms: Longest time for the call.
+    """
+    request = CallRequest(method="GET", path="/v1/pimentodale/load")
+    reply = await fetch(address, request, timeout_ms)
+    if reply.is_error():
+        return Error(_fault_of(reply.error))
+    try:
+        return Ok(msgspec.json.decode(reply.ok.body, type=EngineLoad))
+    except msgspec.DecodeError as error:
+        return Error(EngineFault(f"load report not in its form: {error}", malformed=True))
+
+
+async def _lines(
+    call: HttpCall, silence_timeout_ms: float
+) -> AsyncIterator[Result[bytes, EngineFault]]:
+    """Split a stream into the contents of its `data:` lines."""
+    rest = b""
+    async for chunk in call.chunks(silence_timeout_ms):
+        if chunk.is_error():
+            yield Error(_fault_of(chunk.error))
+            return
+        *lines, rest = (rest + chunk.ok).split(b"\n")
+        for line in lines:
+            if line.startswith(_DATA):
+                yield Ok(line[len(_DATA) :].strip())
+        if len(rest) > _MAX_LINE_BYTES:
+            yield Error(EngineFault("a line of the stream is too long", malformed=True))
+            return
+
+
+def _parse_chunk(data: bytes) -> Result[EngineEvent, EngineFault]:
+    """Read one chunk."""
+    try:
+        chunk = _chunk_decoder.decode(data)
+    except msgspec.DecodeError as error:
+        return Error(EngineFault(f"a chunk is not in its form: {error}", malformed=True))
+    note = chunk.pimentodale
+    if note is not None and note.stage_lost:
+        return Error(EngineFault(f"stage {note.stage_lost} lost", stage_lost=note.stage_lost))
+    reason = next((choice.finish_reason for choice in chunk.choices), None)
+    if reason is not None:
+        usage = chunk.usage or _Usage()
+        return Ok(EngineFinish(reason, usage.prompt_tokens, usage.completion_tokens))
+    if note is None:
+        return Error(EngineFault("a chunk carries no token", malformed=True))
+    return Ok(EngineToken(note))
+
+
+async def _read_refusal(call: HttpCall, timeout_ms: float) -> EngineFault:
+    """Read why an engine did not accept; only its own word makes it 'ran nothing'."""
+    parts: list[bytes] = []
+    status = call.status
+    async for chunk in call.chunks(timeout_ms):
+        if chunk.is_error():
+            call.close()
+            return _fault_of(chunk.error)
+        parts.append(chunk.ok)
+    call.close()
+    try:
+        refusal = _refusal_decoder.decode(b"".join(parts)).pimentodale
+    except msgspec.DecodeError:
+        return EngineFault(f"answered HTTP {status}", malformed=True)
+    return EngineFault(f"answered HTTP {status}", refused=refusal, stage_lost=refusal.stage_lost)
+
+
+def _fault_of(fault: CallFault) -> EngineFault:
+    """Turn a connection's fault into a stream's."""
+    return EngineFault(fault.message, sent=fault.sent, silent=fault.silent)
