--- /dev/null
+++ b/src/pimentodale/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, experiments with faults, reports and journal checks."""
