Add the ledger of non-repeatable work and the calls of plain services

Cause: a reservation, certificate or switch submission may run at most once, and a refusal that says 'not run' has to be true of the key, not of the attempt. Ruled out: a claim that other hosts may take over after its deadline; a host that was frozen between its last look and the first byte would then double the work. Only the claiming host gives a claim back. Ruled out: a lease for each claim (one more call each); a sweeper by wall clock (hosts' clocks decide what is removed). Change: one key for each claim, created only if absent; outcomes replayed; lost replies read back by the attempt's id; http_call asks a hook between connection and first byte, so that the last look is the last thing before the write.

--- /dev/null
+++ b/features/support/memory_store.py
@@ -0,0 +1,150 @@
+"""A key-value store in memory, whose every call passes gates at which a test may hold or fail it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+from expression import Error, Ok, Result
+
+from pimentodale.platform.key_value import (
+    Compare,
+    Delete,
+    KeyValue,
+    Put,
+    RangeReply,
+    StoreFault,
+    TxnReply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from pimentodale.clock import Clock
+    from pimentodale.platform.key_value import WatchBatch
+
+Gate = Callable[[str], Awaitable[StoreFault | None]]
+"""Awaited with "request" before a call takes effect and with "reply" after it."""
+
+
+async def open_gate(_stage: str) -> StoreFault | None:
+    """Let every call pass."""
+    await asyncio.sleep(0)
+    return None
+
+
+class MemoryState:
+    """What the service holds; shared by the stores of several hosts."""
+
+    __slots__ = ("clock", "items", "leases", "next_lease", "revision")
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.items: dict[str, KeyValue] = {}
+        self.leases: dict[int, float] = {}
+        self.next_lease = 1
+        self.revision = 1
+
+    def expire(self) -> None:
+        """Remove lapsed leases and their keys."""
+        now_ms = self.clock.now_ms()
+        for lease_id, end_ms in list(self.leases.items()):
+            if end_ms > now_ms:
+                continue
+            del self.leases[lease_id]
+            for key in [k for k, item in self.items.items() if item.lease_id == lease_id]:
+                del self.items[key]
+
+    def apply(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> Result[TxnReply, StoreFault]:
+        """Run one transaction."""
+        self.expire()
+        found = [self.items[c.key] for c in compares if c.key in self.items]
+        for compare in compares:
+            item = self.items.get(compare.key)
+            if (item.mod_revision if item else 0) != compare.mod_revision:
+                return Ok(TxnReply(self.revision, False, found))
+        for write in writes:
+            if isinstance(write, Put) and write.lease_id and write.lease_id not in self.leases:
+                return Error(StoreFault(False, "requested lease not found"))
+        self.revision += 1
+        for write in writes:
+            if isinstance(write, Delete):
+                self.items.pop(write.key, None)
+                continue
+            old = self.items.get(write.key)
+            created = old.create_revision if old else self.revision
+            self.items[write.key] = KeyValue(
+                write.key, write.value, created, self.revision, write.lease_id
+            )
+        return Ok(TxnReply(self.revision, True))
+
+
+class MemoryStore:
+    """One host's way to the shared state."""
+
+    __slots__ = ("_gate", "_state")
+
+    def __init__(self, state: MemoryState, gate: Gate = open_gate) -> None:
+        self._state = state
+        self._gate = gate
+
+    async def read(
+        self, key: str, range_end: str = "", limit: int = 0
+    ) -> Result[RangeReply, StoreFault]:
+        """Read one key."""
+        del range_end, limit
+
+        def read_now() -> Result[RangeReply, StoreFault]:
+            self._state.expire()
+            item = self._state.items.get(key)
+            return Ok(RangeReply(self._state.revision, [] if item is None else [item]))
+
+        return await self._through_gates(read_now)
+
+    async def txn(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> Result[TxnReply, StoreFault]:
+        """Run a transaction."""
+        return await self._through_gates(lambda: self._state.apply(compares, writes))
+
+    async def grant_lease(self, ttl_ms: float) -> Result[int, StoreFault]:
+        """Create a lease."""
+
+        def grant_now() -> Result[int, StoreFault]:
+            lease_id = self._state.next_lease
+            self._state.next_lease += 1
+            self._state.leases[lease_id] = self._state.clock.now_ms() + ttl_ms
+            return Ok(lease_id)
+
+        return await self._through_gates(grant_now)
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFault]:
+        """Say how long a lease has left."""
+        left_ms = self._state.leases.get(lease_id, 0.0) - self._state.clock.now_ms()
+        return Ok(max(0.0, left_ms))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
+        """End a lease."""
+        self._state.leases[lease_id] = 0.0
+        self._state.expire()
+        return Ok(None)
+
+    def watch(
+        self, prefix: str, from_revision: int, silence_timeout_ms: float
+    ) -> AsyncIterator[Result[WatchBatch, StoreFault]]:
+        """Refuse: the ledger holds no watch."""
+        raise NotImplementedError
+
+    async def _through_gates(self, act: Callable[[], Result[Any, StoreFault]]) -> Any:
+        """Pass the gate before the effect and the one after it."""
+        fault = await self._gate("request")
+        if fault is not None:
+            if fault.may_have_applied:
+                act()
+            return Error(fault)
+        answer = act()
+        fault = await self._gate("reply")
+        return answer if fault is None else Error(fault)
--- a/src/pimentodale/platform/http_call.py
+++ b/src/pimentodale/platform/http_call.py
@@ -20,7 +20,7 @@
 from pimentodale.clock import MS_PER_S
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from tornado.httputil import ResponseStartLine
     from tornado.iostream import IOStream
@@ -155,6 +155,7 @@
     request: CallRequest,
     header_timeout_ms: float,
     connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+    before_send: Callable[[], Awaitable[bool]] | None = None,
 ) -> Result[HttpCall, CallFault]:
     """Connect, send a request and read the response's header.
 
@@ -163,6 +164,8 @@
         request: What to send.
         header_timeout_ms: Longest wait for the header once connected.
         connect_timeout_ms: Longest wait for the connection.
+        before_send: Asked once the connection stands, right before the first byte; when it says
+            False, nothing is sent.
 
     Returns:
         The open call, or the fault; `sent` is False only if no byte was handed over.
@@ -176,6 +179,8 @@
     except (OSError, StreamClosedError) as error:
         return Error(CallFault(False, False, f"no connection to {address}: {error}"))
     stream.set_nodelay(True)
+    if before_send is not None and not await _may_send(stream, before_send):
+        return Error(CallFault(False, False, f"nothing was sent to {address}"))
     parameters = HTTP1ConnectionParameters(
         no_keep_alive=True, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
     )
@@ -195,7 +200,10 @@
 
 
 async def fetch(
-    address: Address, request: CallRequest, timeout_ms: float
+    address: Address,
+    request: CallRequest,
+    timeout_ms: float,
+    before_send: Callable[[], Awaitable[bool]] | None = None,
 ) -> Result[CallReply, CallFault]:
     """Make a whole exchange.
 
@@ -203,23 +211,28 @@
         address: Where to connect.
         request: What to send.
         timeout_ms: Longest time for all of it.
+        before_send: As in `open_call`.
 
     Returns:
         The whole response, or the fault.
     """
     try:
         return await asyncio.wait_for(
-            _fetch_unbounded(address, request, timeout_ms), timeout_ms / MS_PER_S
+            _fetch_unbounded(address, request, timeout_ms, before_send), timeout_ms / MS_PER_S
         )
     except TimeoutError:
         return Error(CallFault(True, True, f"{address} gave no whole response in time"))
 
 
 async def _fetch_unbounded(
-    address: Address, request: CallRequest, timeout_ms: float
+    address: Address,
+    request: CallRequest,
+    timeout_ms: float,
+    before_send: Callable[[], Awaitable[bool]] | None,
 ) -> Result[CallReply, CallFault]:
     """Read a whole response, each wait bounded by the same time-out."""
-    opened = await open_call(address, request, timeout_ms, min(timeout_ms, CONNECT_TIMEOUT_MS))
+    connect_timeout_ms = min(timeout_ms, CONNECT_TIMEOUT_MS)
+    opened = await open_call(address, request, timeout_ms, connect_timeout_ms, before_send)
     if opened.is_error():
         return Error(opened.error)
     call = opened.ok
@@ -234,6 +247,17 @@
     return Ok(CallReply(call.status, dict(call.headers.get_all()), b"".join(parts)))
 
 
+async def _may_send(stream: IOStream, before_send: Callable[[], Awaitable[bool]]) -> bool:
+    """Ask whether the first byte may go out; drop the connection if it may not."""
+    allowed = False
+    try:
+        allowed = await before_send()
+    finally:
+        if not allowed:
+            stream.close()
+    return allowed
+
+
 class _Response(HTTPMessageDelegate):
     """Receives one response and queues its chunks; `None` marks the end."""
 
--- /dev/null
+++ b/src/pimentodale/services/caller.py
@@ -0,0 +1,285 @@
+"""Calls plain services: repeatable ones with retries, the others once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.ledger.records import ClaimRequest, Outcome, digest_request
+from pimentodale.ledger.run_once import WorkFault, run_once
+from pimentodale.platform.http_call import CallFault, CallReply, CallRequest, fetch
+from pimentodale.results import Ran, ResultCode, create_refusal
+from pimentodale.services.messages import ServiceCall, ServiceReply
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from pimentodale.clock import Clock
+    from pimentodale.ledger.interface import Ledger
+    from pimentodale.ledger.run_once import LastLook
+    from pimentodale.results import Refusal
+    from pimentodale.services.messages import ServiceReplica
+
+    PickReplica = Callable[[str, frozenset[str]], ServiceReplica | None]
+    CallService = Callable[
+        [ServiceCall, Callable[[], bool]], Awaitable[Result[ServiceReply, Refusal]]
+    ]
+    BeforeSend = Callable[[], Awaitable[bool]]
+
+MAX_TRIES: Final = 4
+"""Replicas that one call is tried on."""
+
+MIN_TRY_MS: Final = 100.0
+"""A try gets half of the time left, unless that is shorter than this."""
+
+NO_ROUTE_RETRY_AFTER_MS: Final = 2000.0
+"""When to come back to a service that has no live replica."""
+
+BUSY_STATUS: Final = 503
+"""HTTP status by which a replica says that it takes no call now."""
+
+HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "proxy-authenticate",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Response headers that belong to one connection and are not passed on, in lower case."""
+
+
+class ServiceCaller:
+    """Calls of plain services from one host; build it with `create_service_caller`."""
+
+    __slots__ = ("_clock", "_ledger", "_pick", "_report", "_spend_retry")
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        pick: PickReplica,
+        clock: Clock,
+        spend_retry: Callable[[], bool],
+        report: Callable[[ServiceReplica, bool], None],
+    ) -> None:
+        self._ledger = ledger
+        self._pick = pick
+        self._clock = clock
+        self._spend_retry = spend_retry
+        self._report = report
+
+    async def call(
+        self, call: ServiceCall, caller_gone: Callable[[], bool]
+    ) -> Result[ServiceReply, Refusal]:
+        """Make one call.
+
+        Args:
+            call: What to call.
+            caller_gone: Tells whether the caller has closed its connection.
+
+        Returns:
+            The service's whole answer, whatever its status, or the refusal.
+        """
+        latest_ms = self._clock.now_ms() + call.operation.timeout_ms
+        call = msgspec.structs.replace(call, deadline_ms=min(call.deadline_ms, latest_ms))
+        if call.operation.repeatable:
+            return await self._call_repeatable(call)
+        if not call.idempotency_key:
+            return await self._call_keyless(call)
+        request = ClaimRequest(
+            workspace=call.workspace,
+            idempotency_key=call.idempotency_key,
+            digest=digest_request(call.service.name, call.method, call.path, call.body),
+            deadline_ms=call.deadline_ms,
+        )
+
+        async def work(look: LastLook) -> Result[Outcome, WorkFault]:
+            bounded = msgspec.structs.replace(call, deadline_ms=look.deadline_ms)
+            return await self._send_once(bounded, look.allows, lambda: look.refusal is not None)
+
+        outcome = await run_once(self._ledger, request, work, caller_gone)
+        return outcome.map(_to_reply)
+
+    async def _call_keyless(self, call: ServiceCall) -> Result[ServiceReply, Refusal]:
+        """Make a non-repeatable call without a key: once, if the operation allows it."""
+        if not call.operation.keyless:
+            message = "This operation may not repeat; send an Idempotency-Key with it."
+            return Error(create_refusal(ResultCode.IDEMPOTENCY_KEY_REQUIRED, message))
+
+        async def in_time() -> bool:
+            return self._clock.now_ms() < call.deadline_ms
+
+        ended = await self._send_once(call, in_time, lambda: False)
+        if ended.is_ok():
+            return Ok(_to_reply(ended.ok))
+        fault = ended.error
+        ran = Ran.MAY_HAVE_RUN if fault.sent else Ran.NOT_RUN
+        return Error(
+            create_refusal(fault.code, fault.message, ran=ran, retry_after_ms=fault.retry_after_ms)
+        )
+
+    async def _send_once(
+        self, call: ServiceCall, before_send: BeforeSend, forbidden: Callable[[], bool]
+    ) -> Result[Outcome, WorkFault]:
+        """Send the call to the first replica that takes a connection, and to no other after a byte.
+
+        Args:
+            call: The call; its deadline bounds everything.
+            before_send: Allows the first byte.
+            forbidden: Tells whether `before_send` has forbidden the call for good.
+        """
+        allowed = False
+
+        async def before_byte() -> bool:
+            nonlocal allowed
+            allowed = await before_send()
+            return allowed
+
+        excluded: set[str] = set()
+        for _ in range(MAX_TRIES):
+            left_ms = call.deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return Error(_deadline_passed())
+            replica = self._pick(call.service.name, frozenset(excluded))
+            if replica is None:
+                return Error(_no_replica(call, excluded))
+            excluded.add(replica.name)
+            reply = await fetch(replica.address, _request(call), left_ms, before_byte)
+            self._report(replica, reply.is_ok())
+            if reply.is_ok():
+                return Ok(_to_outcome(reply.ok))
+            if allowed:
+                return Error(_lost(reply.error, sent=reply.error.sent))
+            if forbidden():
+                break
+        if self._clock.now_ms() >= call.deadline_ms:
+            return Error(_deadline_passed())
+        message = f"No replica of service '{call.service.name}' took the connection."
+        return Error(_not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message))
+
+    async def _call_repeatable(self, call: ServiceCall) -> Result[ServiceReply, Refusal]:
+        """Try replicas until one answers, within the deadline and the retry budget."""
+        excluded: set[str] = set()
+        last: WorkFault | None = None
+        busy: CallReply | None = None
+        sent = False
+        for number in range(MAX_TRIES):
+            left_ms = call.deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                last = _deadline_passed()
+                break
+            replica = self._pick(call.service.name, frozenset(excluded))
+            if replica is None:
+                last = last or _no_replica(call, excluded)
+                break
+            if number and not self._spend_retry():
+                break
+            excluded.add(replica.name)
+            reply = await fetch(replica.address, _request(call), self._try_ms(left_ms))
+            self._report(replica, reply.is_ok())
+            if reply.is_error():
+                sent = sent or reply.error.sent
+                last = _lost(reply.error, sent=reply.error.sent)
+                continue
+            if reply.ok.status != BUSY_STATUS:
+                return Ok(_to_reply(_to_outcome(reply.ok)))
+            busy = reply.ok
+        if busy is not None:
+            return Ok(_to_reply(_to_outcome(busy)))
+        fault = last or _no_replica(call, excluded)
+        return Error(
+            create_refusal(
+                fault.code,
+                fault.message,
+                ran=Ran.MAY_HAVE_RUN if sent else Ran.NOT_RUN,
+                retry_after_ms=fault.retry_after_ms,
+            )
+        )
+
+    def _try_ms(self, left_ms: float) -> float:
+        """Return the time for one try, which leaves as much for another after it."""
+        return left_ms if left_ms / 2 < MIN_TRY_MS else left_ms / 2
+
+
+def create_service_caller(
+    ledger: Ledger,
+    pick: PickReplica,
+    clock: Clock,
+    spend_retry: Callable[[], bool],
+    report: Callable[[ServiceReplica, bool], None],
+) -> CallService:
+    """Build the function that calls plain services.
+
+    Args:
+        ledger: Ledger of this host.
+        pick: Returns a live replica of a service, none of those excluded by name; `None` if there
+            is none.
+        clock: Time.
+        spend_retry: Takes one retry from the budget; False when it is spent.
+        report: Told after each try whether the replica gave a whole answer.
+
+    Returns:
+        The function: call and "is the caller gone" in, reply or refusal out.
+    """
+    return ServiceCaller(ledger, pick, clock, spend_retry, report).call
+
+
+def _request(call: ServiceCall) -> CallRequest:
+    """Return the request as it goes to a replica."""
+    headers = dict(call.headers)
+    headers["X-Request-Id"] = call.request_id
+    headers["X-Workspace"] = call.workspace
+    if call.traceparent:
+        headers["traceparent"] = call.traceparent
+    if call.idempotency_key:
+        headers["Idempotency-Key"] = call.idempotency_key
+    return CallRequest(method=call.method, path=call.path, headers=headers, body=call.body)
+
+
+def _to_outcome(reply: CallReply) -> Outcome:
+    """Return a whole reply as the outcome to keep."""
+    headers = {
+        name: value for name, value in reply.headers.items() if name.lower() not in HOP_HEADERS
+    }
+    return Outcome(status=reply.status, headers=headers, body=reply.body)
+
+
+def _to_reply(outcome: Outcome) -> ServiceReply:
+    """Return an outcome as the reply to the caller."""
+    return ServiceReply(status=outcome.status, headers=outcome.headers, body=outcome.body)
+
+
+def _not_sent(
+    code: ResultCode, message: str, retry_after_ms: float | None = NO_ROUTE_RETRY_AFTER_MS
+) -> WorkFault:
+    """Return the fault of a call of which nothing went out."""
+    return WorkFault(sent=False, code=code, message=message, retry_after_ms=retry_after_ms)
+
+
+def _deadline_passed() -> WorkFault:
+    """Return the fault of a call whose time was over before it went out."""
+    message = "The deadline passed before a replica took the call."
+    return _not_sent(ResultCode.DEADLINE_EXCEEDED, message, None)
+
+
+def _no_replica(call: ServiceCall, excluded: set[str]) -> WorkFault:
+    """Return the fault of a service without a replica to try."""
+    name = call.service.name
+    if excluded:
+        message = f"No replica of service '{name}' took the connection."
+        return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message)
+    return _not_sent(ResultCode.NO_ROUTE, f"Service '{name}' has no live replica now.")
+
+
+def _lost(fault: CallFault, *, sent: bool) -> WorkFault:
+    """Return the fault of a call that a replica did not answer whole."""
+    code = ResultCode.BACKEND_SERVER_LOST if sent else ResultCode.BACKEND_SERVER_UNREACHABLE
+    return WorkFault(sent=sent, code=code, message=f"The service gave no answer: {fault.message}.")
