Plan routes by maximum flow and pick among them

Cause: an entry host has to choose, for each request, engines whose layer ranges tile the model, so that all accelerators and links together carry as much as they can. Change: Dinic's algorithm over whole numbers; a layered network of replicas and of links between failure domains; the flow split into weighted routes; a pick by weight with two choices; the fleet with leaving and down marks that go before the host list; round robin and join-the-shortest-queue as pickers of the same shape, for measurement. Ruled out: networkx at run time, for its memory; cut points inside overlapping ranges, as going on to the last layer held costs a route nothing when a token costs the same whatever the layers.

--- /dev/null
+++ b/features/routing.feature
@@ -0,0 +1,33 @@
+Feature: routing
+  Every planned route runs each layer once, and the plan carries as much as the replicas and links do.
+
+  Scenario: the flow equals the oracle's
+    When 200 random flow graphs are solved
+    Then each flow has the oracle's value and keeps within the capacities
+
+  Scenario: every planned route tiles the layers
+    When routes are planned for 150 random fleets
+    Then each route tiles the layers with ranges that its replicas hold
+    And the routes together carry the bound within every replica's and link's capacity
+
+  Scenario: a plan for 150 replicas is made in time
+    When routes are planned 5 times for 150 replicas of 4 kinds over links 100 times apart
+    Then the fastest plan takes at most 100 ms
+    And picking among them takes at most 50 us at the median
+
+  Scenario: a pick avoids replicas that may take no work
+    Given a router over 4 failure domains with 24 engines
+    When replicas are marked leaving, down and excluded in turn while 2000 routes are picked
+    Then no picked route has a replica that may take no work
+    And every picked route tiles the layers
+
+  Scenario: a replica that is leaving stays so
+    Given a router over 1 failure domains with 4 engines
+    When one engine is marked leaving and the host list still calls it live
+    Then it takes no work until it has left the list and come back
+    And it takes work again after a start with another boot id
+
+  Scenario: own streams are counted over a gap in the host list
+    Given a router over 1 failure domains with 4 engines
+    When the host list loses the engines for a while during 3 streams
+    Then each engine's streams are counted off in the end
--- /dev/null
+++ b/features/steps/routing.py
@@ -0,0 +1,316 @@
+"""Steps for the plan of routes and the pick."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from statistics import median
+from typing import TYPE_CHECKING, Any, Final
+
+import networkx
+from behave import given, then, when
+from hypothesis import given as property_given
+from hypothesis import settings as property_settings
+from hypothesis import strategies as st
+
+from pimentodale.addresses import Address
+from pimentodale.clock import ManualClock
+from pimentodale.platform.engine_messages import EngineLoad
+from pimentodale.platform.targets import EngineTarget, Targets
+from pimentodale.routing.fleet import create_fleet
+from pimentodale.routing.max_flow import create_flow_graph
+from pimentodale.routing.route_plan import Link, RoutePlan, plan_routes
+from pimentodale.routing.router import create_router
+from pimentodale.routing.routes import RouteOutcome, tiles
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+LAYERS: Final = 32
+UNIT: Final = 0.001
+
+
+def make_engine(name: str, domain: str, first: int, last: int, rate: float) -> EngineTarget:
+    return EngineTarget(
+        replica=name,
+        address=Address("127.0.0.1", 9000),
+        failure_domain=domain,
+        model="m",
+        first_layer=first,
+        last_layer=last,
+        tokens_per_s=rate,
+        slots=8,
+    )
+
+
+def make_fleet(rng: random.Random, size: int, layers: int) -> list[EngineTarget]:
+    """Random overlapping ranges beside aligned ones, over four kinds of accelerators."""
+    engines = []
+    for number in range(size):
+        length = rng.choice([8, 16, 32])
+        first = rng.randrange(0, layers - length + 1, 4)
+        if rng.random() < 0.5:
+            first = number % (layers // length) * length
+        rate = rng.choice([50.0, 100.0, 200.0, 400.0])
+        domain = f"d{number % 4}"
+        engines.append(make_engine(f"e{number}", domain, first, first + length, rate))
+    return engines
+
+
+def make_links() -> list[Link]:
+    return [
+        Link(
+            from_failure_domain=f"d{a}",
+            to_failure_domain=f"d{b}",
+            tokens_per_s=2000.0 if a == b else 20.0 * (1 + a + b),
+            replica_tokens_per_s=400.0 if a == b else 100.0,
+        )
+        for a in range(4)
+        for b in range(4)
+    ]
+
+
+def run_property(count: int, strategy: st.SearchStrategy[Any], check: Callable[[Any], None]) -> int:
+    """Check a property and return how many examples were tried."""
+    tried = 0
+
+    @property_settings(max_examples=count, derandomize=True, deadline=None, database=None)
+    @property_given(strategy)
+    def examine(value: Any) -> None:
+        nonlocal tried
+        tried += 1
+        check(value)
+
+    examine()
+    return tried
+
+
+@when("{count:d} random flow graphs are solved")
+def solve_graphs(context: Any, count: int) -> None:
+    edges = st.tuples(st.integers(0, 8), st.integers(0, 8), st.integers(0, 20))
+    context.tried = run_property(count, st.lists(edges, max_size=40), check_flow)
+
+
+def check_flow(edges: list[tuple[int, int, int]]) -> None:
+    graph = create_flow_graph(9)
+    oracle: networkx.DiGraph[int] = networkx.DiGraph()
+    oracle.add_nodes_from(range(9))
+    numbers = []
+    for tail, head, capacity in edges:
+        if tail == head:
+            continue
+        numbers.append((graph.add_edge(tail, head, capacity), tail, head, capacity))
+        known = oracle.get_edge_data(tail, head, {"capacity": 0})["capacity"]
+        oracle.add_edge(tail, head, capacity=known + capacity)
+    value = graph.push_max_flow(0, 8)
+    assert value == networkx.maximum_flow_value(oracle, 0, 8)
+    surplus = [0] * 9
+    for number, tail, head, capacity in numbers:
+        flow = graph.flow(number)
+        assert 0 <= flow <= capacity, (flow, capacity)
+        surplus[tail] -= flow
+        surplus[head] += flow
+    assert surplus == [-value, *[0] * 7, value], surplus
+
+
+@then("each flow has the oracle's value and keeps within the capacities")
+def check_graphs_tried(context: Any) -> None:
+    assert context.tried >= 100, context.tried
+
+
+@when("routes are planned for {count:d} random fleets")
+def plan_fleets(context: Any, count: int) -> None:
+    context.plans = []
+    for _ in range(count):
+        engines = make_fleet(context.site.rng, context.site.rng.randint(1, 60), LAYERS)
+        links = make_links() if context.site.rng.random() < 0.7 else []
+        context.plans.append((plan_routes("m", LAYERS, engines, links), engines, links))
+
+
+@then("each route tiles the layers with ranges that its replicas hold")
+def check_tiling(context: Any) -> None:
+    checked = 0
+    for plan, engines, _ in context.plans:
+        by_name = {engine.replica: engine for engine in engines}
+        for planned in plan.routes:
+            checked += 1
+            assert tiles(planned.route, LAYERS), planned
+            for hop in planned.route.hops:
+                held = by_name[hop.replica]
+                assert held.first_layer <= hop.first_layer < hop.last_layer <= held.last_layer
+    assert checked > 100, checked
+
+
+@then("the routes together carry the bound within every replica's and link's capacity")
+def check_capacities(context: Any) -> None:
+    for plan, engines, links in context.plans:
+        check_plan(plan, engines, links)
+
+
+def check_plan(plan: RoutePlan, engines: list[EngineTarget], links: list[Link]) -> None:
+    domains = {engine.replica: engine.failure_domain for engine in engines}
+    used: dict[Any, float] = {}
+    for planned in plan.routes:
+        hops = planned.route.hops
+        for hop in hops:
+            used[hop.replica] = used.get(hop.replica, 0.0) + planned.tokens_per_s
+        for hop, following in itertools.pairwise(hops):
+            pair = domains[hop.replica], domains[following.replica]
+            for key in ((hop.last_layer, *pair), (hop.replica, *pair)):
+                used[key] = used.get(key, 0.0) + planned.tokens_per_s
+    total = sum(planned.tokens_per_s for planned in plan.routes)
+    assert abs(total - plan.bound_tokens_per_s) <= UNIT, (total, plan.bound_tokens_per_s)
+    limits: dict[Any, float] = {engine.replica: engine.tokens_per_s for engine in engines}
+    for link in links:
+        pair = link.from_failure_domain, link.to_failure_domain
+        for key in used:
+            if isinstance(key, tuple) and key[1:] == pair:
+                whole = isinstance(key[0], int)
+                limits[key] = link.tokens_per_s if whole else link.replica_tokens_per_s
+    for key, limit in limits.items():
+        assert used.get(key, 0.0) <= limit + UNIT, (key, used[key], limit)
+
+
+@when("routes are planned {count:d} times for 150 replicas of 4 kinds over links 100 times apart")
+def time_plans(context: Any, count: int) -> None:
+    engines = make_fleet(context.site.rng, 150, LAYERS)
+    context.plan_ms = []
+    for _ in range(count):
+        start_s = time.perf_counter()
+        plan_routes("m", LAYERS, engines, make_links())
+        context.plan_ms.append((time.perf_counter() - start_s) * 1000)
+    fleet = create_fleet(ManualClock())
+    fleet.apply_targets(Targets(engines=engines))
+    router = create_router(fleet, ManualClock(), "d0", context.site.seed)
+    context.pick_us = []
+    for _ in range(5000):
+        start_s = time.perf_counter()
+        route = router.pick_route("m", LAYERS, "prefix", ("e1",))
+        context.pick_us.append((time.perf_counter() - start_s) * 1e6)
+        assert route is not None
+        router.started(route, "prefix")
+        if len(context.pick_us) % 3:
+            router.ended(route, RouteOutcome.SERVED)
+
+
+@then("the fastest plan takes at most {limit_ms:d} ms")
+def check_plan_time(context: Any, limit_ms: int) -> None:
+    print(f"plan {min(context.plan_ms):.1f} ms of {context.plan_ms}")
+    assert min(context.plan_ms) <= limit_ms, context.plan_ms
+
+
+@then("picking among them takes at most {limit_us:d} us at the median")
+def check_pick_time(context: Any, limit_us: int) -> None:
+    print(f"pick {median(context.pick_us):.1f} us at the median")
+    assert median(context.pick_us) <= limit_us, median(context.pick_us)
+
+
+@given("a router over {domains:d} failure domains with {count:d} engines")
+def create_small_router(context: Any, domains: int, count: int) -> None:
+    context.clock = ManualClock()
+    context.fleet = create_fleet(context.clock)
+    context.engines = [
+        make_engine(f"e{n}", f"d{n % domains}", n % 2 * 16, n % 2 * 16 + 16, 100.0)
+        for n in range(count)
+    ]
+    context.fleet.apply_targets(Targets(engines=context.engines))
+    context.router = create_router(context.fleet, context.clock, "d0", context.site.seed)
+
+
+@when("replicas are marked leaving, down and excluded in turn while {count:d} routes are picked")
+def pick_under_change(context: Any, count: int) -> None:
+    rng = context.site.rng
+    context.picked = []
+    context.offences = []
+    down_until_ms: dict[str, float] = {}
+    leaving: set[str] = set()
+    for number in range(count):
+        name = f"e{rng.randrange(len(context.engines))}"
+        if number % 50 == 0:
+            context.fleet.mark_down(name, 1000.0)
+            down_until_ms[name] = context.clock.now_ms() + 1000.0
+        if number % 200 == 0 and len(leaving) < 8:
+            context.fleet.mark_leaving(name)
+            leaving.add(name)
+        if number % 7 == 0:
+            context.router.replan()
+        context.clock.advance(rng.random() * 20.0)
+        excluded = {f"e{rng.randrange(len(context.engines))}" for _ in range(3)}
+        route = context.router.pick_route("m", LAYERS, "", excluded)
+        if route is None:
+            continue
+        context.picked.append(route)
+        barred = excluded | leaving
+        barred |= {n for n, end in down_until_ms.items() if end > context.clock.now_ms()}
+        if barred & set(route.replicas):
+            context.offences.append((number, route))
+
+
+@then("no picked route has a replica that may take no work")
+def check_no_offence(context: Any) -> None:
+    assert len(context.picked) > 1000, len(context.picked)
+    assert not context.offences, context.offences[:3]
+
+
+@then("every picked route tiles the layers")
+def check_picked_tile(context: Any) -> None:
+    assert all(tiles(route, LAYERS) for route in context.picked)
+
+
+@when("one engine is marked leaving and the host list still calls it live")
+def mark_one_leaving(context: Any) -> None:
+    context.fleet.mark_leaving("e0")
+    context.fleet.apply_targets(Targets(engines=context.engines))
+
+
+@then("it takes no work until it has left the list and come back")
+def check_stays_leaving(context: Any) -> None:
+    assert not context.fleet.is_usable("e0")
+    context.fleet.apply_targets(Targets(engines=context.engines[1:]))
+    assert not context.fleet.is_usable("e0")
+    context.fleet.apply_targets(Targets(engines=context.engines))
+    assert context.fleet.is_usable("e0")
+
+
+@then("it takes work again after a start with another boot id")
+def check_new_boot(context: Any) -> None:
+    context.fleet.apply_load(make_load("leaving", "boot-1"))
+    assert not context.fleet.is_usable("e0")
+    context.fleet.apply_load(make_load("live", "boot-1"))
+    assert not context.fleet.is_usable("e0")
+    context.fleet.apply_load(make_load("live", "boot-2"))
+    assert context.fleet.is_usable("e0")
+
+
+def make_load(state: Any, boot_id: str) -> EngineLoad:
+    return EngineLoad(
+        replica="e0",
+        model="m",
+        first_layer=0,
+        last_layer=16,
+        slots=8,
+        active=0,
+        tokens_per_s=100.0,
+        state=state,
+        boot_id=boot_id,
+    )
+
+
+@when("the host list loses the engines for a while during {count:d} streams")
+def lose_list(context: Any, count: int) -> None:
+    routes = [context.router.pick_route("m", LAYERS) for _ in range(count)]
+    for route in routes:
+        context.router.started(route)
+    context.fleet.apply_targets(Targets())
+    assert context.router.pick_route("m", LAYERS) is None
+    context.fleet.apply_targets(Targets(engines=context.engines))
+    streams = sum(status.in_flight for status in context.fleet.statuses())
+    assert streams == 2 * count, streams
+    for route in routes:
+        context.router.ended(route, RouteOutcome.SERVED)
+
+
+@then("each engine's streams are counted off in the end")
+def check_counted_off(context: Any) -> None:
+    assert [status.in_flight for status in context.fleet.statuses()] == [0] * len(context.engines)
--- /dev/null
+++ b/src/pimentodale/routing/fleet.py
@@ -0,0 +1,210 @@
+"""What one entry host knows of the backend servers.
+
+The host list is a hint that lags. What the host saw itself, or what the engine says of itself, goes
+first: a replica that is leaving stays so until it has left the list or started anew.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pimentodale.clock import Clock
+    from pimentodale.platform.engine_messages import EngineLoad
+    from pimentodale.platform.targets import EngineTarget, ServiceTarget, Targets
+
+
+class EngineStatus:
+    """One engine, with what was seen of it."""
+
+    __slots__ = ("down_until_ms", "in_flight", "listed", "load", "own_at_report", "target")
+
+    def __init__(self, target: EngineTarget) -> None:
+        self.target = target
+        self.down_until_ms = 0.0
+        self.in_flight = 0
+        self.listed = True
+        self.load: EngineLoad | None = None
+        self.own_at_report = 0
+
+    @property
+    def free_slots(self) -> int:
+        """Slots not taken, by the last report and this host's own streams since."""
+        report = self.load
+        if report is None:
+            return self.target.slots - self.in_flight
+        others = max(0, report.active - self.own_at_report)
+        return report.slots - others - self.in_flight
+
+
+class Fleet:
+    """Backend servers by name."""
+
+    __slots__ = ("_clock", "_down_services", "_engines", "_leaving", "_services", "revision")
+
+    revision: int
+    """Rises with each change that calls for another plan."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._engines: dict[str, EngineStatus] = {}
+        self._services: dict[str, ServiceTarget] = {}
+        self._down_services: dict[str, float] = {}
+        self._leaving: set[str] = set()
+        self.revision = 0
+
+    def apply_targets(self, targets: Targets) -> None:
+        """Take a reading of the host list."""
+        listed = {target.replica for target in targets.engines}
+        listed |= {service.replica for service in targets.services}
+        self._leaving &= listed
+        before = self._listed_targets()
+        merged = {target.replica: self._merge(target) for target in targets.engines}
+        for name, status in self._engines.items():
+            if name in merged or status.in_flight == 0:
+                continue
+            # Its streams go on, and are counted off when they end.
+            status.listed = False
+            merged[name] = status
+        self._engines = merged
+        self._services = {target.replica: target for target in targets.services}
+        if before != self._listed_targets():
+            self.revision += 1
+
+    def apply_load(self, report: EngineLoad) -> None:
+        """Take an engine's report of itself."""
+        status = self._engines.get(report.replica)
+        if status is None:
+            return
+        earlier = status.load
+        if earlier is not None and earlier.boot_id != report.boot_id:
+            self._leaving.discard(report.replica)
+            self.revision += 1
+        status.load = report
+        status.own_at_report = status.in_flight
+        if report.state == "leaving":
+            self.mark_leaving(report.replica)
+        corrected = _corrected(status.target, report)
+        if corrected != status.target:
+            status.target = corrected
+            self.revision += 1
+
+    def mark_leaving(self, replica: str) -> bool:
+        """Give a replica no new work from now on.
+
+        Returns:
+            Whether this was news.
+        """
+        if replica in self._leaving:
+            return False
+        self._leaving.add(replica)
+        self.revision += 1
+        return True
+
+    def mark_down(self, replica: str, duration_ms: float) -> None:
+        """Give a replica no new work for a while.
+
+        Args:
+            replica: The replica.
+            duration_ms: For how long, from now.
+        """
+        until_ms = self._clock.now_ms() + duration_ms
+        status = self._engines.get(replica)
+        if status is not None:
+            status.down_until_ms = max(status.down_until_ms, until_ms)
+            self.revision += 1
+            return
+        self._down_services[replica] = max(self._down_services.get(replica, 0.0), until_ms)
+
+    def mark_up(self, replica: str) -> None:
+        """Take back `mark_down`, after the replica answered."""
+        self._down_services.pop(replica, None)
+        status = self._engines.get(replica)
+        if status is not None and status.down_until_ms > 0.0:
+            status.down_until_ms = 0.0
+            self.revision += 1
+
+    def is_usable(self, replica: str) -> bool:
+        """Whether an engine takes new work, as far as is known."""
+        status = self._engines.get(replica)
+        if status is None or not status.listed:
+            return False
+        if status.target.leaving or replica in self._leaving:
+            return False
+        return status.down_until_ms <= self._clock.now_ms()
+
+    def is_leaving(self, replica: str) -> bool:
+        """Whether a replica is known to be leaving."""
+        if replica in self._leaving:
+            return True
+        target = self._services.get(replica)
+        status = self._engines.get(replica)
+        return (target is not None and target.leaving) or (
+            status is not None and status.target.leaving
+        )
+
+    def status(self, replica: str) -> EngineStatus | None:
+        """Return what is known of an engine, or `None` if there is no such engine."""
+        return self._engines.get(replica)
+
+    def statuses(self) -> Iterable[EngineStatus]:
+        """Return every engine, usable or not."""
+        return self._engines.values()
+
+    def engines(self, model: str) -> list[EngineTarget]:
+        """Return the engines of a model that take new work."""
+        return [
+            status.target
+            for status in self._engines.values()
+            if status.target.model == model and self.is_usable(status.target.replica)
+        ]
+
+    def services(self, name: str) -> list[ServiceTarget]:
+        """Return the backend servers of a plain service that take new work."""
+        now_ms = self._clock.now_ms()
+        usable = []
+        for target in self._services.values():
+            if target.service != name or target.leaving or target.replica in self._leaving:
+                continue
+            if self._down_services.get(target.replica, 0.0) > now_ms:
+                continue
+            usable.append(target)
+        return usable
+
+    def _listed_targets(self) -> dict[str, EngineTarget]:
+        """Return the engines of the last reading by name."""
+        return {name: status.target for name, status in self._engines.items() if status.listed}
+
+    def _merge(self, target: EngineTarget) -> EngineStatus:
+        """Keep what was seen of an engine that stays at its address."""
+        status = self._engines.get(target.replica)
+        if status is None:
+            return EngineStatus(target)
+        if status.target.address != target.address:
+            moved = EngineStatus(target)
+            moved.in_flight = status.in_flight
+            return moved
+        status.listed = True
+        status.target = target if status.load is None else _corrected(target, status.load)
+        return status
+
+
+def create_fleet(clock: Clock) -> Fleet:
+    """Build an empty fleet."""
+    return Fleet(clock)
+
+
+def _corrected(target: EngineTarget, report: EngineLoad) -> EngineTarget:
+    """Let the engine's own word on its model and layers go before the host list's."""
+    return msgspec.structs.replace(
+        target,
+        model=report.model,
+        first_layer=report.first_layer,
+        last_layer=report.last_layer,
+        slots=report.slots,
+        tokens_per_s=report.tokens_per_s,
+    )
