Join pipelines, ledger and routing at the callers' handlers

Cause: generations under a key and calls of services have to go through the ledger, the rest through routes. Change: a gate before the first byte of each attempt; keyed work goes on without its caller, so that a re-send finds the whole answer; one route type from routing to the engine client.

--- a/src/pimentodale/callers/app.py
+++ b/src/pimentodale/callers/app.py
@@ -16,6 +16,7 @@
     TraceHandler,
     UnknownPathHandler,
 )
+from pimentodale.callers.services import ServiceHandler
 from pimentodale.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
         (r"/v1/chat/completions", GenerationHandler, {**shared, "kind": "chat"}),
         (r"/v1/completions", GenerationHandler, {**shared, "kind": "completion"}),
         (r"/v1/models", ModelsHandler, shared),
+        (r"/services/.*", ServiceHandler, shared),
         (r"/healthz", HealthHandler, shared),
         (r"/readyz", ReadinessHandler, shared),
         (r"/metrics", MetricsHandler, shared),
--- a/src/pimentodale/callers/context.py
+++ b/src/pimentodale/callers/context.py
@@ -8,12 +8,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentodale.background import BackgroundTasks
     from pimentodale.callers.authentication import Authenticator
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
+    from pimentodale.ledger.interface import Ledger
     from pimentodale.metrics import Metrics
     from pimentodale.pipelines.generate import PipelineMeans
     from pimentodale.results import Refusal
+    from pimentodale.services.caller import CallService
     from pimentodale.tracing.tracer import Tracer
 
 
@@ -39,6 +42,15 @@
     pipelines: PipelineMeans
     """What generations work with."""
 
+    ledger: Ledger
+    """Where keys are claimed."""
+
+    call_service: CallService
+    """Calls plain services."""
+
+    background: BackgroundTasks
+    """Runs work that outlives its caller."""
+
     unready: Callable[[], Refusal | None]
     """Why this host takes no new work, if it doesn't."""
 
--- a/src/pimentodale/callers/generation.py
+++ b/src/pimentodale/callers/generation.py
@@ -19,6 +19,7 @@
     parse_json,
 )
 from pimentodale.pipelines.generate import generate
+from pimentodale.pipelines.keyed import key_required, keyed_events
 from pimentodale.pipelines.messages import Finished, Generation, Token
 from pimentodale.platform.prompt_text import prefix_hash, prompt_text
 from pimentodale.results import Refusal, ResultCode, create_refusal
@@ -43,6 +44,7 @@
         super().initialize(context)
         self._kind = kind
         self._work: asyncio.Task[None] | None = None
+        self._caller_gone = False
 
     async def post(self) -> None:
         """Check the request and answer it."""
@@ -63,6 +65,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the work of a caller who is gone."""
+        self._caller_gone = True
         if self._work is not None:
             self._work.cancel()
 
@@ -103,6 +106,8 @@
             limit = typed.max_completion_tokens or limit
         max_tokens = min(limit or model.max_output_tokens, model.max_output_tokens)
         repeatable = model.repeatable and workspace.repeatable and not key.ok
+        if not repeatable and not key.ok:
+            return Error(key_required())
         body["max_tokens"] = max_tokens
         generation = Generation(
             request_id=self.request_id,
@@ -134,7 +139,7 @@
         generation = asked.generation
         create_writer = create_chat_writer if self._kind == "chat" else create_completion_writer
         writer = create_writer(generation, self.context.clock)
-        events = generate(generation, self.context.pipelines)
+        events = self._events(generation)
         try:
             if asked.stream:
                 await self._stream(asked, writer, events)
@@ -143,6 +148,19 @@
         finally:
             await events.aclose()  # type: ignore[attr-defined]
 
+    def _events(self, generation: Generation) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
+        """Start the generation, through the ledger if it must not repeat."""
+        context = self.context
+        if not generation.idempotency_key:
+            return generate(generation, context.pipelines)
+        return keyed_events(
+            generation,
+            context.pipelines,
+            context.ledger,
+            lambda: self._caller_gone,
+            context.background,
+        )
+
     async def _collect(
         self, writer: AnswerWriter, events: AsyncIterator[Result[GenerationEvent, Refusal]]
     ) -> None:
--- a/src/pimentodale/callers/services.py
+++ b/src/pimentodale/callers/services.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.callers.base import CallerHandler
 from pimentodale.ledger.records import MAX_IDEMPOTENCY_KEY_CHARS
 from pimentodale.ledger.refusals import unread_key
 from pimentodale.results import Refusal, ResultCode, create_refusal
@@ -17,8 +17,8 @@
     from collections.abc import Callable
 
     from tornado.httputil import HTTPServerRequest
-    from tornado.web import RequestHandler
 
+    from pimentodale.callers.context import CallerContext
     from pimentodale.configuration.documents import Configuration, Operation, Service
     from pimentodale.services.caller import CallService
 
@@ -28,11 +28,8 @@
 PASSED_HEADERS: Final = ("Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match")
 """Request headers that are passed on to a service."""
 
-MS_IN_S: Final = 1000
-"""Milliseconds in the unit of `Retry-After`."""
 
-
-class CallerContext(msgspec.Struct, frozen=True, kw_only=True):
+class ServiceAsk(msgspec.Struct, frozen=True, kw_only=True):
     """What is known of a caller's request before its service is looked up."""
 
     workspace: str
@@ -48,9 +45,78 @@
     """W3C trace context to pass on; empty for none."""
 
 
+class ServiceHandler(CallerHandler):
+    """Answers calls of plain services."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+
+    def initialize(self, context: CallerContext) -> None:
+        """Take the shared state."""
+        super().initialize(context)
+        self._caller_gone = False
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone; work that was sent goes on to its end."""
+        self._caller_gone = True
+
+    async def get(self) -> None:
+        """Pass the call on."""
+        await self._pass_on()
+
+    head = post = put = patch = delete = get
+
+    async def _pass_on(self) -> None:
+        """Check who calls and answer with the service's word."""
+        if self._finished:
+            return
+        unready = self.context.unready()
+        if unready is not None:
+            self.refuse(unready)
+            return
+        workspace = self.take(
+            self.context.authenticator.workspace_of(self.request.headers.get("Authorization"))
+        )
+        if workspace is None:
+            return
+        limits = self.context.configuration().limits
+        deadline_ms = self.take(self.read_deadline_ms(limits.default_timeout_ms))
+        if deadline_ms is None:
+            return
+        ask = ServiceAsk(
+            workspace=workspace.name,
+            deadline_ms=deadline_ms,
+            request_id=self.request_id,
+            traceparent=self.span.context().header(),
+        )
+        answered = await answer_service_call(
+            self.request,
+            bytes(self.body),
+            ask,
+            self.context.configuration(),
+            self.context.call_service,
+            lambda: self._caller_gone,
+        )
+        if answered.is_error():
+            self.refuse(answered.error)
+            return
+        self._write(answered.ok)
+
+    def _write(self, reply: ServiceReply) -> None:
+        """Finish with the service's answer."""
+        self.context.metrics.results[ResultCode.OK] += 1
+        self.set_status(reply.status)
+        self.clear_header("Content-Type")
+        for name, value in reply.headers.items():
+            self.set_header(name, value)
+        if reply.status not in (204, 304):
+            self.write(reply.body)
+        self.finish()
+
+
 async def answer_service_call(
     request: HTTPServerRequest,
-    context: CallerContext,
+    body: bytes,
+    ask: ServiceAsk,
     configuration: Configuration,
     call_service: CallService,
     caller_gone: Callable[[], bool],
@@ -58,8 +124,9 @@
     """Answer one call of a plain service.
 
     Args:
-        request: The HTTP request, its body whole.
-        context: What is known of the caller.
+        request: The HTTP request.
+        body: Its whole body.
+        ask: What is known of the caller.
         configuration: The configuration in force.
         call_service: From `create_service_caller`.
         caller_gone: Tells whether the caller has closed its connection.
@@ -78,45 +145,21 @@
         message = f"Send an Idempotency-Key of up to {MAX_IDEMPOTENCY_KEY_CHARS} printable letters."
         return Error(create_refusal(ResultCode.BAD_HEADER, message))
     call = ServiceCall(
-        workspace=context.workspace,
+        workspace=ask.workspace,
         service=service,
         operation=operation,
         method=request.method or "",
         path=f"/{rest}?{request.query}" if request.query else f"/{rest}",
-        body=request.body,
+        body=body,
         headers={n: request.headers[n] for n in PASSED_HEADERS if n in request.headers},
         idempotency_key=key,
-        deadline_ms=context.deadline_ms,
-        request_id=context.request_id,
-        traceparent=context.traceparent,
+        deadline_ms=ask.deadline_ms,
+        request_id=ask.request_id,
+        traceparent=ask.traceparent,
     )
     return await call_service(call, caller_gone)
 
 
-def write_service_reply(handler: RequestHandler, answered: Result[ServiceReply, Refusal]) -> None:
-    """Write the reply or the refusal of a call into a handler's response.
-
-    Args:
-        handler: The handler; the caller finishes it.
-        answered: From `answer_service_call`.
-    """
-    if answered.is_ok():
-        reply = answered.ok
-        handler.set_status(reply.status)
-        handler.clear_header("Content-Type")
-        for name, value in reply.headers.items():
-            handler.set_header(name, value)
-        if reply.status not in (204, 304):
-            handler.write(reply.body)
-        return
-    refusal = answered.error
-    handler.set_status(refusal.http_status)
-    handler.set_header("Content-Type", "application/json")
-    if refusal.retry_after_ms is not None:
-        handler.set_header("Retry-After", str(math.ceil(refusal.retry_after_ms / MS_IN_S)))
-    handler.write(msgspec.json.encode(refusal))
-
-
 def _is_usable_key(key: str) -> bool:
     """Whether a key can go into a header again and is not too long."""
     return len(key) <= MAX_IDEMPOTENCY_KEY_CHARS and (not key or key.isprintable())
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -7,25 +7,31 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final
 
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import parse_address
 from pimentodale.pipelines.messages import Finished, Token
+from pimentodale.pipelines.observations import note_fault, suspect_of
 from pimentodale.pipelines.receipts import receipt_fault
 from pimentodale.platform.engine_client import EngineFault, EngineFinish, open_stream
-from pimentodale.platform.engine_messages import EngineCall, EngineRefusal, Hop, TokenNote
+from pimentodale.platform.engine_messages import EngineCall
 from pimentodale.results import Ran, Refusal, ResultCode, create_refusal
+from pimentodale.routing.routes import RouteOutcome
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Sequence
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Limits
     from pimentodale.metrics import Metrics
     from pimentodale.pipelines.messages import Generation
     from pimentodale.platform.engine_client import EngineEvent, EngineStream
+    from pimentodale.platform.engine_messages import TokenNote
+    from pimentodale.routing.fleet import Fleet
+    from pimentodale.routing.router import Router
+    from pimentodale.routing.routes import Route
     from pimentodale.tracing.tracer import Span, Tracer
 
 MAX_ATTEMPTS: Final = 6
@@ -41,24 +47,6 @@
 """What a generation yields."""
 
 
-class RoutePicker(Protocol):
-    """What a generation asks of routing."""
-
-    def pick(
-        self, model: str, layers: int, prefix_hash: str, excluded: set[str]
-    ) -> Sequence[Hop] | None:
-        """Choose a route that avoids the excluded replicas; `None` if there is none."""
-
-    def started(self, hops: Sequence[Hop]) -> None:
-        """Note that a route holds one more stream."""
-
-    def ended(self, hops: Sequence[Hop]) -> None:
-        """Note that it holds one less."""
-
-    def failed(self, replica: str, fault: EngineFault) -> None:
-        """Note what was seen of a replica."""
-
-
 @dataclass(slots=True)
 class PipelineMeans:
     """What generations work with."""
@@ -66,16 +54,35 @@
     clock: Clock
     tracer: Tracer
     metrics: Metrics
-    router: RoutePicker
+    fleet: Fleet
+    router: Router
     limits: Callable[[], Limits]
 
 
+@dataclass(slots=True)
+class FirstByteGate:
+    """Asked right before the first byte of each attempt, as non-repeatable work needs."""
+
+    allows: Callable[[], Awaitable[bool]]
+    """Returns whether the byte may go out; a False is for good."""
+
+    denied: bool = False
+    """Whether it has said no."""
+
+    async def ask(self) -> bool:
+        """Ask, and remember a no."""
+        allowed = await self.allows()
+        self.denied = self.denied or not allowed
+        return allowed
+
+
 @dataclass(slots=True)
 class _Progress:
     """State of one generation over its attempts."""
 
     generation: Generation
     means: PipelineMeans
+    gate: FirstByteGate | None
     tokens: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     attempt: int = 0
@@ -88,35 +95,34 @@
 
 
 async def generate(
-    generation: Generation, means: PipelineMeans
+    generation: Generation, means: PipelineMeans, gate: FirstByteGate | None = None
 ) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
     """Run a generation.
 
     Args:
         generation: What the caller asks for.
         means: What to work with.
+        gate: Asked before the first byte; given for non-repeatable work.
 
     Yields:
         Verified tokens in order, then `Finished`; or one refusal, after which nothing follows.
     """
-    progress = _Progress(generation, means)
+    progress = _Progress(generation, means, gate)
     while True:
         refusal = _refusal_before_attempt(progress)
-        hops = None if refusal else _pick(progress)
-        if refusal is None and hops is None:
-            refusal = _no_route(progress)
-        if refusal is not None or hops is None:
+        route = None if refusal else _pick(progress)
+        if route is None:
             yield Error(refusal or _no_route(progress))
             return
         fault: EngineFault | None = None
-        async for event in _attempt(progress, hops):
+        async for event in _attempt(progress, route):
             if event.is_error():
                 fault = event.error
                 break
             yield Ok(event.ok)
             if isinstance(event.ok, Finished):
                 return
-        refusal = _after_fault(progress, hops, fault or EngineFault("the stream ended early"))
+        refusal = _after_fault(progress, route, fault or EngineFault("the stream ended early"))
         if refusal is not None:
             yield Error(refusal)
             return
@@ -132,14 +138,12 @@
     return None
 
 
-def _pick(progress: _Progress) -> Sequence[Hop] | None:
+def _pick(progress: _Progress) -> Route | None:
     """Choose the route of the next attempt and note the choice."""
     generation, means = progress.generation, progress.means
-    hops = means.router.pick(
-        generation.model.name,
-        generation.model.layers,
-        generation.prefix_hash,
-        progress.excluded,
+    model = generation.model
+    route = means.router.pick_route(
+        model.name, model.layers, generation.prefix_hash, progress.excluded
     )
     progress.attempt += 1
     means.tracer.note(
@@ -147,19 +151,19 @@
         generation.request_id,
         generation.trace,
         attempt=str(progress.attempt),
-        route="none" if hops is None else describe_route(hops),
+        route="none" if route is None else describe_route(route),
         excluded=" ".join(sorted(progress.excluded)),
     )
-    return hops
+    return route
 
 
-def describe_route(hops: Sequence[Hop]) -> str:
+def describe_route(route: Route) -> str:
     """Return a route in one line, such as `e1[0:16] e4[16:32]`."""
-    return " ".join(f"{hop.replica}[{hop.first_layer}:{hop.last_layer}]" for hop in hops)
+    return " ".join(f"{hop.replica}[{hop.first_layer}:{hop.last_layer}]" for hop in route.hops)
 
 
 async def _attempt(
-    progress: _Progress, hops: Sequence[Hop]
+    progress: _Progress, route: Route
 ) -> AsyncIterator[Result[GenerationEvent, EngineFault]]:
     """Send the generation on one route and yield what comes back verified."""
     generation, means = progress.generation, progress.means
@@ -168,36 +172,37 @@
         generation.request_id,
         generation.trace,
         attempt=str(progress.attempt),
-        route=describe_route(hops),
+        route=describe_route(route),
         resumed_at=str(len(progress.tokens)),
     )
-    means.router.started(hops)
+    means.router.started(route, generation.prefix_hash)
     stream: EngineStream | None = None
     end = "dropped"
+    outcome = RouteOutcome.CANCELLED
     try:
-        opened = await _open(progress, hops, span)
+        opened = await _open(progress, route, span)
         if opened.is_error():
             end = opened.error.message
+            outcome = RouteOutcome.LOST
             yield Error(opened.error)
             return
         stream = opened.ok
         async for event in stream.events(means.limits().chunk_timeout_ms):
-            checked = event.bind(lambda found: _verify(progress, hops, found))
+            checked = event.bind(lambda found: _verify(progress, route, found))
             end = checked.error.message if checked.is_error() else "whole"
+            outcome = RouteOutcome.LOST if checked.is_error() else RouteOutcome.SERVED
             yield checked
             if checked.is_error():
                 return
     finally:
         if stream is not None:
             stream.close()
-        means.router.ended(hops)
+        means.router.ended(route, outcome)
         means.tracer.end(span, end=end, tokens=str(len(progress.tokens)))
-        _note_hops(progress, hops, span)
+        _note_hops(progress, route, span)
 
 
-async def _open(
-    progress: _Progress, hops: Sequence[Hop], span: Span
-) -> Result[EngineStream, EngineFault]:
+async def _open(progress: _Progress, route: Route, span: Span) -> Result[EngineStream, EngineFault]:
     """Open the stream at the head of the route."""
     generation = progress.generation
     call = EngineCall(
@@ -205,7 +210,7 @@
         attempt=progress.attempt,
         workspace=generation.workspace.name,
         priority=generation.priority,
-        route=list(hops),
+        route=list(route.hops),
         resume_tokens=list(progress.tokens),
     )
     headers = {"traceparent": span.context().header(), "X-Request-Id": generation.request_id}
@@ -213,12 +218,13 @@
         headers["Idempotency-Key"] = generation.idempotency_key
     path = "/v1/chat/completions" if generation.kind == "chat" else "/v1/completions"
     opened = await open_stream(
-        parse_address(hops[0].address),
+        parse_address(route.hops[0].address),
         path,
         generation.body,
         call,
         headers,
         min(ACCEPT_TIMEOUT_MS, max(1.0, progress.remaining_ms)),
+        None if progress.gate is None else progress.gate.ask,
     )
     if opened.is_ok() or (opened.error.sent and opened.error.refused is None):
         progress.handed_over = True
@@ -226,12 +232,12 @@
 
 
 def _verify(
-    progress: _Progress, hops: Sequence[Hop], event: EngineEvent
+    progress: _Progress, route: Route, event: EngineEvent
 ) -> Result[GenerationEvent, EngineFault]:
     """Pass on an event only if it is the next one of this very attempt."""
     if isinstance(event, EngineFinish):
         return _verify_finish(progress, event)
-    fault = _note_fault(progress, hops, event.note)
+    fault = _note_fault(progress, route, event.note)
     if fault is not None:
         return Error(EngineFault(f"token refused: {fault}", malformed=True))
     progress.tokens.append(event.note.token)
@@ -252,7 +258,7 @@
     return Error(EngineFault(f"unknown finish reason '{event.reason}'", malformed=True))
 
 
-def _note_fault(progress: _Progress, hops: Sequence[Hop], note: TokenNote) -> str | None:
+def _note_fault(progress: _Progress, route: Route, note: TokenNote) -> str | None:
     """Say what is wrong with a token's note, if anything is."""
     if note.request_id != progress.generation.request_id:
         return f"it answers request {note.request_id}"
@@ -260,12 +266,12 @@
         return f"it answers attempt {note.attempt} of {progress.attempt}"
     if note.index != len(progress.tokens):
         return f"index {note.index} where {len(progress.tokens)} is next"
-    return receipt_fault(note.receipt, hops, progress.generation.model.layers)
+    return receipt_fault(note.receipt, route.hops, progress.generation.model.layers)
 
 
-def _note_hops(progress: _Progress, hops: Sequence[Hop], attempt: Span) -> None:
+def _note_hops(progress: _Progress, route: Route, attempt: Span) -> None:
     """Keep a span for each hop, over the time of its attempt."""
-    for hop in hops:
+    for hop in route.hops:
         span = progress.means.tracer.start(
             "hop",
             attempt.request_id,
@@ -277,11 +283,14 @@
         span.duration_ms = attempt.duration_ms
 
 
-def _after_fault(progress: _Progress, hops: Sequence[Hop], fault: EngineFault) -> Refusal | None:
+def _after_fault(progress: _Progress, route: Route, fault: EngineFault) -> Refusal | None:
     """Note the fault and decide whether another route may be tried."""
-    suspect = _suspect(hops, fault)
+    suspect = suspect_of(route, fault)
     progress.excluded.add(suspect)
-    progress.means.router.failed(suspect, fault)
+    if progress.gate is not None and progress.gate.denied:
+        message = "The work was given up before its first byte."
+        return _refuse(progress, ResultCode.CLAIM_LOST, message)
+    note_fault(progress.means.fleet, suspect, fault)
     if not fault.sent or fault.refused is not None:
         progress.means.metrics.retries["refused"] += 1
         return None
@@ -292,13 +301,6 @@
     return None
 
 
-def _suspect(hops: Sequence[Hop], fault: EngineFault) -> str:
-    """Name the replica that a fault speaks of: a stage that it names, else the head."""
-    refused = fault.refused or EngineRefusal()
-    named = fault.stage_lost or refused.busy or refused.leaving or refused.stage_lost
-    return named or hops[0].replica
-
-
 def _no_route(progress: _Progress) -> Refusal:
     """Refuse for want of a route."""
     model = progress.generation.model.name
--- a/src/pimentodale/platform/engine_client.py
+++ b/src/pimentodale/platform/engine_client.py
@@ -11,7 +11,7 @@
 from pimentodale.platform.http_call import CallFault, CallRequest, fetch, open_call
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from pimentodale.addresses import Address
     from pimentodale.platform.engine_messages import EngineCall
@@ -150,6 +150,7 @@
     call: EngineCall,
     headers: dict[str, str],
     header_timeout_ms: float,
+    before_send: Callable[[], Awaitable[bool]] | None = None,
 ) -> Result[EngineStream, EngineFault]:
     """Ask the head of a route for a completion.
 
@@ -160,6 +161,7 @@
         call: The extension's field.
         headers: Such as `traceparent`.
         header_timeout_ms: Longest wait for the engine to accept.
+        before_send: Asked right before the first byte; when it says False, nothing is sent.
 
     Returns:
         The open stream, or why there is none.
@@ -172,7 +174,7 @@
         headers={"Content-Type": "application/json", **headers},
         body=msgspec.json.encode(payload),
     )
-    opened = await open_call(address, request, header_timeout_ms)
+    opened = await open_call(address, request, header_timeout_ms, before_send=before_send)
     if opened.is_error():
         return Error(_fault_of(opened.error))
     if opened.ok.status == HTTP_OK:
