Add membership between entry hosts and the spreading of small state

Cause: entry hosts have to know which of them live, and hear within seconds what one of them learned, also in a cut and without a second coordination service.

Ruled out: a length-less msgpack stream (its bound is one of memory, not of a message); a record of acknowledgements in each heartbeat (the greeting alone needs it, as TCP keeps order inside a link).

Change: src/pimentodale/peers. Links are lasting TCP streams with one reading task each, a full mesh up to 9 hosts, above that 4 dialled and at most 8 accepted by rendezvous order. Members and entries carry an incarnation; a greeting names the index up to which the other side's changes are here. Silence leads to a direct probe, then to indirect ones, then to a suspicion that the member may refute. A host that finds its own timers late drops its findings.

--- /dev/null
+++ b/features/steps/peers.py
@@ -0,0 +1,373 @@
+"""Steps for membership and spreading."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import time
+from typing import Any
+
+from behave import given, then, when
+from features.support.domain_relay import DomainRelay
+from features.support.peer_nodes import (
+    ALIVE,
+    DOMAINS,
+    GONE,
+    PEER_PORT,
+    ask,
+    heard,
+    node_name,
+    publish,
+    seed_of,
+    start_node,
+    states,
+    status,
+)
+from features.support.site import wait_until
+from hypothesis import given as property_of
+from hypothesis import settings as property_settings
+from hypothesis import strategies
+
+from pimentodale.peers.message_stream import pack
+from pimentodale.peers.messages import Delta, Hello, MemberRecord
+
+RELAY_OFFSET = 100
+
+
+@given("{count:d} peer nodes that know all of each other")
+def start_nodes(context: Any, count: int) -> None:
+    context.nodes = list(range(1, count + 1))
+    for number in context.nodes:
+        start_node(context.site, number, [seed_of(context.site, 1)])
+    wait_all_alive(context, 30.0)
+
+
+@given("{count:d} peer nodes behind relays that know all of each other")
+def start_nodes_behind_relays(context: Any, count: int) -> None:
+    site = context.site
+    context.nodes = list(range(1, count + 1))
+    context.relay = DomainRelay(random.Random(site.seed))
+    context.add_cleanup(context.relay.stop)
+    for number in context.nodes:
+        relay_ip = site.ip(RELAY_OFFSET + number)
+        context.relay.front(relay_ip, site.ip(number), PEER_PORT, number)
+        seeds = [seed_of(site, RELAY_OFFSET + 1)]
+        start_node(site, number, seeds, advertise=(relay_ip, PEER_PORT))
+    wait_all_alive(context, 30.0)
+
+
+@when("node {number:d} is killed")
+def kill_node(context: Any, number: int) -> None:
+    context.site.programs[node_name(number)].kill()
+    context.nodes.remove(number)
+
+
+@when("node {number:d} is asked to stop")
+def stop_node(context: Any, number: int) -> None:
+    assert context.site.programs[node_name(number)].terminate() == 0
+    context.nodes.remove(number)
+
+
+@then("every other node holds node {number:d} to be gone within {bound:g} s")
+def check_gone(context: Any, number: int, bound: float) -> None:
+    name = node_name(number)
+    others = [other for other in context.nodes if other != number]
+    wait_until(
+        lambda: all(states(context.site, other).get(name) == GONE for other in others),
+        f"{name} is gone for all",
+        bound,
+    )
+
+
+@then("no node ever suspected node {number:d}")
+def check_not_suspected(context: Any, number: int) -> None:
+    found = [line for line in suspicions(context) if line["member"] == node_name(number)]
+    assert not found, found
+
+
+@then("no node ever suspected any node")
+def check_none_suspected(context: Any) -> None:
+    assert not suspicions(context), suspicions(context)
+
+
+@then("no node ever suspected any node but node {number:d}")
+def check_none_other_suspected(context: Any, number: int) -> None:
+    found = [line for line in suspicions(context) if line["member"] != node_name(number)]
+    assert not found, found
+
+
+@then("each failure domain has the watchers that its live hosts allow")
+def check_watchers(context: Any) -> None:
+    for domain in range(len(DOMAINS)):
+        hosts = [number for number in context.nodes if number % len(DOMAINS) == domain]
+        watchers = [number for number in hosts if status(context.site, number).watcher]
+        assert len(watchers) == min(2, len(hosts)), (domain, watchers)
+
+
+@then("no node has more than {bound:d} links")
+def check_degree(context: Any, bound: int) -> None:
+    degrees = [len(status(context.site, number).links) for number in context.nodes]
+    print(f"links of each node: {degrees}")
+    assert max(degrees) <= bound, degrees
+
+
+@when("node {number:d} publishes {count:d} urgent entries of {size:d} bytes")
+def publish_entries(context: Any, number: int, count: int, size: int) -> None:
+    context.publisher = number
+    context.keys = [f"key{index}" for index in range(count)]
+    for key in context.keys:
+        publish(context.site, number, key, size)
+
+
+@then("every other node has heard each of them exactly once within {bound:g} s")
+def check_heard(context: Any, bound: float) -> None:
+    others = [number for number in context.nodes if number != context.publisher]
+    wait_until(
+        lambda: all(keys_heard(context, number) == sorted(context.keys) for number in others),
+        "all have heard all entries once",
+        bound,
+    )
+
+
+@when("the link between nodes {first:d} and {second:d} is lost and comes back")
+def lose_link(context: Any, first: int, second: int) -> None:
+    site = context.site
+    wait_until(lambda: len(keys_heard(context, second)) == len(context.keys), "all is heard")
+    wait_until(lambda: len(keys_heard(context, 3)) == len(context.keys), "all is heard")
+    before = status(site, first)
+    # A freeze past the silence time-out makes the other side close its links.
+    site.programs[node_name(second)].freeze()
+    wait_until(lambda: node_name(second) not in status(site, first).links, "the link is lost")
+    site.programs[node_name(second)].wake()
+    wait_until(lambda: node_name(second) in status(site, first).links, "the link is back")
+    wait_all_alive(context, 10.0)
+    after = status(site, first)
+    context.sent_records = after.counters["sent_records"] - before.counters["sent_records"]
+
+
+@then("node {number:d} sent fewer than {bound:d} records for it")
+def check_sent(context: Any, number: int, bound: int) -> None:
+    print(f"node {number} sent {context.sent_records:.0f} records")
+    assert context.sent_records < bound, context.sent_records
+
+
+@when("node {number:d} is frozen for {duration:g} s")
+def freeze_node(context: Any, number: int, duration: float) -> None:
+    context.frozen = number
+    program = context.site.programs[node_name(number)]
+    program.freeze()
+    # The length of the freeze is the fault itself, not a wait for something.
+    time.sleep(duration)
+    context.held_meanwhile = {
+        other: states(context.site, other)[node_name(number)]
+        for other in context.nodes
+        if other != number
+    }
+    program.wake()
+
+
+@then("every other node held node {number:d} to be gone meanwhile")
+def check_held_gone(context: Any, number: int) -> None:
+    assert context.frozen == number
+    assert set(context.held_meanwhile.values()) == {GONE}, context.held_meanwhile
+
+
+@then("all nodes hold all to be alive within {bound:g} s")
+def check_all_alive(context: Any, bound: float) -> None:
+    wait_all_alive(context, bound)
+
+
+@when("node {number:d} is killed and started again at once")
+def replace_node(context: Any, number: int) -> None:
+    publish(context.site, number, "before", 10)
+    context.old_boot_id = boot_ids(context, number)[number]
+    context.site.programs[node_name(number)].kill()
+    start_node(context.site, number, [seed_of(context.site, 1)])
+
+
+@then("every other node holds node {number:d} to be alive under a new boot id within {bound:g} s")
+def check_new_boot(context: Any, number: int, bound: float) -> None:
+    def is_new_everywhere() -> bool:
+        ids = set(boot_ids(context, number).values())
+        return len(ids) == 1 and context.old_boot_id not in ids
+
+    wait_until(is_new_everywhere, "all hold the new boot", bound)
+    wait_all_alive(context, bound)
+
+
+@then("what node {number:d} publishes now is heard by all, though it published before")
+def check_publishes_anew(context: Any, number: int) -> None:
+    publish(context.site, number, "before", 20)
+    others = [other for other in context.nodes if other != number]
+
+    def heard_anew(other: int) -> bool:
+        lines = [line for line in heard(context.site, other) if line.get("key") == "before"]
+        return bool(lines) and lines[-1]["value_bytes"] == 20
+
+    wait_until(lambda: all(heard_anew(other) for other in others), "the new value is everywhere")
+
+
+@when("the failure domain of node {number:d} is cut off from the others")
+def cut_domain(context: Any, number: int) -> None:
+    domain = number % len(DOMAINS)
+    context.side = [other for other in context.nodes if other % len(DOMAINS) == domain]
+    context.other_side = [other for other in context.nodes if other not in context.side]
+    pairs = {(a, b) for a in context.side for b in context.other_side}
+    cut_paths(context, pairs)
+
+
+@then("each side holds the other to be gone and its own to be alive within {bound:g} s")
+def check_sides(context: Any, bound: float) -> None:
+    def is_split() -> bool:
+        for side in (context.side, context.other_side):
+            names = {node_name(number) for number in side}
+            for number in side:
+                held = states(context.site, number)
+                if {name for name, state in held.items() if state == ALIVE} != names:
+                    return False
+                if set(held.values()) != {ALIVE, GONE}:
+                    return False
+        return True
+
+    wait_until(is_split, "the sides hold each other to be gone", bound)
+
+
+@then("what a node publishes now is heard on its own side alone")
+def publish_in_cut(context: Any) -> None:
+    first, second = context.side[0], context.other_side[0]
+    publish(context.site, first, "mine", 10)
+    publish(context.site, second, "theirs", 10)
+    for key, publisher, side in (
+        ("mine", first, context.side),
+        ("theirs", second, context.other_side),
+    ):
+        others = [number for number in side if number != publisher]
+        wait_until(lambda o=others, k=key: all(k in keys_heard(context, n) for n in o), key)
+    assert not any("mine" in keys_heard(context, number) for number in context.other_side)
+    assert not any("theirs" in keys_heard(context, number) for number in context.side)
+
+
+@when("the cut heals")
+def heal_cut(context: Any) -> None:
+    context.relay.cut(set())
+
+
+@then("what was published in the cut is heard on both sides")
+def check_heard_on_both(context: Any) -> None:
+    for key, publisher in (("mine", context.side[0]), ("theirs", context.other_side[0])):
+        others = [number for number in context.nodes if number != publisher]
+        wait_until(lambda o=others, k=key: all(k in keys_heard(context, n) for n in o), key)
+
+
+@when("the path from node {first:d} to node {second:d} alone is cut, both ways")
+def cut_path(context: Any, first: int, second: int) -> None:
+    cut_paths(context, {(first, second)})
+
+
+@when("one message in five is lost for {duration:g} s")
+def lose_messages(context: Any, duration: float) -> None:
+    context.relay.loss = 0.2
+    # The time under loss is the fault itself, not a wait for something.
+    time.sleep(duration)
+    context.relay.loss = 0.0
+
+
+@when("{count:d} connections send random bytes and malformed messages to node {number:d}")
+def send_random_bytes(context: Any, count: int, number: int) -> None:
+    site = context.site
+    context.before = status(site, number)
+    member = MemberRecord("x", 1, 0, "b", "d", "r", "127.0.0.1", 1)  # type: ignore[arg-type]
+    valid = pack(Hello("pimentodale-peers/1", member, "", 0))
+    framed = strategies.binary(max_size=300).map(lambda body: len(body).to_bytes(4) + body)
+    broken = strategies.tuples(
+        strategies.integers(4, len(valid) - 1), strategies.integers(0, 255)
+    ).map(lambda change: valid[: change[0]] + bytes([change[1]]) + valid[change[0] + 1 :])
+    strangers = strategies.sampled_from(
+        [pack(Hello("other/1", member, "", 0)), pack(Delta(1, [member], []))]
+    )
+
+    @property_settings(max_examples=count, derandomize=True, deadline=None, database=None)
+    @property_of(strategies.one_of(strategies.binary(max_size=300), framed, broken, strangers))
+    def send(data: bytes) -> None:
+        if data == valid:
+            return
+        with (
+            contextlib.suppress(ConnectionError, TimeoutError),
+            socket.create_connection((site.ip(number), PEER_PORT), 2.0) as connection,
+        ):
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            connection.settimeout(0.2)
+            connection.recv(1)
+
+    send()
+
+
+@then("the log of node {number:d} names code {code:d}")
+def check_log(context: Any, number: int, code: int) -> None:
+    text = context.site.programs[node_name(number)].log.read_text()
+    assert f'"code": {code}' in text, text[-2000:]
+
+
+@then("node {number:d} holds no member more and its memory grew by less than {bound:d} MB")
+def check_unharmed(context: Any, number: int, bound: int) -> None:
+    after = status(context.site, number)
+    grown = (after.resident_bytes - context.before.resident_bytes) / 2**20
+    print(f"malformed messages {after.counters['malformed_messages']}, grown by {grown:.1f} MB")
+    live = [member.host for member in after.members if member.state == ALIVE]
+    assert len(live) == len(context.nodes), live
+    assert grown < bound, grown
+
+
+@then("node {number:d} answers a request of {size:d} bytes")
+def check_request(context: Any, number: int, size: int) -> None:
+    assert len(ask(context.site, number, "fetch", str(size).encode())) == size
+
+
+def wait_all_alive(context: Any, bound: float) -> None:
+    names = {node_name(number) for number in context.nodes}
+
+    def is_whole() -> bool:
+        for number in context.nodes:
+            held = states(context.site, number)
+            if {name for name, state in held.items() if state == ALIVE} != names:
+                return False
+        return True
+
+    wait_until(is_whole, "all nodes hold all to be alive", bound)
+
+
+def suspicions(context: Any) -> list[dict[str, Any]]:
+    return [
+        line
+        for number in context.nodes
+        for line in heard(context.site, number)
+        if line.get("state") == "SUSPECT"
+    ]
+
+
+def keys_heard(context: Any, number: int) -> list[str]:
+    return sorted(line["key"] for line in heard(context.site, number) if "key" in line)
+
+
+def boot_ids(context: Any, number: int) -> dict[int, str]:
+    name = node_name(number)
+    ids = {}
+    for other in context.nodes:
+        members = try_status(context, other)
+        ids[other] = next((member.boot_id for member in members if member.host == name), "")
+    return ids
+
+
+def try_status(context: Any, number: int) -> list[Any]:
+    try:
+        return status(context.site, number).members
+    except OSError:
+        return []
+
+
+def cut_paths(context: Any, pairs: set[tuple[int, int]]) -> None:
+    ip = context.site.ip
+    cut = {(ip(a), b) for a, b in pairs} | {(ip(b), a) for a, b in pairs}
+    context.relay.cut(cut)
--- /dev/null
+++ b/src/pimentodale/peers/mesh_keeper.py
@@ -0,0 +1,177 @@
+"""Keeps this host's place in the mesh: opens the links it chose and looks for hosts outside."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.peers.links import address_of
+from pimentodale.peers.mesh import choose_neighbours
+from pimentodale.peers.messages import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from pimentodale.addresses import Address
+    from pimentodale.clock import Clock
+    from pimentodale.peers.detector import Detector
+    from pimentodale.peers.links import Links
+    from pimentodale.peers.membership import Membership
+    from pimentodale.peers.messages import MemberRecord
+    from pimentodale.peers.settings import PeersSettings
+    from pimentodale.peers.tasks import Tasks
+
+UNWANTED_LINK_MS: Final = 5_000.0
+"""How long a link that the mesh has no use for stays up, so that a healed cut is told about."""
+
+DIAL_BACKOFF_MS: Final = 1_000.0
+"""Shortest time between two dials of one host."""
+
+REFUSED_BACKOFF_MS: Final = 10_000.0
+"""Shortest time between two dials of a host that was reached but took no link."""
+
+LONELY_EXPLORE_MS: Final = 250.0
+"""Mean time between probes while no other host is known."""
+
+
+class MeshKeeper:
+    """Chooses, opens and closes links."""
+
+    __slots__ = (
+        "_clock",
+        "_detector",
+        "_dial_after_ms",
+        "_links",
+        "_list_entry_targets",
+        "_membership",
+        "_order",
+        "_settings",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        settings: PeersSettings,
+        clock: Clock,
+        membership: Membership,
+        links: Links,
+        detector: Detector,
+        tasks: Tasks,
+        list_entry_targets: Callable[[], Sequence[Address]],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._membership = membership
+        self._links = links
+        self._detector = detector
+        self._tasks = tasks
+        self._list_entry_targets = list_entry_targets
+        self._dial_after_ms: dict[str, float] = {}
+        self._order: list[MemberRecord] | None = None
+
+    def note_member_change(self, _record: MemberRecord) -> None:
+        """Choose neighbours anew at the next tick."""
+        self._order = None
+
+    def keep_mesh(self, now_ms: float) -> None:
+        """Dial the chosen neighbours that lack a link; close links that have no use."""
+        order = self._ordered_members()
+        is_full = len(order) < self._settings.full_mesh_hosts
+        wanted_links = len(order) if is_full else self._settings.dialled_links
+        wanted: set[str] = set()
+        for member in order:
+            if len(wanted) >= wanted_links:
+                break
+            if self._keep_link(member, now_ms):
+                wanted.add(member.host)
+        if not is_full:
+            self._close_unwanted(wanted, now_ms)
+
+    async def explore(self) -> None:
+        """Probe hosts outside of the mesh one after the other, until cancelled."""
+        while True:
+            lonely = not self._membership.others(MemberState.ALIVE, MemberState.LEAVING)
+            mean_ms = LONELY_EXPLORE_MS if lonely else self._settings.explore_interval_ms
+            await self._clock.sleep_ms(mean_ms * random.uniform(0.5, 1.5))
+            await self._explore_once()
+
+    def forget_gone(self, now_ms: float) -> None:
+        """Drop members that have been gone for long."""
+        for item in list(self._membership.state.members.values()):
+            if item.record.state is not MemberState.GONE:
+                continue
+            if now_ms - item.changed_ms < self._settings.gone_retention_ms:
+                continue
+            self._membership.state.forget_member(item.record.host)
+            self._links.forget_boot(item.record.boot_id)
+            self._dial_after_ms.pop(item.record.host, None)
+
+    def _ordered_members(self) -> list[MemberRecord]:
+        """Return the live members, this host's own choice first."""
+        if self._order is None:
+            others = self._membership.others(MemberState.ALIVE, MemberState.LEAVING)
+            by_host = {record.host: record for record in others}
+            settings = self._settings
+            hosts = choose_neighbours(
+                settings.host, settings.failure_domain, others, settings.dialled_links
+            )
+            self._order = [by_host[host] for host in hosts]
+        return self._order
+
+    def _keep_link(self, member: MemberRecord, now_ms: float) -> bool:
+        """Whether a link to the member is up or being opened."""
+        if member.host in self._links.by_host or self._links.is_dialling(member.host):
+            return True
+        if now_ms < self._dial_after_ms.get(member.host, 0.0):
+            return False
+        self._dial_after_ms[member.host] = now_ms + DIAL_BACKOFF_MS
+        self._tasks.start(self._dial(member), f"dial {member.host}")
+        return True
+
+    async def _dial(self, member: MemberRecord) -> None:
+        """Open a link; a member that can't be reached is checked."""
+        if await self._links.dial(member.host, address_of(member)):
+            return
+        found = await self._detector.probe(address_of(member))
+        if found is None:
+            self._detector.start_check(member.host)
+            return
+        self._dial_after_ms[member.host] = self._clock.now_ms() + REFUSED_BACKOFF_MS
+
+    def _close_unwanted(self, wanted: set[str], now_ms: float) -> None:
+        """Close links that this host opened and no longer chooses."""
+        for link in list(self._links.by_host.values()):
+            if not link.dialled or link.host in wanted:
+                continue
+            if now_ms - link.opened_ms >= UNWANTED_LINK_MS:
+                self._links.close(link)
+
+    async def _explore_once(self) -> None:
+        """Probe one host that is listed or remembered but not known to live, or else any."""
+        alive = self._membership.others(MemberState.ALIVE, MemberState.LEAVING)
+        known = {address_of(record) for record in alive}
+        known.add(address_of(self._membership.own))
+        known.add(self._settings.listen)
+        unknown = {address for address in self._list_entry_targets() if address not in known}
+        missing = self._membership.others(MemberState.GONE, MemberState.SUSPECT)
+        unknown.update(
+            address for record in missing if (address := address_of(record)) not in known
+        )
+        if unknown:
+            await self._probe_unknown(random.choice(sorted(unknown)))
+            return
+        far = [record for record in alive if record.host not in self._links.by_host]
+        if not far:
+            return
+        record = random.choice(far)
+        if await self._detector.probe(address_of(record)) is None:
+            self._detector.start_check(record.host)
+
+    async def _probe_unknown(self, address: Address) -> None:
+        """Link with a host that turns out to live, so that both learn what the other holds."""
+        found = await self._detector.probe(address)
+        if found is None or found.host == self._settings.host:
+            return
+        if found.state is MemberState.GONE:
+            return
+        await self._links.dial(found.host, address)
