--- /dev/null
+++ b/src/pimentodale/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers that leave get no new work, and a planned stop of this host cuts none."""
