--- a/features/steps/host_list.py
+++ b/features/steps/host_list.py
@@ -84,8 +84,8 @@
     )
     assert (engine.replica, engine.first_layer, engine.last_layer) == ("e1", 0, 16)
     assert (engine.tokens_per_s, engine.slots, engine.model) == (120.5, 8, "m")
-    assert (service.replica, service.service, service.state) == ("s1", "rigs", "live")
-    assert (entry.replica, str(entry.peer_address)) == ("h1", "127.0.0.3:9100")
+    assert (service.replica, service.service, service.leaving) == ("s1", "rigs", False)
+    assert (entry.host, str(entry.peer_address)) == ("h1", "127.0.0.3:9100")
 
 
 @then("it names the three bad targets")
@@ -139,9 +139,9 @@
 
 @then("the poller shows it leaving, not before {least_ms:d} ms and not after {most_ms:d} ms")
 def check_lag(context: Any, least_ms: int, most_ms: int) -> None:
-    seen = poll_until(context, lambda lists: lists and lists[-1].engines[0].state == "leaving", 5.0)
+    seen = poll_until(context, lambda lists: lists and lists[-1].engines[0].leaving, 5.0)
     passed_ms = (time.monotonic() - context.marked) * 1000
-    assert seen[-1].engines[0].state == "leaving"
+    assert seen[-1].engines[0].leaving
     assert least_ms <= passed_ms <= most_ms, passed_ms
     context.last = seen[-1]
 
--- a/src/pimentodale/callers/app.py
+++ b/src/pimentodale/callers/app.py
@@ -25,6 +25,9 @@
 MAX_DRAINED_BYTES: Final = 256 * 1024 * 1024
 """How much of a refused body is read and dropped before its connection is closed."""
 
+BODY_TIMEOUT_MS: Final = 60_000.0
+"""How long a caller may take to send its body."""
+
 IDLE_CONNECTION_TIMEOUT_MS: Final = 600_000.0
 """How long a caller's idle connection is kept."""
 
@@ -61,5 +64,6 @@
     return HTTPServer(
         application,
         max_body_size=MAX_DRAINED_BYTES,
+        body_timeout=BODY_TIMEOUT_MS / MS_PER_S,
         idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_MS / MS_PER_S,
     )
--- a/src/pimentodale/callers/base.py
+++ b/src/pimentodale/callers/base.py
@@ -12,6 +12,7 @@
 from tornado.web import HTTPError, RequestHandler, stream_request_body
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.ledger.refusals import unread_key
 from pimentodale.logs import get_log
 from pimentodale.results import Refusal, ResultCode, create_refusal
 from pimentodale.tracing.traceparent import create_trace, parse_traceparent
@@ -99,6 +100,8 @@
         self.accepted_ms = context.clock.now_ms()
         self.request_id = ""
         self.handed_over = False
+        self.refused_early = False
+        self._body_read = False
         self._span: Span | None = None
 
     def prepare(self) -> None:
@@ -115,14 +118,38 @@
             self.refuse(self._too_large())
 
     def data_received(self, chunk: bytes) -> None:
-        """Take a piece of the body."""
-        if self._finished:
+        """Take a piece of the body; after a refusal the rest is read and dropped."""
+        if self.refused_early:
             return
         self.body += chunk
         if len(self.body) > self.context.max_body_bytes:
             self.body.clear()
             self.refuse(self._too_large())
 
+    def ended_early(self) -> bool:
+        """Finish, now that the body is read, if the answer went out before it; every verb asks."""
+        self._body_read = True
+        if self.refused_early:
+            self.finish()
+        return self.refused_early
+
+    def answer(self, value: object, status: int = 200) -> None:
+        """Answer with a JSON body; before the request's body is read, without closing.
+
+        Closing at once would reset the connection under a caller that still sends, and the
+        caller would never see the answer.
+        """
+        if self._body_read:
+            super().answer(value, status)
+            return
+        self.refused_early = True
+        body = msgspec.json.encode(value)
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(body)))
+        self.write(body)
+        self.flush()
+
     @property
     def span(self) -> Span:
         """The request's span."""
@@ -144,6 +171,9 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """Refuse and note why in the trace."""
+        if refusal.earlier_attempt is None and "Idempotency-Key" in self.request.headers:
+            # The ledger has not been read: an earlier attempt may have run elsewhere.
+            refusal = unread_key(refusal)
         if self._span is not None:
             self._span.attributes["refused"] = refusal.name
             self._span.attributes["reason"] = refusal.message
--- a/src/pimentodale/callers/generation.py
+++ b/src/pimentodale/callers/generation.py
@@ -48,12 +48,13 @@
 
     async def post(self) -> None:
         """Check the request and answer it."""
-        if self._finished:
+        if self.ended_early():
             return
         checked = self._check()
         if checked.is_error():
             self.refuse(checked.error)
             return
+        self.handed_over = True
         # A task of its own, so that a caller who goes away can cancel it.
         self._work = asyncio.ensure_future(self._answer(checked.ok))
         try:
--- a/src/pimentodale/callers/services.py
+++ b/src/pimentodale/callers/services.py
@@ -67,7 +67,7 @@
 
     async def _pass_on(self) -> None:
         """Check who calls and answer with the service's word."""
-        if self._finished:
+        if self.ended_early():
             return
         unready = self.context.unready()
         if unready is not None:
@@ -88,6 +88,7 @@
             request_id=self.request_id,
             traceparent=self.span.context().header(),
         )
+        self.handed_over = True
         answered = await answer_service_call(
             self.request,
             bytes(self.body),
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -16,7 +16,7 @@
 from pimentodale.callers.authentication import create_authenticator
 from pimentodale.callers.context import CallerContext
 from pimentodale.clock import create_clock
-from pimentodale.configuration.follower import create_follower
+from pimentodale.configuration.folder_reader import create_folder_reader
 from pimentodale.entry.services import create_replica_picker
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
@@ -31,7 +31,18 @@
 from pimentodale.tracing.tracer import create_tracer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from pimentodale.background import BackgroundTasks
+    from pimentodale.clock import Clock
+    from pimentodale.configuration.documents import Configuration
+    from pimentodale.configuration.folder_reader import FolderReader
     from pimentodale.entry.settings import EntrySettings
+    from pimentodale.platform.key_value import KeyValueStore
+    from pimentodale.platform.targets import Targets
+    from pimentodale.routing.fleet import Fleet
+    from pimentodale.routing.router import Router
+    from pimentodale.services.messages import ServiceReplica
 
 HOST_LIST_INTERVAL_MS: Final = 1_000.0
 """Mean time between readings of the host list."""
@@ -42,4 +53,135 @@
 NOT_READY_RETRY_MS: Final = 1_000.0
 """When a caller may come back to a host that is starting or stopping."""
 
+
+SERVICE_PAUSE_MS: Final = 1_000.0
+"""How long a replica of a service that gave no answer gets no new calls."""
+
 _log = get_log("entry")
+
+
+@dataclass(slots=True)
+class EntryHost:
+    """State of one running entry host."""
+
+    settings: EntrySettings
+    clock: Clock = field(default_factory=create_clock)
+    background: BackgroundTasks = field(default_factory=create_background_tasks)
+    rng: random.Random = field(default_factory=random.SystemRandom)
+    listed: bool = False
+    stopping: bool = False
+
+    def unready(self, configuration: Configuration) -> Refusal | None:
+        """Say why this host takes no new work, if it doesn't."""
+        if self.stopping:
+            message = "This host is stopping; send to another one."
+            return _passing(ResultCode.LEAVING, message)
+        if configuration.revision == 0:
+            message = "No configuration has been accepted yet; put the folder in place."
+            return _passing(ResultCode.NO_CONFIGURATION, message)
+        if not self.listed:
+            return _passing(ResultCode.NOT_READY, "The host list has not been read yet.")
+        return None
+
+
+async def run_entry_host(settings: EntrySettings) -> int:
+    """Run an entry host until SIGTERM.
+
+    Args:
+        settings: Its place and addresses.
+
+    Returns:
+        The program's exit code.
+    """
+    host = EntryHost(settings)
+    listen = parse_address(settings.listen)
+    sockets = bind_sockets(listen.port, listen.ip)
+    store = create_etcd_gateway([parse_address(text) for text in settings.key_value], host.clock)
+    follower = create_folder_reader(store, host.clock)
+    fleet = create_fleet(host.clock)
+    router = create_router(fleet, host.clock, settings.failure_domain, host.rng.getrandbits(32))
+    context = _create_context(host, store, follower, fleet, router)
+    server = create_server(create_application(context, []))
+    server.add_sockets(sockets)
+    host.background.start(follower.run(), "configuration follower")
+    host.background.start(_create_poller(host, fleet)(), "host list")
+    host.background.start(_replan(host, router), "replanning")
+    _log.info("The host listens.", host=settings.host, address=settings.listen)
+    await _wait_for_stop()
+    host.stopping = True
+    server.stop()
+    host.background.cancel()
+    return 0
+
+
+def _create_context(
+    host: EntryHost, store: KeyValueStore, follower: FolderReader, fleet: Fleet, router: Router
+) -> CallerContext:
+    """Join the slices that callers' handlers work with."""
+    settings = host.settings
+    tracer = create_tracer(host.clock, settings.host, settings.trace_spans)
+    metrics = create_metrics()
+    pipelines = PipelineMeans(
+        clock=host.clock,
+        tracer=tracer,
+        metrics=metrics,
+        fleet=fleet,
+        router=router,
+        limits=lambda: follower.current().limits,
+    )
+    ledger = create_key_ledger(
+        store, host.clock, settings.host, lambda: follower.current().limits.claim_retention_ms
+    )
+
+    def note_service(replica: ServiceReplica, whole: bool) -> None:
+        if whole:
+            fleet.mark_up(replica.name)
+        else:
+            fleet.mark_down(replica.name, SERVICE_PAUSE_MS)
+
+    pick = create_replica_picker(fleet, settings.failure_domain, host.rng)
+    return CallerContext(
+        clock=host.clock,
+        tracer=tracer,
+        metrics=metrics,
+        configuration=follower.current,
+        authenticator=create_authenticator(follower.current),
+        pipelines=pipelines,
+        ledger=ledger,
+        call_service=create_service_caller(ledger, pick, host.clock, lambda: True, note_service),
+        background=host.background,
+        unready=lambda: host.unready(follower.current()),
+        max_body_bytes=settings.max_body_bytes,
+    )
+
+
+def _create_poller(host: EntryHost, fleet: Fleet) -> Callable[[], Coroutine[Any, Any, None]]:
+    """Return the host list's poller, which feeds the fleet."""
+
+    def take(targets: Targets) -> None:
+        host.listed = True
+        fleet.apply_targets(targets)
+
+    read = create_host_list_reader(parse_address(host.settings.host_list))
+    return create_host_list_poller(read, take, host.clock, host.rng, HOST_LIST_INTERVAL_MS)
+
+
+async def _replan(host: EntryHost, router: Router) -> None:
+    """Plan routes anew whenever the fleet has changed."""
+    while True:
+        await host.clock.sleep_ms(REPLAN_INTERVAL_MS)
+        router.replan()
+
+
+async def _wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+
+
+def _passing(code: ResultCode, message: str) -> Refusal:
+    """Refuse for a reason that will pass."""
+    return create_refusal(code, message, retry_after_ms=NOT_READY_RETRY_MS)
--- /dev/null
+++ b/src/pimentodale/entry/services.py
@@ -0,0 +1,35 @@
+"""Which replica of a plain service gets a call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentodale.services.messages import ServiceReplica
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from pimentodale.routing.fleet import Fleet
+
+
+def create_replica_picker(
+    fleet: Fleet, own_failure_domain: str, rng: random.Random
+) -> Callable[[str, frozenset[str]], ServiceReplica | None]:
+    """Return a closure that picks a replica by chance, one of the own failure domain first.
+
+    Args:
+        fleet: The backend servers.
+        own_failure_domain: Failure domain of this host.
+        rng: Source of chance.
+    """
+
+    def pick(service: str, excluded: frozenset[str]) -> ServiceReplica | None:
+        usable = [one for one in fleet.services(service) if one.replica not in excluded]
+        near = [one for one in usable if one.failure_domain == own_failure_domain]
+        if not usable:
+            return None
+        target = rng.choice(near or usable)
+        return ServiceReplica(target.replica, target.address)
+
+    return pick
--- a/src/pimentodale/platform/host_list.py
+++ b/src/pimentodale/platform/host_list.py
@@ -10,6 +10,7 @@
 from pimentodale.addresses import Address, BadAddressError, parse_address
 from pimentodale.logs import get_log
 from pimentodale.platform.http_call import CallRequest, fetch
+from pimentodale.platform.targets import EngineTarget, EntryTarget, ServiceTarget, Targets
 
 if TYPE_CHECKING:
     import random
@@ -31,123 +32,55 @@
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
-class EngineTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """A language-model engine."""
+class HostListFault(msgspec.Struct, frozen=True):
+    """Why the list could not be read."""
 
-    replica: str
-    """Its name."""
+    message: str
+    """What happened."""
 
-    address: Address
-    """Where it listens."""
 
-    failure_domain: str
-    """Its failure domain."""
+class _Group(msgspec.Struct, frozen=True):
+    """Addresses that share labels."""
 
-    state: TargetState = "live"
-    """Whether it takes new work."""
+    targets: list[str]
+    labels: dict[str, str] = {}
 
-    model: str
-    """Model that it holds a range of."""
 
-    first_layer: _Count
-    """First layer that it holds."""
+class _EngineLabels(msgspec.Struct, frozen=True):
+    """Labels of an engine."""
 
+    replica: str
+    failure_domain: str
+    model: str
+    first_layer: _Count
     last_layer: _Count
-    """Layer after the last one that it holds."""
-
-    accelerator: str = ""
-    """Kind of accelerator."""
-
     tokens_per_s: float
-    """Rated tokens a second for its range."""
-
     slots: _Count
-    """Streams that it holds at once."""
+    accelerator: str = ""
+    state: TargetState = "live"
 
 
-class ServiceTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """A replica of a plain service."""
+class _ServiceLabels(msgspec.Struct, frozen=True):
+    """Labels of a plain service's replica."""
 
     replica: str
-    """Its name."""
-
-    address: Address
-    """Where it listens."""
-
     failure_domain: str
-    """Its failure domain."""
-
-    state: TargetState = "live"
-    """Whether it takes new work."""
-
     service: str
-    """The name in `/services/<name>/`."""
+    state: TargetState = "live"
 
 
-class EntryTarget(msgspec.Struct, frozen=True, kw_only=True):
-    """An entry host."""
+class _EntryLabels(msgspec.Struct, frozen=True):
+    """Labels of an entry host."""
 
     replica: str
-    """Its name."""
-
-    address: Address
-    """Where it listens for callers."""
-
     failure_domain: str
-    """Its failure domain."""
-
-    state: TargetState = "live"
-    """Whether it takes new work."""
-
     peer_port: _Port
-    """Port for peers, at the same IP."""
-
-    @property
-    def peer_address(self) -> Address:
-        """Where it listens for peers."""
-        return Address(self.address.ip, self.peer_port)
-
-
-class HostList(msgspec.Struct, frozen=True, kw_only=True):
-    """The list as it was read."""
-
-    engines: list[EngineTarget] = []
-    """Engines in list order."""
-
-    services: list[ServiceTarget] = []
-    """Service replicas in list order."""
-
-    entries: list[EntryTarget] = []
-    """Entry hosts in list order."""
-
-    rejected: list[str] = []
-    """Why targets were passed over, a sentence each."""
-
-
-class HostListFault(msgspec.Struct, frozen=True):
-    """Why the list could not be read."""
-
-    message: str
-    """What happened."""
-
-
-class _Group(msgspec.Struct, frozen=True):
-    """Addresses that share labels."""
-
-    targets: list[str]
-    labels: dict[str, str] = {}
-
-
-_KINDS: Final[dict[str, type[EngineTarget | ServiceTarget | EntryTarget]]] = {
-    "engine": EngineTarget,
-    "service": ServiceTarget,
-    "entry": EntryTarget,
-}
+    state: TargetState = "live"
 
 
 def create_host_list_reader(
     address: Address, timeout_ms: float = READ_TIMEOUT_MS
-) -> Callable[[], Awaitable[Result[HostList, HostListFault]]]:
+) -> Callable[[], Awaitable[Result[Targets, HostListFault]]]:
     """Create a closure that reads the list once.
 
     Args:
@@ -159,7 +92,7 @@
     """
     request = CallRequest(method="GET", path="/targets")
 
-    async def read() -> Result[HostList, HostListFault]:
+    async def read() -> Result[Targets, HostListFault]:
         reply = await fetch(address, request, timeout_ms)
         if reply.is_error():
             return Error(HostListFault(reply.error.message))
@@ -171,8 +104,8 @@
 
 
 def create_host_list_poller(
-    read: Callable[[], Awaitable[Result[HostList, HostListFault]]],
-    on_list: Callable[[HostList], None],
+    read: Callable[[], Awaitable[Result[Targets, HostListFault]]],
+    on_list: Callable[[Targets], None],
     clock: Clock,
     rng: random.Random,
     interval_ms: float,
@@ -208,7 +141,7 @@
     return poll
 
 
-def parse_host_list(body: bytes) -> Result[HostList, HostListFault]:
+def parse_host_list(body: bytes) -> Result[Targets, HostListFault]:
     """Parse the list; a target that can't be used is passed over and named.
 
     Args:
@@ -221,28 +154,66 @@
         groups = msgspec.json.decode(body, type=list[_Group])
     except (msgspec.ValidationError, msgspec.DecodeError) as error:
         return Error(HostListFault(f"the host list is not service discovery JSON: {error}"))
-    hosts = HostList(engines=[], services=[], entries=[], rejected=[])
+    found = Targets(engines=[], services=[], entries=[], rejected=[])
     for group in groups:
         for target in group.targets:
-            _add_target(target, group.labels, hosts)
-    return Ok(hosts)
+            _add_target(target, group.labels, found)
+    return Ok(found)
 
 
-def _add_target(target: str, labels: dict[str, str], hosts: HostList) -> None:
-    """Sort one target into the list."""
-    kind = _KINDS.get(labels.get("kind", ""))
-    if kind is None:
-        hosts.rejected.append(f"{target}: its label kind is not engine, service or entry")
-        return
+def _add_target(target: str, labels: dict[str, str], found: Targets) -> None:
+    """Sort one target into the list, or say why it can't be used."""
+    kind = labels.get("kind", "")
     try:
-        fields = {**labels, "address": parse_address(target)}
-        parsed = msgspec.convert(fields, kind, strict=False)
+        address = parse_address(target)
+        if kind == "engine":
+            found.engines.append(_engine(address, labels))
+        elif kind == "service":
+            found.services.append(_service(address, labels))
+        elif kind == "entry":
+            found.entries.append(_entry(address, labels))
+        else:
+            found.rejected.append(f"{target}: its label kind is not engine, service or entry")
     except (BadAddressError, msgspec.ValidationError) as error:
-        hosts.rejected.append(f"{target}: {error}")
-        return
-    if isinstance(parsed, EngineTarget):
-        hosts.engines.append(parsed)
-    elif isinstance(parsed, ServiceTarget):
-        hosts.services.append(parsed)
-    else:
-        hosts.entries.append(parsed)
+        found.rejected.append(f"{target}: {error}")
+
+
+def _engine(address: Address, labels: dict[str, str]) -> EngineTarget:
+    """Read an engine's labels."""
+    read = msgspec.convert(labels, _EngineLabels, strict=False)
+    return EngineTarget(
+        replica=read.replica,
+        address=address,
+        failure_domain=read.failure_domain,
+        model=read.model,
+        first_layer=read.first_layer,
+        last_layer=read.last_layer,
+        accelerator=read.accelerator,
+        tokens_per_s=read.tokens_per_s,
+        slots=read.slots,
+        leaving=read.state == "leaving",
+    )
+
+
+def _service(address: Address, labels: dict[str, str]) -> ServiceTarget:
+    """Read the labels of a plain service's replica."""
+    read = msgspec.convert(labels, _ServiceLabels, strict=False)
+    return ServiceTarget(
+        replica=read.replica,
+        address=address,
+        failure_domain=read.failure_domain,
+        service=read.service,
+        leaving=read.state == "leaving",
+    )
+
+
+def _entry(address: Address, labels: dict[str, str]) -> EntryTarget:
+    """Read an entry host's labels."""
+    read = msgspec.convert(labels, _EntryLabels, strict=False)
+    return EntryTarget(
+        host=read.replica,
+        address=address,
+        failure_domain=read.failure_domain,
+        peer_address=Address(address.ip, read.peer_port),
+        leaving=read.state == "leaving",
+    )
--- a/src/pimentodale/platform/prompt_text.py
+++ b/src/pimentodale/platform/prompt_text.py
@@ -25,8 +25,8 @@
         content = message.get("content") or ""
         if not isinstance(content, str):
             content = "".join(str(part.get("text", "")) for part in content)
-        lines.append(f"{message.get('role', 'user')}: {content}\n")
-    return "".join(lines)
+        lines.append(f"{message.get('role', 'user')}: {content}")
+    return "\n".join(lines)
 
 
 def prefix_hash(prompt: str) -> str:
--- a/src/pimentodale/platform/targets.py
+++ b/src/pimentodale/platform/targets.py
@@ -90,3 +90,6 @@
 
     entries: list[EntryTarget] = []
     """Entry hosts."""
+
+    rejected: list[str] = []
+    """Why lines of the list were passed over, a sentence each."""
