Tell a slow stream from a dead connection and a dead stage

Cause: a stream that was silent for the chunk time-out was given up with its head, also where only the connection was dead or the engine slow. Ruled out: restarting on a fresh connection at each silence: a long prefill would start anew each time. Keep-alive bytes from the head: they would hide a frozen later stage. Change: after a silence each stage is asked over a fresh connection, and the head how far it is (new call GET /v1/pimentodale/progress; engines without it answer 404 and count as a dead connection). A resumed call names an engine that can export the KV cache. Receipts name the stage at fault.

--- /dev/null
+++ b/src/pimentodale/pipelines/attempt.py
@@ -0,0 +1,203 @@
+"""One attempt at a generation: one route, one stream, every token verified."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from expression import Error, Ok, Result
+
+from pimentodale.addresses import parse_address
+from pimentodale.pipelines.means import describe_route
+from pimentodale.pipelines.messages import Finished, Token
+from pimentodale.pipelines.receipts import receipt_fault
+from pimentodale.pipelines.resume import choose_kv_source
+from pimentodale.pipelines.silence import cancel_in_background, examine_silence
+from pimentodale.platform.engine_client import EngineFault, EngineFinish, open_stream
+from pimentodale.platform.engine_messages import EngineCall
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from pimentodale.pipelines.means import Progress
+    from pimentodale.platform.engine_client import EngineEvent, EngineStream
+    from pimentodale.platform.engine_messages import Hop, TokenNote
+    from pimentodale.tracing.tracer import Span
+
+ACCEPT_TIMEOUT_MS: Final = 1_500.0
+"""How long the head of a route may take to accept or refuse."""
+
+GenerationEvent = Token | Finished
+"""What a generation yields."""
+
+
+async def run_attempt(
+    progress: Progress, hops: Sequence[Hop]
+) -> AsyncIterator[Result[GenerationEvent, EngineFault]]:
+    """Send the generation on one route.
+
+    Args:
+        progress: The generation; verified tokens are added to it.
+        hops: The route.
+
+    Yields:
+        Verified tokens in order, then `Finished`; or one fault, after which nothing follows.
+    """
+    generation, means = progress.generation, progress.means
+    span = means.tracer.start(
+        "attempt",
+        generation.request_id,
+        generation.trace,
+        attempt=str(progress.attempt),
+        route=describe_route(hops),
+        resumed_at=str(len(progress.tokens)),
+    )
+    means.router.started(hops)
+    stream: EngineStream | None = None
+    end = "dropped"
+    try:
+        opened = await _open(progress, hops, span)
+        if opened.is_error():
+            end = opened.error.message
+            yield Error(opened.error)
+            return
+        stream = opened.ok
+        async for event in _read(progress, hops, stream):
+            end = event.error.message if event.is_error() else "whole"
+            yield event
+    finally:
+        if stream is not None:
+            stream.close()
+        means.router.ended(hops)
+        means.tracer.end(span, end=end, tokens=str(len(progress.tokens)))
+        _note_hops(progress, hops, span)
+
+
+async def _open(
+    progress: Progress, hops: Sequence[Hop], span: Span
+) -> Result[EngineStream, EngineFault]:
+    """Open the stream at the head of the route."""
+    generation = progress.generation
+    call = EngineCall(
+        request_id=generation.request_id,
+        attempt=progress.attempt,
+        workspace=generation.workspace.name,
+        priority=generation.priority,
+        route=list(hops),
+        resume_tokens=list(progress.tokens),
+        kv_source=choose_kv_source(progress.last_route, hops, progress.lost),
+    )
+    headers = {"traceparent": span.context().header(), "X-Request-Id": generation.request_id}
+    if generation.idempotency_key:
+        headers["Idempotency-Key"] = generation.idempotency_key
+    path = "/v1/chat/completions" if generation.kind == "chat" else "/v1/completions"
+    opened = await open_stream(
+        parse_address(hops[0].address),
+        path,
+        generation.body,
+        call,
+        headers,
+        min(ACCEPT_TIMEOUT_MS, max(1.0, progress.remaining_ms)),
+    )
+    if opened.is_ok() or (opened.error.sent and opened.error.refused is None):
+        progress.handed_over = True
+    return opened
+
+
+async def _read(
+    progress: Progress, hops: Sequence[Hop], stream: EngineStream
+) -> AsyncIterator[Result[GenerationEvent, EngineFault]]:
+    """Read a stream, and find out about each silence of it."""
+    stalled_checks = 0
+    while True:
+        silence: EngineFault | None = None
+        timeout_ms = min(progress.means.limits().chunk_timeout_ms, max(1.0, progress.remaining_ms))
+        async for event in stream.events(timeout_ms):
+            checked = event.bind(lambda found: _verify(progress, hops, found))
+            if checked.is_error() and checked.error.silent:
+                silence = checked.error
+                break
+            stalled_checks = 0
+            yield checked
+            if checked.is_error() or isinstance(checked.ok, Finished):
+                return
+        if silence is None:
+            yield Error(EngineFault("the stream ended early", malformed=True))
+            return
+        fault = await _judge(progress, hops, silence, stalled_checks)
+        if fault is not None:
+            cancel_in_background(progress, hops[0])
+            yield Error(fault)
+            return
+        stalled_checks += 1
+
+
+async def _judge(
+    progress: Progress, hops: Sequence[Hop], silence: EngineFault, stalled_checks: int
+) -> EngineFault | None:
+    """Return the fault behind a silence, or nothing when the stream is only slow."""
+    if progress.remaining_ms <= 0:
+        return silence
+    verdict = await examine_silence(progress, hops, stalled_checks)
+    if verdict.wait:
+        return None
+    if verdict.lost_replica:
+        message = f"{verdict.lost_replica} does not answer"
+        return EngineFault(message, silent=True, stage_lost=verdict.lost_replica)
+    return EngineFault("the connection went silent", silent=True, connection_lost=True)
+
+
+def _verify(
+    progress: Progress, hops: Sequence[Hop], event: EngineEvent
+) -> Result[GenerationEvent, EngineFault]:
+    """Pass on an event only if it is the next one of this very attempt."""
+    if isinstance(event, EngineFinish):
+        return _verify_finish(progress, event)
+    fault = _note_fault(progress, hops, event.note)
+    if fault is not None:
+        return Error(fault)
+    progress.tokens.append(event.note.token)
+    return Ok(Token(event.note.index, event.note.token))
+
+
+def _verify_finish(progress: Progress, event: EngineFinish) -> Result[GenerationEvent, EngineFault]:
+    """Check that the answer's length is what has been passed on."""
+    if event.completion_tokens != len(progress.tokens):
+        message = f"finish names {event.completion_tokens} tokens of {len(progress.tokens)}"
+        return Error(EngineFault(message, malformed=True))
+    if event.reason == "length":
+        return Ok(Finished("length", event.prompt_tokens, event.completion_tokens))
+    if event.reason == "stop":
+        return Ok(Finished("stop", event.prompt_tokens, event.completion_tokens))
+    return Error(EngineFault(f"unknown finish reason '{event.reason}'", malformed=True))
+
+
+def _note_fault(progress: Progress, hops: Sequence[Hop], note: TokenNote) -> EngineFault | None:
+    """Say what is wrong with a token's note, if anything is."""
+    problem = ""
+    if note.request_id != progress.generation.request_id:
+        problem = f"it answers request {note.request_id}"
+    elif note.attempt != progress.attempt:
+        problem = f"it answers attempt {note.attempt} of {progress.attempt}"
+    elif note.index != len(progress.tokens):
+        problem = f"index {note.index} where {len(progress.tokens)} is next"
+    if problem:
+        return EngineFault(f"token refused: {problem}", malformed=True)
+    fault = receipt_fault(note.receipt, hops, progress.generation.model.layers)
+    if fault is None:
+        return None
+    message = f"token refused: {fault.problem}"
+    return EngineFault(message, malformed=True, stage_lost=fault.replica)
+
+
+def _note_hops(progress: Progress, hops: Sequence[Hop], attempt: Span) -> None:
+    """Keep a span for each hop, over the time of its attempt."""
+    for hop in hops:
+        span = progress.means.tracer.start(
+            "hop",
+            attempt.request_id,
+            attempt.context(),
+            replica=hop.replica,
+            layers=f"{hop.first_layer}:{hop.last_layer}",
+        )
+        span.start_ms = attempt.start_ms
+        span.duration_ms = attempt.duration_ms
--- /dev/null
+++ b/src/pimentodale/pipelines/means.py
@@ -0,0 +1,106 @@
+"""What generations work with, and the state of one over its attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from pimentodale.results import Ran, Refusal, ResultCode, create_refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from pimentodale.clock import Clock
+    from pimentodale.configuration.documents import Limits
+    from pimentodale.metrics import Metrics
+    from pimentodale.pipelines.messages import Generation
+    from pimentodale.platform.engine_client import EngineFault
+    from pimentodale.platform.engine_messages import Hop
+    from pimentodale.tracing.tracer import Tracer
+
+
+class RoutePicker(Protocol):
+    """What a generation asks of routing."""
+
+    def pick(
+        self, model: str, layers: int, prefix_hash: str, excluded: set[str]
+    ) -> Sequence[Hop] | None:
+        """Choose a route that avoids the excluded replicas; `None` if there is none."""
+
+    def started(self, hops: Sequence[Hop]) -> None:
+        """Note that a route holds one more stream."""
+
+    def ended(self, hops: Sequence[Hop]) -> None:
+        """Note that it holds one less."""
+
+    def failed(self, replica: str, fault: EngineFault) -> None:
+        """Note what was seen of a replica."""
+
+
+@dataclass(slots=True)
+class PipelineMeans:
+    """What generations work with."""
+
+    clock: Clock
+    """Tells the time."""
+
+    tracer: Tracer
+    """Keeps spans."""
+
+    metrics: Metrics
+    """Counts."""
+
+    router: RoutePicker
+    """Picks routes."""
+
+    limits: Callable[[], Limits]
+    """Returns the limits in force."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """State of one generation over its attempts."""
+
+    generation: Generation
+    """What the caller asked for."""
+
+    means: PipelineMeans
+    """What to work with."""
+
+    tokens: list[str] = field(default_factory=list)
+    """Verified tokens, all passed on to the caller."""
+
+    excluded: set[str] = field(default_factory=set)
+    """Replicas that this generation avoids."""
+
+    attempt: int = 0
+    """Attempts so far."""
+
+    handed_over: bool = False
+    """Whether an engine may have run any of it."""
+
+    last_route: Sequence[Hop] = ()
+    """Route of the latest attempt."""
+
+    repeat_route: bool = False
+    """Whether the next attempt takes that route again, over a fresh connection."""
+
+    lost: set[str] = field(default_factory=set)
+    """Replicas that were lost with their KV caches."""
+
+    @property
+    def remaining_ms(self) -> float:
+        """Time left until the deadline."""
+        return self.generation.deadline_ms - self.means.clock.now_ms()
+
+    def refuse(
+        self, code: ResultCode, message: str, retry_after_ms: float | None = None
+    ) -> Refusal:
+        """Refuse, in words that fit whether any engine may have run the work."""
+        ran = Ran.MAY_HAVE_RUN if self.handed_over else Ran.NOT_RUN
+        return create_refusal(code, message, ran=ran, retry_after_ms=retry_after_ms)
+
+
+def describe_route(hops: Sequence[Hop]) -> str:
+    """Return a route in one line, such as `e1[0:16] e4[16:32]`."""
+    return " ".join(f"{hop.replica}[{hop.first_layer}:{hop.last_layer}]" for hop in hops)
--- a/src/pimentodale/pipelines/receipts.py
+++ b/src/pimentodale/pipelines/receipts.py
@@ -4,13 +4,27 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from pimentodale.platform.engine_messages import Hop, StageReceipt
 
 
-def receipt_fault(receipt: Sequence[StageReceipt], route: Sequence[Hop], layers: int) -> str | None:
+class ReceiptFault(msgspec.Struct, frozen=True):
+    """Why a receipt was not accepted."""
+
+    problem: str
+    """What is wrong."""
+
+    replica: str = ""
+    """Stage of the route that it speaks against; empty when that can't be told."""
+
+
+def receipt_fault(
+    receipt: Sequence[StageReceipt], route: Sequence[Hop], layers: int
+) -> ReceiptFault | None:
     """Check one token's receipt.
 
     Args:
@@ -22,17 +36,20 @@
         What is wrong, or `None` if the receipt tiles 0..layers once, in order, by the route's
         own replicas.
     """
+    replicas = {hop.replica for hop in route}
     next_layer = 0
     for stage in receipt:
+        blamed = stage.replica if stage.replica in replicas else ""
         if stage.first_layer != next_layer:
-            return f"layer {next_layer} is followed by {stage.first_layer} at {stage.replica}"
+            problem = f"layer {next_layer} is followed by {stage.first_layer} at {stage.replica}"
+            return ReceiptFault(problem, blamed)
         if stage.last_layer <= stage.first_layer:
-            return f"{stage.replica} ran no layer"
+            return ReceiptFault(f"{stage.replica} ran no layer", blamed)
         next_layer = stage.last_layer
     if next_layer != layers:
-        return f"ends at layer {next_layer} of {layers}"
+        return ReceiptFault(f"ends at layer {next_layer} of {layers}")
     if [stage.replica for stage in receipt] != [hop.replica for hop in route]:
-        return "names other replicas than the route"
+        return ReceiptFault("names other replicas than the route")
     return None
 
 
--- a/src/pimentodale/platform/engine_client.py
+++ b/src/pimentodale/platform/engine_client.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import urlencode
 
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.platform.engine_messages import EngineLoad, EngineRefusal, TokenNote
+from pimentodale.platform.engine_messages import (
+    EngineLoad,
+    EngineRefusal,
+    RequestProgress,
+    TokenNote,
+)
 from pimentodale.platform.http_call import CallFault, CallRequest, fetch, open_call
 
 if TYPE_CHECKING:
@@ -66,6 +72,9 @@
     malformed: bool = False
     """Whether the engine's answer was not in its protocol."""
 
+    connection_lost: bool = False
+    """Whether only the connection was lost: the engine answers on another one."""
+
 
 EngineEvent = EngineToken | EngineFinish
 """What a stream yields."""
@@ -92,6 +101,13 @@
     usage: _Usage | None = None
 
 
+class _CancelBody(msgspec.Struct):
+    """Body of a cancel call."""
+
+    request_id: str
+    attempt: int
+
+
 class _RefusalBody(msgspec.Struct):
     """Body of a 4xx or 5xx answer."""
 
@@ -105,10 +121,11 @@
 class EngineStream:
     """An accepted completion; iterate `events`, and `close` it in any case."""
 
-    __slots__ = ("_call",)
+    __slots__ = ("_call", "_rest")
 
     def __init__(self, call: HttpCall) -> None:
         self._call = call
+        self._rest = b""
 
     async def events(
         self, silence_timeout_ms: float
@@ -119,10 +136,11 @@
             silence_timeout_ms: Longest wait for the next bytes.
 
         Yields:
-            Tokens, then one finish; or one fault, after which nothing follows.
+            Tokens, then one finish; or one fault, after which nothing follows. After a silent
+            fault the stream may be read on by another call.
         """
         finish: EngineFinish | None = None
-        async for line in _lines(self._call, silence_timeout_ms):
+        async for line in self._lines(silence_timeout_ms):
             if line.is_error():
                 yield Error(line.error)
                 return
@@ -142,6 +160,20 @@
         """Drop the connection, which cancels the work at all stages."""
         self._call.close()
 
+    async def _lines(self, silence_timeout_ms: float) -> AsyncIterator[Result[bytes, EngineFault]]:
+        """Split the stream into the contents of its `data:` lines."""
+        async for chunk in self._call.chunks(silence_timeout_ms):
+            if chunk.is_error():
+                yield Error(_fault_of(chunk.error))
+                return
+            *lines, self._rest = (self._rest + chunk.ok).split(b"\n")
+            for line in lines:
+                if line.startswith(_DATA):
+                    yield Ok(line[len(_DATA) :].strip())
+            if len(self._rest) > _MAX_LINE_BYTES:
+                yield Error(EngineFault("a line of the stream is too long", malformed=True))
+                return
+
 
 async def open_stream(
     address: Address,
@@ -197,22 +229,58 @@
         return Error(EngineFault(f"load report not in its form: {error}", malformed=True))
 
 
-async def _lines(
-    call: HttpCall, silence_timeout_ms: float
-) -> AsyncIterator[Result[bytes, EngineFault]]:
-    """Split a stream into the contents of its `data:` lines."""
-    rest = b""
-    async for chunk in call.chunks(silence_timeout_ms):
-        if chunk.is_error():
-            yield Error(_fault_of(chunk.error))
-            return
-        *lines, rest = (rest + chunk.ok).split(b"\n")
-        for line in lines:
-            if line.startswith(_DATA):
-                yield Ok(line[len(_DATA) :].strip())
-        if len(rest) > _MAX_LINE_BYTES:
-            yield Error(EngineFault("a line of the stream is too long", malformed=True))
-            return
+async def read_progress(
+    address: Address, request_id: str, attempt: int, timeout_ms: float
+) -> Result[RequestProgress | None, EngineFault]:
+    """Ask a head over a fresh connection how far it is with a request.
+
+    Args:
+        address: The head engine.
+        request_id: The request.
+        attempt: The attempt.
+        timeout_ms: Longest time for the call.
+
+    Returns:
+        How far it is; `None` when it answers but does not hold the request (or can't say).
+    """
+    query = urlencode({"request_id": request_id, "attempt": attempt})
+    request = CallRequest(method="GET", path=f"/v1/pimentodale/progress?{query}")
+    reply = await fetch(address, request, timeout_ms)
+    if reply.is_error():
+        return Error(_fault_of(reply.error))
+    if reply.ok.status != HTTP_OK:
+        return Ok(None)
+    try:
+        return Ok(msgspec.json.decode(reply.ok.body, type=RequestProgress))
+    except msgspec.DecodeError:
+        return Ok(None)
+
+
+async def cancel_request(
+    address: Address, request_id: str, attempt: int, timeout_ms: float
+) -> Result[None, EngineFault]:
+    """Cancel a request over a fresh connection, where closing the old one may not be seen.
+
+    Args:
+        address: The head engine.
+        request_id: The request.
+        attempt: The attempt.
+        timeout_ms: Longest time for the call.
+
+    Returns:
+        Nothing once the engine answered.
+    """
+    body = msgspec.json.encode(_CancelBody(request_id, attempt))
+    request = CallRequest(
+        method="POST",
+        path="/v1/pimentodale/cancel",
+        headers={"Content-Type": "application/json"},
+        body=body,
+    )
+    reply = await fetch(address, request, timeout_ms)
+    if reply.is_error():
+        return Error(_fault_of(reply.error))
+    return Ok(None)
 
 
 def _parse_chunk(data: bytes) -> Result[EngineEvent, EngineFault]:
--- a/src/pimentodale/platform/engine_messages.py
+++ b/src/pimentodale/platform/engine_messages.py
@@ -241,3 +241,16 @@
 
     highest_fencing_number: int
     """Highest number of an order that it has followed; 0 before the first."""
+
+
+class RequestProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer of `GET /v1/pimentodale/progress`: how far the head is with a request."""
+
+    request_id: str
+    """The request."""
+
+    attempt: int
+    """The attempt that the head works on."""
+
+    tokens: int
+    """Tokens of the whole answer that it has so far, resumed ones included."""
--- a/src/pimentodale/standin/_batch.py
+++ b/src/pimentodale/standin/_batch.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import heapq
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
 
+    from collections.abc import Callable
+
     from pimentodale.clock import Clock
 
 _LATE_STEPS: Final = 4
--- a/src/pimentodale/standin/_engine_http.py
+++ b/src/pimentodale/standin/_engine_http.py
@@ -13,14 +13,16 @@
     EngineCall,
     EngineOrder,
     EngineRefusal,
+    RequestProgress,
     TokenNote,
 )
+from pimentodale.platform.prompt_text import prompt_text
 from pimentodale.standin._answer import AnswerChunks, ChunkIds, answer_chunks
 from pimentodale.standin._faults import FaultOrder
 from pimentodale.standin._head import HeadStream, StageLostError, StreamCancelledError
 from pimentodale.standin._journal import StreamCancelled
 from pimentodale.standin._kv_cache import pack_entry
-from pimentodale.standin.reference_text import Message, answer_end, fold_messages, run_layers
+from pimentodale.standin.reference_text import answer_end, run_layers
 
 if TYPE_CHECKING:
     from pimentodale.standin._engine_core import Engine
@@ -35,8 +37,7 @@
     model: str
     pimentodale: EngineCall
     stream: bool = False
-    messages: list[Message] = []
-    prompt: str = ""
+    messages: list[Any] | None = None
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
 
@@ -150,7 +151,7 @@
         if body.model != engine.orders.reached.model and engine.takes_work():
             self.refuse(EngineRefusal(mismatch=f"{engine.settings.replica} has no {body.model}"))
             return
-        prompt = fold_messages(body.messages) if body.messages else body.prompt
+        prompt = prompt_text(msgspec.json.decode(self.request.body))
         key = self.request.headers.get("Idempotency-Key", "")
         opened = await engine.heads.open(body.pimentodale, prompt, key)
         if opened.is_error():
@@ -178,7 +179,9 @@
         end = answer_end(prompt, max_tokens)
         self.set_header("Content-Type", "text/event-stream")
         await self._send(b"")
-        ids = ChunkIds(stream.call.request_id, stream.call.attempt, body.model, bool(body.messages))
+        ids = ChunkIds(
+            stream.call.request_id, stream.call.attempt, body.model, body.messages is not None
+        )
         chunks = answer_chunks(self.engine, stream, ids)
         try:
             while len(stream.tokens) < end.tokens:
@@ -233,6 +236,24 @@
         self.answer(self.engine.load_report())
 
 
+class ProgressHandler(_EngineHandler):
+    """`GET /v1/pimentodale/progress`."""
+
+    def get(self) -> None:
+        """Tell how far the head is with a request."""
+        request_id = self.get_query_argument("request_id")
+        attempt = int(self.get_query_argument("attempt", "0"))
+        for stream in self.engine.heads.streams.values():
+            call = stream.call
+            if call.request_id != request_id or call.attempt != attempt:
+                continue
+            self.answer(
+                RequestProgress(request_id=request_id, attempt=attempt, tokens=len(stream.tokens))
+            )
+            return
+        self.answer(RefusalBody(EngineRefusal(mismatch="no such request here")), 404)
+
+
 class StateHandler(_EngineHandler):
     """`GET /v1/pimentodale/state`."""
 
@@ -344,6 +365,7 @@
             ("/v1/chat/completions", CompletionHandler, arguments),
             ("/v1/completions", CompletionHandler, arguments),
             ("/v1/pimentodale/load", LoadHandler, arguments),
+            ("/v1/pimentodale/progress", ProgressHandler, arguments),
             ("/v1/pimentodale/state", StateHandler, arguments),
             ("/v1/pimentodale/orders", OrderHandler, arguments),
             ("/v1/pimentodale/cancel", CancelHandler, arguments),
--- a/src/pimentodale/standin/_head.py
+++ b/src/pimentodale/standin/_head.py
@@ -20,12 +20,12 @@
     TokenDone,
     link_address,
 )
-from pimentodale.standin._stage import StageStream
 from pimentodale.standin.reference_text import first_activation, token_of
 
 if TYPE_CHECKING:
     from pimentodale.addresses import Address
     from pimentodale.standin._engine_core import Engine
+    from pimentodale.standin._stage import StageStream
 
 _OPEN_TIMEOUT_MS: Final = 1500.0
 """Longest wait for all stages to take a stream."""
--- a/src/pimentodale/standin/_stage.py
+++ b/src/pimentodale/standin/_stage.py
@@ -12,7 +12,6 @@
 from pimentodale.platform.engine_messages import EngineRefusal, Hop, StageReceipt
 from pimentodale.platform.http_call import CallRequest, fetch
 from pimentodale.standin._batch import Job
-from pimentodale.standin._engine_links import OpenStream
 from pimentodale.standin._journal import (
     StreamEnded,
     StreamRefused,
@@ -27,6 +26,7 @@
     from collections.abc import Callable
 
     from pimentodale.standin._engine_core import Engine
+    from pimentodale.standin._engine_links import OpenStream
 
 _IMPORT_TIMEOUT_MS: Final = 500.0
 """Longest wait for another engine's KV cache."""
--- a/src/pimentodale/standin/reference_text.py
+++ b/src/pimentodale/standin/reference_text.py
@@ -2,7 +2,7 @@
 
 The state starts from a hash of the prompt and the tokens so far. Each layer mixes in its own number
 in a way that does not commute, so a layer that was skipped, doubled or run out of order changes the
-token. The last state picks a word.
+token. The last state picks a word. `platform.prompt_text.prompt_text` folds a chat into one prompt.
 """
 
 from __future__ import annotations
@@ -30,16 +30,6 @@
 _TOKENS_MARK: Final = re.compile(r"\[tokens=(\d{1,6})\]")
 
 
-class Message(msgspec.Struct, frozen=True):
-    """One message of a chat."""
-
-    role: str
-    """Who speaks."""
-
-    content: str
-    """What is said."""
-
-
 class AnswerEnd(msgspec.Struct, frozen=True):
     """How an answer ends."""
 
@@ -50,18 +40,6 @@
     """`stop`, or `length` when the limit cut it."""
 
 
-def fold_messages(messages: Sequence[Message]) -> str:
-    """Fold a chat into one prompt: a line `role: content` for each message.
-
-    Args:
-        messages: The chat in order.
-
-    Returns:
-        The prompt text.
-    """
-    return "\n".join(f"{message.role}: {message.content}" for message in messages)
-
-
 def prompt_token_count(prompt: str) -> int:
     """Return how many tokens a prompt counts as; at least one."""
     return max(1, len(prompt) // _CHARS_A_TOKEN)
@@ -125,7 +103,7 @@
     """Return the first tokens of the faultless answer.
 
     Args:
-        prompt: The prompt text; fold a chat by `fold_messages`.
+        prompt: The prompt text; `prompt_text` folds a chat into one.
         layers: Layers of the model.
         count: How many tokens; `answer_end` gives the whole answer's.
 
