--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -11,54 +11,56 @@
 from expression import Error, Ok, Result
 
 from pimentodale.pipelines.attempt import GenerationEvent, run_attempt
-from pimentodale.pipelines.means import PipelineMeans, Progress, RoutePicker, describe_route
+from pimentodale.pipelines.means import FirstByteGate, PipelineMeans, Progress, describe_route
 from pimentodale.pipelines.messages import Finished
+from pimentodale.pipelines.observations import note_fault, suspect_of
 from pimentodale.platform.engine_client import EngineFault
-from pimentodale.platform.engine_messages import EngineRefusal, Hop
 from pimentodale.results import Refusal, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator
 
     from pimentodale.pipelines.messages import Generation
+    from pimentodale.routing.routes import Route
 
-__all__ = ["GenerationEvent", "PipelineMeans", "RoutePicker", "generate"]
+__all__ = ["FirstByteGate", "GenerationEvent", "PipelineMeans", "describe_route", "generate"]
 
 MAX_ATTEMPTS: Final = 6
-"""Routes that one generation may be sent on without a new token."""
+"""Routes that one generation may be sent on."""
 
 NO_ROUTE_RETRY_MS: Final = 1_000.0
 """When a caller may come back after there was no route."""
 
 
 async def generate(
-    generation: Generation, means: PipelineMeans
+    generation: Generation, means: PipelineMeans, gate: FirstByteGate | None = None
 ) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
     """Run a generation.
 
     Args:
         generation: What the caller asks for.
         means: What to work with.
+        gate: Asked before the first byte; given for non-repeatable work.
 
     Yields:
         Verified tokens in order, then `Finished`; or one refusal, after which nothing follows.
     """
-    progress = Progress(generation, means)
+    progress = Progress(generation, means, gate)
     while True:
         refusal = _refusal_before_attempt(progress)
-        hops = None if refusal else _pick(progress)
-        if refusal is not None or hops is None:
+        route = None if refusal else _pick(progress)
+        if route is None:
             yield Error(refusal or _no_route(progress))
             return
         fault = EngineFault("the stream ended early")
-        async for event in run_attempt(progress, hops):
+        async for event in run_attempt(progress, route):
             if event.is_error():
                 fault = event.error
                 break
             yield Ok(event.ok)
             if isinstance(event.ok, Finished):
                 return
-        refusal = _after_fault(progress, hops, fault)
+        refusal = _after_fault(progress, route, fault)
         if refusal is not None:
             yield Error(refusal)
             return
@@ -74,16 +76,14 @@
     return None
 
 
-def _pick(progress: Progress) -> Sequence[Hop] | None:
+def _pick(progress: Progress) -> Route | None:
     """Choose the route of the next attempt and note the choice."""
     generation, means = progress.generation, progress.means
-    hops: Sequence[Hop] | None = progress.last_route
+    model = generation.model
+    route = progress.last_route
     if not progress.repeat_route:
-        hops = means.router.pick(
-            generation.model.name,
-            generation.model.layers,
-            generation.prefix_hash,
-            progress.excluded,
+        route = means.router.pick_route(
+            model.name, model.layers, generation.prefix_hash, progress.excluded
         )
     progress.repeat_route = False
     progress.attempt += 1
@@ -92,18 +92,21 @@
         generation.request_id,
         generation.trace,
         attempt=str(progress.attempt),
-        route="none" if hops is None else describe_route(hops),
+        route="none" if route is None else describe_route(route),
         excluded=" ".join(sorted(progress.excluded)),
     )
-    return hops
+    return route
 
 
-def _after_fault(progress: Progress, hops: Sequence[Hop], fault: EngineFault) -> Refusal | None:
+def _after_fault(progress: Progress, route: Route, fault: EngineFault) -> Refusal | None:
     """Note the fault and decide whether another attempt may be made."""
     means = progress.means
-    progress.last_route = hops
+    progress.last_route = route
+    if progress.gate is not None and progress.gate.denied:
+        message = "The work was given up before its first byte."
+        return progress.refuse(ResultCode.CLAIM_LOST, message)
     if not fault.connection_lost:
-        _blame(progress, hops, fault)
+        _blame(progress, route, fault)
     if not fault.sent or fault.refused is not None:
         means.metrics.retries["refused"] += 1
         return None
@@ -115,20 +118,13 @@
     return None
 
 
-def _blame(progress: Progress, hops: Sequence[Hop], fault: EngineFault) -> None:
+def _blame(progress: Progress, route: Route, fault: EngineFault) -> None:
     """Avoid the replica that a fault speaks of from now on."""
-    suspect = _suspect(hops, fault)
+    suspect = suspect_of(route, fault)
     progress.excluded.add(suspect)
     if fault.refused is None and not fault.malformed:
         progress.lost.add(suspect)
-    progress.means.router.failed(suspect, fault)
-
-
-def _suspect(hops: Sequence[Hop], fault: EngineFault) -> str:
-    """Name the replica that a fault speaks of: a stage that it names, else the head."""
-    refused = fault.refused or EngineRefusal()
-    named = fault.stage_lost or refused.busy or refused.leaving or refused.stage_lost
-    return named or hops[0].replica
+    note_fault(progress.means.fleet, suspect, fault)
 
 
 def _no_route(progress: Progress) -> Refusal:
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -3,40 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from pimentodale.results import Ran, Refusal, ResultCode, create_refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable
 
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Limits
     from pimentodale.metrics import Metrics
     from pimentodale.pipelines.messages import Generation
-    from pimentodale.platform.engine_client import EngineFault
-    from pimentodale.platform.engine_messages import Hop
+    from pimentodale.routing.fleet import Fleet
+    from pimentodale.routing.router import Router
+    from pimentodale.routing.routes import Route
     from pimentodale.tracing.tracer import Tracer
 
 
-class RoutePicker(Protocol):
-    """What a generation asks of routing."""
-
-    def pick(
-        self, model: str, layers: int, prefix_hash: str, excluded: set[str]
-    ) -> Sequence[Hop] | None:
-        """Choose a route that avoids the excluded replicas; `None` if there is none."""
-
-    def started(self, hops: Sequence[Hop]) -> None:
-        """Note that a route holds one more stream."""
-
-    def ended(self, hops: Sequence[Hop]) -> None:
-        """Note that it holds one less."""
-
-    def failed(self, replica: str, fault: EngineFault) -> None:
-        """Note what was seen of a replica."""
-
-
 @dataclass(slots=True)
 class PipelineMeans:
     """What generations work with."""
@@ -50,13 +33,33 @@
     metrics: Metrics
     """Counts."""
 
-    router: RoutePicker
+    fleet: Fleet
+    """The backend servers as this host knows them."""
+
+    router: Router
     """Picks routes."""
 
     limits: Callable[[], Limits]
     """Returns the limits in force."""
 
 
+@dataclass(slots=True)
+class FirstByteGate:
+    """Asked right before the first byte of each attempt, as non-repeatable work needs."""
+
+    allows: Callable[[], Awaitable[bool]]
+    """Returns whether the byte may go out; a False is for good."""
+
+    denied: bool = False
+    """Whether it has said no."""
+
+    async def ask(self) -> bool:
+        """Ask, and remember a no."""
+        allowed = await self.allows()
+        self.denied = self.denied or not allowed
+        return allowed
+
+
 @dataclass(slots=True)
 class Progress:
     """State of one generation over its attempts."""
@@ -67,6 +70,9 @@
     means: PipelineMeans
     """What to work with."""
 
+    gate: FirstByteGate | None = None
+    """Asked before the first byte; given for non-repeatable work."""
+
     tokens: list[str] = field(default_factory=list)
     """Verified tokens, all passed on to the caller."""
 
@@ -79,7 +85,7 @@
     handed_over: bool = False
     """Whether an engine may have run any of it."""
 
-    last_route: Sequence[Hop] = ()
+    last_route: Route | None = None
     """Route of the latest attempt."""
 
     repeat_route: bool = False
@@ -101,6 +107,6 @@
         return create_refusal(code, message, ran=ran, retry_after_ms=retry_after_ms)
 
 
-def describe_route(hops: Sequence[Hop]) -> str:
+def describe_route(route: Route) -> str:
     """Return a route in one line, such as `e1[0:16] e4[16:32]`."""
-    return " ".join(f"{hop.replica}[{hop.first_layer}:{hop.last_layer}]" for hop in hops)
+    return " ".join(f"{hop.replica}[{hop.first_layer}:{hop.last_layer}]" for hop in route.hops)
--- a/src/pimentodale/pipelines/silence.py
+++ b/src/pimentodale/pipelines/silence.py
@@ -18,13 +18,12 @@
 from pimentodale.platform.engine_client import cancel_request, read_load, read_progress
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from expression import Result
 
     from pimentodale.pipelines.means import Progress
     from pimentodale.platform.engine_client import EngineFault
     from pimentodale.platform.engine_messages import Hop, RequestProgress
+    from pimentodale.routing.routes import Route
 
 PROBE_TIMEOUT_MS: Final = 300.0
 """Longest wait for a stage that is asked whether it lives."""
@@ -48,33 +47,31 @@
     """A stage that does not answer; empty when it is the connection."""
 
 
-async def examine_silence(
-    progress: Progress, hops: Sequence[Hop], stalled_checks: int
-) -> SilenceVerdict:
+async def examine_silence(progress: Progress, route: Route, stalled_checks: int) -> SilenceVerdict:
     """Find out why a stream went silent.
 
     Args:
         progress: The generation.
-        hops: Route of the silent attempt.
+        route: Route of the silent attempt.
         stalled_checks: Chunk time-outs before this one with no new token.
 
     Returns:
         Whether to wait, or what was lost.
     """
-    head = hops[0]
+    head = route.hops[0]
     request_id = progress.generation.request_id
     asked_head = read_progress(
         parse_address(head.address), request_id, progress.attempt, PROBE_TIMEOUT_MS
     )
     # A later stage that a partition hides from this host alone still serves the head, so its
     # silence is weighed only when the head has no news.
-    asked_stages = asyncio.gather(*[_answers(hop) for hop in hops[1:]])
+    asked_stages = asyncio.gather(*[_answers(hop) for hop in route.hops[1:]])
     answer, stages = await asyncio.gather(asked_head, asked_stages)
     if answer.is_error():
         return SilenceVerdict(lost_replica=head.replica)
     if _is_ahead(progress, answer):
         return SilenceVerdict()
-    for hop, answers in zip(hops[1:], stages, strict=True):
+    for hop, answers in zip(route.hops[1:], stages, strict=True):
         if not answers:
             return SilenceVerdict(lost_replica=hop.replica)
     if stalled_checks >= MAX_STALLED_CHECKS:
