Keep surviving stages on resume and ask a lost replica whether it lives

Cause: 200 streams through two pipelines; after the kill of one middle stage the resumed streams moved to wholly other engines and prefilled every layer range anew. A head that answered wrongly was counted as dead, so its KV cache was not used.

--- /dev/null
+++ b/features/steps/streams.py
@@ -0,0 +1,264 @@
+"""Steps for the recovery of streams."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+from features.support.engines import (
+    EngineSpec,
+    engine_journal,
+    order_engine,
+    set_engine_fault,
+    start_engines,
+)
+from features.support.generation_hosts import GenerationResult, create_host, run_generation
+from features.support.site import wait_until
+
+from pimentodale.clock import create_clock
+from pimentodale.results import Ran
+from pimentodale.standin.reference_text import answer_end, reference_tokens
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_RANGES = "{replicas:d} engine processes for each of {ranges:d} ranges of {layers:d} layers"
+_STREAMS = "{count:d} streams of {shortest:d} to {longest:d} tokens"
+_LAST_WORDS_MS = 150.0
+"""How long tokens that left before a fault may still arrive after it."""
+
+
+@given(_RANGES + " with a step of {step_ms:d} ms")
+def start_ranges(context: Any, replicas: int, ranges: int, layers: int, step_ms: int) -> None:
+    share = layers // ranges
+    context.layers = layers
+    context.engines = [
+        EngineSpec(
+            f"e{number}{'abcdef'[replica]}",
+            context.site.ip(10 + 10 * number + replica),
+            number * share,
+            (number + 1) * share,
+        )
+        for number in range(ranges)
+        for replica in range(replicas)
+    ]
+    start_engines(context.site, context.engines, step_ms=step_ms, batch=64, slots=256)
+
+
+@given('the engine "{name}" gives the wrong answer "{fault}" from token {index:d}')
+def set_wrong_answer(context: Any, name: str, fault: str, index: int) -> None:
+    set_engine_fault(context.site, name, wrong_answer=fault, wrong_answer_index=index)
+    context.wrong = name
+
+
+@when(_STREAMS + " run")
+def run_streams(context: Any, count: int, shortest: int, longest: int) -> None:
+    _run(context, count, shortest, longest)
+
+
+@when(_STREAMS + ' run and engine "{name}" is killed once {begun:d} of them have begun')
+def run_and_kill(
+    context: Any, count: int, shortest: int, longest: int, name: str, begun: int
+) -> None:
+    _run(context, count, shortest, longest, begun, context.site.programs[name].kill)
+
+
+@when(
+    _STREAMS + " that may not repeat run "
+    'and engine "{name}" is killed once {begun:d} of them have begun'
+)
+def run_once_and_kill(
+    context: Any, count: int, shortest: int, longest: int, name: str, begun: int
+) -> None:
+    kill = context.site.programs[name].kill
+    _run(context, count, shortest, longest, begun, kill, repeatable=False)
+
+
+@when(_STREAMS + ' run and engine "{name}" is frozen once {begun:d} of them have begun')
+def run_and_freeze(
+    context: Any, count: int, shortest: int, longest: int, name: str, begun: int
+) -> None:
+    _run(context, count, shortest, longest, begun, context.site.programs[name].freeze)
+
+
+@when(
+    _STREAMS + " run and all connections to the heads go silent "
+    "once {begun:d} of them have begun"
+)
+def run_and_silence(context: Any, count: int, shortest: int, longest: int, begun: int) -> None:
+    def silence() -> None:
+        for spec in context.engines:
+            if spec.first_layer == 0:
+                order_engine(context.site, spec.name, silence=True)
+
+    _run(context, count, shortest, longest, begun, silence)
+
+
+def _run(
+    context: Any,
+    count: int,
+    shortest: int,
+    longest: int,
+    begun: int = -1,
+    act: Callable[[], None] | None = None,
+    *,
+    repeatable: bool = True,
+) -> None:
+    """Run streams through three hosts and bring about the fault when enough have begun."""
+    rng = context.site.rng
+    prompts = [
+        f"sample {number} strain {rng.random()} [tokens={rng.randint(shortest, longest)}]"
+        for number in range(count)
+    ]
+    started = 0
+
+    async def run_all() -> list[GenerationResult]:
+        nonlocal started
+        hosts = [
+            create_host(f"h{n}", context.engines, seed=context.site.seed + n) for n in (1, 2, 3)
+        ]
+        fault: asyncio.Task[None] | None = None
+
+        async def bring_about() -> None:
+            if act is not None:
+                await asyncio.to_thread(act)
+                context.fault_ms = create_clock().now_ms()
+
+        def on_token(result: GenerationResult) -> None:
+            nonlocal started, fault
+            started += len(result.tokens) == 1
+            if started >= begun > 0 and fault is None:
+                fault = asyncio.create_task(bring_about())
+
+        runs = [
+            run_generation(
+                hosts[number % len(hosts)],
+                prompt,
+                f"q{number}",
+                repeatable=repeatable,
+                on_token=on_token,
+            )
+            for number, prompt in enumerate(prompts)
+        ]
+        results = await asyncio.gather(*runs)
+        if begun > 0:
+            assert fault is not None, f"only {started} streams began"
+            await fault
+        return results
+
+    context.results = asyncio.run(run_all())
+
+
+@then("each stream is whole and its own prompt's text")
+def check_whole(context: Any) -> None:
+    for result in context.results:
+        _check_whole(context, result)
+
+
+@then("each stream is whole, or is refused with may_have_run")
+def check_whole_or_refused(context: Any) -> None:
+    for result in context.results:
+        if result.refusal is None:
+            _check_whole(context, result)
+            continue
+        assert result.refusal.ran is Ran.MAY_HAVE_RUN, result
+        expected = reference_tokens(result.prompt, context.layers, len(result.tokens))
+        assert result.tokens == expected, result
+
+
+def _check_whole(context: Any, result: GenerationResult) -> None:
+    end = answer_end(result.prompt, 100_000)
+    assert result.refusal is None, result
+    assert result.finished is not None and result.finished.reason == end.finish_reason, result
+    assert result.tokens == reference_tokens(result.prompt, context.layers, end.tokens), result
+
+
+@then("some stream was refused")
+def check_refused(context: Any) -> None:
+    assert any(result.refusal is not None for result in context.results)
+
+
+@then("no stream waited longer than {limit_ms:d} ms for its next token after the {fault}")
+def check_gaps(context: Any, limit_ms: int, fault: str) -> None:
+    gaps = []
+    for result in context.results:
+        after = [at for at in result.times_ms if at > context.fault_ms + _LAST_WORDS_MS]
+        before = [at for at in result.times_ms if at <= context.fault_ms + _LAST_WORDS_MS]
+        if after and before:
+            gaps.append(after[0] - before[-1])
+    resumed = _attempts(context)
+    recovered = sum(1 for attempts in resumed.values() if len(attempts) > 1)
+    gaps.sort()
+    print(
+        f"{fault}: {recovered} of {len(context.results)} streams resumed; wait for the next token "
+        f"median {gaps[len(gaps) // 2]:.0f} ms, longest {gaps[-1]:.0f} ms"
+    )
+    assert recovered > 0
+    assert gaps[-1] <= limit_ms, gaps[-5:]
+
+
+@then("the journals show that each stage ran only its own layers")
+def check_layers(context: Any) -> None:
+    for spec in context.engines:
+        for end in engine_journal(context.site, spec.name, "end"):
+            for first_layer, last_layer, _count in end["layer_runs"]:
+                assert (first_layer, last_layer) == (spec.first_layer, spec.last_layer), end
+            ran = [
+                index for first, count in end["index_runs"] for index in range(first, first + count)
+            ]
+            assert len(ran) == len(set(ran)), end
+
+
+@then("each stream had {count:d} attempt")
+def check_attempts(context: Any, count: int) -> None:
+    for request_id, attempts in _attempts(context).items():
+        assert len(attempts) == count, (request_id, attempts)
+
+
+@then("each stream went on at the head that it had")
+def check_same_head(context: Any) -> None:
+    for request_id, attempts in _attempts(context).items():
+        assert len(set(attempts.values())) == 1, (request_id, attempts)
+
+
+@then("the silent attempts were cancelled at their heads")
+def check_cancelled(context: Any) -> None:
+    wanted = {request for request, attempts in _attempts(context).items() if len(attempts) > 1}
+    assert wanted
+
+    def cancelled() -> bool:
+        lines = [
+            line
+            for spec in context.engines
+            if spec.first_layer == 0
+            for line in engine_journal(context.site, spec.name, "cancel")
+        ]
+        return {line["request_id"] for line in lines if line["attempt"] == 1} >= wanted
+
+    wait_until(cancelled, "all silent attempts are cancelled")
+
+
+@then("some stream had a wrong answer")
+def check_some_wrong(context: Any) -> None:
+    faulty = [attempts for attempts in _attempts(context).values() if len(attempts) > 1]
+    print(f"{len(faulty)} of {len(context.results)} streams were resumed")
+    assert faulty
+
+
+@then('engine "{name}" imported the KV cache of every stream that it took over')
+def check_imported(context: Any, name: str) -> None:
+    taken = [line for line in engine_journal(context.site, name, "start") if line["attempt"] > 1]
+    assert taken
+    for line in taken:
+        assert line["imported_tokens"] >= line["first_index"], line
+
+
+def _attempts(context: Any) -> dict[str, dict[int, str]]:
+    """Return the head of each attempt at each request, from the heads' journals."""
+    found: dict[str, dict[int, str]] = {}
+    for spec in context.engines:
+        for line in engine_journal(context.site, spec.name, "start"):
+            if line["position"] == 0:
+                found.setdefault(line["request_id"], {})[line["attempt"]] = spec.name
+    return found
--- /dev/null
+++ b/features/support/generation_hosts.py
@@ -0,0 +1,145 @@
+"""Entry hosts' pipelines inside the scenario's process, over real engine processes."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from features.support.engines import MODEL
+from pimentodale.addresses import parse_address
+from pimentodale.clock import create_clock
+from pimentodale.configuration.documents import Limits, Model, Workspace
+from pimentodale.logs import configure_logs
+from pimentodale.metrics import create_metrics
+from pimentodale.pipelines.generate import PipelineMeans, generate
+from pimentodale.pipelines.messages import Finished, Generation
+from pimentodale.platform.targets import EngineTarget, Targets
+from pimentodale.routing.fleet import create_fleet
+from pimentodale.routing.router import create_router
+from pimentodale.tracing.traceparent import create_trace
+from pimentodale.tracing.tracer import create_tracer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from features.support.engines import EngineSpec
+    from pimentodale.clock import Clock
+    from pimentodale.results import Refusal
+
+SLOTS = 64
+"""Slots that the engines are said to have."""
+
+configure_logs("warning", "console")
+
+
+@dataclass(slots=True)
+class GenerationHost:
+    """One entry host's pipelines."""
+
+    name: str
+    clock: Clock
+    means: PipelineMeans
+    layers: int
+
+
+@dataclass(slots=True)
+class GenerationResult:
+    """What one caller got."""
+
+    prompt: str
+    request_id: str
+    tokens: list[str] = field(default_factory=list)
+    times_ms: list[float] = field(default_factory=list)
+    finished: Finished | None = None
+    refusal: Refusal | None = None
+
+
+def create_host(
+    name: str, specs: Sequence[EngineSpec], *, seed: int, chunk_timeout_ms: float = 1500.0
+) -> GenerationHost:
+    """Build one host that knows the engines; call it inside a running event loop."""
+    clock = create_clock()
+    fleet = create_fleet(clock)
+    fleet.apply_targets(Targets(engines=[_target(spec) for spec in specs]))
+    limits = Limits(chunk_timeout_ms=chunk_timeout_ms)
+    means = PipelineMeans(
+        clock=clock,
+        tracer=create_tracer(clock, name, 2000),
+        metrics=create_metrics(),
+        fleet=fleet,
+        router=create_router(fleet, clock, specs[0].failure_domain, seed),
+        limits=lambda: limits,
+    )
+    return GenerationHost(name, clock, means, max(spec.last_layer for spec in specs))
+
+
+async def run_generation(
+    host: GenerationHost,
+    prompt: str,
+    request_id: str,
+    *,
+    workspace: str = "trekvast",
+    repeatable: bool = True,
+    timeout_ms: float = 30_000.0,
+    on_token: Callable[[GenerationResult], None] | None = None,
+) -> GenerationResult:
+    """Run one caller's request to its end.
+
+    Args:
+        host: The entry host.
+        prompt: The prompt text.
+        request_id: The request's name.
+        workspace: The caller's workspace.
+        repeatable: Whether it may be resumed.
+        timeout_ms: Time until its deadline.
+        on_token: Called after each token.
+
+    Returns:
+        What the caller got.
+    """
+    result = GenerationResult(prompt, request_id)
+    body: dict[str, Any] = {"model": MODEL, "prompt": prompt, "max_tokens": 100_000}
+    generation = Generation(
+        request_id=request_id,
+        kind="completion",
+        model=Model(name=MODEL, layers=host.layers),
+        workspace=Workspace(name=workspace, token_sha256s=[]),
+        body=body,
+        fingerprint=hashlib.sha256(f"{workspace}\0{prompt}".encode()).hexdigest(),
+        prefix_hash="",
+        max_tokens=100_000,
+        idempotency_key="",
+        repeatable=repeatable,
+        priority=0,
+        deadline_ms=host.clock.now_ms() + timeout_ms,
+        trace=create_trace(),
+    )
+    async for event in generate(generation, host.means):
+        if event.is_error():
+            result.refusal = event.error
+            break
+        if isinstance(event.ok, Finished):
+            result.finished = event.ok
+            break
+        result.tokens.append(event.ok.text)
+        result.times_ms.append(host.clock.now_ms())
+        if on_token is not None:
+            on_token(result)
+            await asyncio.sleep(0)
+    return result
+
+
+def _target(spec: EngineSpec) -> EngineTarget:
+    """Return an engine as the host list gives it."""
+    return EngineTarget(
+        replica=spec.name,
+        address=parse_address(spec.address),
+        failure_domain=spec.failure_domain,
+        model=MODEL,
+        first_layer=spec.first_layer,
+        last_layer=spec.last_layer,
+        tokens_per_s=1000.0,
+        slots=SLOTS,
+    )
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -11,9 +11,11 @@
 from expression import Error, Ok, Result
 
 from pimentodale.pipelines.attempt import GenerationEvent, run_attempt
+from pimentodale.pipelines.loss import Loss, examine_loss
 from pimentodale.pipelines.means import FirstByteGate, PipelineMeans, Progress, describe_route
 from pimentodale.pipelines.messages import Finished
 from pimentodale.pipelines.observations import note_fault, suspect_of
+from pimentodale.pipelines.resume import keep_stages
 from pimentodale.platform.engine_client import EngineFault
 from pimentodale.results import Refusal, ResultCode
 
@@ -60,7 +62,7 @@
             yield Ok(event.ok)
             if isinstance(event.ok, Finished):
                 return
-        refusal = _after_fault(progress, route, fault)
+        refusal = await _after_fault(progress, route, fault)
         if refusal is not None:
             yield Error(refusal)
             return
@@ -85,6 +87,8 @@
         route = means.router.pick_route(
             model.name, model.layers, generation.prefix_hash, progress.excluded
         )
+    if route is not None:
+        route = keep_stages(progress.last_route, route, lambda name: _may_stay(progress, name))
     progress.repeat_route = False
     progress.attempt += 1
     means.tracer.note(
@@ -98,7 +102,12 @@
     return route
 
 
-def _after_fault(progress: Progress, route: Route, fault: EngineFault) -> Refusal | None:
+def _may_stay(progress: Progress, replica: str) -> bool:
+    """Whether a stage of the last route may be used again."""
+    return replica not in progress.excluded and progress.means.fleet.is_usable(replica)
+
+
+async def _after_fault(progress: Progress, route: Route, fault: EngineFault) -> Refusal | None:
     """Note the fault and decide whether another attempt may be made."""
     means = progress.means
     progress.last_route = route
@@ -106,7 +115,7 @@
         message = "The work was given up before its first byte."
         return progress.refuse(ResultCode.CLAIM_LOST, message)
     if not fault.connection_lost:
-        _blame(progress, route, fault)
+        await _blame(progress, route, fault)
     if not fault.sent or fault.refused is not None:
         means.metrics.retries["refused"] += 1
         return None
@@ -118,11 +127,12 @@
     return None
 
 
-def _blame(progress: Progress, route: Route, fault: EngineFault) -> None:
+async def _blame(progress: Progress, route: Route, fault: EngineFault) -> None:
     """Avoid the replica that a fault speaks of from now on."""
     suspect = suspect_of(route, fault)
     progress.excluded.add(suspect)
-    if fault.refused is None and not fault.malformed:
+    loss = await examine_loss(progress, route, suspect, fault)
+    if loss is not Loss.NONE:
         progress.lost.add(suspect)
     note_fault(progress.means.fleet, suspect, fault)
 
--- /dev/null
+++ b/src/pimentodale/pipelines/loss.py
@@ -0,0 +1,60 @@
+"""Whether a replica whose stream broke off has crashed, or only the connection."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.addresses import parse_address
+from pimentodale.platform.engine_client import read_load
+
+if TYPE_CHECKING:
+    from pimentodale.pipelines.means import Progress
+    from pimentodale.platform.engine_client import EngineFault
+    from pimentodale.routing.routes import Route
+
+PROBE_TIMEOUT_MS: Final = 300.0
+"""Longest wait for a replica that is asked whether it lives."""
+
+
+class Loss(StrEnum):
+    """What became of a replica."""
+
+    NONE = "none"
+    """It refused, answered wrongly or lost only a connection."""
+
+    CRASHED = "crashed"
+    """Its process ended with the work in progress."""
+
+    UNKNOWN = "unknown"
+    """It does not answer: frozen, cut off, or its host is gone."""
+
+
+async def examine_loss(progress: Progress, route: Route, replica: str, fault: EngineFault) -> Loss:
+    """Ask a suspect over a fresh connection whether it lives.
+
+    Args:
+        progress: The generation.
+        route: Route of the attempt.
+        replica: The suspect.
+        fault: How the attempt failed.
+
+    Returns:
+        What became of the suspect.
+    """
+    if fault.silent:
+        return Loss.UNKNOWN
+    if fault.malformed or not fault.sent:
+        return Loss.NONE
+    if fault.refused is not None and not fault.refused.stage_lost:
+        return Loss.NONE
+    hop = next((hop for hop in route.hops if hop.replica == replica), None)
+    if hop is None:
+        return Loss.UNKNOWN
+    status = progress.means.fleet.status(replica)
+    boot_id = "" if status is None or status.load is None else status.load.boot_id
+    report = await read_load(parse_address(hop.address), PROBE_TIMEOUT_MS)
+    if report.is_ok():
+        started_anew = bool(boot_id) and report.ok.boot_id != boot_id
+        return Loss.CRASHED if started_anew else Loss.NONE
+    return Loss.UNKNOWN if report.error.silent else Loss.CRASHED
--- a/src/pimentodale/pipelines/resume.py
+++ b/src/pimentodale/pipelines/resume.py
@@ -1,14 +1,15 @@
-"""Where a resumed generation gets its KV cache from."""
+"""Stages and KV caches that a resumed generation keeps."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from pimentodale.routing.routes import Route
+
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from pimentodale.platform.engine_messages import Hop
-    from pimentodale.routing.routes import Route
 
 
 def choose_kv_source(last_route: Route | None, route: Route, lost: Collection[str]) -> str:
@@ -44,3 +45,23 @@
     if source.first_layer > hop.first_layer or source.last_layer < hop.last_layer:
         return 0
     return hop.last_layer - hop.first_layer
+
+
+def keep_stages(last_route: Route | None, route: Route, is_usable: Callable[[str], bool]) -> Route:
+    """Put stages of the last route back into a new one, as they have the KV cache already.
+
+    Args:
+        last_route: Route of the attempt before, if there was one.
+        route: The new route.
+        is_usable: Tells whether a replica may be used again.
+
+    Returns:
+        The new route with each stage that an old one of the same layers can stand for.
+    """
+    if last_route is None:
+        return route
+    old_hops = {
+        (hop.first_layer, hop.last_layer): hop for hop in last_route.hops if is_usable(hop.replica)
+    }
+    hops = tuple(old_hops.get((hop.first_layer, hop.last_layer), hop) for hop in route.hops)
+    return Route(route.model, hops)
