--- a/features/steps/ledger_rules.py
+++ b/features/steps/ledger_rules.py
@@ -11,7 +11,6 @@
 from features.support.memory_store import MemoryState, MemoryStore
 
 from pimentodale.clock import ManualClock
-from pimentodale.ledger.interface import Ledger
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.ledger.records import (
     MAX_OUTCOME_BYTES,
@@ -26,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from pimentodale.ledger.interface import Ledger
+
 
 DEADLINE_MS: Final = 60_000.0
 FIRST_RETENTION_MS: Final = 120_000.0
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -37,11 +37,13 @@
 class MemoryState:
     """What the service holds; shared by the stores of several hosts."""
 
-    __slots__ = ("clock", "items", "leases", "next_lease", "revision")
+    __slots__ = ("clock", "items", "late_effects", "leases", "next_lease", "revision")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.items: dict[str, KeyValue] = {}
+        self.late_effects: list[Callable[[], object]] = []
+        """Calls that were given up while on their way; a test may let them take effect."""
         self.leases: dict[int, float] = {}
         self.next_lease = 1
         self.revision = 1
@@ -143,7 +145,7 @@
         fault = await self._gate("request")
         if fault is not None:
             if fault.may_have_applied:
-                act()
+                self._state.late_effects.append(act)
             return Error(fault)
         answer = act()
         fault = await self._gate("reply")
--- a/src/pimentodale/callers/services.py
+++ b/src/pimentodale/callers/services.py
@@ -1,14 +1,13 @@
-"""Callers' calls of plain services: `/services/<name>/<path>`, every method."""
+"""`/services/<name>/<path>`: callers' calls of plain services, every method."""
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.ledger.records import MAX_IDEMPOTENCY_KEY_CHARS
+from pimentodale.callers.base import CallerHandler
 from pimentodale.ledger.refusals import unread_key
 from pimentodale.results import Refusal, ResultCode, create_refusal
 from pimentodale.services.messages import ServiceCall, ServiceReply
@@ -16,41 +15,173 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from tornado.httputil import HTTPServerRequest
-    from tornado.web import RequestHandler
-
+    from pimentodale.callers.context import CallerContext
     from pimentodale.configuration.documents import Configuration, Operation, Service
     from pimentodale.services.caller import CallService
 
 SERVICES_PREFIX: Final = "/services/"
 """Start of the paths that go to plain services."""
 
+SERVICES_PATTERN: Final = r"/services/.+"
+"""Tornado's pattern of the same paths."""
+
 PASSED_HEADERS: Final = ("Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match")
 """Request headers that are passed on to a service."""
 
-MS_IN_S: Final = 1000
-"""Milliseconds in the unit of `Retry-After`."""
+_BODILESS_STATUSES: Final = frozenset({204, 304})
 
 
-class CallerContext(msgspec.Struct, frozen=True, kw_only=True):
-    """What is known of a caller's request before its service is looked up."""
+class ServiceRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's request for a service that has not been looked up yet."""
 
     workspace: str
     """Name of the caller's workspace."""
 
+    method: str
+    """HTTP method."""
+
+    path: str
+    """Path with the service's name in it."""
+
+    query: str
+    """Query without its question mark."""
+
+    body: bytes
+    """Request body."""
+
+    headers: dict[str, str]
+    """Request headers that are passed on."""
+
+    idempotency_key: str
+    """The caller's key; empty for none."""
+
     deadline_ms: float
     """Monotonic time by which the caller wants its answer."""
 
     request_id: str
     """Names the call in logs, traces and journals."""
 
-    traceparent: str = ""
-    """W3C trace context to pass on; empty for none."""
+    traceparent: str
+    """W3C trace context to pass on."""
+
+
+class ServiceHandler(CallerHandler):
+    """Answers one call of a plain service."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+
+    def initialize(  # type: ignore[override]
+        self, context: CallerContext, call_service: CallService
+    ) -> None:
+        """Take the shared state and the function that calls services."""
+        super().initialize(context)
+        self._call_service = call_service
+        self._gone = False
+
+    async def get(self) -> None:
+        """Answer a GET."""
+        await self._answer_call()
+
+    async def head(self) -> None:
+        """Answer a HEAD."""
+        await self._answer_call()
+
+    async def post(self) -> None:
+        """Answer a POST."""
+        await self._answer_call()
+
+    async def put(self) -> None:
+        """Answer a PUT."""
+        await self._answer_call()
+
+    async def patch(self) -> None:
+        """Answer a PATCH."""
+        await self._answer_call()
+
+    async def delete(self) -> None:
+        """Answer a DELETE."""
+        await self._answer_call()
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone.
+
+        Work that has gone out is not cancelled: its outcome is kept for the re-send.
+        """
+        self._gone = True
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse; before the ledger was read, in words that don't speak for the key."""
+        if refusal.this_attempt is None and "Idempotency-Key" in self.request.headers:
+            refusal = unread_key(refusal)
+        super().refuse(refusal)
+
+    async def _answer_call(self) -> None:
+        """Check the request, make the call and write its answer."""
+        if self._finished:
+            return
+        checked = self._check()
+        if checked.is_error():
+            self.refuse(checked.error)
+            return
+        self.handed_over = True
+        configuration = self.context.configuration()
+        answered = await answer_service_call(
+            checked.ok, configuration, self._call_service, lambda: self._gone
+        )
+        if self._gone:
+            self.span.attributes["end"] = "caller gone"
+            return
+        if answered.is_error():
+            self.refuse(answered.error)
+            return
+        self._write_reply(answered.ok)
+
+    def _check(self) -> Result[ServiceRequest, Refusal]:
+        """Check who calls and the headers."""
+        unready = self.context.unready()
+        if unready is not None:
+            return Error(unready)
+        headers = self.request.headers
+        workspace = self.context.authenticator.workspace_of(headers.get("Authorization"))
+        if workspace.is_error():
+            return Error(workspace.error)
+        key = self.read_idempotency_key()
+        if key.is_error():
+            return Error(key.error)
+        limits = self.context.configuration().limits
+        deadline = self.read_deadline_ms(limits.default_timeout_ms)
+        if deadline.is_error():
+            return Error(deadline.error)
+        return Ok(
+            ServiceRequest(
+                workspace=workspace.ok.name,
+                method=self.request.method or "",
+                path=self.request.path,
+                query=self.request.query,
+                body=bytes(self.body),
+                headers={name: headers[name] for name in PASSED_HEADERS if name in headers},
+                idempotency_key=key.ok,
+                deadline_ms=deadline.ok,
+                request_id=self.request_id,
+                traceparent=self.span.context().header(),
+            )
+        )
+
+    def _write_reply(self, reply: ServiceReply) -> None:
+        """Pass a service's answer on."""
+        self.context.metrics.results[ResultCode.OK] += 1
+        self.set_status(reply.status)
+        self.clear_header("Content-Type")
+        for name, value in reply.headers.items():
+            self.set_header(name, value)
+        if reply.status in _BODILESS_STATUSES:
+            self.finish()
+            return
+        self.finish(reply.body)
 
 
 async def answer_service_call(
-    request: HTTPServerRequest,
-    context: CallerContext,
+    request: ServiceRequest,
     configuration: Configuration,
     call_service: CallService,
     caller_gone: Callable[[], bool],
@@ -58,8 +189,7 @@
     """Answer one call of a plain service.
 
     Args:
-        request: The HTTP request, its body whole.
-        context: What is known of the caller.
+        request: The caller's request.
         configuration: The configuration in force.
         call_service: From `create_service_caller`.
         caller_gone: Tells whether the caller has closed its connection.
@@ -67,61 +197,27 @@
     Returns:
         The service's whole answer, or the refusal.
     """
-    key = request.headers.get("Idempotency-Key", "")
     name, _, rest = request.path.removeprefix(SERVICES_PREFIX).partition("/")
-    found = _find_operation(configuration, name, request.method or "", f"/{rest}")
+    found = _find_operation(configuration, name, request.method, f"/{rest}")
     if found.is_error():
-        # Under an earlier configuration the key may have run.
-        return Error(unread_key(found.error) if key else found.error)
+        return Error(found.error)
     service, operation = found.ok
-    if not _is_usable_key(key):
-        message = f"Send an Idempotency-Key of up to {MAX_IDEMPOTENCY_KEY_CHARS} printable letters."
-        return Error(create_refusal(ResultCode.BAD_HEADER, message))
     call = ServiceCall(
-        workspace=context.workspace,
+        workspace=request.workspace,
         service=service,
         operation=operation,
-        method=request.method or "",
+        method=request.method,
         path=f"/{rest}?{request.query}" if request.query else f"/{rest}",
         body=request.body,
-        headers={n: request.headers[n] for n in PASSED_HEADERS if n in request.headers},
-        idempotency_key=key,
-        deadline_ms=context.deadline_ms,
-        request_id=context.request_id,
-        traceparent=context.traceparent,
+        headers=request.headers,
+        idempotency_key=request.idempotency_key,
+        deadline_ms=request.deadline_ms,
+        request_id=request.request_id,
+        traceparent=request.traceparent,
     )
     return await call_service(call, caller_gone)
 
 
-def write_service_reply(handler: RequestHandler, answered: Result[ServiceReply, Refusal]) -> None:
-    """Write the reply or the refusal of a call into a handler's response.
-
-    Args:
-        handler: The handler; the caller finishes it.
-        answered: From `answer_service_call`.
-    """
-    if answered.is_ok():
-        reply = answered.ok
-        handler.set_status(reply.status)
-        handler.clear_header("Content-Type")
-        for name, value in reply.headers.items():
-            handler.set_header(name, value)
-        if reply.status not in (204, 304):
-            handler.write(reply.body)
-        return
-    refusal = answered.error
-    handler.set_status(refusal.http_status)
-    handler.set_header("Content-Type", "application/json")
-    if refusal.retry_after_ms is not None:
-        handler.set_header("Retry-After", str(math.ceil(refusal.retry_after_ms / MS_IN_S)))
-    handler.write(msgspec.json.encode(refusal))
-
-
-def _is_usable_key(key: str) -> bool:
-    """Whether a key can go into a header again and is not too long."""
-    return len(key) <= MAX_IDEMPOTENCY_KEY_CHARS and (not key or key.isprintable())
-
-
 def _find_operation(
     configuration: Configuration, name: str, method: str, path: str
 ) -> Result[tuple[Service, Operation], Refusal]:
--- a/src/pimentodale/ledger/key_ledger.py
+++ b/src/pimentodale/ledger/key_ledger.py
@@ -64,7 +64,17 @@
 class KeyLedger:
     """Claims of one host in the key-value service; build it with `create_key_ledger`."""
 
-    __slots__ = ("_clock", "_down_until_ms", "_host", "_lease", "_log", "_store", "_tasks")
+    __slots__ = (
+        "_clock",
+        "_down_until_ms",
+        "_host",
+        "_lease",
+        "_log",
+        "_probing",
+        "_store",
+        "_store_down",
+        "_tasks",
+    )
 
     def __init__(
         self, store: KeyValueStore, clock: Clock, host: str, lease: RetentionLease
@@ -73,34 +83,24 @@
         self._clock = clock
         self._host = host
         self._lease = lease
+        self._store_down = False
+        self._probing = False
         self._down_until_ms = 0.0
         self._tasks: set[asyncio.Task[bool]] = set()
         self._log = get_log("ledger")
 
     async def claim(self, request: ClaimRequest) -> Result[Claim | Outcome, Refusal]:
         """Create the claim if there is none; see `Ledger.claim`."""
-        if self._clock.now_ms() < self._down_until_ms:
+        if not self._store_down:
+            return await self._claim(request)
+        # While the service is down one claim at a time asks it, and the others are refused at once.
+        if self._probing or self._clock.now_ms() < self._down_until_ms:
             return Error(refusals.ledger_unavailable())
-        lease = await self._lease.lease_id()
-        if lease.is_error():
-            self._note_fault(lease.error)
-            return Error(refusals.ledger_unavailable())
-        key = key_of(request.workspace, request.idempotency_key)
-        record, deadline_ms = self._new_record(request)
-        put = Put(key, encode_record(record), lease.ok)
-        may_stand = False
-        for _ in range(CLAIM_TRIES):
-            seen_ms = self._clock.now_ms()
-            reply = await self._store.txn([Compare(key, 0)], [put])
-            if reply.is_ok():
-                return self._judge(request, key, record, deadline_ms, seen_ms, reply.ok)
-            may_stand = may_stand or reply.error.may_have_applied
-            self._note_fault(reply.error)
-            if not may_stand:
-                break
-        if may_stand:
-            self._settle(self._withdraw(key, record.attempt_id))
-        return Error(refusals.ledger_unavailable())
+        self._probing = True
+        try:
+            return await self._claim(request)
+        finally:
+            self._probing = False
 
     async def confirm(self, claim: Claim) -> Result[None, Refusal]:
         """Look at the clock, and at the claim unless it was seen just now; see `Ledger.confirm`."""
@@ -149,6 +149,34 @@
         _, pending = await asyncio.wait(set(self._tasks), timeout=timeout_ms / 1000.0)
         return len(pending)
 
+    async def _claim(self, request: ClaimRequest) -> Result[Claim | Outcome, Refusal]:
+        """Write the claim, and read it back when a reply was lost."""
+        lease = await self._lease.lease_id()
+        if lease.is_error():
+            self._note_fault(lease.error)
+            return Error(refusals.ledger_unavailable())
+        key = key_of(request.workspace, request.idempotency_key)
+        record, deadline_ms = self._new_record(request)
+        put = Put(key, encode_record(record), lease.ok)
+        may_stand = False
+        for _ in range(CLAIM_TRIES):
+            seen_ms = self._clock.now_ms()
+            try:
+                reply = await self._store.txn([Compare(key, 0)], [put])
+            except asyncio.CancelledError:
+                self._settle(self._withdraw(key, record.attempt_id))
+                raise
+            if reply.is_ok():
+                self._store_down = False
+                return self._judge(request, key, record, deadline_ms, seen_ms, reply.ok)
+            may_stand = may_stand or reply.error.may_have_applied
+            self._note_fault(reply.error)
+            if not may_stand:
+                break
+        if may_stand:
+            self._settle(self._withdraw(key, record.attempt_id))
+        return Error(refusals.ledger_unavailable())
+
     def _new_record(self, request: ClaimRequest) -> tuple[ClaimRecord, float]:
         """Return the record to write and the deadline that the claim can vouch for."""
         now_ms = self._clock.now_ms()
@@ -217,9 +245,9 @@
 
     def _note_fault(self, fault: StoreFault) -> None:
         """Hold off from a service that does not answer."""
+        self._store_down = True
         self._down_until_ms = self._clock.now_ms() + STORE_PAUSE_MS
-        if not fault.may_have_applied:
-            self._lease.forget()
+        self._lease.note_fault(fault)
         self._log.warning("The key-value service failed a call.", problem=fault.message)
 
     def _settle(self, work: Coroutine[None, None, bool]) -> asyncio.Task[bool]:
--- a/src/pimentodale/ledger/retention.py
+++ b/src/pimentodale/ledger/retention.py
@@ -20,6 +20,9 @@
 SLICES: Final = 8
 """A lease takes claims for one in so many parts of the retention, and lives that much longer."""
 
+LEASE_NOT_FOUND: Final = "lease not found"
+"""Part of the service's answer to a write that names a lease that has lapsed."""
+
 MIN_RETENTION_MS: Final = 60_000.0
 """Shortest time that a claim is kept, whatever the configuration says."""
 
@@ -74,6 +77,7 @@
                 self._granted_for_ms = retention_ms
             return granted
 
-    def forget(self) -> None:
-        """Ask for a new lease next time, as the service may no longer know this one."""
-        self._lease_id = 0
+    def note_fault(self, fault: StoreFault) -> None:
+        """Ask for a new lease next time if the service no longer knows this one."""
+        if LEASE_NOT_FOUND in fault.message:
+            self._lease_id = 0
