--- a/features/peers.feature
+++ b/features/peers.feature
@@ -18,6 +18,10 @@
     When node 9 is killed
     Then every other node holds node 9 to be gone within 6 s
 
+  Scenario: a listed host that takes no more links still brings the others together
+    Given 14 peer nodes of which node 1 takes no links and is the only one listed
+    Then all nodes hold all to be alive within 10 s
+
   Scenario: a peer that comes back is sent only what it lacks
     Given 3 peer nodes that know all of each other
     When node 1 publishes 200 urgent entries of 1000 bytes
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -43,6 +43,14 @@
     wait_all_alive(context, 30.0)
 
 
+@given("{count:d} peer nodes of which node 1 takes no links and is the only one listed")
+def start_nodes_with_full_seed(context: Any, count: int) -> None:
+    context.nodes = list(range(1, count + 1))
+    for number in context.nodes:
+        limits = {"accepted_links": 0, "full_mesh_hosts": 1} if number == 1 else {}
+        start_node(context.site, number, [seed_of(context.site, 1)], **limits)
+
+
 @given("{count:d} peer nodes behind relays that know all of each other")
 def start_nodes_behind_relays(context: Any, count: int) -> None:
     site = context.site
--- a/features/support/measure_peers.py
+++ b/features/support/measure_peers.py
@@ -11,6 +11,8 @@
 import sys
 import time
 
+import msgspec
+
 from features.support.peer_nodes import (
     ALIVE,
     GONE,
@@ -63,6 +65,8 @@
             )
             for name in ("sent_bytes", "received_bytes")
         ]
+        # The first status answer was sent within the measured time, but is no part of it.
+        rates[0] -= statistics.mean(len(msgspec.json.encode(node)) for node in before) / elapsed_s
         published_ms = time.time() * 1000
         publish(site, 3, "mark", 50)
         others = [number for number in numbers if number != 3]
--- a/src/pimentodale/peers/detector.py
+++ b/src/pimentodale/peers/detector.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from tornado.iostream import StreamClosedError
-
 from pimentodale.addresses import Address
 from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
@@ -136,12 +134,12 @@
         self._counters.dials += 1
         try:
             stream = await connect(address, self._settings.listen.ip, timeout_ms, self._counters)
-        except (OSError, StreamClosedError):
+        except OSError:
             return None
         try:
             stream.write(Probe(PROTOCOL))
             answer = await stream.read_within(timeout_ms)
-        except (StreamClosedError, TimeoutError, BadMessageError):
+        except (OSError, BadMessageError):
             return None
         finally:
             stream.close()
--- a/src/pimentodale/peers/links.py
+++ b/src/pimentodale/peers/links.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
+import random
 import time
 from typing import TYPE_CHECKING, Final
 
-from tornado.iostream import StreamClosedError
-
 from pimentodale.addresses import Address
 from pimentodale.logs import get_log
 from pimentodale.peers.link import Link
@@ -39,6 +38,9 @@
 NS_PER_MS: Final = 1e6
 """Nanoseconds in a millisecond."""
 
+NAMED_ON_REFUSAL: Final = 8
+"""Members that a refused host is told of."""
+
 _log = get_log("peers")
 
 
@@ -141,8 +143,7 @@
         host = hello.member.host
         existing = self.by_host.get(host)
         if self.closing or host == self._settings.host or self._must_refuse(host, existing):
-            stream.write(LinkRefused())
-            stream.close_when_sent()
+            self._refuse(stream, hello)
             return
         if existing is not None:
             # A peer that opens a new link has given up the old one, or is a new boot.
@@ -166,15 +167,18 @@
         self._counters.dials += 1
         try:
             stream = await connect(address, self._settings.listen.ip, timeout_ms, self._counters)
-        except (OSError, StreamClosedError):
+        except OSError:
             return False
         held = self._membership.state.members.get(host)
         stream.write(self._create_hello("" if held is None else held.record.boot_id))
         try:
             answer = await stream.read_within(timeout_ms)
-        except (StreamClosedError, TimeoutError, BadMessageError):
+        except (OSError, BadMessageError):
             stream.close()
             return False
+        if isinstance(answer, LinkRefused):
+            for member in answer.others:
+                self._membership.take_member(member, "")
         if not isinstance(answer, Hello) or self.closing or answer.member.host in self.by_host:
             stream.close()
             return host in self.by_host
@@ -193,6 +197,14 @@
         accepted = sum(not link.dialled for link in self.by_host.values())
         return accepted >= self._settings.accepted_links
 
+    def _refuse(self, stream: MessageStream, hello: Hello) -> None:
+        """Name other members to a host that can't be linked with, and let them know of it."""
+        others = self._membership.others(MemberState.ALIVE)
+        chosen = random.sample(others, min(len(others), NAMED_ON_REFUSAL))
+        stream.write(LinkRefused(chosen))
+        stream.close_when_sent()
+        self._membership.take_member(hello.member, hello.member.boot_id)
+
     def _create_hello(self, peer_boot_id: str) -> Hello:
         """Return the greeting that says which of the peer's changes are here."""
         index = self._received_index.get(peer_boot_id, 0)
@@ -231,7 +243,7 @@
                 link.heard_ms = self._clock.now_ms()
                 self._take(link, message)
                 self._counters.cpu_ms += (time.thread_time_ns() - started_ns) / NS_PER_MS
-        except StreamClosedError:
+        except OSError:
             pass
         except BadMessageError as error:
             self._counters.malformed_messages += 1
--- a/src/pimentodale/peers/mesh_keeper.py
+++ b/src/pimentodale/peers/mesh_keeper.py
@@ -30,6 +30,9 @@
 REFUSED_BACKOFF_MS: Final = 10_000.0
 """Shortest time between two dials of a host that was reached but took no link."""
 
+AUDIT_INTERVAL_FACTOR: Final = 5.0
+"""How much rarer hosts are probed that are held to live without a link to show it."""
+
 LONELY_EXPLORE_MS: Final = 250.0
 """Mean time between probes while no other host is known."""
 
@@ -90,9 +93,7 @@
     async def explore(self) -> None:
         """Probe hosts outside of the mesh one after the other, until cancelled."""
         while True:
-            lonely = not self._membership.others(MemberState.ALIVE, MemberState.LEAVING)
-            mean_ms = LONELY_EXPLORE_MS if lonely else self._settings.explore_interval_ms
-            await self._clock.sleep_ms(mean_ms * random.uniform(0.5, 1.5))
+            await self._clock.sleep_ms(self._explore_pause_ms() * random.uniform(0.5, 1.5))
             await self._explore_once()
 
     def forget_gone(self, now_ms: float) -> None:
@@ -146,20 +147,31 @@
             if now_ms - link.opened_ms >= UNWANTED_LINK_MS:
                 self._links.close(link)
 
-    async def _explore_once(self) -> None:
-        """Probe one host that is listed or remembered but not known to live, or else any."""
+    def _explore_pause_ms(self) -> float:
+        """Return the mean time until the next probe."""
+        if not self._membership.others(MemberState.ALIVE, MemberState.LEAVING):
+            return LONELY_EXPLORE_MS
+        if self._unknown_addresses():
+            return self._settings.explore_interval_ms
+        return self._settings.explore_interval_ms * AUDIT_INTERVAL_FACTOR
+
+    def _unknown_addresses(self) -> list[Address]:
+        """Return where a host may live that is not known to."""
         alive = self._membership.others(MemberState.ALIVE, MemberState.LEAVING)
-        known = {address_of(record) for record in alive}
-        known.add(address_of(self._membership.own))
-        known.add(self._settings.listen)
-        unknown = {address for address in self._list_entry_targets() if address not in known}
         missing = self._membership.others(MemberState.GONE, MemberState.SUSPECT)
-        unknown.update(
-            address for record in missing if (address := address_of(record)) not in known
-        )
+        unknown = {address_of(record) for record in missing}
+        unknown.update(self._list_entry_targets())
+        unknown -= {address_of(record) for record in alive}
+        unknown -= {address_of(self._membership.own), self._settings.listen}
+        return sorted(unknown)
+
+    async def _explore_once(self) -> None:
+        """Probe one host that is listed or remembered but not known to live, or else any."""
+        unknown = self._unknown_addresses()
         if unknown:
-            await self._probe_unknown(random.choice(sorted(unknown)))
+            await self._probe_unknown(random.choice(unknown))
             return
+        alive = self._membership.others(MemberState.ALIVE, MemberState.LEAVING)
         far = [record for record in alive if record.host not in self._links.by_host]
         if not far:
             return
--- a/src/pimentodale/peers/message_stream.py
+++ b/src/pimentodale/peers/message_stream.py
@@ -7,15 +7,11 @@
 
 import msgpack
 import msgspec
-from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from pimentodale.clock import MS_PER_S
 from pimentodale.peers.messages import Message
 
 if TYPE_CHECKING:
-    from tornado.iostream import IOStream
-
     from pimentodale.addresses import Address
     from pimentodale.peers.counters import PeerCounters
 
@@ -36,15 +32,15 @@
 class MessageStream:
     """Reads and writes messages; `close` may be repeated."""
 
-    __slots__ = ("_buffer", "_counters", "_last_write", "_stream")
+    __slots__ = ("_buffer", "_counters", "_reader", "_writer")
 
-    def __init__(self, stream: IOStream, counters: PeerCounters) -> None:
-        self._stream = stream
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counters: PeerCounters
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
         self._buffer = bytearray()
         self._counters = counters
-        self._last_write: asyncio.Future[None] | None = None
-        stream.set_nodelay(True)
-        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
 
     async def read(self) -> Message:
         """Read the next message.
@@ -54,13 +50,15 @@
 
         Raises:
             BadMessageError: If the bytes are no message.
-            StreamClosedError: If the connection ended.
+            OSError: If the connection ended.
         """
         while True:
             message = self._take()
             if message is not None:
                 return message
-            chunk = await self._stream.read_bytes(_READ_BYTES, partial=True)
+            chunk = await self._reader.read(_READ_BYTES)
+            if not chunk:
+                raise ConnectionResetError("the connection ended")
             self._counters.received_bytes += len(chunk)
             self._buffer += chunk
 
@@ -75,8 +73,7 @@
 
         Raises:
             BadMessageError: If the bytes are no message.
-            StreamClosedError: If the connection ended.
-            TimeoutError: If none came in time.
+            OSError: If the connection ended or none came in time.
         """
         return await asyncio.wait_for(self.read(), timeout_ms / MS_PER_S)
 
@@ -86,34 +83,31 @@
 
     def write_packed(self, frame: bytes) -> None:
         """Queue a message that `pack` has made."""
-        try:
-            waiting = self._stream.write(frame)
-        except (StreamClosedError, OSError, ValueError):
-            # Tornado raises its own error (an OSError or ValueError kin) once the buffer is full.
-            self.close()
+        transport = self._writer.transport
+        if transport.is_closing():
             return
-        # The future only says when the buffer drained; the reader sees a loss.
-        waiting.add_done_callback(_ignore_loss)
-        self._last_write = waiting
+        if transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+            transport.abort()
+            return
+        self._writer.write(frame)
         self._counters.sent_messages += 1
         self._counters.sent_bytes += len(frame)
 
     async def drain(self, timeout_ms: float) -> None:
-        """Wait until what was written has left, or the time is over."""
-        if self._last_write is None:
-            return
-        await asyncio.wait([self._last_write], timeout=timeout_ms / MS_PER_S)
+        """Wait until what was written has left, then close; or drop it when the time is over."""
+        self._writer.close()
+        try:
+            await asyncio.wait_for(self._writer.wait_closed(), timeout_ms / MS_PER_S)
+        except OSError:
+            self.close()
 
     def close_when_sent(self) -> None:
-        """Drop the connection once what was written has left."""
-        if self._last_write is None:
-            self.close()
-            return
-        self._last_write.add_done_callback(lambda _: self.close())
+        """Close the connection once what was written has left."""
+        self._writer.close()
 
     def close(self) -> None:
-        """Drop the connection."""
-        self._stream.close()
+        """Drop the connection and what was not sent yet."""
+        self._writer.transport.abort()
 
     def _take(self) -> Message | None:
         """Take a whole message out of the buffer, if there is one."""
@@ -146,11 +140,11 @@
         The open stream.
 
     Raises:
-        OSError: If there is no connection; a `TimeoutError` is one.
-        StreamClosedError: If it was closed while it opened.
+        OSError: If there is no connection in time.
     """
-    opening = TCPClient().connect(address.ip, address.port, source_ip=source_ip)
-    return MessageStream(await asyncio.wait_for(opening, timeout_ms / MS_PER_S), counters)
+    opening = asyncio.open_connection(address.ip, address.port, local_addr=(source_ip, 0))
+    reader, writer = await asyncio.wait_for(opening, timeout_ms / MS_PER_S)
+    return MessageStream(reader, writer, counters)
 
 
 def pack(message: Message) -> bytes:
@@ -183,9 +177,3 @@
     ) as error:
         raise BadMessageError(f"not a message: {error}") from None
     return message
-
-
-def _ignore_loss(waiting: asyncio.Future[None]) -> None:
-    """Mark the future's exception as seen."""
-    if not waiting.cancelled():
-        waiting.exception()
--- a/src/pimentodale/peers/peers.py
+++ b/src/pimentodale/peers/peers.py
@@ -8,8 +8,6 @@
 
 import msgspec
 from expression import Error, Ok, Result
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import add_accept_handler, bind_sockets
 
 from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
@@ -35,7 +33,6 @@
 from pimentodale.results import ResultCode
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Awaitable, Callable, Sequence
 
     from pimentodale.addresses import Address
@@ -81,10 +78,9 @@
         "_keeper",
         "_links",
         "_membership",
+        "_server",
         "_settings",
-        "_sockets",
         "_stop",
-        "_stop_accepting",
         "_tasks",
         "counters",
     )
@@ -117,8 +113,7 @@
         self._stop = asyncio.Event()
         self._greeting = 0
         self._flush_timer: asyncio.TimerHandle | None = None
-        self._sockets: list[socket.socket] = []
-        self._stop_accepting: list[Callable[[], None]] = []
+        self._server: asyncio.Server | None = None
         self._membership.connect_links(self._flush_soon, self._links.has_first_hand_word)
         self._membership.subscribe_members(self._keeper.note_member_change)
         self._links.connect_detector(
@@ -136,7 +131,7 @@
         Raises:
             OSError: If the address can't be listened on.
         """
-        self._listen()
+        await self._listen()
         self._tasks.start(self._keeper.explore(), "explore")
         ticker = asyncio.ensure_future(self._tick())
         stopping = asyncio.ensure_future(self._stop.wait())
@@ -147,7 +142,8 @@
         finally:
             ticker.cancel()
             stopping.cancel()
-            self._close_listeners()
+            if self._server is not None:
+                self._server.close()
             await self._tasks.cancel()
             for link in list(self._links.by_host.values()):
                 link.stream.close()
@@ -229,12 +225,12 @@
         self.counters.dials += 1
         try:
             stream = await connect(address, self._settings.listen.ip, timeout_ms, self.counters)
-        except (OSError, StreamClosedError) as error:
+        except OSError as error:
             return Error(PeerFault(False, f"no connection to {host}: {error}"))
         try:
             stream.write(Request(PROTOCOL, topic, body))
             answer = await stream.read_within(deadline_ms - self._clock.now_ms())
-        except (StreamClosedError, TimeoutError, BadMessageError) as error:
+        except (OSError, BadMessageError) as error:
             return Error(PeerFault(True, f"{host} gave no answer: {error}"))
         finally:
             stream.close()
@@ -256,28 +252,18 @@
         await asyncio.gather(*(link.stream.drain(_LAST_WORD_TIMEOUT_MS) for link in links))
         self._stop.set()
 
-    def _listen(self) -> None:
+    async def _listen(self) -> None:
         """Start to accept connections."""
         listen = self._settings.listen
-        self._sockets = bind_sockets(listen.port, listen.ip)
-        for listener in self._sockets:
-            self._stop_accepting.append(add_accept_handler(listener, self._accept))
-
-    def _close_listeners(self) -> None:
-        """Stop to accept connections."""
-        for stop_accepting in self._stop_accepting:
-            stop_accepting()
-        for listener in self._sockets:
-            listener.close()
-
-    def _accept(self, connection: socket.socket, _address: object) -> None:
+        self._server = await asyncio.start_server(self._accept, listen.ip, listen.port)
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Greet a new connection in a task of its own."""
         if self._greeting >= MAX_GREETING_STREAMS:
-            connection.close()
+            writer.transport.abort()
             return
         self._greeting += 1
-        stream = MessageStream(IOStream(connection), self.counters)
-        self._tasks.start(self._greet(stream), "greet")
+        self._tasks.start(self._greet(MessageStream(reader, writer, self.counters)), "greet")
 
     async def _greet(self, stream: MessageStream) -> None:
         """Read the first message and answer it, or hand the stream to a link."""
@@ -292,7 +278,7 @@
                 stream.close_when_sent()
             elif isinstance(message, Request):
                 await self._answer(stream, message)
-        except (StreamClosedError, TimeoutError):
+        except OSError:
             stream.close()
         except BadMessageError as error:
             stream.close()
