Admit requests by weight, rate and deadline, and bound retries and concurrency

Cause: one workspace that floods a host must not take the others' share, and a request that can't be served in time has to be refused at once with a true time to come back. Change: a weighted fair queue whose lanes are charged only for what they were served; a workspace may hold as many places as are free, so that newcomers always find some; a pace taken from finished work until a backlog tells it; limits by additive increase and multiplicative decrease; shares of a rate by reported demand; a retry budget; admission over a room that grants what a request needs; and balanced subsets of replicas that keep every layer range.

--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,54 @@
+Feature: admission
+  Workspaces get their shares, what can't be served in time is refused at once, and retries are bounded.
+
+  Scenario: backlogged workspaces are served by weight
+    When 100 random backlogs of weighted workspaces are served
+    Then no two backlogged workspaces differ by more than one entry each in service over weight
+    And every entry is served once, in its workspace's order
+
+  Scenario: a flood leaves places for the others
+    Given a fair queue with 100 places
+    When one workspace sends 1000 entries and then 5 others send 3 each
+    Then the flood holds 50 places and each of the others has its 3
+    And the others' entries are among the next 20 served
+
+  Scenario: cancelled and late entries are never served or charged
+    When 100 random queues lose entries by cancelling and by deadline
+    Then just the live entries are served and the sums end at nothing
+
+  Scenario: shares of a rate never add up to more than the rate
+    When 100 random demands are reported among 2 to 8 hosts
+    Then the shares of each workspace add up to its rate
+    And a host that is cut off and its peers keep their last shares
+
+  Scenario: a bucket holds to its share
+    When a host alone is asked 50 times a second for 20 s under a rate of 10 a second
+    Then it lets through 200 requests within 11 of it
+    And each refusal's time to come back is true
+
+  Scenario: retries keep to their budget
+    When 5000 random successes and retries go by with a ratio of 0.1
+    Then no window has more retries than the budget allows
+
+  Scenario Outline: a concurrency limit finds the knee of its backend server
+    When a backend server that does 16 at once without delay is driven with <noise> in 100 of noise
+    Then the limit stays at 28 or less once settled, with 97 in 100 of the full rate
+    And it stays within 10 slots when there are no more
+
+    Examples:
+      | noise |
+      | 2     |
+      | 10    |
+      | 30    |
+
+  Scenario: a deadline that can't be met is refused at once
+    Given an admission for 2 requests at once that take 50 ms each
+    When 200 requests of 400 ms patience arrive within 1 s
+    Then every refusal for want of time came within 20 ms with a time to come back
+    And at most 2 in 100 of those that waited were too late
+
+  Scenario: no permit is lost when callers go away
+    Given an admission for 3 requests at once that take 5 ms each
+    When 300 callers arrive and a third of them go away at random moments
+    And one more goes away in the moment in which its grant comes
+    Then the room is whole again and nobody waits
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -31,3 +31,9 @@
     Given a router over 1 failure domains with 4 engines
     When the host list loses the engines for a while during 3 streams
     Then each engine's streams are counted off in the end
+
+  Scenario: subsets are balanced and keep every layer range
+    When 100 random sites are split into subsets
+    Then the numbers of hosts of any two replicas differ by one at most
+    And a replica that joins changes at most 2 names of each subset
+    And the engines of each subset of a model tile its layers
--- /dev/null
+++ b/features/steps/admission.py
@@ -0,0 +1,398 @@
+"""Steps for admission: fair queue, shares, budgets and limits."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from behave import given, then, when
+from hypothesis import given as property_given
+from hypothesis import settings as property_settings
+from hypothesis import strategies as st
+
+from pimentodale.admission.admission import Admission, AdmissionLimits, create_admission
+from pimentodale.admission.concurrency import LimitSettings, create_concurrency_limit
+from pimentodale.admission.fair_queue import create_fair_queue
+from pimentodale.admission.rate_shares import create_rate_shares
+from pimentodale.admission.retry_budget import MIN_RETRIES, WINDOW_MS, create_retry_budget
+from pimentodale.admission.rooms import Place, Room, create_counted_room
+from pimentodale.clock import ManualClock, create_clock
+from pimentodale.results import ResultCode
+
+if TYPE_CHECKING:
+    import random
+
+EXAMPLES: Final = {"derandomize": True, "deadline": None, "database": None}
+FOREVER_MS: Final = 1e12
+
+weights = st.lists(st.floats(0.1, 10.0), min_size=2, max_size=6)
+costs = st.lists(st.floats(1.0, 50.0), min_size=5, max_size=20)
+
+
+@when("{count:d} random backlogs of weighted workspaces are served")
+def serve_backlogs(context: Any, count: int) -> None:
+    context.runs = []
+
+    @property_settings(max_examples=count, **EXAMPLES)
+    @property_given(weights, st.data())
+    def examine(weight_list: list[float], data: st.DataObject) -> None:
+        queue = create_fair_queue()
+        lanes = {}
+        for number, weight in enumerate(weight_list):
+            lanes[f"w{number}"] = data.draw(costs)
+            for place, cost in enumerate(lanes[f"w{number}"]):
+                queue.push((place, cost), f"w{number}", weight, cost, FOREVER_MS)
+        served = []
+        while (entry := queue.pop(0.0)) is not None:
+            served.append((entry.workspace, *entry.item))
+        context.runs.append((weight_list, lanes, served))
+
+    examine()
+
+
+@then("no two backlogged workspaces differ by more than one entry each in service over weight")
+def check_fair(context: Any) -> None:
+    for weight_list, lanes, served in context.runs:
+        done = dict.fromkeys(lanes, 0.0)
+        left = {name: len(lane) for name, lane in lanes.items()}
+        weight_of = {f"w{number}": weight for number, weight in enumerate(weight_list)}
+        for name, _, cost in served:
+            done[name] += cost / weight_of[name]
+            left[name] -= 1
+            waiting = [other for other in left if left[other]]
+            for other in waiting:
+                slack = max(lanes[name]) / weight_of[name] + max(lanes[other]) / weight_of[other]
+                assert done[name] - done[other] <= slack + 1e-6, (name, other, done)
+
+
+@then("every entry is served once, in its workspace's order")
+def check_order(context: Any) -> None:
+    for _, lanes, served in context.runs:
+        for name, lane in lanes.items():
+            places = [place for owner, place, _ in served if owner == name]
+            assert places == list(range(len(lane))), (name, places)
+
+
+@given("a fair queue with {places:d} places")
+def create_queue(context: Any, places: int) -> None:
+    context.queue = create_fair_queue()
+    context.places = places
+
+
+@when("one workspace sends {flood:d} entries and then {others:d} others send {each:d} each")
+def send_flood(context: Any, flood: int, others: int, each: int) -> None:
+    senders = ["flood"] * flood + [f"w{n}" for n in range(others) for _ in range(each)]
+    for sender in senders:
+        if context.queue.has_room(sender, context.places):
+            context.queue.push(sender, sender, 1.0, 1.0, FOREVER_MS)
+
+
+@then("the flood holds {count:d} places and each of the others has its {each:d}")
+def check_places(context: Any, count: int, each: int) -> None:
+    assert context.queue.waiting_of("flood") == count, context.queue.waiting_of("flood")
+    assert [context.queue.waiting_of(f"w{n}") for n in range(5)] == [each] * 5
+
+
+@then("the others' entries are among the next {count:d} served")
+def check_soon(context: Any, count: int) -> None:
+    served = [context.queue.pop(0.0).item for _ in range(count)]
+    assert len([name for name in served if name != "flood"]) == 15, served
+
+
+@when("{count:d} random queues lose entries by cancelling and by deadline")
+def lose_entries(context: Any, count: int) -> None:
+    action = st.tuples(st.integers(0, 4), st.floats(1, 9), st.sampled_from(["", "cancel", "late"]))
+
+    @property_settings(max_examples=count, **EXAMPLES)
+    @property_given(st.lists(action, max_size=60), st.randoms())
+    def examine(actions: list[tuple[int, float, str]], rng: random.Random) -> None:
+        queue = create_fair_queue()
+        entries = []
+        for number, (lane, cost, fate) in enumerate(actions):
+            deadline_ms = 5.0 if fate == "late" else FOREVER_MS
+            entries.append(queue.push(number, f"w{lane}", 1.0 + lane, cost, deadline_ms))
+        cancelled = [n for n, (_, _, fate) in enumerate(actions) if fate == "cancel"]
+        rng.shuffle(cancelled)
+        for number in cancelled:
+            queue.cancel(entries[number])
+            queue.cancel(entries[number])
+        served = []
+        while (entry := queue.pop(10.0)) is not None:
+            served.append(entry.item)
+            queue.cancel(entry)
+        assert sorted(served) == [n for n, (_, _, fate) in enumerate(actions) if not fate]
+        context.ends.append((len(queue), queue.cost, queue.share_of("w0", 1.0)))
+
+    context.ends = []
+    examine()
+
+
+@then("just the live entries are served and the sums end at nothing")
+def check_ends(context: Any) -> None:
+    assert context.ends, "no example ran"
+    assert set(context.ends) == {(0, 0.0, 1.0)}, set(context.ends)
+
+
+@when("{count:d} random demands are reported among 2 to 8 hosts")
+def report_demands(context: Any, count: int) -> None:
+    context.sums = []
+    context.kept = []
+    demand = st.lists(st.integers(0, 60), min_size=2, max_size=8)
+
+    @property_settings(max_examples=count, **EXAMPLES)
+    @property_given(demand, st.floats(0.1, 1000.0))
+    def examine(requests: list[int], rate_per_s: float) -> None:
+        clock = ManualClock()
+        hosts = {f"h{n}": create_rate_shares(clock, f"h{n}") for n in range(len(requests))}
+        for host, asked in zip(hosts.values(), requests, strict=True):
+            for _ in range(asked):
+                host.try_take("w", rate_per_s)
+        reports = {name: host.demands() for name, host in hosts.items()}
+        for host in hosts.values():
+            for name, report in reports.items():
+                host.set_peer_demands(name, report)
+        shares = [host.share_per_s("w", rate_per_s) for host in hosts.values()]
+        context.sums.append((sum(shares), rate_per_s))
+        # From here on nobody hears anybody; each sees more demand of its own.
+        clock.advance(60_000.0)
+        for host in hosts.values():
+            host.try_take("w", rate_per_s)
+        later = [host.share_per_s("w", rate_per_s) for host in hosts.values()]
+        context.kept.append((shares, later))
+
+    examine()
+
+
+@then("the shares of each workspace add up to its rate")
+def check_sums(context: Any) -> None:
+    for total, rate_per_s in context.sums:
+        assert abs(total - rate_per_s) < 1e-6 * rate_per_s, (total, rate_per_s)
+
+
+@then("a host that is cut off and its peers keep their last shares")
+def check_kept(context: Any) -> None:
+    for shares, later in context.kept:
+        assert shares == later, (shares, later)
+
+
+@when(
+    "a host alone is asked {asked:d} times a second for {time_s:d} s under a rate of {rate:d} a second"
+)
+def ask_host(context: Any, asked: int, time_s: int, rate: int) -> None:
+    clock = ManualClock()
+    shares = create_rate_shares(clock, "h")
+    context.let_through = 0
+    context.untrue = []
+    for number in range(asked * time_s):
+        clock.advance(1000.0 / asked)
+        refusal = shares.try_take("w", float(rate))
+        if refusal is None:
+            context.let_through += 1
+            continue
+        if number % 40 == 0:
+            clock.advance(refusal.retry_after_ms + 0.001)
+            if shares.try_take("w", float(rate)) is not None:
+                context.untrue.append(refusal)
+            else:
+                context.let_through += 1
+    context.time_s = clock.now_ms() / 1000.0
+
+
+@then("it lets through {count:d} requests within {slack:d} of it")
+def check_let_through(context: Any, count: int, slack: int) -> None:
+    expected = count * context.time_s / 20.0
+    assert abs(context.let_through - expected) <= slack, (context.let_through, expected)
+
+
+@then("each refusal's time to come back is true")
+def check_true(context: Any) -> None:
+    assert not context.untrue, context.untrue
+
+
+@when("{count:d} random successes and retries go by with a ratio of {ratio:f}")
+def spend_budget(context: Any, count: int, ratio: float) -> None:
+    clock = ManualClock()
+    budget = create_retry_budget(clock, lambda: ratio)
+    successes: list[float] = []
+    context.spent = []
+    context.ratio = ratio
+    for _ in range(count):
+        clock.advance(context.site.rng.random() * 20.0)
+        if context.site.rng.random() < 0.4:
+            successes.append(clock.now_ms())
+            budget.note_success()
+            continue
+        if budget.try_spend():
+            context.spent.append(clock.now_ms())
+    context.successes = successes
+
+
+@then("no window has more retries than the budget allows")
+def check_budget(context: Any) -> None:
+    assert len(context.spent) > 100, len(context.spent)
+    for end_ms in context.spent:
+        # The budget counts whole tenths of a window, so the shortest that it can count is 9.
+        shortest_ms = end_ms - WINDOW_MS * 0.9
+        recent = [t for t in context.spent if shortest_ms < t <= end_ms]
+        allowed = [t for t in context.successes if end_ms - WINDOW_MS <= t <= end_ms]
+        limit = max(MIN_RETRIES, len(allowed) * context.ratio)
+        assert len(recent) <= limit + 1e-9, (end_ms, len(recent), limit)
+
+
+@when(
+    "a backend server that does {knee:d} at once without delay is driven with {noise:d} in 100 of noise"
+)
+def drive_limit(context: Any, knee: int, noise: int) -> None:
+    context.driven = drive(knee, 1000, noise / 100, context.site.rng)
+    context.capped = drive(knee, 10, noise / 100, context.site.rng)
+
+
+@dataclass(slots=True)
+class Driven:
+    """What driving a limit gave, after it had time to settle."""
+
+    limits: list[int]
+    """The limit after each answer."""
+
+    rate_part: float
+    """Answers over those that the backend server could have given."""
+
+
+def drive(knee: int, slots: int, noise: float, rng: random.Random) -> Driven:
+    """Answer one call after the other, slower the more run beyond the knee."""
+    clock = ManualClock()
+    limit = create_concurrency_limit(clock, LimitSettings())
+    limits = []
+    settled_ms = 0.0
+    for number in range(100_000):
+        while limit.has_room(slots):
+            limit.started()
+        latency_ms = 100.0 * max(1.0, limit.in_flight / knee) * rng.uniform(1.0, 1.0 + noise)
+        clock.advance(latency_ms / limit.in_flight)
+        limit.observe(latency_ms)
+        limit.cap(slots)
+        limit.ended()
+        if number < 20_000:
+            settled_ms = clock.now_ms()
+            continue
+        limits.append(limit.limit(slots))
+    full_ms = len(limits) * (100.0 + 50.0 * noise) / knee
+    return Driven(limits, full_ms / (clock.now_ms() - settled_ms))
+
+
+@then("the limit stays at {most:d} or less once settled, with {percent:d} in 100 of the full rate")
+def check_settled(context: Any, most: int, percent: int) -> None:
+    driven = context.driven
+    print(f"limit {min(driven.limits)} to {max(driven.limits)}, rate {driven.rate_part:.3f}")
+    assert max(driven.limits) <= most, max(driven.limits)
+    assert driven.rate_part >= percent / 100, driven.rate_part
+
+
+@then("it stays within {slots:d} slots when there are no more")
+def check_capped(context: Any, slots: int) -> None:
+    assert max(context.capped.limits) == slots, max(context.capped.limits)
+
+
+@given("an admission for {places:d} requests at once that take {time_ms:d} ms each")
+def plan_admission(context: Any, places: int, time_ms: int) -> None:
+    context.time_ms = float(time_ms)
+    context.limits = AdmissionLimits(lambda: 10_000, lambda _: 1.0, lambda _: None)
+    context.counted = create_counted_room(lambda: places)
+    context.places = places
+
+
+def create_bench(context: Any, room: Room[Place]) -> Admission[Place]:
+    clock = create_clock()
+    return create_admission(clock, room, context.limits, create_rate_shares(clock, "h"))
+
+
+@when("{count:d} requests of {patience_ms:d} ms patience arrive within 1 s")
+def run_overload(context: Any, count: int, patience_ms: int) -> None:
+    clock = create_clock()
+
+    async def call(admission: Admission[Place], number: int) -> tuple[ResultCode, float, Any]:
+        await clock.sleep_ms(number * 1000.0 / count)
+        start_ms = clock.now_ms()
+        result = await admission.admit("w", 1.0, start_ms + patience_ms)
+        waited_ms = clock.now_ms() - start_ms
+        if result.is_error():
+            return result.error.code, waited_ms, result.error.retry_after_ms
+        await clock.sleep_ms(context.time_ms)
+        result.ok.release()
+        return ResultCode.OK, waited_ms, None
+
+    async def run() -> list[tuple[ResultCode, float, Any]]:
+        admission = create_bench(context, context.counted)
+        return await asyncio.gather(*(call(admission, number) for number in range(count)))
+
+    context.answers = asyncio.run(run())
+
+
+@then("every refusal for want of time came within {limit_ms:d} ms with a time to come back")
+def check_refusals(context: Any, limit_ms: int) -> None:
+    refused = [a for a in context.answers if a[0] is ResultCode.DEADLINE_UNREACHABLE]
+    assert len(refused) > 50, len(refused)
+    assert max(waited_ms for _, waited_ms, _ in refused) <= limit_ms
+    assert all(retry_after_ms is not None for _, _, retry_after_ms in refused)
+
+
+@then("at most {percent:d} in 100 of those that waited were too late")
+def check_few_late(context: Any, percent: int) -> None:
+    late = len([a for a in context.answers if a[0] is ResultCode.DEADLINE_EXCEEDED])
+    served = len([a for a in context.answers if a[0] is ResultCode.OK])
+    print(f"served {served}, late {late}, of {len(context.answers)}")
+    assert late <= (served + late) * percent / 100, (late, served)
+
+
+@when("{count:d} callers arrive and a third of them go away at random moments")
+def run_departures(context: Any, count: int) -> None:
+    rng = context.site.rng
+    clock = create_clock()
+
+    async def call(admission: Admission[Place]) -> None:
+        result = await admission.admit("w", 1.0, clock.now_ms() + 2000.0)
+        if result.is_error():
+            return
+        try:
+            await clock.sleep_ms(context.time_ms)
+        finally:
+            result.ok.release()
+
+    async def run() -> None:
+        admission = create_bench(context, context.counted)
+        tasks = []
+        for _ in range(count):
+            tasks.append(asyncio.create_task(call(admission)))
+            await clock.sleep_ms(rng.random() * 2.0)
+            if rng.random() < 0.33:
+                rng.choice(tasks[-20:]).cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        context.waiting = admission.waiting
+
+    asyncio.run(run())
+
+
+@when("one more goes away in the moment in which its grant comes")
+def depart_with_grant(context: Any) -> None:
+    async def run() -> None:
+        admission = create_bench(context, context.counted)
+        deadline_ms = create_clock().now_ms() + 2000.0
+        held = [await admission.admit("w", 1.0, deadline_ms) for _ in range(context.places)]
+        waiter = asyncio.create_task(admission.admit("w", 1.0, deadline_ms))
+        await asyncio.sleep(0)
+        assert admission.waiting == 1, admission.waiting
+        held[0].ok.release()
+        waiter.cancel()
+        await asyncio.gather(waiter, return_exceptions=True)
+        for result in held[1:]:
+            result.ok.release()
+
+    asyncio.run(run())
+
+
+@then("the room is whole again and nobody waits")
+def check_room(context: Any) -> None:
+    assert context.waiting == 0, context.waiting
+    taken = [context.counted.acquire() for _ in range(context.places + 1)]
+    assert [place is None for place in taken] == [False] * context.places + [True], taken
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -22,6 +22,7 @@
 from pimentodale.routing.route_plan import Link, RoutePlan, plan_routes
 from pimentodale.routing.router import create_router
 from pimentodale.routing.routes import RouteOutcome, tiles
+from pimentodale.routing.subsets import choose_subset, subset_engines
 
 if TYPE_CHECKING:
     import random
@@ -314,3 +315,47 @@
 @then("each engine's streams are counted off in the end")
 def check_counted_off(context: Any) -> None:
     assert [status.in_flight for status in context.fleet.statuses()] == [0] * len(context.engines)
+
+
+@when("{count:d} random sites are split into subsets")
+def split_sites(context: Any, count: int) -> None:
+    context.sites = []
+    sizes = st.tuples(st.integers(1, 60), st.integers(1, 12), st.integers(1, 60))
+
+    def split(site: tuple[int, int, int]) -> None:
+        replicas, host_count, size = site
+        hosts = [f"h{number}" for number in range(host_count)]
+        names = [f"e{number}" for number in range(replicas)]
+        before = {host: choose_subset(names, hosts, host, size) for host in hosts}
+        after = {host: choose_subset([*names, "new"], hosts, host, size) for host in hosts}
+        context.sites.append((names, before, after))
+
+    run_property(count, sizes, split)
+
+
+@then("the numbers of hosts of any two replicas differ by one at most")
+def check_balance(context: Any) -> None:
+    for names, before, _ in context.sites:
+        held = [name for subset in before.values() for name in subset]
+        counts = {held.count(name) for name in names}
+        assert max(counts) - min(counts) <= 1, counts
+
+
+@then("a replica that joins changes at most {most:d} names of each subset")
+def check_churn(context: Any, most: int) -> None:
+    for _, before, after in context.sites:
+        for host, subset in before.items():
+            changed = set(subset) ^ set(after[host])
+            assert len(changed) <= 2 * most, (host, changed)
+
+
+@then("the engines of each subset of a model tile its layers")
+def check_subset_tiles(context: Any) -> None:
+    hosts = [f"h{number}" for number in range(7)]
+    engines = [
+        make_engine(f"e{n}", f"d{n % 4}", n % 4 * 8, n % 4 * 8 + 8, 100.0) for n in range(40)
+    ]
+    for host in hosts:
+        subset = subset_engines(engines, hosts, host, 8)
+        assert 8 <= len(subset) <= 10, len(subset)
+        assert plan_routes("m", LAYERS, subset).bound_tokens_per_s > 0.0
--- /dev/null
+++ b/src/pimentodale/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may start now, who waits, and who is refused at once."""
--- /dev/null
+++ b/src/pimentodale/admission/admission.py
@@ -0,0 +1,246 @@
+"""Admission: rate, fair queue and deadline in front of one pool of backend servers.
+
+A refusal is final and comes at once: over the rate, with the queue full, or when the deadline can't
+be met by the queue's own pace. What waits is served by weight, and leaves the queue at its deadline.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
+
+from expression import Error, Ok, Result
+
+from pimentodale.admission.estimate import create_drain_rate, estimate_wait_ms
+from pimentodale.admission.fair_queue import FairQueue, Waiting, create_fair_queue
+from pimentodale.clock import MS_PER_S
+from pimentodale.results import Refusal, ResultCode, create_refusal
+
+if TYPE_CHECKING:
+    from pimentodale.admission.rate_shares import RateShares
+    from pimentodale.admission.rooms import Room
+    from pimentodale.clock import Clock
+
+T = TypeVar("T")
+
+_WAIT_MARGIN: Final = 1.1
+"""Factor of an estimated wait, as one that is just met on average is missed every other time."""
+
+LONGEST_RETRY_AFTER_MS: Final = 30_000.0
+"""Longest time after which a refused caller is asked to come back."""
+
+
+@dataclass(slots=True, frozen=True)
+class AdmissionLimits:
+    """What the configuration says, asked anew for each request."""
+
+    queue_requests: Callable[[], int]
+    """Returns the requests that may wait."""
+
+    weight_of: Callable[[str], float]
+    """Returns a workspace's weight, above 0."""
+
+    rate_per_s_of: Callable[[str], float | None]
+    """Returns a workspace's rate over the whole site; `None` for no limit."""
+
+
+class Permit(Generic[T]):
+    """Leave to run one request, with what its room granted."""
+
+    __slots__ = ("_admission", "_cost", "_released", "_started_ms", "grant", "waited_ms")
+
+    grant: T
+    """What the room gave."""
+
+    waited_ms: float
+    """How long the request waited for it."""
+
+    def __init__(
+        self, admission: Admission[T], grant: T, cost: float, started_ms: float, waited_ms: float
+    ) -> None:
+        self._admission = admission
+        self._cost = cost
+        self._started_ms = started_ms
+        self._released = False
+        self.grant = grant
+        self.waited_ms = waited_ms
+
+    def release(self) -> None:
+        """Give the grant back and let the next request start; may be repeated."""
+        if self._released:
+            return
+        self._released = True
+        self._admission.finish(self.grant, self._cost, self._started_ms)
+
+
+class Admission(Generic[T]):
+    """Lets requests start as their room allows."""
+
+    __slots__ = ("_clock", "_limits", "_pace", "_queue", "_rates", "_room")
+
+    def __init__(
+        self, clock: Clock, room: Room[T], limits: AdmissionLimits, rates: RateShares
+    ) -> None:
+        self._clock = clock
+        self._room = room
+        self._limits = limits
+        self._rates = rates
+        self._queue: FairQueue[asyncio.Future[T]] = create_fair_queue()
+        self._pace = create_drain_rate(clock)
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return len(self._queue)
+
+    async def admit(
+        self, workspace: str, cost: float, deadline_ms: float, service_ms: float = 0.0
+    ) -> Result[Permit[T], Refusal]:
+        """Wait for leave to start.
+
+        Args:
+            workspace: Whose request it is.
+            cost: What serving it takes, such as tokens to generate; above 0.
+            deadline_ms: Clock reading by which it must be answered.
+            service_ms: Time that serving it is known to take at least.
+
+        Returns:
+            The permit, which must be released; or a refusal, and nothing was run.
+        """
+        over = self._rates.try_take(workspace, self._limits.rate_per_s_of(workspace))
+        if over is not None:
+            return Error(_refuse_rate(workspace, over.retry_after_ms))
+        arrived_ms = self._clock.now_ms()
+        latest_start_ms = deadline_ms - service_ms
+        if latest_start_ms <= arrived_ms:
+            return Error(_refuse_too_short())
+        if not len(self._queue):
+            grant = self._room.acquire()
+            if grant is not None:
+                return Ok(self._permit(grant, cost, arrived_ms))
+        refusal = self._check_wait(workspace, cost, latest_start_ms - arrived_ms)
+        if refusal is not None:
+            return Error(refusal)
+        return await self._wait(workspace, cost, arrived_ms, latest_start_ms)
+
+    def wake(self) -> None:
+        """Let requests start that there is room for; call it when room may have appeared."""
+        while len(self._queue):
+            grant = self._room.acquire()
+            if grant is None:
+                break
+            entry = self._queue.pop(self._clock.now_ms())
+            if entry is None:
+                self._room.give_back(grant)
+                break
+            self._pace.note_granted(entry.cost)
+            entry.item.set_result(grant)
+        self._pace.note_backlog(bool(len(self._queue)))
+
+    def finish(self, grant: T, cost: float, started_ms: float) -> None:
+        """Count off a request and give its grant back; `Permit.release` calls it."""
+        self._pace.note_finished(cost, self._clock.now_ms() - started_ms)
+        self._take_back(grant)
+
+    def _take_back(self, grant: T) -> None:
+        """Give a grant back to the room and let the next request have it."""
+        self._room.give_back(grant)
+        self.wake()
+
+    async def _wait(
+        self, workspace: str, cost: float, arrived_ms: float, latest_start_ms: float
+    ) -> Result[Permit[T], Refusal]:
+        """Queue until a grant comes or the latest start passes."""
+        granted: asyncio.Future[T] = asyncio.get_running_loop().create_future()
+        weight = self._limits.weight_of(workspace)
+        entry = self._queue.push(granted, workspace, weight, cost, latest_start_ms)
+        self._pace.note_backlog(True)
+        try:
+            await asyncio.wait({granted}, timeout=(latest_start_ms - arrived_ms) / MS_PER_S)
+        except asyncio.CancelledError:
+            self._leave(entry)
+            raise
+        if not granted.done():
+            self._leave(entry)
+            return Error(_refuse_late())
+        return Ok(self._permit(granted.result(), cost, arrived_ms))
+
+    def _permit(self, grant: T, cost: float, arrived_ms: float) -> Permit[T]:
+        """Wrap a grant for a request that starts now."""
+        now_ms = self._clock.now_ms()
+        self._pace.note_started()
+        return Permit(self, grant, cost, now_ms, now_ms - arrived_ms)
+
+    def _leave(self, entry: Waiting[asyncio.Future[T]]) -> None:
+        """Take an entry out whose caller stopped waiting, even if its grant just came."""
+        self._queue.cancel(entry)
+        self._pace.note_backlog(bool(len(self._queue)))
+        if entry.item.done():
+            self._take_back(entry.item.result())
+            return
+        entry.item.cancel()
+
+    def _check_wait(self, workspace: str, cost: float, patience_ms: float) -> Refusal | None:
+        """Return a refusal if the queue is full or would take too long."""
+        weight = self._limits.weight_of(workspace)
+        queue: FairQueue[Any] = self._queue
+        pace_per_ms = self._pace.cost_per_ms()
+        wait_ms = _WAIT_MARGIN * estimate_wait_ms(queue, pace_per_ms, workspace, weight, cost)
+        if wait_ms > patience_ms:
+            return _refuse_unreachable(wait_ms, wait_ms - patience_ms)
+        if not queue.has_room(workspace, self._limits.queue_requests()):
+            return _refuse_full(workspace, wait_ms)
+        return None
+
+
+def create_admission(
+    clock: Clock, room: Room[T], limits: AdmissionLimits, rates: RateShares
+) -> Admission[T]:
+    """Build the admission of one pool.
+
+    Args:
+        clock: Tells the time.
+        room: What requests need to start.
+        limits: What the configuration says.
+        rates: This host's shares of the workspaces' rates; common to all pools.
+
+    Returns:
+        The admission.
+    """
+    return Admission(clock, room, limits, rates)
+
+
+def _refuse_rate(workspace: str, retry_after_ms: float) -> Refusal:
+    message = f"Workspace {workspace} is over its rate. Send fewer requests, or come back later."
+    return create_refusal(
+        ResultCode.WORKSPACE_LIMIT, message, retry_after_ms=_bounded(retry_after_ms)
+    )
+
+
+def _refuse_too_short() -> Refusal:
+    message = "The deadline is too short to serve the request at all. Allow more time."
+    return create_refusal(ResultCode.DEADLINE_UNREACHABLE, message)
+
+
+def _refuse_unreachable(wait_ms: float, excess_ms: float) -> Refusal:
+    message = f"The queue takes about {_bounded(wait_ms):.0f} ms, longer than the deadline allows."
+    return create_refusal(
+        ResultCode.DEADLINE_UNREACHABLE, message, retry_after_ms=_bounded(excess_ms)
+    )
+
+
+def _refuse_full(workspace: str, wait_ms: float) -> Refusal:
+    message = f"Workspace {workspace} has too many requests waiting here. Come back later."
+    return create_refusal(ResultCode.QUEUE_FULL, message, retry_after_ms=_bounded(wait_ms))
+
+
+def _refuse_late() -> Refusal:
+    message = "The deadline passed in the queue; the request was not started."
+    return create_refusal(ResultCode.DEADLINE_EXCEEDED, message, retry_after_ms=MS_PER_S)
+
+
+def _bounded(duration_ms: float) -> float:
+    """Keep a time to come back between 1 ms and the longest."""
+    return max(1.0, min(duration_ms, LONGEST_RETRY_AFTER_MS))
--- /dev/null
+++ b/src/pimentodale/admission/fair_queue.py
@@ -0,0 +1,204 @@
+"""A bounded queue that shares service among workspaces by weight.
+
+Each workspace has a lane. The first entry of a lane has a finish tag: where the lane's last service
+ended in virtual time, plus cost over weight. The smallest tag is served first, so that a workspace
+which asks for more than its share waits behind its own earlier entries, and nobody else does. An
+entry that is cancelled or too late is never charged.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush
+from itertools import count
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Waiting(Generic[T]):
+    """One entry of the queue."""
+
+    __slots__ = ("cost", "deadline_ms", "item", "settled", "workspace")
+
+    def __init__(self, item: T, workspace: str, cost: float, deadline_ms: float) -> None:
+        self.item = item
+        self.workspace = workspace
+        self.cost = cost
+        self.deadline_ms = deadline_ms
+        self.settled = False
+
+
+class _Lane(Generic[T]):
+    """Entries of one workspace, and the virtual time at which its last service ended."""
+
+    __slots__ = ("cost", "size", "start_tag", "waiting", "weight")
+
+    def __init__(self) -> None:
+        self.waiting: deque[Waiting[T]] = deque()
+        self.start_tag = 0.0
+        self.weight = 1.0
+        self.size = 0
+        self.cost = 0.0
+
+
+class FairQueue(Generic[T]):
+    """Weighted fair queue over workspaces; each operation takes O(log workspaces)."""
+
+    __slots__ = (
+        "_active_weight",
+        "_heads",
+        "_lanes",
+        "_order",
+        "_size",
+        "_virtual_time",
+        "cost",
+    )
+
+    cost: float
+    """Summed cost of all entries."""
+
+    def __init__(self) -> None:
+        self._lanes: dict[str, _Lane[T]] = {}
+        self._heads: list[tuple[float, int, Waiting[T]]] = []
+        self._order = count()
+        self._virtual_time = 0.0
+        self._size = 0
+        self._active_weight = 0.0
+        self.cost = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of entries that wait."""
+        return self._size
+
+    def waiting_of(self, workspace: str) -> int:
+        """Return the number of a workspace's entries."""
+        lane = self._lanes.get(workspace)
+        return 0 if lane is None else lane.size
+
+    def cost_of(self, workspace: str) -> float:
+        """Return the summed cost of a workspace's entries."""
+        lane = self._lanes.get(workspace)
+        return 0.0 if lane is None else lane.cost
+
+    def share_of(self, workspace: str, weight: float) -> float:
+        """Return the part of the service that a workspace gets while it waits, from 0 to 1."""
+        lane = self._lanes.get(workspace)
+        others = self._active_weight - (lane.weight if lane is not None and lane.size else 0.0)
+        return weight / (max(0.0, others) + weight)
+
+    def has_room(self, workspace: str, capacity: int) -> bool:
+        """Tell whether a workspace may add an entry.
+
+        A workspace may hold as many entries as there are places left, so that some always are left
+        for the others, however many one of them sends.
+
+        Args:
+            workspace: The workspace.
+            capacity: Entries that the queue may hold.
+        """
+        return self.waiting_of(workspace) < capacity - self._size
+
+    def push(
+        self, item: T, workspace: str, weight: float, cost: float, deadline_ms: float
+    ) -> Waiting[T]:
+        """Add an entry.
+
+        Args:
+            item: What waits.
+            workspace: Whose it is.
+            weight: The workspace's weight, above 0.
+            cost: What serving it takes, above 0.
+            deadline_ms: Clock reading after which it is of no use.
+
+        Returns:
+            The entry, for `cancel`.
+        """
+        lane = self._lanes.get(workspace)
+        if lane is None:
+            lane = self._lanes[workspace] = _Lane()
+        if lane.size == 0:
+            self._active_weight += weight
+            lane.start_tag = max(self._virtual_time, lane.start_tag)
+        else:
+            self._active_weight += weight - lane.weight
+        lane.weight = weight
+        entry = Waiting(item, workspace, cost, deadline_ms)
+        lane.waiting.append(entry)
+        lane.size += 1
+        lane.cost += cost
+        self.cost += cost
+        self._size += 1
+        if lane.waiting[0] is entry:
+            self._offer_head(lane)
+        return entry
+
+    def pop(self, now_ms: float) -> Waiting[T] | None:
+        """Take the entry that is next, passing over those whose deadline has come.
+
+        Args:
+            now_ms: Clock reading.
+
+        Returns:
+            The entry, or `None` if none waits.
+        """
+        while self._heads:
+            _, _, entry = heappop(self._heads)
+            lane = self._lanes[entry.workspace]
+            lane.waiting.popleft()
+            if entry.settled:
+                self._offer_head(lane)
+                continue
+            entry.settled = True
+            self._count_off(lane, entry)
+            if entry.deadline_ms <= now_ms:
+                self._offer_head(lane)
+                continue
+            self._virtual_time = max(self._virtual_time, lane.start_tag)
+            lane.start_tag += entry.cost / lane.weight
+            self._offer_head(lane)
+            self._forget_if_empty()
+            return entry
+        self._forget_if_empty()
+        return None
+
+    def cancel(self, entry: Waiting[T]) -> None:
+        """Take an entry out; it may have been cancelled or popped already."""
+        lane = self._lanes.get(entry.workspace)
+        if entry.settled or lane is None:
+            return
+        entry.settled = True
+        self._count_off(lane, entry)
+        self._forget_if_empty()
+
+    def _offer_head(self, lane: _Lane[T]) -> None:
+        """Enter a lane's first live entry into the heap."""
+        waiting = lane.waiting
+        while waiting and waiting[0].settled:
+            waiting.popleft()
+        if waiting:
+            finish_tag = lane.start_tag + waiting[0].cost / lane.weight
+            heappush(self._heads, (finish_tag, next(self._order), waiting[0]))
+
+    def _count_off(self, lane: _Lane[T], entry: Waiting[T]) -> None:
+        """Take an entry out of the sums."""
+        lane.size -= 1
+        lane.cost = lane.cost - entry.cost if lane.size else 0.0
+        self._size -= 1
+        self.cost = self.cost - entry.cost if self._size else 0.0
+        if lane.size == 0:
+            self._active_weight = max(0.0, self._active_weight - lane.weight)
+
+    def _forget_if_empty(self) -> None:
+        """Start anew once nobody waits: without contention nobody is ahead of anybody."""
+        if self._size:
+            return
+        self._lanes.clear()
+        self._heads.clear()
+        self._virtual_time = 0.0
+        self._active_weight = 0.0
+
+
+def create_fair_queue() -> FairQueue[T]:
+    """Build an empty queue."""
+    return FairQueue()
--- /dev/null
+++ b/src/pimentodale/routing/subsets.py
@@ -0,0 +1,81 @@
+"""Deterministic subsets: which replicas an entry host keeps load state and connections for.
+
+Replicas stand in a fixed order, and the hosts' starting points are spread evenly over it, so that
+the numbers of hosts of any two replicas differ by one at most.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Sequence
+
+    from pimentodale.platform.targets import EngineTarget
+
+_MIN_OF_RANGE: Final = 2
+"""Replicas kept of each layer range, so that one loss leaves a route."""
+
+
+def choose_subset(
+    names: Collection[str], hosts: Collection[str], own_host: str, size: int
+) -> list[str]:
+    """Choose one host's subset.
+
+    Args:
+        names: All replicas.
+        hosts: All entry hosts; `own_host` counts as one of them even if it is not listed.
+        own_host: The host that asks.
+        size: Replicas in the subset; 0 or less means all.
+
+    Returns:
+        The subset; the same for the same arguments on each host.
+    """
+    ordered = sorted(names, key=_spread)
+    if size <= 0 or size >= len(ordered):
+        return ordered
+    members = sorted({*hosts, own_host}, key=_spread)
+    start = members.index(own_host) * len(ordered) // len(members)
+    doubled = ordered + ordered
+    return doubled[start : start + size]
+
+
+def subset_engines(
+    engines: Sequence[EngineTarget], hosts: Collection[str], own_host: str, size: int
+) -> list[EngineTarget]:
+    """Choose one host's subset of each model's engines, with all layer ranges in proportion.
+
+    Args:
+        engines: All engines.
+        hosts: All entry hosts.
+        own_host: The host that asks.
+        size: Engines of each model; 0 or less means all.
+
+    Returns:
+        The engines of the subset.
+    """
+    if size <= 0:
+        return list(engines)
+    chosen: list[EngineTarget] = []
+    for model in sorted({engine.model for engine in engines}):
+        of_model = [engine for engine in engines if engine.model == model]
+        for group in _by_range(of_model):
+            share = max(_MIN_OF_RANGE, -(-size * len(group) // len(of_model)))
+            names = {engine.replica for engine in group}
+            kept = set(choose_subset(names, hosts, own_host, share))
+            chosen += [engine for engine in group if engine.replica in kept]
+    return chosen
+
+
+def _by_range(engines: Iterable[EngineTarget]) -> list[list[EngineTarget]]:
+    """Group engines that hold the same layers."""
+    groups: dict[tuple[int, int], list[EngineTarget]] = {}
+    for engine in engines:
+        groups.setdefault((engine.first_layer, engine.last_layer), []).append(engine)
+    return list(groups.values())
+
+
+def _spread(name: str) -> bytes:
+    """Order names so that neighbours by name or failure domain are not neighbours here."""
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
