Give each route a window, and let admission grant a route with room

Cause: an admission that only counts requests can't say which route has room, and a latency limit for each engine can't be learned from tokens, whose latency tells of the whole route. Change: a limit for each route, found from the latency between its tokens; a stream's use of a route that feeds it and is counted off once; `acquire` picks only routes with room; a room that hands such uses to admission, which looks at the next request's prefix first; links limited for each pair of replicas; engines that said that they are full rest for 100 ms; pickers are built for each plan, so that round robin and the shortest queue can take the planned one's place. Limits double until the first congestion.

--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -12,13 +12,13 @@
 from hypothesis import strategies as st
 
 from pimentodale.admission.admission import Admission, AdmissionLimits, create_admission
-from pimentodale.admission.concurrency import LimitSettings, create_concurrency_limit
 from pimentodale.admission.fair_queue import create_fair_queue
 from pimentodale.admission.rate_shares import create_rate_shares
 from pimentodale.admission.retry_budget import MIN_RETRIES, WINDOW_MS, create_retry_budget
 from pimentodale.admission.rooms import Place, Room, create_counted_room
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.results import ResultCode
+from pimentodale.routing.concurrency import LimitSettings, create_concurrency_limit
 
 if TYPE_CHECKING:
     import random
@@ -394,5 +394,5 @@
 @then("the room is whole again and nobody waits")
 def check_room(context: Any) -> None:
     assert context.waiting == 0, context.waiting
-    taken = [context.counted.acquire() for _ in range(context.places + 1)]
+    taken = [context.counted.acquire("") for _ in range(context.places + 1)]
     assert [place is None for place in taken] == [False] * context.places + [True], taken
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -65,7 +65,7 @@
             from_failure_domain=f"d{a}",
             to_failure_domain=f"d{b}",
             tokens_per_s=2000.0 if a == b else 20.0 * (1 + a + b),
-            replica_tokens_per_s=400.0 if a == b else 100.0,
+            scope="shared" if (a + b) % 2 else "pair",
         )
         for a in range(4)
         for b in range(4)
@@ -158,7 +158,7 @@
             used[hop.replica] = used.get(hop.replica, 0.0) + planned.tokens_per_s
         for hop, following in itertools.pairwise(hops):
             pair = domains[hop.replica], domains[following.replica]
-            for key in ((hop.last_layer, *pair), (hop.replica, *pair)):
+            for key in ((hop.last_layer, *pair), (hop.replica, following.replica, *pair)):
                 used[key] = used.get(key, 0.0) + planned.tokens_per_s
     total = sum(planned.tokens_per_s for planned in plan.routes)
     assert abs(total - plan.bound_tokens_per_s) <= UNIT, (total, plan.bound_tokens_per_s)
@@ -166,9 +166,10 @@
     for link in links:
         pair = link.from_failure_domain, link.to_failure_domain
         for key in used:
-            if isinstance(key, tuple) and key[1:] == pair:
-                whole = isinstance(key[0], int)
-                limits[key] = link.tokens_per_s if whole else link.replica_tokens_per_s
+            if not isinstance(key, tuple) or key[-2:] != pair:
+                continue
+            if len(key) == (3 if link.scope == "shared" else 4):
+                limits[key] = link.tokens_per_s
     for key, limit in limits.items():
         assert used.get(key, 0.0) <= limit + UNIT, (key, used[key], limit)
 
@@ -190,9 +191,9 @@
         route = router.pick_route("m", LAYERS, "prefix", ("e1",))
         context.pick_us.append((time.perf_counter() - start_s) * 1e6)
         assert route is not None
-        router.started(route, "prefix")
+        use = router.started(route, "prefix")
         if len(context.pick_us) % 3:
-            router.ended(route, RouteOutcome.SERVED)
+            use.end(RouteOutcome.SERVED)
 
 
 @then("the fastest plan takes at most {limit_ms:d} ms")
@@ -301,15 +302,15 @@
 @when("the host list loses the engines for a while during {count:d} streams")
 def lose_list(context: Any, count: int) -> None:
     routes = [context.router.pick_route("m", LAYERS) for _ in range(count)]
-    for route in routes:
-        context.router.started(route)
+    uses = [context.router.started(route) for route in routes]
     context.fleet.apply_targets(Targets())
     assert context.router.pick_route("m", LAYERS) is None
     context.fleet.apply_targets(Targets(engines=context.engines))
     streams = sum(status.in_flight for status in context.fleet.statuses())
     assert streams == 2 * count, streams
-    for route in routes:
-        context.router.ended(route, RouteOutcome.SERVED)
+    for use in uses:
+        use.end(RouteOutcome.SERVED)
+        use.end(RouteOutcome.SERVED)
 
 
 @then("each engine's streams are counted off in the end")
--- a/src/pimentodale/admission/admission.py
+++ b/src/pimentodale/admission/admission.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
 
@@ -19,6 +18,8 @@
 from pimentodale.results import Refusal, ResultCode, create_refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pimentodale.admission.rate_shares import RateShares
     from pimentodale.admission.rooms import Room
     from pimentodale.clock import Clock
@@ -75,6 +76,14 @@
         self._admission.finish(self.grant, self._cost, self._started_ms)
 
 
+@dataclass(slots=True)
+class _Waiter(Generic[T]):
+    """One request in the queue."""
+
+    granted: asyncio.Future[T]
+    hint: str
+
+
 class Admission(Generic[T]):
     """Lets requests start as their room allows."""
 
@@ -87,7 +96,7 @@
         self._room = room
         self._limits = limits
         self._rates = rates
-        self._queue: FairQueue[asyncio.Future[T]] = create_fair_queue()
+        self._queue: FairQueue[_Waiter[T]] = create_fair_queue()
         self._pace = create_drain_rate(clock)
 
     @property
@@ -96,7 +105,12 @@
         return len(self._queue)
 
     async def admit(
-        self, workspace: str, cost: float, deadline_ms: float, service_ms: float = 0.0
+        self,
+        workspace: str,
+        cost: float,
+        deadline_ms: float,
+        service_ms: float = 0.0,
+        hint: str = "",
     ) -> Result[Permit[T], Refusal]:
         """Wait for leave to start.
 
@@ -105,6 +119,7 @@
             cost: What serving it takes, such as tokens to generate; above 0.
             deadline_ms: Clock reading by which it must be answered.
             service_ms: Time that serving it is known to take at least.
+            hint: Passed to the room, such as the hash of a prompt's prefix.
 
         Returns:
             The permit, which must be released; or a refusal, and nothing was run.
@@ -117,26 +132,25 @@
         if latest_start_ms <= arrived_ms:
             return Error(_refuse_too_short())
         if not len(self._queue):
-            grant = self._room.acquire()
+            grant = self._room.acquire(hint)
             if grant is not None:
                 return Ok(self._permit(grant, cost, arrived_ms))
         refusal = self._check_wait(workspace, cost, latest_start_ms - arrived_ms)
         if refusal is not None:
             return Error(refusal)
-        return await self._wait(workspace, cost, arrived_ms, latest_start_ms)
+        waiter = _Waiter(asyncio.get_running_loop().create_future(), hint)
+        return await self._wait(waiter, workspace, cost, arrived_ms, latest_start_ms)
 
     def wake(self) -> None:
         """Let requests start that there is room for; call it when room may have appeared."""
-        while len(self._queue):
-            grant = self._room.acquire()
+        now_ms = self._clock.now_ms()
+        while (entry := self._queue.peek(now_ms)) is not None:
+            grant = self._room.acquire(entry.item.hint)
             if grant is None:
                 break
-            entry = self._queue.pop(self._clock.now_ms())
-            if entry is None:
-                self._room.give_back(grant)
-                break
+            self._queue.pop(now_ms)
             self._pace.note_granted(entry.cost)
-            entry.item.set_result(grant)
+            entry.item.granted.set_result(grant)
         self._pace.note_backlog(bool(len(self._queue)))
 
     def finish(self, grant: T, cost: float, started_ms: float) -> None:
@@ -150,12 +164,17 @@
         self.wake()
 
     async def _wait(
-        self, workspace: str, cost: float, arrived_ms: float, latest_start_ms: float
+        self,
+        waiter: _Waiter[T],
+        workspace: str,
+        cost: float,
+        arrived_ms: float,
+        latest_start_ms: float,
     ) -> Result[Permit[T], Refusal]:
         """Queue until a grant comes or the latest start passes."""
-        granted: asyncio.Future[T] = asyncio.get_running_loop().create_future()
+        granted = waiter.granted
         weight = self._limits.weight_of(workspace)
-        entry = self._queue.push(granted, workspace, weight, cost, latest_start_ms)
+        entry = self._queue.push(waiter, workspace, weight, cost, latest_start_ms)
         self._pace.note_backlog(True)
         try:
             await asyncio.wait({granted}, timeout=(latest_start_ms - arrived_ms) / MS_PER_S)
@@ -173,14 +192,14 @@
         self._pace.note_started()
         return Permit(self, grant, cost, now_ms, now_ms - arrived_ms)
 
-    def _leave(self, entry: Waiting[asyncio.Future[T]]) -> None:
+    def _leave(self, entry: Waiting[_Waiter[T]]) -> None:
         """Take an entry out whose caller stopped waiting, even if its grant just came."""
         self._queue.cancel(entry)
         self._pace.note_backlog(bool(len(self._queue)))
-        if entry.item.done():
-            self._take_back(entry.item.result())
+        if entry.item.granted.done():
+            self._take_back(entry.item.granted.result())
             return
-        entry.item.cancel()
+        entry.item.granted.cancel()
 
     def _check_wait(self, workspace: str, cost: float, patience_ms: float) -> Refusal | None:
         """Return a refusal if the queue is full or would take too long."""
--- a/src/pimentodale/admission/fair_queue.py
+++ b/src/pimentodale/admission/fair_queue.py
@@ -133,35 +133,52 @@
             self._offer_head(lane)
         return entry
 
-    def pop(self, now_ms: float) -> Waiting[T] | None:
-        """Take the entry that is next, passing over those whose deadline has come.
+    def peek(self, now_ms: float) -> Waiting[T] | None:
+        """Return the entry that is next without taking it.
 
         Args:
-            now_ms: Clock reading.
+            now_ms: Clock reading; entries whose deadline has come are dropped.
 
         Returns:
             The entry, or `None` if none waits.
         """
         while self._heads:
-            _, _, entry = heappop(self._heads)
+            _, _, entry = self._heads[0]
+            if not entry.settled and entry.deadline_ms > now_ms:
+                return entry
+            heappop(self._heads)
             lane = self._lanes[entry.workspace]
             lane.waiting.popleft()
-            if entry.settled:
-                self._offer_head(lane)
-                continue
-            entry.settled = True
-            self._count_off(lane, entry)
-            if entry.deadline_ms <= now_ms:
-                self._offer_head(lane)
-                continue
-            self._virtual_time = max(self._virtual_time, lane.start_tag)
-            lane.start_tag += entry.cost / lane.weight
+            if not entry.settled:
+                entry.settled = True
+                self._count_off(lane, entry)
             self._offer_head(lane)
-            self._forget_if_empty()
-            return entry
         self._forget_if_empty()
         return None
 
+    def pop(self, now_ms: float) -> Waiting[T] | None:
+        """Take the entry that is next.
+
+        Args:
+            now_ms: Clock reading; entries whose deadline has come are dropped.
+
+        Returns:
+            The entry, or `None` if none waits.
+        """
+        entry = self.peek(now_ms)
+        if entry is None:
+            return None
+        heappop(self._heads)
+        lane = self._lanes[entry.workspace]
+        lane.waiting.popleft()
+        entry.settled = True
+        self._count_off(lane, entry)
+        self._virtual_time = max(self._virtual_time, lane.start_tag)
+        lane.start_tag += entry.cost / lane.weight
+        self._offer_head(lane)
+        self._forget_if_empty()
+        return entry
+
     def cancel(self, entry: Waiting[T]) -> None:
         """Take an entry out; it may have been cancelled or popped already."""
         lane = self._lanes.get(entry.workspace)
--- a/src/pimentodale/admission/rooms.py
+++ b/src/pimentodale/admission/rooms.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 T = TypeVar("T")
 
@@ -17,8 +19,8 @@
 class Room(Generic[T]):
     """A way to take and give back grants."""
 
-    acquire: Callable[[], T | None]
-    """Takes a grant; `None` if there is no room now. It must not wait."""
+    acquire: Callable[[str], T | None]
+    """Takes a grant for a request with this hint; `None` if there is no room now. Must not wait."""
 
     give_back: Callable[[T], None]
     """Gives back a grant."""
@@ -41,7 +43,7 @@
     """
     taken = 0
 
-    def acquire() -> Place | None:
+    def acquire(_hint: str) -> Place | None:
         nonlocal taken
         if taken >= limit():
             return None
--- a/src/pimentodale/admission/concurrency.py
+++ b/src/pimentodale/routing/concurrency.py
@@ -1,8 +1,8 @@
-"""How many streams or calls each backend server gets from this host at once.
+"""How many streams or calls a route or backend server gets from this host at once.
 
-The limit is found from the backend server's own latency: it grows by one for each limit's worth of
-answers at normal latency, and shrinks by a factor when latency rises above normal. Normal is the
-smallest latency seen lately. As a limit above the knee would in time make its own queue the normal,
+The limit is found from latency. It doubles until the first congestion; from then on it grows by one
+for each limit's worth of answers at normal latency, and shrinks by a factor when latency rises above
+normal. Normal is the smallest latency seen lately. As a limit above the knee would in time make its own queue the normal,
 it is lowered below the knee once in each window, which shows the latency without a queue.
 """
 
@@ -26,7 +26,7 @@
     """Lower end of the limit."""
 
     congested_ratio: float = 1.5
-    """Latency over normal latency from which a backend server counts as congested."""
+    """Latency over normal latency from which there is congestion."""
 
     decrease: float = 0.9
     """Factor of the limit on congestion, at most once for each normal latency."""
@@ -42,7 +42,7 @@
 
 
 class ConcurrencyLimit:
-    """The limit of one backend server."""
+    """The limit of one route or backend server."""
 
     __slots__ = (
         "_clock",
@@ -51,6 +51,7 @@
         "_limit",
         "_settings",
         "_smallest_ms",
+        "_starting",
         "_window_started_ms",
         "in_flight",
     )
@@ -66,6 +67,7 @@
         self._earlier_smallest_ms: float | None = None
         self._window_started_ms = clock.now_ms()
         self._decreased_at_ms = float("-inf")
+        self._starting = True
         self.in_flight = 0
 
     def limit(self, slots: int | None = None) -> int:
@@ -77,6 +79,10 @@
         """Tell whether one more may start."""
         return self.in_flight < self.limit(slots)
 
+    def free_share(self) -> float:
+        """Return the free part of the limit; 0 or less when it is reached."""
+        return 1.0 - self.in_flight / max(1, int(self._limit))
+
     def started(self) -> None:
         """Count one that starts."""
         self.in_flight += 1
@@ -98,7 +104,7 @@
             return
         # A limit that is not used says nothing about whether a higher one would hold.
         if self.in_flight >= int(self._limit) - 1:
-            self._limit += 1.0 / self._limit
+            self._limit += 1.0 if self._starting else 1.0 / self._limit
 
     def refused(self) -> None:
         """Take the backend server's word that it is full."""
@@ -126,11 +132,12 @@
         if now_ms - self._decreased_at_ms < interval_ms:
             return
         self._decreased_at_ms = now_ms
+        self._starting = False
         self._limit = max(self._settings.smallest, self._limit * self._settings.decrease)
 
 
 def create_concurrency_limit(
     clock: Clock, settings: LimitSettings = _DEFAULT_SETTINGS
 ) -> ConcurrencyLimit:
-    """Build the limit of one backend server."""
+    """Build the limit of one route or backend server."""
     return ConcurrencyLimit(clock, settings)
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+BUSY_PAUSE_MS: Final = 100.0
+"""How long an engine that said that it is full is not asked again."""
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -21,11 +24,20 @@
 class EngineStatus:
     """One engine, with what was seen of it."""
 
-    __slots__ = ("down_until_ms", "in_flight", "listed", "load", "own_at_report", "target")
+    __slots__ = (
+        "busy_until_ms",
+        "down_until_ms",
+        "in_flight",
+        "listed",
+        "load",
+        "own_at_report",
+        "target",
+    )
 
     def __init__(self, target: EngineTarget) -> None:
         self.target = target
         self.down_until_ms = 0.0
+        self.busy_until_ms = 0.0
         self.in_flight = 0
         self.listed = True
         self.load: EngineLoad | None = None
@@ -120,6 +132,27 @@
             return
         self._down_services[replica] = max(self._down_services.get(replica, 0.0), until_ms)
 
+    def mark_busy(self, replica: str) -> None:
+        """Take an engine's word that all of its slots are taken."""
+        status = self._engines.get(replica)
+        if status is not None:
+            status.busy_until_ms = self._clock.now_ms() + BUSY_PAUSE_MS
+
+    def note_recovered(self) -> None:
+        """Look for replicas whose time of being down is over; call it regularly."""
+        now_ms = self._clock.now_ms()
+        for status in self._engines.values():
+            if 0.0 < status.down_until_ms <= now_ms:
+                status.down_until_ms = 0.0
+                self.revision += 1
+
+    def free_share(self, replica: str) -> float:
+        """Return the free part of an engine's slots; 0 or less when it is full."""
+        status = self._engines.get(replica)
+        if status is None or status.busy_until_ms > self._clock.now_ms():
+            return 0.0
+        return status.free_slots / max(1, status.target.slots)
+
     def mark_up(self, replica: str) -> None:
         """Take back `mark_down`, after the replica answered."""
         self._down_services.pop(replica, None)
--- a/src/pimentodale/routing/route_plan.py
+++ b/src/pimentodale/routing/route_plan.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Literal
 
 import msgspec
 
@@ -29,6 +29,10 @@
 _SINK: Final = 1
 
 
+LinkScope = Literal["shared", "pair"]
+"""What a link's rate holds for."""
+
+
 class Link(msgspec.Struct, frozen=True, kw_only=True):
     """What the way from one failure domain to another carries."""
 
@@ -38,11 +42,11 @@
     to_failure_domain: str
     """Failure domain that they enter; the same for links within it."""
 
-    tokens_per_s: float = math.inf
-    """Tokens a second that cross it at one layer boundary, all replicas together."""
+    tokens_per_s: float
+    """Tokens a second that it carries."""
 
-    replica_tokens_per_s: float = math.inf
-    """Tokens a second that one replica can send over it."""
+    scope: LinkScope = "shared"
+    """Whether that holds for all replicas together at one layer boundary, or for each pair."""
 
 
 class PlannedRoute(msgspec.Struct, frozen=True):
@@ -134,14 +138,15 @@
     links: dict[tuple[str, str], Link],
 ) -> None:
     """Add the edges that a token takes which has run the layers before `boundary`."""
-    arrivals: dict[str, int] = {}
+    nexts: dict[str, list[int]] = {}
     for number, engine in enumerate(engines):
-        if not engine.first_layer <= boundary < engine.last_layer:
-            continue
-        node = arrivals.get(engine.failure_domain)
-        if node is None:
-            node = arrivals[engine.failure_domain] = graph.add_node()
-        graph.add_edge(node, entries[number], UNLIMITED)
+        if engine.first_layer <= boundary < engine.last_layer:
+            nexts.setdefault(engine.failure_domain, []).append(entries[number])
+    arrivals: dict[str, int] = {}
+    for failure_domain, following in nexts.items():
+        arrivals[failure_domain] = graph.add_node()
+        for entry in following:
+            graph.add_edge(arrivals[failure_domain], entry, UNLIMITED)
     crossings: dict[tuple[str, str], int] = {}
     for number, engine in enumerate(engines):
         if engine.last_layer != boundary:
@@ -152,11 +157,15 @@
             if link is None:
                 graph.add_edge(exits[number], arrival, UNLIMITED)
                 continue
+            if link.scope == "pair":
+                for entry in nexts[failure_domain]:
+                    graph.add_edge(exits[number], entry, _units(link.tokens_per_s))
+                continue
             crossing = crossings.get(pair)
             if crossing is None:
                 crossing = crossings[pair] = graph.add_node()
                 graph.add_edge(crossing, arrival, _units(link.tokens_per_s))
-            graph.add_edge(exits[number], crossing, _units(link.replica_tokens_per_s))
+            graph.add_edge(exits[number], crossing, UNLIMITED)
 
 
 def _split_into_routes(
--- a/src/pimentodale/routing/router.py
+++ b/src/pimentodale/routing/router.py
@@ -6,20 +6,23 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.logs import get_log
-from pimentodale.routing.pick import create_planned_picker, find_route
+from pimentodale.routing.pick import planned_pickers
 from pimentodale.routing.prefix_index import create_prefix_index
 from pimentodale.routing.route_plan import plan_routes
-from pimentodale.routing.routes import Route, RouteOutcome
+from pimentodale.routing.stages import find_route
+from pimentodale.routing.windows import create_windows
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from pimentodale.clock import Clock
     from pimentodale.platform.targets import EngineTarget
     from pimentodale.routing.fleet import Fleet
-    from pimentodale.routing.pick import Picker
+    from pimentodale.routing.pick import CreatePicker, Picker
     from pimentodale.routing.prefix_index import PrefixIndex
     from pimentodale.routing.route_plan import Link, RoutePlan
+    from pimentodale.routing.routes import Route, RouteOutcome
+    from pimentodale.routing.windows import RouteUse, Windows
 
 PLAN_INTERVAL_MS: Final = 200.0
 """Shortest time between two plans of a model."""
@@ -45,36 +48,28 @@
 class Router:
     """Picks routes and counts the streams on them."""
 
-    __slots__ = (
-        "_clock",
-        "_fleet",
-        "_links",
-        "_models",
-        "_own_failure_domain",
-        "_prefixes",
-        "_rng",
-    )
+    __slots__ = ("_clock", "_create_picker", "_fleet", "_links", "_models", "prefixes", "windows")
+
+    prefixes: PrefixIndex
+    """Which engines are thought to hold which prefixes."""
+
+    windows: Windows
+    """How many streams each route carries at once."""
 
     def __init__(
         self,
         fleet: Fleet,
         clock: Clock,
-        own_failure_domain: str,
-        rng: random.Random,
-        links: Sequence[Link],
+        create_picker: CreatePicker,
+        links: Callable[[], Sequence[Link]],
     ) -> None:
         self._fleet = fleet
         self._clock = clock
-        self._own_failure_domain = own_failure_domain
-        self._rng = rng
+        self._create_picker = create_picker
         self._links = links
         self._models: dict[str, _ModelState] = {}
-        self._prefixes = create_prefix_index()
-
-    @property
-    def prefixes(self) -> PrefixIndex:
-        """Which engines are thought to hold which prefixes."""
-        return self._prefixes
+        self.prefixes = create_prefix_index()
+        self.windows = create_windows(fleet, clock)
 
     def pick_route(
         self,
@@ -83,7 +78,7 @@
         prompt_prefix_hash: str = "",
         excluded: Collection[str] = (),
     ) -> Route | None:
-        """Choose a route for one attempt.
+        """Choose a route, whether it has room or not.
 
         Args:
             model: The model.
@@ -94,34 +89,46 @@
         Returns:
             The route, or `None` if no usable engines tile the layers.
         """
-        state = self._models.get(model)
-        if state is None or state.layers != layers:
-            state = self._plan(model, layers)
-        route = state.pick(excluded, self._prefixes.holders(prompt_prefix_hash))
+        pick = self._state_of(model, layers).pick
+        route = pick(excluded, self.prefixes.holders(prompt_prefix_hash), False)
         if route is not None:
             return route
         return self._find_unplanned(model, layers, excluded)
 
-    def started(self, route: Route, prompt_prefix_hash: str = "") -> None:
-        """Count a stream that starts on a route."""
-        for hop in route.hops:
-            status = self._fleet.status(hop.replica)
-            if status is not None:
-                status.in_flight += 1
+    def acquire(self, model: str, layers: int, prompt_prefix_hash: str = "") -> RouteUse | None:
+        """Choose a route that has room and count a stream on it.
+
+        Args:
+            model: The model.
+            layers: Its layers.
+            prompt_prefix_hash: Hash of the prompt's prefix; empty if it has none.
+
+        Returns:
+            The stream's use of the route, which must be ended; `None` if there is no room now.
+        """
+        pick = self._state_of(model, layers).pick
+        route = pick((), self.prefixes.holders(prompt_prefix_hash), True)
+        if route is None:
+            return None
+        return self.started(route, prompt_prefix_hash)
+
+    def started(self, route: Route, prompt_prefix_hash: str = "") -> RouteUse:
+        """Count a stream that starts on a route; it must be ended."""
         if prompt_prefix_hash:
-            self._prefixes.note_stored(prompt_prefix_hash, route.hops[0].replica)
+            self.prefixes.note_stored(prompt_prefix_hash, route.hops[0].replica)
+        return self.windows.use(route)
 
     def ended(self, route: Route, outcome: RouteOutcome) -> None:
-        """Count off a stream that `started` counted."""
-        for hop in route.hops:
-            status = self._fleet.status(hop.replica)
-            if status is not None:
-                status.in_flight = max(0, status.in_flight - 1)
-        if outcome is RouteOutcome.LOST:
-            _log.info("A route was lost.", replicas=route.replicas)
+        """Count off a stream that `started` counted, in place of ending its use."""
+        self.windows.ended(route, outcome)
+
+    def has_route(self, model: str, layers: int) -> bool:
+        """Whether usable engines tile the layers, with room or without."""
+        return self.pick_route(model, layers) is not None
 
     def replan(self) -> None:
         """Plan anew each model whose engines changed; call it regularly off the request path."""
+        self._fleet.note_recovered()
         now_ms = self._clock.now_ms()
         for model, state in list(self._models.items()):
             if state.fleet_revision == self._fleet.revision:
@@ -135,24 +142,39 @@
         state = self._models.get(model)
         return 0.0 if state is None else state.plan.bound_tokens_per_s
 
+    def _state_of(self, model: str, layers: int) -> _ModelState:
+        """Return a model's plan; plan it if there is none yet."""
+        state = self._models.get(model)
+        if state is None or state.layers != layers:
+            return self._plan(model, layers)
+        return state
+
     def _plan(self, model: str, layers: int) -> _ModelState:
         """Plan one model now."""
         revision = self._fleet.revision
-        plan = plan_routes(model, layers, self._fleet.engines(model), self._links)
-        pick = create_planned_picker(plan, self._fleet, self._own_failure_domain, self._rng)
+        engines = self._fleet.engines(model)
+        plan = plan_routes(model, layers, engines, self._links())
+        pick = self._create_picker(plan, engines, self._fleet, self.windows.free_share)
         state = _ModelState(layers, plan, pick, revision, self._clock.now_ms())
         self._models[model] = state
+        planned = {p.route for kept in self._models.values() for p in kept.plan.routes}
+        self.windows.forget_unused(planned)
+        _log.info(
+            "Routes were planned.",
+            model=model,
+            routes=len(plan.routes),
+            bound_tokens_per_s=plan.bound_tokens_per_s,
+        )
         return state
 
     def _find_unplanned(self, model: str, layers: int, excluded: Collection[str]) -> Route | None:
         """Find any route where the plan has none left, as after a loss that it doesn't know yet."""
         usable = [e for e in self._fleet.engines(model) if e.replica not in excluded]
 
-        def free_slots(engine: EngineTarget) -> int:
-            status = self._fleet.status(engine.replica)
-            return 0 if status is None else status.free_slots
+        def free_share(engine: EngineTarget) -> float:
+            return self._fleet.free_share(engine.replica)
 
-        return find_route(model, layers, usable, lambda found: max(found, key=free_slots))
+        return find_route(model, layers, usable, lambda found: max(found, key=free_share))
 
 
 def create_router(
@@ -160,7 +182,8 @@
     clock: Clock,
     own_failure_domain: str,
     seed: int,
-    links: Sequence[Link] = (),
+    links: Callable[[], Sequence[Link]] = lambda: (),
+    create_picker: CreatePicker | None = None,
 ) -> Router:
     """Build a router over a fleet.
 
@@ -169,9 +192,11 @@
         clock: Tells the time.
         own_failure_domain: Failure domain of this host.
         seed: Seed of its random choices.
-        links: Limits of the links between failure domains.
+        links: Returns the limits of the links between failure domains.
+        create_picker: Builds the picker of a plan; `None` for the planned one.
 
     Returns:
         The router.
     """
-    return Router(fleet, clock, own_failure_domain, random.Random(seed), links)
+    pickers = create_picker or planned_pickers(own_failure_domain, random.Random(seed))
+    return Router(fleet, clock, pickers, links)
--- /dev/null
+++ b/src/pimentodale/routing/windows.py
@@ -0,0 +1,125 @@
+"""How many streams each route carries at once, and the streams that are counted on it.
+
+A token's latency tells of its whole route, not of one engine. So the limit belongs to the route: the
+routes through a congested engine shrink, and the others don't.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.routing.concurrency import (
+    ConcurrencyLimit,
+    LimitSettings,
+    create_concurrency_limit,
+)
+from pimentodale.routing.routes import Route, RouteOutcome
+
+if TYPE_CHECKING:
+    from pimentodale.clock import Clock
+    from pimentodale.routing.fleet import Fleet
+
+ROUTE_LIMITS: Final = LimitSettings(
+    initial=4.0, congested_ratio=2.0, decrease=0.9, probe=0.7, window_ms=60_000.0
+)
+"""How the limits of routes move. A token that just misses a batch step waits for a whole one at each
+stage, so twice the latency without any queue is still normal at full load."""
+
+_TOKENS_AVERAGED: Final = 8
+"""Tokens over which latency is averaged, as a single token's depends on where a batch step stood."""
+
+
+class RouteUse:
+    """One stream on a route, counted until it ends."""
+
+    __slots__ = ("_clock", "_ended", "_limit", "_marked_ms", "_tokens", "_windows", "route")
+
+    route: Route
+    """The route."""
+
+    def __init__(
+        self, route: Route, windows: Windows, clock: Clock, limit: ConcurrencyLimit
+    ) -> None:
+        self.route = route
+        self._windows = windows
+        self._clock = clock
+        self._limit = limit
+        self._tokens = -1
+        self._marked_ms = 0.0
+        self._ended = False
+
+    def note_token(self) -> None:
+        """Take a token that came; the first one's time is not counted, as it has the prefill."""
+        self._tokens += 1
+        if self._tokens == 0:
+            self._marked_ms = self._clock.now_ms()
+            return
+        if self._tokens % _TOKENS_AVERAGED:
+            return
+        now_ms = self._clock.now_ms()
+        self._limit.observe((now_ms - self._marked_ms) / _TOKENS_AVERAGED)
+        self._marked_ms = now_ms
+
+    def end(self, outcome: RouteOutcome) -> None:
+        """Count the stream off; only the first call does anything."""
+        if self._ended:
+            return
+        self._ended = True
+        self._windows.ended(self.route, outcome)
+
+
+class Windows:
+    """Limits by route."""
+
+    __slots__ = ("_clock", "_fleet", "_limits")
+
+    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._limits: dict[Route, ConcurrencyLimit] = {}
+
+    def limit_of(self, route: Route) -> ConcurrencyLimit:
+        """Return a route's limit, a new one for a new route."""
+        limit = self._limits.get(route)
+        if limit is None:
+            limit = self._limits[route] = create_concurrency_limit(self._clock, ROUTE_LIMITS)
+        return limit
+
+    def free_share(self, route: Route) -> float:
+        """Return the free part of a route's room: of its limit, or of its fullest engine."""
+        smallest = self.limit_of(route).free_share()
+        for hop in route.hops:
+            smallest = min(smallest, self._fleet.free_share(hop.replica))
+        return smallest
+
+    def use(self, route: Route) -> RouteUse:
+        """Count a stream that starts on a route."""
+        limit = self.limit_of(route)
+        limit.started()
+        for hop in route.hops:
+            status = self._fleet.status(hop.replica)
+            if status is not None:
+                status.in_flight += 1
+        return RouteUse(route, self, self._clock, limit)
+
+    def ended(self, route: Route, outcome: RouteOutcome) -> None:
+        """Count off a stream that `use` counted."""
+        limit = self.limit_of(route)
+        limit.ended()
+        if outcome is RouteOutcome.BUSY:
+            limit.refused()
+        for hop in route.hops:
+            status = self._fleet.status(hop.replica)
+            if status is not None:
+                status.in_flight = max(0, status.in_flight - 1)
+
+    def forget_unused(self, kept: set[Route]) -> None:
+        """Forget the limits of routes that carry nothing and aren't planned."""
+        for route, limit in list(self._limits.items()):
+            if route not in kept and limit.in_flight == 0:
+                del self._limits[route]
+
+
+def create_windows(fleet: Fleet, clock: Clock) -> Windows:
+    """Build the limits of one host's routes."""
+    return Windows(fleet, clock)
