Don't lose a cancel that meets a chunk

Cause: a measurement of the pickers didn't end. Python 3.11's wait_for returns its result instead of raising when its caller is cancelled in the same turn, so that a stream whose caller is gone could go on to its end. Ruled out: the admission's queue; its scenario of callers who go away passes. Change: bounds of HTTP exchanges by asyncio.timeout, which keeps the cancel. Measured: features/http_call.feature fails before (reader not cancelled within 2 s) and passes now.

--- a/src/pimentodale/platform/http_call.py
+++ b/src/pimentodale/platform/http_call.py
@@ -117,9 +117,9 @@
         """
         while True:
             try:
-                chunk = await asyncio.wait_for(
-                    self._response.queue.get(), silence_timeout_ms / MS_PER_S
-                )
+                # Not wait_for: it loses a cancel that comes in the same turn as a chunk.
+                async with asyncio.timeout(silence_timeout_ms / MS_PER_S):
+                    chunk = await self._response.queue.get()
             except TimeoutError:
                 yield Error(CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms"))
                 return
@@ -171,9 +171,8 @@
         The open call, or the fault; `sent` is False only if no byte was handed over.
     """
     try:
-        stream = await asyncio.wait_for(
-            TCPClient().connect(address.ip, address.port), connect_timeout_ms / MS_PER_S
-        )
+        async with asyncio.timeout(connect_timeout_ms / MS_PER_S):
+            stream = await TCPClient().connect(address.ip, address.port)
     except TimeoutError:
         return Error(CallFault(False, True, f"no connection to {address} in time"))
     except (OSError, StreamClosedError) as error:
@@ -186,7 +185,8 @@
     )
     call = HttpCall(stream, HTTP1Connection(stream, True, parameters))
     try:
-        await asyncio.wait_for(call._send(request, address), header_timeout_ms / MS_PER_S)
+        async with asyncio.timeout(header_timeout_ms / MS_PER_S):
+            await call._send(request, address)
     except TimeoutError:
         call.close()
         return Error(CallFault(True, True, f"{address} sent no header in time"))
@@ -217,9 +217,8 @@
         The whole response, or the fault.
     """
     try:
-        return await asyncio.wait_for(
-            _fetch_unbounded(address, request, timeout_ms, before_send), timeout_ms / MS_PER_S
-        )
+        async with asyncio.timeout(timeout_ms / MS_PER_S):
+            return await _fetch_unbounded(address, request, timeout_ms, before_send)
     except TimeoutError:
         return Error(CallFault(True, True, f"{address} gave no whole response in time"))
 
