Add quarantine: strikes, trials apart and convictions

Cause: a request that crashes each backend server that runs it, sent again and again, takes the site down one server after the other, and callers beside it with it. Ruled out: convicting at the second strike alone by what one host knows. Trying every struck request alone: at the kill of a busy engine all of its streams are struck, and would wait for each other. Change: strikes by crash, merged in any order; only requests that had just begun at the crash are tried alone, at places that are keys created if absent; a conviction is stored in the step that gives the place up; an attempt whose caller leaves early is looked at in the background.

--- a/features/support/generation_hosts.py
+++ b/features/support/generation_hosts.py
@@ -4,18 +4,23 @@
 
 import asyncio
 import hashlib
+from contextlib import aclosing
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from features.support.engines import MODEL
 from pimentodale.addresses import parse_address
-from pimentodale.clock import create_clock
+from pimentodale.background import create_background_tasks
+from pimentodale.clock import MS_PER_S, create_clock
 from pimentodale.configuration.documents import Limits, Model, Workspace
 from pimentodale.logs import configure_logs
 from pimentodale.metrics import create_metrics
 from pimentodale.pipelines.generate import PipelineMeans, generate
 from pimentodale.pipelines.messages import Finished, Generation
 from pimentodale.platform.targets import EngineTarget, Targets
+from pimentodale.quarantine.entries import pack_entry, unpack_entry
+from pimentodale.quarantine.quarantine import create_quarantine
+from pimentodale.quarantine.sharing import EntryWriter, follow_entries
 from pimentodale.routing.fleet import create_fleet
 from pimentodale.routing.router import create_router
 from pimentodale.tracing.traceparent import create_trace
@@ -25,7 +30,10 @@
     from collections.abc import Callable, Sequence
 
     from features.support.engines import EngineSpec
+    from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
+    from pimentodale.platform.key_value import KeyValueStore
+    from pimentodale.quarantine.quarantine import Quarantine
     from pimentodale.results import Refusal
 
 SLOTS = 64
@@ -42,6 +50,23 @@
     clock: Clock
     means: PipelineMeans
     layers: int
+    background: BackgroundTasks
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """The host's quarantine."""
+        assert self.means.quarantine is not None
+        return self.means.quarantine
+
+    def follow_store(self, store: KeyValueStore) -> None:
+        """Write entries to the service and take in those of others."""
+        register = self.quarantine.register
+        writer = EntryWriter(self.clock, store)
+        register.subscribe(writer.put)
+        self.background.start(writer.run(), "entry writer")
+        self.background.start(
+            follow_entries(register, self.clock, store, lambda: True), "entry follower"
+        )
 
 
 @dataclass(slots=True)
@@ -57,13 +82,19 @@
 
 
 def create_host(
-    name: str, specs: Sequence[EngineSpec], *, seed: int, chunk_timeout_ms: float = 1500.0
+    name: str,
+    specs: Sequence[EngineSpec],
+    *,
+    seed: int,
+    chunk_timeout_ms: float = 1500.0,
+    store: KeyValueStore | None = None,
 ) -> GenerationHost:
     """Build one host that knows the engines; call it inside a running event loop."""
     clock = create_clock()
     fleet = create_fleet(clock)
     fleet.apply_targets(Targets(engines=[_target(spec) for spec in specs]))
     limits = Limits(chunk_timeout_ms=chunk_timeout_ms)
+    background = create_background_tasks()
     means = PipelineMeans(
         clock=clock,
         tracer=create_tracer(clock, name, 2000),
@@ -71,8 +102,29 @@
         fleet=fleet,
         router=create_router(fleet, clock, specs[0].failure_domain, seed),
         limits=lambda: limits,
+        quarantine=create_quarantine(name, clock, background, store),
     )
-    return GenerationHost(name, clock, means, max(spec.last_layer for spec in specs))
+    layers = max(spec.last_layer for spec in specs)
+    return GenerationHost(name, clock, means, layers, background)
+
+
+def join_peers(hosts: Sequence[GenerationHost], delay_ms: float) -> None:
+    """Have each host's quarantine entries offered to the others after a delay."""
+    loop = asyncio.get_running_loop()
+
+    def share(sender: GenerationHost, octets: bytes) -> None:
+        entry = unpack_entry(octets)
+        assert entry is not None
+        for host in hosts:
+            if host is not sender:
+                host.quarantine.register.offer(entry)
+
+    for host in hosts:
+        host.quarantine.register.subscribe(
+            lambda entry, sender=host: loop.call_later(
+                delay_ms / MS_PER_S, share, sender, pack_entry(entry)
+            )
+        )
 
 
 async def run_generation(
@@ -107,7 +159,7 @@
         model=Model(name=MODEL, layers=host.layers),
         workspace=Workspace(name=workspace, token_sha256s=[]),
         body=body,
-        fingerprint=hashlib.sha256(f"{workspace}\0{prompt}".encode()).hexdigest(),
+        fingerprint=fingerprint_of(workspace, prompt),
         prefix_hash="",
         max_tokens=100_000,
         idempotency_key="",
@@ -116,21 +168,27 @@
         deadline_ms=host.clock.now_ms() + timeout_ms,
         trace=create_trace(),
     )
-    async for event in generate(generation, host.means):
-        if event.is_error():
-            result.refusal = event.error
-            break
-        if isinstance(event.ok, Finished):
-            result.finished = event.ok
-            break
-        result.tokens.append(event.ok.text)
-        result.times_ms.append(host.clock.now_ms())
-        if on_token is not None:
-            on_token(result)
-            await asyncio.sleep(0)
+    async with aclosing(generate(generation, host.means)) as events:
+        async for event in events:
+            if event.is_error():
+                result.refusal = event.error
+                break
+            if isinstance(event.ok, Finished):
+                result.finished = event.ok
+                break
+            result.tokens.append(event.ok.text)
+            result.times_ms.append(host.clock.now_ms())
+            if on_token is not None:
+                on_token(result)
+                await asyncio.sleep(0)
     return result
 
 
+def fingerprint_of(workspace: str, prompt: str) -> str:
+    """Return the name of a request in quarantine."""
+    return hashlib.sha256(f"{workspace}\0{prompt}".encode()).hexdigest()
+
+
 def _target(spec: EngineSpec) -> EngineTarget:
     """Return an engine as the host list gives it."""
     return EngineTarget(
--- a/src/pimentodale/pipelines/attempt.py
+++ b/src/pimentodale/pipelines/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Final
 
 from expression import Error, Ok, Result
@@ -17,7 +18,7 @@
 from pimentodale.routing.routes import RouteOutcome
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from pimentodale.pipelines.means import Progress
     from pimentodale.platform.engine_client import EngineEvent, EngineStream
@@ -34,7 +35,7 @@
 
 async def run_attempt(
     progress: Progress, route: Route
-) -> AsyncIterator[Result[GenerationEvent, EngineFault]]:
+) -> AsyncGenerator[Result[GenerationEvent, EngineFault], None]:
     """Send the generation on one route.
 
     Args:
@@ -65,10 +66,11 @@
             yield Error(opened.error)
             return
         stream = opened.ok
-        async for event in _read(progress, route, stream):
-            end = event.error.message if event.is_error() else "whole"
-            outcome = RouteOutcome.LOST if event.is_error() else RouteOutcome.SERVED
-            yield event
+        async with aclosing(_read(progress, route, stream)) as events:
+            async for event in events:
+                end = event.error.message if event.is_error() else "whole"
+                outcome = RouteOutcome.LOST if event.is_error() else RouteOutcome.SERVED
+                yield event
     finally:
         if stream is not None:
             stream.close()
@@ -109,7 +111,7 @@
 
 async def _read(
     progress: Progress, route: Route, stream: EngineStream
-) -> AsyncIterator[Result[GenerationEvent, EngineFault]]:
+) -> AsyncGenerator[Result[GenerationEvent, EngineFault], None]:
     """Read a stream, and find out about each silence of it."""
     stalled_checks = 0
     while True:
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Final
 
 from expression import Error, Ok, Result
@@ -16,11 +18,22 @@
 from pimentodale.pipelines.messages import Finished
 from pimentodale.pipelines.observations import note_fault, suspect_of
 from pimentodale.pipelines.resume import keep_stages
+from pimentodale.pipelines.suspicion import (
+    begin,
+    choose_trial_route,
+    conviction_of,
+    no_route,
+    note_caller_gone,
+    note_crash,
+    note_end,
+    note_event,
+    note_start,
+)
 from pimentodale.platform.engine_client import EngineFault
 from pimentodale.results import Refusal, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, Collection
 
     from pimentodale.pipelines.messages import Generation
     from pimentodale.routing.routes import Route
@@ -30,13 +43,10 @@
 MAX_ATTEMPTS: Final = 6
 """Routes that one generation may be sent on."""
 
-NO_ROUTE_RETRY_MS: Final = 1_000.0
-"""When a caller may come back after there was no route."""
-
 
 async def generate(
     generation: Generation, means: PipelineMeans, gate: FirstByteGate | None = None
-) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
+) -> AsyncGenerator[Result[GenerationEvent, Refusal], None]:
     """Run a generation.
 
     Args:
@@ -48,28 +58,42 @@
         Verified tokens in order, then `Finished`; or one refusal, after which nothing follows.
     """
     progress = Progress(generation, means, gate)
+    begin(progress)
     while True:
         refusal = _refusal_before_attempt(progress)
-        route = None if refusal else _pick(progress)
-        if route is None:
-            yield Error(refusal or _no_route(progress))
+        chosen = Error(refusal) if refusal else await _choose(progress)
+        if chosen.is_error():
+            yield Error(chosen.error)
             return
-        fault = EngineFault("the stream ended early")
-        async for event in run_attempt(progress, route):
-            if event.is_error():
-                fault = event.error
-                break
-            yield Ok(event.ok)
-            if isinstance(event.ok, Finished):
-                return
-        refusal = await _after_fault(progress, route, fault)
+        route = chosen.ok
+        note_start(progress, route)
+        try:
+            fault = EngineFault("the stream ended early")
+            async with aclosing(run_attempt(progress, route)) as events:
+                async for event in events:
+                    if event.is_error():
+                        fault = event.error
+                        break
+                    note_event(progress, event.ok)
+                    yield Ok(event.ok)
+                    if isinstance(event.ok, Finished):
+                        return
+            refusal = await _after_fault(progress, route, fault)
+        except (GeneratorExit, asyncio.CancelledError):
+            note_caller_gone(progress, route)
+            raise
+        finally:
+            note_end(progress)
         if refusal is not None:
             yield Error(refusal)
             return
 
 
 def _refusal_before_attempt(progress: Progress) -> Refusal | None:
-    """Refuse when time or attempts are spent."""
+    """Refuse when time or attempts are spent, or the request crashes backend servers."""
+    conviction = conviction_of(progress)
+    if conviction is not None:
+        return conviction
     if progress.remaining_ms <= 0:
         return progress.refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline passed.")
     if progress.attempt >= MAX_ATTEMPTS:
@@ -78,28 +102,46 @@
     return None
 
 
-def _pick(progress: Progress) -> Route | None:
+async def _choose(progress: Progress) -> Result[Route, Refusal]:
     """Choose the route of the next attempt and note the choice."""
-    generation, means = progress.generation, progress.means
-    model = generation.model
-    route = progress.last_route
-    if not progress.repeat_route:
-        route = means.router.pick_route(
-            model.name, model.layers, generation.prefix_hash, progress.excluded
-        )
-    if route is not None:
-        route = keep_stages(progress.last_route, route, lambda name: _may_stay(progress, name))
-    progress.repeat_route = False
+    generation = progress.generation
+    if progress.on_trial:
+        chosen = await choose_trial_route(progress, lambda taken: _pick(progress, taken))
+    else:
+        # What is on trial is kept out of where others go, as long as there is another way.
+        route = _pick(progress, _on_trial(progress)) or _pick(progress, set())
+        chosen = Error(no_route(progress)) if route is None else Ok(route)
     progress.attempt += 1
-    means.tracer.note(
+    progress.means.tracer.note(
         "route",
         generation.request_id,
         generation.trace,
         attempt=str(progress.attempt),
-        route="none" if route is None else describe_route(route),
+        route=chosen.error.name if chosen.is_error() else describe_route(chosen.ok),
         excluded=" ".join(sorted(progress.excluded)),
     )
-    return route
+    return chosen
+
+
+def _on_trial(progress: Progress) -> Collection[str]:
+    """Return the replicas where this host tries a struck request."""
+    quarantine = progress.means.quarantine
+    return () if quarantine is None else quarantine.trials.taken_replicas
+
+
+def _pick(progress: Progress, taken: Collection[str]) -> Route | None:
+    """Choose a route that avoids what the generation avoids and what is taken."""
+    generation, means = progress.generation, progress.means
+    last, model = progress.last_route, generation.model
+    if progress.repeat_route and last is not None and not set(taken).intersection(last.replicas):
+        progress.repeat_route = False
+        return last
+    route = means.router.pick_route(
+        model.name, model.layers, generation.prefix_hash, progress.excluded.union(taken)
+    )
+    if route is None:
+        return None
+    return keep_stages(last, route, lambda name: name not in taken and _may_stay(progress, name))
 
 
 def _may_stay(progress: Progress, replica: str) -> bool:
@@ -134,11 +176,6 @@
     loss = await examine_loss(progress, route, suspect, fault)
     if loss is not Loss.NONE:
         progress.lost.add(suspect)
+    if loss is Loss.CRASHED:
+        note_crash(progress, suspect)
     note_fault(progress.means.fleet, suspect, fault)
-
-
-def _no_route(progress: Progress) -> Refusal:
-    """Refuse for want of a route."""
-    model = progress.generation.model.name
-    message = f"No live backend servers hold every layer of {model} now; come back later."
-    return progress.refuse(ResultCode.NO_ROUTE, message, NO_ROUTE_RETRY_MS)
--- a/src/pimentodale/pipelines/loss.py
+++ b/src/pimentodale/pipelines/loss.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
@@ -9,8 +10,9 @@
 from pimentodale.platform.engine_client import read_load
 
 if TYPE_CHECKING:
-    from pimentodale.pipelines.means import Progress
+    from pimentodale.pipelines.means import PipelineMeans, Progress
     from pimentodale.platform.engine_client import EngineFault
+    from pimentodale.platform.engine_messages import Hop
     from pimentodale.routing.routes import Route
 
 PROBE_TIMEOUT_MS: Final = 300.0
@@ -42,17 +44,30 @@
     Returns:
         What became of the suspect.
     """
-    if fault.silent:
-        return Loss.UNKNOWN
-    if fault.malformed or not fault.sent:
-        return Loss.NONE
-    if fault.refused is not None and not fault.refused.stage_lost:
+    if fault.malformed:
         return Loss.NONE
+    if fault.refused is not None:
+        # It ran nothing, so a stage that it could not reach did not crash of it.
+        return Loss.UNKNOWN if fault.refused.stage_lost else Loss.NONE
+    if fault.silent or not fault.sent:
+        return Loss.UNKNOWN
     hop = next((hop for hop in route.hops if hop.replica == replica), None)
     if hop is None:
         return Loss.UNKNOWN
-    status = progress.means.fleet.status(replica)
-    boot_id = "" if status is None or status.load is None else status.load.boot_id
+    return await _look(progress.means, hop)
+
+
+async def crashed_replicas(means: PipelineMeans, route: Route) -> list[str]:
+    """Ask every stage of a route whether it lives, and return those that crashed."""
+    losses = await asyncio.gather(*[_look(means, hop) for hop in route.hops])
+    return [
+        hop.replica for hop, loss in zip(route.hops, losses, strict=True) if loss is Loss.CRASHED
+    ]
+
+
+async def _look(means: PipelineMeans, hop: Hop) -> Loss:
+    """Ask one replica over a fresh connection."""
+    boot_id = means.boot_id_of(hop.replica)
     report = await read_load(parse_address(hop.address), PROBE_TIMEOUT_MS)
     if report.is_ok():
         started_anew = bool(boot_id) and report.ok.boot_id != boot_id
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -14,6 +14,7 @@
     from pimentodale.configuration.documents import Limits
     from pimentodale.metrics import Metrics
     from pimentodale.pipelines.messages import Generation
+    from pimentodale.quarantine.quarantine import Quarantine, Running
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.router import Router
     from pimentodale.routing.routes import Route
@@ -42,6 +43,14 @@
     limits: Callable[[], Limits]
     """Returns the limits in force."""
 
+    quarantine: Quarantine | None = None
+    """Keeps requests that crash backend servers from running; `None` lets all run."""
+
+    def boot_id_of(self, replica: str) -> str:
+        """Return the boot id in a replica's last load report; empty when there was none."""
+        status = self.fleet.status(replica)
+        return "" if status is None or status.load is None else status.load.boot_id
+
 
 @dataclass(slots=True)
 class FirstByteGate:
@@ -91,6 +100,12 @@
     repeat_route: bool = False
     """Whether the next attempt takes that route again, over a fresh connection."""
 
+    on_trial: bool = False
+    """Whether the next attempt may run only where no other struck request runs."""
+
+    running: Running | None = None
+    """The attempt under way, as quarantine notes it."""
+
     lost: set[str] = field(default_factory=set)
     """Replicas that were lost with their KV caches."""
 
--- /dev/null
+++ b/src/pimentodale/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash backend servers: strikes, trials and convictions."""
