Claim places of trials by word between peers while the key-value service is down

Cause: with the service down each host kept only its own trials apart; an innocent was tried beside the poison request, shared both crashes and was convicted, and a third engine was lost. Ruled out: calling such a trial not alone, so that it can't convict: 4 engines were lost and the site with them. Change: quarantine/claims.py. With service and peers both cut off, trials are apart only within one host.

--- a/features/support/generation_hosts.py
+++ b/features/support/generation_hosts.py
@@ -18,6 +18,7 @@
 from pimentodale.pipelines.generate import PipelineMeans, generate
 from pimentodale.pipelines.messages import Finished, Generation
 from pimentodale.platform.targets import EngineTarget, Targets
+from pimentodale.quarantine.claims import pack_claim, unpack_claim
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.quarantine import create_quarantine
 from pimentodale.quarantine.sharing import EntryWriter, follow_entries
@@ -119,7 +120,19 @@
             if host is not sender:
                 host.quarantine.register.offer(entry)
 
+    def share_claim(sender: GenerationHost, octets: bytes) -> None:
+        claim = unpack_claim(octets)
+        assert claim is not None
+        for host in hosts:
+            if host is not sender:
+                host.quarantine.trials.claims.offer(claim)
+
     for host in hosts:
+        host.quarantine.trials.claims.connect(
+            lambda claim, sender=host: loop.call_later(
+                delay_ms / MS_PER_S, share_claim, sender, pack_claim(claim)
+            )
+        )
         host.quarantine.register.subscribe(
             lambda entry, sender=host: loop.call_later(
                 delay_ms / MS_PER_S, share, sender, pack_entry(entry)
--- a/src/pimentodale/quarantine/trials.py
+++ b/src/pimentodale/quarantine/trials.py
@@ -1,7 +1,7 @@
 """Trials: a struck request runs only where no other struck request runs, on the whole site.
 
 The places are keys of the key-value service that are created only if absent. While the service gives
-no answer, this host keeps only its own trials apart.
+no answer, hosts claim places by word between peers.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
 from pimentodale.platform.key_value import Compare, Delete, Put
+from pimentodale.quarantine.claims import Claims
 from pimentodale.quarantine.entries import QuarantineEntry, pack_entry, unpack_entry
 from pimentodale.quarantine.register import CONVICTION_RETENTION_MS
 
@@ -51,6 +52,9 @@
     lease_id: int
     """Lease of its keys; 0 when the service gave no answer."""
 
+    claimed: bool = False
+    """Whether it is held by word between peers instead."""
+
 
 class Occupied(msgspec.Struct, frozen=True):
     """Why there is no place now."""
@@ -65,13 +69,14 @@
 class Trials:
     """The trials of one host."""
 
-    __slots__ = ("_background", "_changed", "_clock", "_host", "_store", "_trials")
+    __slots__ = ("_background", "_changed", "_host", "_store", "_trials", "claims")
 
     def __init__(
         self, host: str, clock: Clock, background: BackgroundTasks, store: KeyValueStore | None
     ) -> None:
+        self.claims = Claims(host, clock, None)
+        """Places by word between peers."""
         self._host = host
-        self._clock = clock
         self._background = background
         self._store = store
         self._trials: dict[str, Trial] = {}
@@ -117,6 +122,8 @@
         """
         trial = self._trials.pop(fingerprint, None)
         self._note_change()
+        if trial is not None and trial.claimed:
+            self.claims.withdraw(fingerprint)
         if self._store is None or (trial is None and conviction is None):
             return
         self._background.start(self._unlock(trial, conviction), "quarantine: end of a trial")
@@ -142,11 +149,11 @@
     async def _lock(self, trial: Trial) -> Occupied | None:
         """Create the trial's keys, or find out who holds them."""
         if self._store is None:
-            return None
+            return await self._claim(trial)
         lease = await self._store.grant_lease(TRIAL_LEASE_MS)
         if lease.is_error():
             _log.info("A trial goes without its keys.", reason=lease.error.message)
-            return None
+            return await self._claim(trial)
         trial.lease_id = lease.ok
         compares = [Compare(key, 0) for key in _keys(trial)]
         compares.append(Compare(CONVICTED_PREFIX + trial.fingerprint, 0))
@@ -156,12 +163,20 @@
         if reply.is_error():
             # The keys may stand or not; they go with the lease either way.
             _log.info("A trial goes without its keys.", reason=reply.error.message)
-            return None
+            return await self._claim(trial)
         if reply.ok.succeeded:
             return None
         self._background.start(self._revoke(trial.lease_id), "quarantine: unused lease")
         return _occupied(reply.ok)
 
+    async def _claim(self, trial: Trial) -> Occupied | None:
+        """Hold the place by word between peers."""
+        held_by_others = await self.claims.settle(trial.fingerprint, trial.replicas)
+        if held_by_others is not None:
+            return Occupied(held_by_others, None)
+        trial.claimed = True
+        return None
+
     async def _unlock(self, trial: Trial | None, conviction: QuarantineEntry | None) -> None:
         """Write the conviction, remove the trial's keys and end its lease."""
         assert self._store is not None
