--- a/src/pimentodale/quarantine/register.py
+++ b/src/pimentodale/quarantine/register.py
@@ -39,7 +39,7 @@
 CONVICTING_STRIKES: Final = 2
 """Open strikes that it takes to convict a request."""
 
-SETTLING_MS: Final = 250.0
+SETTLING_MS: Final = 150.0
 """How long the strikes of other hosts may be under way."""
 
 _log = get_log("quarantine")
@@ -98,8 +98,9 @@
     def settling_ms(self, fingerprint: str) -> float:
         """Return how long to wait until the strikes that go with a request's are here."""
         entry = self.find(fingerprint)
-        if entry is None or len(_fresh_strikes(entry)) < CONVICTING_STRIKES:
+        if entry is None or not entry.open_strikes:
             return 0.0
+        # One strike waits too: a caller that sends again at once may have earned another elsewhere.
         last_ms = max(strike.at_ms for strike in entry.open_strikes)
         return max(0.0, last_ms + SETTLING_MS - self._clock.wall_ms())
 
