Wire configuration, peers and quarantine into the entry program

Cause: hosts read the folder raw and knew nothing of each other. Weighed: every host telling its revision, which costs one entry a host for each change, against the two watchers of each failure domain telling theirs; the second is flat in the number of hosts. Conclusion: scripts/demo and the whole-path scenarios pass over the new wiring.

--- a/features/support/layout.py
+++ b/features/support/layout.py
@@ -5,14 +5,11 @@
 
 from __future__ import annotations
 
-import base64
 import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
-import yaml
-
-from features.support.site import Site, http, read_journal
+from features.support.site import Site, http, read_journal, wait_until
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -253,14 +250,21 @@
         self.site.start(f"entry-{number}", "pimentodale-entry", str(path))
 
     def put_folder(self, folder: dict[str, Any]) -> None:
-        """Put files into the operators' folder."""
-        for name, value in folder.items():
-            put = {"key": _base64(f"pimentodale/folder/{name}"), "value": _base64(_yaml(value))}
-            reply = http(
-                f"http://{self.key_value_address}/v3/kv/txn",
-                {"success": [{"request_put": put}]},
-            )
-            assert reply.status == 200, reply
+        """Put files into the operators' folder with the operators' own program."""
+        paths = [str(self.site.write(name, value)) for name, value in folder.items()]
+        program = self.site.start(
+            "ctl",
+            "pimentodale-ctl",
+            "config",
+            "put",
+            "--key-value",
+            self.key_value_address,
+            "--wait-ms",
+            "0",
+            *paths,
+        )
+        wait_until(lambda: program.process.poll() is not None, "the folder is written")
+        assert program.process.returncode == 0, program.log.read_text()
 
     def targets(self) -> list[dict[str, Any]]:
         """Return the host list's content."""
@@ -303,16 +307,6 @@
     return {"Authorization": f"Bearer {TOKENS[workspace]}", **more}
 
 
-def _base64(text: str) -> str:
-    """Encode text as the key-value service's gateway takes it."""
-    return base64.b64encode(text.encode()).decode()
-
-
-def _yaml(value: object) -> str:
-    """Write a file of the folder."""
-    return yaml.safe_dump(value, sort_keys=False)
-
-
 def _engine_target(layout: Layout, engine: EngineLayout) -> dict[str, Any]:
     """Return an engine's line of the host list."""
     labels = {
--- a/src/pimentodale/callers/reads.py
+++ b/src/pimentodale/callers/reads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -11,6 +11,12 @@
 from pimentodale.results import ResultCode, create_refusal
 from pimentodale.tracing.tracer import Span
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pimentodale.callers.context import CallerContext
+    from pimentodale.configuration.follower import FollowerStatus
+
 HEALTHY: Any = {"status": "ok"}
 """Body of a good health answer."""
 
@@ -84,3 +90,18 @@
         """Answer with the spans that this host keeps."""
         request_id = self.get_query_argument("request_id", "")
         self.answer(TraceReply(request_id, self.context.tracer.spans(request_id)))
+
+
+class ConfigurationHandler(Handler):
+    """Shows which configuration is in force here and what is wrong with files."""
+
+    def initialize(  # type: ignore[override]
+        self, context: CallerContext, status: Callable[[], FollowerStatus]
+    ) -> None:
+        """Take the shared state and the follower's word."""
+        super().initialize(context)
+        self._status = status
+
+    def get(self) -> None:
+        """Answer with the follower's status."""
+        self.answer(self._status())
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -15,8 +15,14 @@
 from pimentodale.callers.app import create_application, create_server
 from pimentodale.callers.authentication import create_authenticator
 from pimentodale.callers.context import CallerContext
+from pimentodale.callers.reads import ConfigurationHandler
 from pimentodale.clock import create_clock
-from pimentodale.configuration.folder_reader import create_folder_reader
+from pimentodale.configuration.follower import create_follower
+from pimentodale.entry.membership import (
+    create_entry_peers,
+    share_configuration,
+    share_quarantine,
+)
 from pimentodale.entry.services import create_replica_picker
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
@@ -24,6 +30,7 @@
 from pimentodale.pipelines.generate import PipelineMeans
 from pimentodale.platform.etcd_gateway import create_etcd_gateway
 from pimentodale.platform.host_list import create_host_list_poller, create_host_list_reader
+from pimentodale.quarantine.quarantine import create_quarantine
 from pimentodale.results import Refusal, ResultCode, create_refusal
 from pimentodale.routing.fleet import create_fleet
 from pimentodale.routing.router import create_router
@@ -33,10 +40,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from pimentodale.addresses import Address
     from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
-    from pimentodale.configuration.folder_reader import FolderReader
+    from pimentodale.configuration.follower import Follower
     from pimentodale.entry.settings import EntrySettings
     from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.platform.targets import Targets
@@ -69,6 +77,7 @@
     background: BackgroundTasks = field(default_factory=create_background_tasks)
     rng: random.Random = field(default_factory=random.SystemRandom)
     listed: bool = False
+    peer_addresses: list[Address] = field(default_factory=list)
     stopping: bool = False
 
     def unready(self, configuration: Configuration) -> Refusal | None:
@@ -97,25 +106,44 @@
     listen = parse_address(settings.listen)
     sockets = bind_sockets(listen.port, listen.ip)
     store = create_etcd_gateway([parse_address(text) for text in settings.key_value], host.clock)
-    follower = create_folder_reader(store, host.clock)
+    peers = create_entry_peers(settings, host.clock, lambda: host.peer_addresses)
+    follower = create_follower(store, host.clock, host.rng, settings.host, peers.is_watcher)
     fleet = create_fleet(host.clock)
     router = create_router(fleet, host.clock, settings.failure_domain, host.rng.getrandbits(32))
     context = _create_context(host, store, follower, fleet, router)
-    server = create_server(create_application(context, []))
+    server = create_server(
+        create_application(
+            context,
+            [
+                (
+                    r"/admin/configuration",
+                    ConfigurationHandler,
+                    {"context": context, "status": follower.status},
+                )
+            ],
+        )
+    )
     server.add_sockets(sockets)
+    quarantine = create_quarantine(settings.host, host.clock, host.background, store)
+    context.pipelines.quarantine = quarantine
+    share_configuration(follower, peers, host.clock, host.rng, host.background)
+    share_quarantine(quarantine, peers, store, host.clock, host.background)
+    host.background.start(peers.run(), "peers")
     host.background.start(follower.run(), "configuration follower")
     host.background.start(_create_poller(host, fleet)(), "host list")
     host.background.start(_replan(host, router), "replanning")
     _log.info("The host listens.", host=settings.host, address=settings.listen)
     await _wait_for_stop()
     host.stopping = True
+    peers.leave()
     server.stop()
+    await peers.stop()
     host.background.cancel()
     return 0
 
 
 def _create_context(
-    host: EntryHost, store: KeyValueStore, follower: FolderReader, fleet: Fleet, router: Router
+    host: EntryHost, store: KeyValueStore, follower: Follower, fleet: Fleet, router: Router
 ) -> CallerContext:
     """Join the slices that callers' handlers work with."""
     settings = host.settings
@@ -160,6 +188,7 @@
 
     def take(targets: Targets) -> None:
         host.listed = True
+        host.peer_addresses = [entry.peer_address for entry in targets.entries]
         fleet.apply_targets(targets)
 
     read = create_host_list_reader(parse_address(host.settings.host_list))
--- /dev/null
+++ b/src/pimentodale/entry/membership.py
@@ -0,0 +1,119 @@
+"""Joins the peers with the slices that share state through them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pimentodale.addresses import Address, parse_address
+from pimentodale.configuration.sharing import (
+    TOPIC as CONFIGURATION_TOPIC,
+)
+from pimentodale.configuration.sharing import (
+    SharingMeans,
+    create_configuration_sharing,
+)
+from pimentodale.peers.peers import create_peers
+from pimentodale.peers.settings import PeersSettings
+from pimentodale.quarantine.claims import CLAIM_RETENTION_MS, pack_claim, unpack_claim
+from pimentodale.quarantine.entries import pack_entry, unpack_entry
+from pimentodale.quarantine.register import CONVICTION_RETENTION_MS
+from pimentodale.quarantine.sharing import EntryWriter, follow_entries
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from pimentodale.background import BackgroundTasks
+    from pimentodale.clock import Clock
+    from pimentodale.configuration.follower import Follower
+    from pimentodale.entry.settings import EntrySettings
+    from pimentodale.peers.membership import EntryUpdate
+    from pimentodale.peers.peers import Peers
+    from pimentodale.platform.key_value import KeyValueStore
+    from pimentodale.quarantine.claims import TrialClaim
+    from pimentodale.quarantine.entries import QuarantineEntry
+    from pimentodale.quarantine.quarantine import Quarantine
+
+QUARANTINE_TOPIC = "quarantine"
+"""Topic of quarantine entries."""
+
+TRIAL_TOPIC = "quarantine-trial"
+"""Topic of claims on places for trials."""
+
+
+def create_entry_peers(
+    settings: EntrySettings, clock: Clock, list_peers: Callable[[], Sequence[Address]]
+) -> Peers:
+    """Return this host's membership, not running yet.
+
+    Args:
+        settings: The host's place and addresses.
+        clock: Tells the time.
+        list_peers: Returns the peer addresses that the host list shows.
+    """
+    own = PeersSettings(
+        host=settings.host,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        listen=parse_address(settings.peer_listen),
+    )
+    return create_peers(own, clock, list_peers)
+
+
+def share_configuration(
+    follower: Follower,
+    peers: Peers,
+    clock: Clock,
+    rng: random.Random,
+    background: BackgroundTasks,
+) -> None:
+    """Have accepted configurations spread through peers."""
+    means = SharingMeans(peers.publish, peers.request, peers.linked_hosts, peers.is_watcher)
+    sharing = create_configuration_sharing(follower, means, clock, rng)
+
+    def take(update: EntryUpdate) -> None:
+        sharing.note_revision(update.owner, update.value)
+
+    peers.handle(CONFIGURATION_TOPIC, sharing.answer)
+    peers.subscribe(CONFIGURATION_TOPIC, take)
+    follower.on_change(sharing.note_change)
+    background.start(sharing.run(), "configuration sharing")
+
+
+def share_quarantine(
+    quarantine: Quarantine,
+    peers: Peers,
+    store: KeyValueStore,
+    clock: Clock,
+    background: BackgroundTasks,
+) -> None:
+    """Have quarantine entries and claims on trials spread through peers and the service."""
+    register = quarantine.register
+    writer = EntryWriter(clock, store)
+
+    def tell_entry(entry: QuarantineEntry) -> None:
+        peers.publish(
+            QUARANTINE_TOPIC, entry.fingerprint, pack_entry(entry), CONVICTION_RETENTION_MS
+        )
+
+    def tell_claim(claim: TrialClaim) -> None:
+        peers.publish(TRIAL_TOPIC, claim.fingerprint, pack_claim(claim), CLAIM_RETENTION_MS)
+
+    def take_entry(update: EntryUpdate) -> None:
+        entry = unpack_entry(update.value)
+        if entry is not None:
+            register.offer(entry)
+
+    def take_claim(update: EntryUpdate) -> None:
+        claim = unpack_claim(update.value)
+        if claim is not None:
+            quarantine.trials.claims.offer(claim)
+
+    register.subscribe(writer.put)
+    register.subscribe(tell_entry)
+    quarantine.trials.claims.connect(tell_claim)
+    peers.subscribe(QUARANTINE_TOPIC, take_entry)
+    peers.subscribe(TRIAL_TOPIC, take_claim)
+    background.start(writer.run(), "quarantine writer")
+    followed = follow_entries(register, clock, store, peers.is_watcher)
+    background.start(followed, "quarantine follower")
