--- a/features/support/layout.py
+++ b/features/support/layout.py
@@ -19,6 +19,8 @@
 LAYERS: Final = 24
 TOKENS: Final = {"lab": "token-lab", "desk": "token-desk", "bulk": "token-bulk"}
 
+MAX_ENGINE_ADDRESSES: Final = 70
+
 PLATFORM_NUMBER: Final = 1
 ENGINE_NUMBER: Final = 100
 SERVICE_NUMBER: Final = 180
@@ -108,6 +110,7 @@
     key_value: dict[str, Any] = field(default_factory=dict)
     host_list: dict[str, Any] = field(default_factory=dict)
     entry: dict[str, Any] = field(default_factory=dict)
+    engines_share_process: bool = False
 
     @property
     def key_value_address(self) -> str:
@@ -122,7 +125,9 @@
     def engine_address(self, replica: str) -> str:
         """Address of an engine."""
         number = [engine.replica for engine in self.engines].index(replica)
-        return f"{self.site.ip(ENGINE_NUMBER + number)}:{ENGINE_PORT}"
+        # Engines listen on two ports each, so large sites use more ports of the same addresses.
+        address, port = number % MAX_ENGINE_ADDRESSES, number // MAX_ENGINE_ADDRESSES
+        return f"{self.site.ip(ENGINE_NUMBER + address)}:{ENGINE_PORT + 10 * port}"
 
     def service_address(self, number: int) -> str:
         """Address of a replica of the plain service."""
@@ -188,8 +193,11 @@
 
     def start_backend_servers(self) -> None:
         """Start engines and the plain service, a process each."""
-        for engine in self.engines:
-            self.start_engine(engine.replica)
+        if self.engines_share_process:
+            self._start_shared_engines()
+        else:
+            for engine in self.engines:
+                self.start_engine(engine.replica)
         for number in range(self.services):
             self.start_service(number)
         for engine in self.engines:
@@ -197,9 +205,20 @@
             self.site.wait_ready(url)
 
     def start_engine(self, replica: str) -> None:
-        """Start one engine."""
+        """Start one engine in a process of its own."""
+        path = self.site.write(f"{replica}.yaml", {"parts": [self._engine_part(replica)]})
+        self.site.start(replica, "pimentodale-standin", str(path))
+
+    def _start_shared_engines(self) -> None:
+        """Start all engines in one process, for large sites."""
+        parts = [self._engine_part(engine.replica) for engine in self.engines]
+        path = self.site.write("engines.yaml", {"parts": parts})
+        self.site.start("engines", "pimentodale-standin", str(path))
+
+    def _engine_part(self, replica: str) -> dict[str, Any]:
+        """Return an engine's settings."""
         engine = next(one for one in self.engines if one.replica == replica)
-        part = {
+        return {
             "kind": "engine",
             "replica": replica,
             "listen": self.engine_address(replica),
@@ -214,8 +233,6 @@
             "journal": str(self.journal(replica)),
             **engine.extra,
         }
-        path = self.site.write(f"{replica}.yaml", {"parts": [part]})
-        self.site.start(replica, "pimentodale-standin", str(path))
 
     def start_service(self, number: int) -> None:
         """Start one replica of the plain service."""
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -22,6 +22,7 @@
     create_entry_peers,
     share_configuration,
     share_quarantine,
+    show_peers,
 )
 from pimentodale.entry.services import create_replica_picker
 from pimentodale.ledger.key_ledger import create_key_ledger
@@ -126,6 +127,7 @@
     server.add_sockets(sockets)
     quarantine = create_quarantine(settings.host, host.clock, host.background, store)
     context.pipelines.quarantine = quarantine
+    show_peers(peers, context.metrics)
     share_configuration(follower, peers, host.clock, host.rng, host.background)
     share_quarantine(quarantine, peers, store, host.clock, host.background)
     host.background.start(peers.run(), "peers")
--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -27,6 +27,7 @@
     from pimentodale.clock import Clock
     from pimentodale.configuration.follower import Follower
     from pimentodale.entry.settings import EntrySettings
+    from pimentodale.metrics import Metrics
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
     from pimentodale.platform.key_value import KeyValueStore
@@ -80,6 +81,16 @@
     background.start(sharing.run(), "configuration sharing")
 
 
+def show_peers(peers: Peers, metrics: Metrics) -> None:
+    """Show what the peers cost and who is known among the metrics."""
+    counters = peers.counters
+    metrics.add_gauge("peer_sent_bytes", lambda: counters.sent_bytes)
+    metrics.add_gauge("peer_received_bytes", lambda: counters.received_bytes)
+    metrics.add_gauge("peer_suspicions", lambda: counters.suspicions)
+    metrics.add_gauge("peer_links", lambda: len(peers.linked_hosts()))
+    metrics.add_gauge("live_members", lambda: len(peers.live_members()))
+
+
 def share_quarantine(
     quarantine: Quarantine,
     peers: Peers,
