--- /dev/null
+++ b/src/pimentodale/peers/message_stream.py
@@ -0,0 +1,179 @@
+"""Messages over one TCP stream, each bounded in length and checked into its type."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgpack
+import msgspec
+
+from pimentodale.clock import MS_PER_S
+from pimentodale.peers.messages import Message
+
+if TYPE_CHECKING:
+    from pimentodale.addresses import Address
+    from pimentodale.peers.counters import PeerCounters
+
+MAX_MESSAGE_BYTES: Final = 2 * 1024 * 1024
+"""Longest message that is read."""
+
+MAX_WRITE_BUFFER_BYTES: Final = 4 * 1024 * 1024
+"""Bytes that may wait for a peer before its connection is dropped."""
+
+_LENGTH_BYTES: Final = 4
+_READ_BYTES: Final = 64 * 1024
+
+
+class BadMessageError(Exception):
+    """The other side sent bytes that are no message."""
+
+
+class MessageStream:
+    """Reads and writes messages; `close` may be repeated."""
+
+    __slots__ = ("_buffer", "_counters", "_reader", "_writer")
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counters: PeerCounters
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._buffer = bytearray()
+        self._counters = counters
+
+    async def read(self) -> Message:
+        """Read the next message.
+
+        Returns:
+            The message.
+
+        Raises:
+            BadMessageError: If the bytes are no message.
+            OSError: If the connection ended.
+        """
+        while True:
+            message = self._take()
+            if message is not None:
+                return message
+            chunk = await self._reader.read(_READ_BYTES)
+            if not chunk:
+                raise ConnectionResetError("the connection ended")
+            self._counters.received_bytes += len(chunk)
+            self._buffer += chunk
+
+    async def read_within(self, timeout_ms: float) -> Message:
+        """Read the next message in bounded time.
+
+        Args:
+            timeout_ms: Longest wait.
+
+        Returns:
+            The message.
+
+        Raises:
+            BadMessageError: If the bytes are no message.
+            OSError: If the connection ended or none came in time.
+        """
+        return await asyncio.wait_for(self.read(), timeout_ms / MS_PER_S)
+
+    def write(self, message: Message) -> None:
+        """Queue a message; a connection that is closed or too far behind is dropped."""
+        self.write_packed(pack(message))
+
+    def write_packed(self, frame: bytes) -> None:
+        """Queue a message that `pack` has made."""
+        transport = self._writer.transport
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+            transport.abort()
+            return
+        self._writer.write(frame)
+        self._counters.sent_messages += 1
+        self._counters.sent_bytes += len(frame)
+
+    async def drain(self, timeout_ms: float) -> None:
+        """Wait until what was written has left, then close; or drop it when the time is over."""
+        self._writer.close()
+        try:
+            await asyncio.wait_for(self._writer.wait_closed(), timeout_ms / MS_PER_S)
+        except OSError:
+            self.close()
+
+    def close_when_sent(self) -> None:
+        """Close the connection once what was written has left."""
+        self._writer.close()
+
+    def close(self) -> None:
+        """Drop the connection and what was not sent yet."""
+        self._writer.transport.abort()
+
+    def _take(self) -> Message | None:
+        """Take a whole message out of the buffer, if there is one."""
+        if len(self._buffer) < _LENGTH_BYTES:
+            return None
+        length = int.from_bytes(self._buffer[:_LENGTH_BYTES])
+        if length > MAX_MESSAGE_BYTES:
+            raise BadMessageError(f"a message of {length} bytes was announced")
+        end = _LENGTH_BYTES + length
+        if len(self._buffer) < end:
+            return None
+        body = bytes(self._buffer[_LENGTH_BYTES:end])
+        del self._buffer[:end]
+        self._counters.received_messages += 1
+        return unpack(body)
+
+
+async def connect(
+    address: Address, source_ip: str, timeout_ms: float, counters: PeerCounters
+) -> MessageStream:
+    """Open a connection to a peer.
+
+    Args:
+        address: Where it listens.
+        source_ip: IP number that the connection leaves from.
+        timeout_ms: Longest wait.
+        counters: Receive what passes.
+
+    Returns:
+        The open stream.
+
+    Raises:
+        OSError: If there is no connection in time.
+    """
+    opening = asyncio.open_connection(address.ip, address.port, local_addr=(source_ip, 0))
+    reader, writer = await asyncio.wait_for(opening, timeout_ms / MS_PER_S)
+    return MessageStream(reader, writer, counters)
+
+
+def pack(message: Message) -> bytes:
+    """Return a message with its length in front."""
+    body: bytes = msgpack.packb(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    return len(body).to_bytes(_LENGTH_BYTES) + body
+
+
+def unpack(body: bytes) -> Message:
+    """Check one message into its type.
+
+    Args:
+        body: The message without its length.
+
+    Returns:
+        The message.
+
+    Raises:
+        BadMessageError: If the bytes are no message.
+    """
+    try:
+        raw = msgpack.unpackb(body)
+        message: Message = msgspec.convert(raw, Message)
+    except (
+        msgpack.UnpackException,
+        msgspec.ValidationError,
+        ValueError,
+        TypeError,
+        RecursionError,
+    ) as error:
+        raise BadMessageError(f"not a message: {error}") from None
+    return message
--- /dev/null
+++ b/src/pimentodale/pipelines/generate.py
@@ -0,0 +1,181 @@
+"""One generation over one route after another, until the answer is whole or refused.
+
+The caller's side sees each verified token once, in order. A repeatable generation that loses its
+route goes on from its last verified token on another one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from typing import TYPE_CHECKING, Final
+
+from expression import Error, Ok, Result
+
+from pimentodale.pipelines.attempt import GenerationEvent, run_attempt
+from pimentodale.pipelines.loss import Loss, examine_loss
+from pimentodale.pipelines.means import FirstByteGate, PipelineMeans, Progress, describe_route
+from pimentodale.pipelines.messages import Finished
+from pimentodale.pipelines.observations import note_fault, suspect_of
+from pimentodale.pipelines.resume import keep_stages
+from pimentodale.pipelines.suspicion import (
+    begin,
+    choose_trial_route,
+    conviction_of,
+    no_route,
+    note_caller_gone,
+    note_crash,
+    note_end,
+    note_event,
+    note_start,
+)
+from pimentodale.platform.engine_client import EngineFault
+from pimentodale.results import Refusal, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Collection
+
+    from pimentodale.pipelines.messages import Generation
+    from pimentodale.routing.routes import Route
+
+__all__ = ["FirstByteGate", "GenerationEvent", "PipelineMeans", "describe_route", "generate"]
+
+MAX_ATTEMPTS: Final = 6
+"""Routes that one generation may be sent on."""
+
+
+async def generate(
+    generation: Generation, means: PipelineMeans, gate: FirstByteGate | None = None
+) -> AsyncGenerator[Result[GenerationEvent, Refusal], None]:
+    """Run a generation.
+
+    Args:
+        generation: What the caller asks for.
+        means: What to work with.
+        gate: Asked before the first byte; given for non-repeatable work.
+
+    Yields:
+        Verified tokens in order, then `Finished`; or one refusal, after which nothing follows.
+    """
+    progress = Progress(generation, means, gate)
+    begin(progress)
+    while True:
+        refusal = _refusal_before_attempt(progress)
+        chosen = Error(refusal) if refusal else await _choose(progress)
+        if chosen.is_error():
+            yield Error(chosen.error)
+            return
+        route = chosen.ok
+        note_start(progress, route)
+        try:
+            fault = EngineFault("the stream ended early")
+            async with aclosing(run_attempt(progress, route)) as events:
+                async for event in events:
+                    if event.is_error():
+                        fault = event.error
+                        break
+                    note_event(progress, event.ok)
+                    yield Ok(event.ok)
+                    if isinstance(event.ok, Finished):
+                        return
+            refusal = await _after_fault(progress, route, fault)
+        except (GeneratorExit, asyncio.CancelledError):
+            note_caller_gone(progress, route)
+            raise
+        finally:
+            note_end(progress)
+        if refusal is not None:
+            yield Error(refusal)
+            return
+
+
+def _refusal_before_attempt(progress: Progress) -> Refusal | None:
+    """Refuse when time or attempts are spent, or the request crashes backend servers."""
+    conviction = conviction_of(progress)
+    if conviction is not None:
+        return conviction
+    if progress.remaining_ms <= 0:
+        return progress.refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline passed.")
+    if progress.attempt >= MAX_ATTEMPTS:
+        message = f"{MAX_ATTEMPTS} routes were tried without success; come back later."
+        return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
+    return None
+
+
+async def _choose(progress: Progress) -> Result[Route, Refusal]:
+    """Choose the route of the next attempt and note the choice."""
+    generation = progress.generation
+    if progress.on_trial:
+        chosen = await choose_trial_route(progress, lambda taken: _pick(progress, taken))
+    else:
+        # What is on trial is kept out of where others go, as long as there is another way.
+        route = _pick(progress, _on_trial(progress)) or _pick(progress, set())
+        chosen = Error(no_route(progress)) if route is None else Ok(route)
+    progress.attempt += 1
+    progress.means.tracer.note(
+        "route",
+        generation.request_id,
+        generation.trace,
+        attempt=str(progress.attempt),
+        route=chosen.error.name if chosen.is_error() else describe_route(chosen.ok),
+        excluded=" ".join(sorted(progress.excluded)),
+    )
+    return chosen
+
+
+def _on_trial(progress: Progress) -> Collection[str]:
+    """Return the replicas where this host tries a struck request."""
+    quarantine = progress.means.quarantine
+    return () if quarantine is None else quarantine.trials.taken_replicas
+
+
+def _pick(progress: Progress, taken: Collection[str]) -> Route | None:
+    """Choose a route that avoids what the generation avoids and what is taken."""
+    generation, means = progress.generation, progress.means
+    last, model = progress.last_route, generation.model
+    if progress.repeat_route and last is not None and not set(taken).intersection(last.replicas):
+        progress.repeat_route = False
+        return last
+    route = means.router.pick_route(
+        model.name, model.layers, generation.prefix_hash, progress.excluded.union(taken)
+    )
+    if route is None:
+        return None
+    return keep_stages(last, route, lambda name: name not in taken and _may_stay(progress, name))
+
+
+def _may_stay(progress: Progress, replica: str) -> bool:
+    """Whether a stage of the last route may be used again."""
+    return replica not in progress.excluded and progress.means.fleet.is_usable(replica)
+
+
+async def _after_fault(progress: Progress, route: Route, fault: EngineFault) -> Refusal | None:
+    """Note the fault and decide whether another attempt may be made."""
+    means = progress.means
+    progress.last_route = route
+    if progress.gate is not None and progress.gate.denied:
+        message = "The work was given up before its first byte."
+        return progress.refuse(ResultCode.CLAIM_LOST, message)
+    if not fault.connection_lost:
+        await _blame(progress, route, fault)
+    if not fault.sent or fault.refused is not None:
+        means.metrics.retries["refused"] += 1
+        return None
+    if not progress.generation.repeatable:
+        message = f"The work was in progress when {fault.message}; it is not run again."
+        return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
+    means.metrics.retries["lost"] += 1
+    progress.repeat_route = fault.connection_lost
+    return None
+
+
+async def _blame(progress: Progress, route: Route, fault: EngineFault) -> None:
+    """Avoid the replica that a fault speaks of from now on."""
+    suspect = suspect_of(route, fault)
+    progress.excluded.add(suspect)
+    loss = await examine_loss(progress, route, suspect, fault)
+    if loss is not Loss.NONE:
+        progress.lost.add(suspect)
+    if loss is Loss.CRASHED:
+        note_crash(progress, suspect)
+    note_fault(progress.means.fleet, suspect, fault)
