--- a/src/pimentodale/peers/links.py
+++ b/src/pimentodale/peers/links.py
@@ -5,8 +5,6 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from tornado.iostream import StreamClosedError
-
 from pimentodale.addresses import Address
 from pimentodale.logs import get_log
 from pimentodale.peers.link import Link
@@ -28,13 +26,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.peers.counters import PeerCounters
     from pimentodale.peers.membership import Membership
     from pimentodale.peers.message_stream import MessageStream
     from pimentodale.peers.messages import Message
     from pimentodale.peers.settings import PeersSettings
-    from pimentodale.peers.tasks import Tasks
 
 NS_PER_MS: Final = 1e6
 """Nanoseconds in a millisecond."""
@@ -66,7 +64,7 @@
         clock: Clock,
         counters: PeerCounters,
         membership: Membership,
-        tasks: Tasks,
+        tasks: BackgroundTasks,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -143,6 +141,8 @@
         if self.closing or host == self._settings.host or self._must_refuse(host, existing):
             stream.write(LinkRefused())
             stream.close_when_sent()
+            # The others hear of it here, and some of them choose it as a neighbour.
+            self._membership.take_member(hello.member, hello.member.boot_id)
             return
         if existing is not None:
             # A peer that opens a new link has given up the old one, or is a new boot.
@@ -166,13 +166,13 @@
         self._counters.dials += 1
         try:
             stream = await connect(address, self._settings.listen.ip, timeout_ms, self._counters)
-        except (OSError, StreamClosedError):
+        except OSError:
             return False
         held = self._membership.state.members.get(host)
         stream.write(self._create_hello("" if held is None else held.record.boot_id))
         try:
             answer = await stream.read_within(timeout_ms)
-        except (StreamClosedError, TimeoutError, BadMessageError):
+        except (OSError, BadMessageError):
             stream.close()
             return False
         if not isinstance(answer, Hello) or self.closing or answer.member.host in self.by_host:
@@ -216,9 +216,6 @@
         )
         self.by_host[link.host] = link
         self._membership.take_member(hello.member, link.boot_id)
-        held = state.members.get(link.host)
-        if held is not None and held.record != hello.member:
-            link.accuse(held.record)
         link.send_changes(state, now_ms, self._counters)
         self._tasks.start(self._read(link), f"link {link.host}")
 
@@ -231,7 +228,7 @@
                 link.heard_ms = self._clock.now_ms()
                 self._take(link, message)
                 self._counters.cpu_ms += (time.thread_time_ns() - started_ns) / NS_PER_MS
-        except StreamClosedError:
+        except OSError:
             pass
         except BadMessageError as error:
             self._counters.malformed_messages += 1
