--- a/features/support/layout.py
+++ b/features/support/layout.py
@@ -5,14 +5,11 @@
 
 from __future__ import annotations
 
-import base64
 import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
-import yaml
-
-from features.support.site import Site, http, read_journal
+from features.support.site import Site, http, read_journal, wait_until
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -22,6 +19,8 @@
 LAYERS: Final = 24
 TOKENS: Final = {"lab": "token-lab", "desk": "token-desk", "bulk": "token-bulk"}
 
+MAX_ENGINE_ADDRESSES: Final = 70
+
 PLATFORM_NUMBER: Final = 1
 ENGINE_NUMBER: Final = 100
 SERVICE_NUMBER: Final = 180
@@ -111,6 +110,7 @@
     key_value: dict[str, Any] = field(default_factory=dict)
     host_list: dict[str, Any] = field(default_factory=dict)
     entry: dict[str, Any] = field(default_factory=dict)
+    engines_share_process: bool = False
 
     @property
     def key_value_address(self) -> str:
@@ -125,7 +125,9 @@
     def engine_address(self, replica: str) -> str:
         """Address of an engine."""
         number = [engine.replica for engine in self.engines].index(replica)
-        return f"{self.site.ip(ENGINE_NUMBER + number)}:{ENGINE_PORT}"
+        # Engines listen on two ports each, so large sites use more ports of the same addresses.
+        address, port = number % MAX_ENGINE_ADDRESSES, number // MAX_ENGINE_ADDRESSES
+        return f"{self.site.ip(ENGINE_NUMBER + address)}:{ENGINE_PORT + 10 * port}"
 
     def service_address(self, number: int) -> str:
         """Address of a replica of the plain service."""
@@ -191,8 +193,11 @@
 
     def start_backend_servers(self) -> None:
         """Start engines and the plain service, a process each."""
-        for engine in self.engines:
-            self.start_engine(engine.replica)
+        if self.engines_share_process:
+            self._start_shared_engines()
+        else:
+            for engine in self.engines:
+                self.start_engine(engine.replica)
         for number in range(self.services):
             self.start_service(number)
         for engine in self.engines:
@@ -200,9 +205,20 @@
             self.site.wait_ready(url)
 
     def start_engine(self, replica: str) -> None:
-        """Start one engine."""
+        """Start one engine in a process of its own."""
+        path = self.site.write(f"{replica}.yaml", {"parts": [self._engine_part(replica)]})
+        self.site.start(replica, "pimentodale-standin", str(path))
+
+    def _start_shared_engines(self) -> None:
+        """Start all engines in one process, for large sites."""
+        parts = [self._engine_part(engine.replica) for engine in self.engines]
+        path = self.site.write("engines.yaml", {"parts": parts})
+        self.site.start("engines", "pimentodale-standin", str(path))
+
+    def _engine_part(self, replica: str) -> dict[str, Any]:
+        """Return an engine's settings."""
         engine = next(one for one in self.engines if one.replica == replica)
-        part = {
+        return {
             "kind": "engine",
             "replica": replica,
             "listen": self.engine_address(replica),
@@ -217,8 +233,6 @@
             "journal": str(self.journal(replica)),
             **engine.extra,
         }
-        path = self.site.write(f"{replica}.yaml", {"parts": [part]})
-        self.site.start(replica, "pimentodale-standin", str(path))
 
     def start_service(self, number: int) -> None:
         """Start one replica of the plain service."""
@@ -253,14 +267,21 @@
         self.site.start(f"entry-{number}", "pimentodale-entry", str(path))
 
     def put_folder(self, folder: dict[str, Any]) -> None:
-        """Put files into the operators' folder."""
-        for name, value in folder.items():
-            put = {"key": _base64(f"pimentodale/folder/{name}"), "value": _base64(_yaml(value))}
-            reply = http(
-                f"http://{self.key_value_address}/v3/kv/txn",
-                {"success": [{"request_put": put}]},
-            )
-            assert reply.status == 200, reply
+        """Put files into the operators' folder with the operators' own program."""
+        paths = [str(self.site.write(name, value)) for name, value in folder.items()]
+        program = self.site.start(
+            "ctl",
+            "pimentodale-ctl",
+            "config",
+            "put",
+            "--key-value",
+            self.key_value_address,
+            "--wait-ms",
+            "0",
+            *paths,
+        )
+        wait_until(lambda: program.process.poll() is not None, "the folder is written")
+        assert program.process.returncode == 0, program.log.read_text()
 
     def targets(self) -> list[dict[str, Any]]:
         """Return the host list's content."""
@@ -303,16 +324,6 @@
     return {"Authorization": f"Bearer {TOKENS[workspace]}", **more}
 
 
-def _base64(text: str) -> str:
-    """Encode text as the key-value service's gateway takes it."""
-    return base64.b64encode(text.encode()).decode()
-
-
-def _yaml(value: object) -> str:
-    """Write a file of the folder."""
-    return yaml.safe_dump(value, sort_keys=False)
-
-
 def _engine_target(layout: Layout, engine: EngineLayout) -> dict[str, Any]:
     """Return an engine's line of the host list."""
     labels = {
