--- a/src/pimentodale/peers/detector.py
+++ b/src/pimentodale/peers/detector.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from tornado.iostream import StreamClosedError
-
 from pimentodale.addresses import Address
 from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
@@ -25,13 +23,13 @@
 )
 
 if TYPE_CHECKING:
+    from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.peers.counters import PeerCounters
     from pimentodale.peers.link import Link
     from pimentodale.peers.links import Links
     from pimentodale.peers.membership import Membership
     from pimentodale.peers.settings import PeersSettings
-    from pimentodale.peers.tasks import Tasks
 
 PAUSE_SLACK_MS: Final = 1_000.0
 """Lateness of this host's own timers from which it takes itself to have been frozen."""
@@ -76,7 +74,7 @@
         counters: PeerCounters,
         membership: Membership,
         links: Links,
-        tasks: Tasks,
+        tasks: BackgroundTasks,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -136,12 +134,12 @@
         self._counters.dials += 1
         try:
             stream = await connect(address, self._settings.listen.ip, timeout_ms, self._counters)
-        except (OSError, StreamClosedError):
+        except OSError:
             return None
         try:
             stream.write(Probe(PROTOCOL))
             answer = await stream.read_within(timeout_ms)
-        except (StreamClosedError, TimeoutError, BadMessageError):
+        except (OSError, BadMessageError):
             return None
         finally:
             stream.close()
