--- a/src/pimentodale/routing/pick.py
+++ b/src/pimentodale/routing/pick.py
@@ -108,7 +108,8 @@
         fleet: Fleet,
         free_share: Callable[[Route], float],
     ) -> Picker:
-        return _create_stagewise_picker(plan.layers, engines, fleet, choose, free_share)
+        del free_share
+        return _create_stagewise_picker(plan.layers, engines, fleet, choose)
 
     return create
 
@@ -122,6 +123,8 @@
         fleet: Fleet,
         free_share: Callable[[Route], float],
     ) -> Picker:
+        del free_share
+
         def streams(engine: EngineTarget) -> tuple[float, float]:
             status = fleet.status(engine.replica)
             taken = 0 if status is None else engine.slots - status.free_slots
@@ -130,7 +133,7 @@
         def choose(candidates: list[EngineTarget]) -> EngineTarget:
             return min(candidates, key=streams)
 
-        return _create_stagewise_picker(plan.layers, engines, fleet, choose, free_share)
+        return _create_stagewise_picker(plan.layers, engines, fleet, choose)
 
     return create
 
@@ -197,9 +200,8 @@
     engines: Sequence[EngineTarget],
     fleet: Fleet,
     choose: Callable[[list[EngineTarget]], EngineTarget],
-    free_share: Callable[[Route], float],
 ) -> Picker:
-    """Build a picker that knows no plan."""
+    """Build a picker that knows no plan, and no room but slots."""
 
     def pick(
         excluded: Collection[str], cached_at: Collection[str], only_with_room: bool
@@ -213,10 +215,7 @@
             usable.append(engine)
         if not usable:
             return None
-        route = find_route(usable[0].model, layers, usable, choose)
-        if route is not None and only_with_room and free_share(route) <= 0.0:
-            return None
-        return route
+        return find_route(usable[0].model, layers, usable, choose)
 
     return pick
 
--- a/src/pimentodale/routing/router.py
+++ b/src/pimentodale/routing/router.py
@@ -20,7 +20,7 @@
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.pick import CreatePicker, Picker
     from pimentodale.routing.prefix_index import PrefixIndex
-    from pimentodale.routing.route_plan import Link, RoutePlan
+    from pimentodale.routing.route_plan import Link, PlannedRoute, RoutePlan
     from pimentodale.routing.routes import Route, RouteOutcome
     from pimentodale.routing.windows import RouteUse, Windows
 
@@ -142,6 +142,11 @@
         state = self._models.get(model)
         return 0.0 if state is None else state.plan.bound_tokens_per_s
 
+    def plan_of(self, model: str) -> Sequence[PlannedRoute]:
+        """Return a model's planned routes; none before the first request for it."""
+        state = self._models.get(model)
+        return () if state is None else state.plan.routes
+
     def _state_of(self, model: str, layers: int) -> _ModelState:
         """Return a model's plan; plan it if there is none yet."""
         state = self._models.get(model)
@@ -157,6 +162,7 @@
         pick = self._create_picker(plan, engines, self._fleet, self.windows.free_share)
         state = _ModelState(layers, plan, pick, revision, self._clock.now_ms())
         self._models[model] = state
+        self.windows.apply_plan(plan.routes)
         planned = {p.route for kept in self._models.values() for p in kept.plan.routes}
         self.windows.forget_unused(planned)
         _log.info(
--- a/src/pimentodale/routing/windows.py
+++ b/src/pimentodale/routing/windows.py
@@ -8,6 +8,9 @@
 
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
+from pimentodale.clock import MS_PER_S
 from pimentodale.routing.concurrency import (
     ConcurrencyLimit,
     LimitSettings,
@@ -16,15 +19,21 @@
 from pimentodale.routing.routes import Route, RouteOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from pimentodale.clock import Clock
     from pimentodale.routing.fleet import Fleet
+    from pimentodale.routing.route_plan import PlannedRoute
 
 ROUTE_LIMITS: Final = LimitSettings(
-    initial=4.0, congested_ratio=2.0, decrease=0.9, probe=0.7, window_ms=60_000.0
+    congested_ratio=2.5, decrease=0.9, probe=0.7, window_ms=60_000.0
 )
 """How the limits of routes move. A token that just misses a batch step waits for a whole one at each
 stage, so twice the latency without any queue is still normal at full load."""
 
+_USUAL_TOKEN_MS: Final = 60.0
+"""Latency between tokens that a new route is expected to have."""
+
 _TOKENS_AVERAGED: Final = 8
 """Tokens over which latency is averaged, as a single token's depends on where a batch step stood."""
 
@@ -79,10 +88,21 @@
         self._limits: dict[Route, ConcurrencyLimit] = {}
 
     def limit_of(self, route: Route) -> ConcurrencyLimit:
-        """Return a route's limit, a new one for a new route."""
+        """Return a route's limit, a small new one for an unknown route."""
         limit = self._limits.get(route)
-        if limit is None:
-            limit = self._limits[route] = create_concurrency_limit(self._clock, ROUTE_LIMITS)
+        return self._create_limit(route, 0.0) if limit is None else limit
+
+    def apply_plan(self, routes: Sequence[PlannedRoute]) -> None:
+        """Give each planned route that has no limit yet one that fits its share."""
+        for planned in routes:
+            if planned.route not in self._limits:
+                self._create_limit(planned.route, planned.tokens_per_s)
+
+    def _create_limit(self, route: Route, tokens_per_s: float) -> ConcurrencyLimit:
+        """Start with the streams that the rate keeps busy at a usual latency."""
+        streams = max(1.0, tokens_per_s * _USUAL_TOKEN_MS / MS_PER_S)
+        settings = msgspec.structs.replace(ROUTE_LIMITS, initial=streams)
+        limit = self._limits[route] = create_concurrency_limit(self._clock, settings)
         return limit
 
     def free_share(self, route: Route) -> float:
