--- a/features/peers.feature
+++ b/features/peers.feature
@@ -18,6 +18,10 @@
     When node 9 is killed
     Then every other node holds node 9 to be gone within 6 s
 
+  Scenario: a listed host that takes no more links still brings the others together
+    Given 14 peer nodes of which node 1 takes no links and is the only one listed
+    Then all nodes hold all to be alive within 10 s
+
   Scenario: a peer that comes back is sent only what it lacks
     Given 3 peer nodes that know all of each other
     When node 1 publishes 200 urgent entries of 1000 bytes
@@ -33,9 +37,16 @@
     And all nodes hold all to be alive within 6 s
     And no node ever suspected any node but node 4
 
+  Scenario: a host that was frozen does not act on what it held before
+    Given 4 peer nodes that know all of each other
+    When node 2 is frozen until node 4 suspects it, then wakes as node 4 is frozen
+    And node 4 wakes after node 2 was held to be alive and node 4 to be gone
+    Then all nodes hold all to be alive within 6 s
+    And node 4 never held node 2 to be gone
+
   Scenario: a host that comes back at its address is a new boot of it
     Given 4 peer nodes that know all of each other
-    When node 2 is killed and started again at once
+    When node 2 is killed and started again at once, its clock an hour behind
     Then every other node holds node 2 to be alive under a new boot id within 4 s
     And what node 2 publishes now is heard by all, though it published before
 
