Admit generations at the entry host, on routes that have room

Cause: the entry program sent every request at once, whatever the room, and retried without a budget. Ruled out: admission after the claim, as each refused request would write twice to the key-value service just when there is most load. A refusal before the ledger was read says so already.

--- a/src/pimentodale/callers/context.py
+++ b/src/pimentodale/callers/context.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentodale.admission.gate import Gate
     from pimentodale.background import BackgroundTasks
     from pimentodale.callers.authentication import Authenticator
     from pimentodale.clock import Clock
@@ -42,6 +43,9 @@
     pipelines: PipelineMeans
     """What generations work with."""
 
+    gate: Gate
+    """Lets generations start."""
+
     ledger: Ledger
     """Where keys are claimed."""
 
--- a/src/pimentodale/callers/generation.py
+++ b/src/pimentodale/callers/generation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
@@ -20,6 +21,7 @@
 )
 from pimentodale.pipelines.generate import generate
 from pimentodale.pipelines.keyed import key_required, keyed_events
+from pimentodale.pipelines.means import Reservation
 from pimentodale.pipelines.messages import Finished, Generation, Token
 from pimentodale.platform.prompt_text import prefix_hash, prompt_text
 from pimentodale.results import Refusal, ResultCode, create_refusal
@@ -149,17 +151,46 @@
         finally:
             await events.aclose()  # type: ignore[attr-defined]
 
-    def _events(self, generation: Generation) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
-        """Start the generation, through the ledger if it must not repeat."""
+    async def _events(
+        self, generation: Generation
+    ) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
+        """Wait for a route with room, then generate, through the ledger if it must not repeat."""
+        admitted = await self.context.gate.admit(
+            generation.model,
+            generation.workspace.name,
+            generation.max_tokens,
+            generation.deadline_ms,
+            generation.prefix_hash,
+        )
+        if admitted.is_error():
+            yield Error(admitted.error)
+            return
+        permit = admitted.ok
+        reservation = Reservation(permit.grant, permit.release)
+        if generation.idempotency_key:
+            async for event in self._keyed(generation, reservation):
+                yield event
+            return
+        try:
+            events = generate(generation, self.context.pipelines, reserved=permit.grant)
+            async with aclosing(events):
+                async for event in events:
+                    yield event
+        finally:
+            permit.release()
+
+    def _keyed(
+        self, generation: Generation, reservation: Reservation
+    ) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
+        """Generate through the ledger; the work goes on when the caller is gone."""
         context = self.context
-        if not generation.idempotency_key:
-            return generate(generation, context.pipelines)
         return keyed_events(
             generation,
             context.pipelines,
             context.ledger,
             lambda: self._caller_gone,
             context.background,
+            reservation,
         )
 
     async def _collect(
--- a/src/pimentodale/configuration/documents.py
+++ b/src/pimentodale/configuration/documents.py
@@ -83,6 +83,22 @@
     """Its calls; the first that fits decides."""
 
 
+class LinkLimit(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What the way from one failure domain to another carries."""
+
+    from_failure_domain: Name
+    """Failure domain that activations leave."""
+
+    to_failure_domain: Name
+    """Failure domain that they enter."""
+
+    tokens_per_s: PositiveFloat
+    """Tokens a second that it carries."""
+
+    scope: Literal["shared", "pair"] = "shared"
+    """Whether that holds for all replicas together, or for each pair of replicas."""
+
+
 class Limits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Limits that operators may change while the system runs."""
 
@@ -98,6 +114,9 @@
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     """Retries allowed for each recent success."""
 
+    links: list[LinkLimit] = []
+    """Links that are slow enough to matter for routes; others count as unlimited."""
+
     claim_retention_ms: PositiveFloat = 86_400_000.0
     """How long an outcome can be replayed to a re-send."""
 
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -17,6 +17,7 @@
 from pimentodale.callers.context import CallerContext
 from pimentodale.clock import create_clock
 from pimentodale.configuration.folder_reader import create_folder_reader
+from pimentodale.entry.routing import RoutingParts, create_routing, own_subset, start_routing
 from pimentodale.entry.services import create_replica_picker
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
@@ -25,8 +26,6 @@
 from pimentodale.platform.etcd_gateway import create_etcd_gateway
 from pimentodale.platform.host_list import create_host_list_poller, create_host_list_reader
 from pimentodale.results import Refusal, ResultCode, create_refusal
-from pimentodale.routing.fleet import create_fleet
-from pimentodale.routing.router import create_router
 from pimentodale.services.caller import create_service_caller
 from pimentodale.tracing.tracer import create_tracer
 
@@ -41,15 +40,11 @@
     from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.platform.targets import Targets
     from pimentodale.routing.fleet import Fleet
-    from pimentodale.routing.router import Router
     from pimentodale.services.messages import ServiceReplica
 
 HOST_LIST_INTERVAL_MS: Final = 1_000.0
 """Mean time between readings of the host list."""
 
-REPLAN_INTERVAL_MS: Final = 100.0
-"""Time between looks at whether routes need another plan."""
-
 NOT_READY_RETRY_MS: Final = 1_000.0
 """When a caller may come back to a host that is starting or stopping."""
 
@@ -98,14 +93,13 @@
     sockets = bind_sockets(listen.port, listen.ip)
     store = create_etcd_gateway([parse_address(text) for text in settings.key_value], host.clock)
     follower = create_folder_reader(store, host.clock)
-    fleet = create_fleet(host.clock)
-    router = create_router(fleet, host.clock, settings.failure_domain, host.rng.getrandbits(32))
-    context = _create_context(host, store, follower, fleet, router)
+    routing = create_routing(settings, host.clock, host.rng, follower.current)
+    context = _create_context(host, store, follower, routing)
     server = create_server(create_application(context, []))
     server.add_sockets(sockets)
     host.background.start(follower.run(), "configuration follower")
-    host.background.start(_create_poller(host, fleet)(), "host list")
-    host.background.start(_replan(host, router), "replanning")
+    host.background.start(_create_poller(host, routing.fleet)(), "host list")
+    start_routing(routing, host.background, host.clock, host.rng)
     _log.info("The host listens.", host=settings.host, address=settings.listen)
     await _wait_for_stop()
     host.stopping = True
@@ -115,10 +109,10 @@
 
 
 def _create_context(
-    host: EntryHost, store: KeyValueStore, follower: FolderReader, fleet: Fleet, router: Router
+    host: EntryHost, store: KeyValueStore, follower: FolderReader, routing: RoutingParts
 ) -> CallerContext:
     """Join the slices that callers' handlers work with."""
-    settings = host.settings
+    settings, fleet, budget = host.settings, routing.fleet, routing.budget
     tracer = create_tracer(host.clock, settings.host, settings.trace_spans)
     metrics = create_metrics()
     pipelines = PipelineMeans(
@@ -126,8 +120,10 @@
         tracer=tracer,
         metrics=metrics,
         fleet=fleet,
-        router=router,
+        router=routing.router,
         limits=lambda: follower.current().limits,
+        spend_retry=budget.try_spend,
+        note_success=budget.note_success,
     )
     ledger = create_key_ledger(
         store, host.clock, settings.host, lambda: follower.current().limits.claim_retention_ms
@@ -135,6 +131,7 @@
 
     def note_service(replica: ServiceReplica, whole: bool) -> None:
         if whole:
+            budget.note_success()
             fleet.mark_up(replica.name)
         else:
             fleet.mark_down(replica.name, SERVICE_PAUSE_MS)
@@ -147,8 +144,11 @@
         configuration=follower.current,
         authenticator=create_authenticator(follower.current),
         pipelines=pipelines,
+        gate=routing.gate,
         ledger=ledger,
-        call_service=create_service_caller(ledger, pick, host.clock, lambda: True, note_service),
+        call_service=create_service_caller(
+            ledger, pick, host.clock, budget.try_spend, note_service
+        ),
         background=host.background,
         unready=lambda: host.unready(follower.current()),
         max_body_bytes=settings.max_body_bytes,
@@ -160,19 +160,12 @@
 
     def take(targets: Targets) -> None:
         host.listed = True
-        fleet.apply_targets(targets)
+        fleet.apply_targets(own_subset(targets, host.settings))
 
     read = create_host_list_reader(parse_address(host.settings.host_list))
     return create_host_list_poller(read, take, host.clock, host.rng, HOST_LIST_INTERVAL_MS)
 
 
-async def _replan(host: EntryHost, router: Router) -> None:
-    """Plan routes anew whenever the fleet has changed."""
-    while True:
-        await host.clock.sleep_ms(REPLAN_INTERVAL_MS)
-        router.replan()
-
-
 async def _wait_for_stop() -> None:
     """Wait for SIGTERM or SIGINT."""
     stop = asyncio.Event()
--- /dev/null
+++ b/src/pimentodale/entry/routing.py
@@ -0,0 +1,109 @@
+"""Sets up what an entry host chooses routes and admits requests by, and keeps it fresh."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from pimentodale.admission.gate import Gate, create_gate
+from pimentodale.admission.retry_budget import RetryBudget, create_retry_budget
+from pimentodale.routing.fleet import Fleet, create_fleet
+from pimentodale.routing.load_reports import create_load_watcher
+from pimentodale.routing.route_plan import Link
+from pimentodale.routing.router import Router, create_router
+from pimentodale.routing.subsets import subset_engines
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from pimentodale.background import BackgroundTasks
+    from pimentodale.clock import Clock
+    from pimentodale.configuration.documents import Configuration, LinkLimit
+    from pimentodale.entry.settings import EntrySettings
+    from pimentodale.platform.targets import Targets
+
+REPLAN_INTERVAL_MS: Final = 100.0
+"""Time between looks at whether routes need another plan."""
+
+
+@dataclass(slots=True)
+class RoutingParts:
+    """What decides where requests go and when."""
+
+    fleet: Fleet
+    """Backend servers."""
+
+    router: Router
+    """Chooses routes."""
+
+    gate: Gate
+    """Lets generations start."""
+
+    budget: RetryBudget
+    """Bounds retries of generations and of plain services together."""
+
+
+def create_routing(
+    settings: EntrySettings,
+    clock: Clock,
+    rng: random.Random,
+    configuration: Callable[[], Configuration],
+) -> RoutingParts:
+    """Build the parts of one host.
+
+    Args:
+        settings: The host's settings.
+        clock: Tells the time.
+        rng: Source of chance.
+        configuration: Returns the configuration in force.
+
+    Returns:
+        The parts; `start_routing` keeps them fresh.
+    """
+    fleet = create_fleet(clock)
+
+    def links() -> list[Link]:
+        return [_create_link(limit) for limit in configuration().limits.links]
+
+    router = create_router(fleet, clock, settings.failure_domain, rng.getrandbits(32), links)
+    gate = create_gate(clock, router, settings.host, configuration)
+    budget = create_retry_budget(clock, lambda: configuration().limits.retry_ratio)
+    return RoutingParts(fleet, router, gate, budget)
+
+
+def start_routing(
+    parts: RoutingParts, background: BackgroundTasks, clock: Clock, rng: random.Random
+) -> None:
+    """Start the tasks that plan routes and read load reports."""
+
+    async def replan() -> None:
+        while True:
+            await clock.sleep_ms(REPLAN_INTERVAL_MS)
+            parts.router.replan()
+            parts.gate.wake()
+
+    watcher = create_load_watcher(
+        parts.fleet, parts.router.prefixes, parts.fleet.listed, parts.gate.wake, clock, rng
+    )
+    background.start(replan(), "replanning")
+    background.start(watcher.run(), "load reports")
+
+
+def own_subset(targets: Targets, settings: EntrySettings) -> Targets:
+    """Return the host list with just the engines of this host's subset."""
+    hosts = {entry.host for entry in targets.entries if not entry.leaving}
+    engines = subset_engines(targets.engines, hosts, settings.host, settings.subset_replicas)
+    return msgspec.structs.replace(targets, engines=engines)
+
+
+def _create_link(limit: LinkLimit) -> Link:
+    """Return a configured link as the plan takes it."""
+    return Link(
+        from_failure_domain=limit.from_failure_domain,
+        to_failure_domain=limit.to_failure_domain,
+        tokens_per_s=limit.tokens_per_s,
+        scope=limit.scope,
+    )
--- a/src/pimentodale/pipelines/attempt.py
+++ b/src/pimentodale/pipelines/attempt.py
@@ -24,6 +24,7 @@
     from pimentodale.platform.engine_client import EngineEvent, EngineStream
     from pimentodale.platform.engine_messages import TokenNote
     from pimentodale.routing.routes import Route
+    from pimentodale.routing.windows import RouteUse
     from pimentodale.tracing.tracer import Span
 
 ACCEPT_TIMEOUT_MS: Final = 1_500.0
@@ -54,7 +55,8 @@
         route=describe_route(route),
         resumed_at=str(len(progress.tokens)),
     )
-    means.router.started(route, generation.prefix_hash)
+    use = _take_use(progress, route)
+    progress.use = use
     stream: EngineStream | None = None
     end = "dropped"
     outcome = RouteOutcome.CANCELLED
@@ -62,7 +64,7 @@
         opened = await _open(progress, route, span)
         if opened.is_error():
             end = opened.error.message
-            outcome = RouteOutcome.LOST
+            outcome = _outcome_of(opened.error)
             yield Error(opened.error)
             return
         stream = opened.ok
@@ -74,11 +76,29 @@
     finally:
         if stream is not None:
             stream.close()
-        means.router.ended(route, outcome)
+        use.end(outcome)
         means.tracer.end(span, end=end, tokens=str(len(progress.tokens)))
         _note_hops(progress, route, span)
 
 
+def _take_use(progress: Progress, route: Route) -> RouteUse:
+    """Return the stream that admission has counted on this very route, else count one."""
+    reserved = progress.reserved
+    progress.reserved = None
+    if reserved is not None and reserved.route == route:
+        return reserved
+    if reserved is not None:
+        reserved.end(RouteOutcome.CANCELLED)
+    return progress.means.router.started(route, progress.generation.prefix_hash)
+
+
+def _outcome_of(fault: EngineFault) -> RouteOutcome:
+    """Say how an attempt ended that no engine accepted."""
+    if fault.refused is not None and fault.refused.busy:
+        return RouteOutcome.BUSY
+    return RouteOutcome.LOST
+
+
 async def _open(progress: Progress, route: Route, span: Span) -> Result[EngineStream, EngineFault]:
     """Open the stream at the head of the route."""
     generation = progress.generation
@@ -162,6 +182,8 @@
     if fault is not None:
         return Error(fault)
     progress.tokens.append(event.note.token)
+    if progress.use is not None:
+        progress.use.note_token()
     return Ok(Token(event.note.index, event.note.token))
 
 
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -37,15 +37,22 @@
 
     from pimentodale.pipelines.messages import Generation
     from pimentodale.routing.routes import Route
+    from pimentodale.routing.windows import RouteUse
 
 __all__ = ["FirstByteGate", "GenerationEvent", "PipelineMeans", "describe_route", "generate"]
 
 MAX_ATTEMPTS: Final = 6
 """Routes that one generation may be sent on."""
 
+BUDGET_RETRY_MS: Final = 1_000.0
+"""When a caller may come back after the retry budget was spent."""
+
 
 async def generate(
-    generation: Generation, means: PipelineMeans, gate: FirstByteGate | None = None
+    generation: Generation,
+    means: PipelineMeans,
+    gate: FirstByteGate | None = None,
+    reserved: RouteUse | None = None,
 ) -> AsyncGenerator[Result[GenerationEvent, Refusal], None]:
     """Run a generation.
 
@@ -53,11 +60,12 @@
         generation: What the caller asks for.
         means: What to work with.
         gate: Asked before the first byte; given for non-repeatable work.
+        reserved: Stream that admission has counted on the route of the first attempt.
 
     Yields:
         Verified tokens in order, then `Finished`; or one refusal, after which nothing follows.
     """
-    progress = Progress(generation, means, gate)
+    progress = Progress(generation, means, gate, reserved=reserved)
     begin(progress)
     while True:
         refusal = _refusal_before_attempt(progress)
@@ -77,6 +85,7 @@
                     note_event(progress, event.ok)
                     yield Ok(event.ok)
                     if isinstance(event.ok, Finished):
+                        means.note_success()
                         return
             refusal = await _after_fault(progress, route, fault)
         except (GeneratorExit, asyncio.CancelledError):
@@ -136,9 +145,11 @@
     if progress.repeat_route and last is not None and not set(taken).intersection(last.replicas):
         progress.repeat_route = False
         return last
-    route = means.router.pick_route(
-        model.name, model.layers, generation.prefix_hash, progress.excluded.union(taken)
-    )
+    reserved = progress.reserved
+    barred = progress.excluded.union(taken)
+    if reserved is not None and barred.isdisjoint(reserved.route.replicas):
+        return reserved.route
+    route = means.router.pick_route(model.name, model.layers, generation.prefix_hash, barred)
     if route is None:
         return None
     return keep_stages(last, route, lambda name: name not in taken and _may_stay(progress, name))
@@ -164,6 +175,9 @@
     if not progress.generation.repeatable:
         message = f"The work was in progress when {fault.message}; it is not run again."
         return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
+    if not means.spend_retry():
+        message = "The retry budget is spent, as too much work was lost lately; come back later."
+        return progress.refuse(ResultCode.RETRY_BUDGET_SPENT, message, BUDGET_RETRY_MS)
     means.metrics.retries["lost"] += 1
     progress.repeat_route = fault.connection_lost
     return None
--- a/src/pimentodale/pipelines/keyed.py
+++ b/src/pimentodale/pipelines/keyed.py
@@ -21,7 +21,9 @@
     from pimentodale.ledger.interface import Ledger
     from pimentodale.ledger.run_once import LastLook
     from pimentodale.pipelines.generate import GenerationEvent, PipelineMeans
+    from pimentodale.pipelines.means import Reservation
     from pimentodale.pipelines.messages import Generation
+    from pimentodale.routing.windows import RouteUse
 
 _STATUS_OK: Final = 200
 
@@ -42,6 +44,7 @@
     ledger: Ledger,
     caller_gone: Callable[[], bool],
     on_event: Callable[[GenerationEvent], None],
+    reserved: RouteUse | None = None,
 ) -> Result[None, Refusal]:
     """Run a keyed generation at most once, or replay its answer.
 
@@ -53,6 +56,7 @@
         ledger: Where its key is claimed.
         caller_gone: Tells whether the caller has closed its connection.
         on_event: Gets the tokens as they come, then the finish, whether run or replayed.
+        reserved: Stream that admission has counted on the route of the first attempt.
 
     Returns:
         Nothing once the finish was given, or the refusal.
@@ -65,7 +69,7 @@
     )
 
     async def work(look: LastLook) -> Result[Outcome, WorkFault]:
-        events = generate(generation, means, FirstByteGate(look.allows))
+        events = generate(generation, means, FirstByteGate(look.allows), reserved)
         return await _collect(events, on_event)
 
     ended = await run_once(ledger, request, work, caller_gone)
@@ -117,6 +121,7 @@
     ledger: Ledger,
     caller_gone: Callable[[], bool],
     background: BackgroundTasks,
+    reservation: Reservation | None = None,
 ) -> AsyncIterator[Result[GenerationEvent, Refusal]]:
     """Yield the events of a keyed generation, like `generate` does of another.
 
@@ -126,6 +131,7 @@
         ledger: Where its key is claimed.
         caller_gone: Tells whether the caller has closed its connection.
         background: Runs the work, which goes on when the caller is gone.
+        reservation: Route that admission has given; it is released when the work ends.
 
     Yields:
         Tokens in order, then `Finished`; or one refusal.
@@ -135,11 +141,18 @@
     async def run() -> None:
         try:
             ended = await generate_once(
-                generation, means, ledger, caller_gone, lambda event: queue.put_nowait(Ok(event))
+                generation,
+                means,
+                ledger,
+                caller_gone,
+                lambda event: queue.put_nowait(Ok(event)),
+                None if reservation is None else reservation.use,
             )
             if ended.is_error():
                 queue.put_nowait(Error(ended.error))
         finally:
+            if reservation is not None:
+                reservation.release()
             queue.put_nowait(None)
 
     background.start(run(), f"keyed generation {generation.request_id}")
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -18,6 +18,7 @@
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.router import Router
     from pimentodale.routing.routes import Route
+    from pimentodale.routing.windows import RouteUse
     from pimentodale.tracing.tracer import Tracer
 
 
@@ -43,6 +44,12 @@
     limits: Callable[[], Limits]
     """Returns the limits in force."""
 
+    spend_retry: Callable[[], bool] = lambda: True
+    """Takes one retry of work in progress from the budget; False when it is spent."""
+
+    note_success: Callable[[], None] = lambda: None
+    """Told of each whole answer, which the budget grows by."""
+
     quarantine: Quarantine | None = None
     """Keeps requests that crash backend servers from running; `None` lets all run."""
 
@@ -52,6 +59,17 @@
         return "" if status is None or status.load is None else status.load.boot_id
 
 
+@dataclass(slots=True)
+class Reservation:
+    """A route that a generation has been admitted to."""
+
+    use: RouteUse
+    """The stream that is counted on it."""
+
+    release: Callable[[], None]
+    """Called once the generation is over; may be called again."""
+
+
 @dataclass(slots=True)
 class FirstByteGate:
     """Asked right before the first byte of each attempt, as non-repeatable work needs."""
@@ -106,6 +124,12 @@
     running: Running | None = None
     """The attempt under way, as quarantine notes it."""
 
+    reserved: RouteUse | None = None
+    """Stream that admission has counted for the first attempt."""
+
+    use: RouteUse | None = None
+    """Stream of the attempt that runs."""
+
     lost: set[str] = field(default_factory=set)
     """Replicas that were lost with their KV caches."""
 
--- a/src/pimentodale/pipelines/observations.py
+++ b/src/pimentodale/pipelines/observations.py
@@ -39,5 +39,6 @@
         fleet.mark_leaving(replica)
         return
     if fault.refused is not None and fault.refused.busy:
+        fleet.mark_busy(replica)
         return
     fleet.mark_down(replica, LOST_PAUSE_MS)
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -188,6 +188,10 @@
         """Return every engine, usable or not."""
         return self._engines.values()
 
+    def listed(self) -> list[EngineTarget]:
+        """Return every engine of the last reading, usable or not."""
+        return list(self._listed_targets().values())
+
     def engines(self, model: str) -> list[EngineTarget]:
         """Return the engines of a model that take new work."""
         return [
