--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -24,6 +24,7 @@
     share_quarantine,
     show_peers,
 )
+from pimentodale.entry.routing import RoutingParts, create_routing, own_subset, start_routing
 from pimentodale.entry.services import create_replica_picker
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
@@ -33,8 +34,6 @@
 from pimentodale.platform.host_list import create_host_list_poller, create_host_list_reader
 from pimentodale.quarantine.quarantine import create_quarantine
 from pimentodale.results import Refusal, ResultCode, create_refusal
-from pimentodale.routing.fleet import create_fleet
-from pimentodale.routing.router import create_router
 from pimentodale.services.caller import create_service_caller
 from pimentodale.tracing.tracer import create_tracer
 
@@ -50,15 +49,11 @@
     from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.platform.targets import Targets
     from pimentodale.routing.fleet import Fleet
-    from pimentodale.routing.router import Router
     from pimentodale.services.messages import ServiceReplica
 
 HOST_LIST_INTERVAL_MS: Final = 1_000.0
 """Mean time between readings of the host list."""
 
-REPLAN_INTERVAL_MS: Final = 100.0
-"""Time between looks at whether routes need another plan."""
-
 NOT_READY_RETRY_MS: Final = 1_000.0
 """When a caller may come back to a host that is starting or stopping."""
 
@@ -109,21 +104,11 @@
     store = create_etcd_gateway([parse_address(text) for text in settings.key_value], host.clock)
     peers = create_entry_peers(settings, host.clock, lambda: host.peer_addresses)
     follower = create_follower(store, host.clock, host.rng, settings.host, peers.is_watcher)
-    fleet = create_fleet(host.clock)
-    router = create_router(fleet, host.clock, settings.failure_domain, host.rng.getrandbits(32))
-    context = _create_context(host, store, follower, fleet, router)
-    server = create_server(
-        create_application(
-            context,
-            [
-                (
-                    r"/admin/configuration",
-                    ConfigurationHandler,
-                    {"context": context, "status": follower.status},
-                )
-            ],
-        )
-    )
+    routing = create_routing(settings, host.clock, host.rng, follower.current)
+    context = _create_context(host, store, follower, routing)
+    shown = {"context": context, "status": follower.status}
+    handlers = [(r"/admin/configuration", ConfigurationHandler, shown)]
+    server = create_server(create_application(context, handlers))
     server.add_sockets(sockets)
     quarantine = create_quarantine(settings.host, host.clock, host.background, store)
     context.pipelines.quarantine = quarantine
@@ -132,8 +117,8 @@
     share_quarantine(quarantine, peers, store, host.clock, host.background)
     host.background.start(peers.run(), "peers")
     host.background.start(follower.run(), "configuration follower")
-    host.background.start(_create_poller(host, fleet)(), "host list")
-    host.background.start(_replan(host, router), "replanning")
+    host.background.start(_create_poller(host, routing.fleet)(), "host list")
+    start_routing(routing, host.background, host.clock, host.rng)
     _log.info("The host listens.", host=settings.host, address=settings.listen)
     await _wait_for_stop()
     host.stopping = True
@@ -145,10 +130,10 @@
 
 
 def _create_context(
-    host: EntryHost, store: KeyValueStore, follower: Follower, fleet: Fleet, router: Router
+    host: EntryHost, store: KeyValueStore, follower: Follower, routing: RoutingParts
 ) -> CallerContext:
     """Join the slices that callers' handlers work with."""
-    settings = host.settings
+    settings, fleet, budget = host.settings, routing.fleet, routing.budget
     tracer = create_tracer(host.clock, settings.host, settings.trace_spans)
     metrics = create_metrics()
     pipelines = PipelineMeans(
@@ -156,8 +141,10 @@
         tracer=tracer,
         metrics=metrics,
         fleet=fleet,
-        router=router,
+        router=routing.router,
         limits=lambda: follower.current().limits,
+        spend_retry=budget.try_spend,
+        note_success=budget.note_success,
     )
     ledger = create_key_ledger(
         store, host.clock, settings.host, lambda: follower.current().limits.claim_retention_ms
@@ -165,6 +152,7 @@
 
     def note_service(replica: ServiceReplica, whole: bool) -> None:
         if whole:
+            budget.note_success()
             fleet.mark_up(replica.name)
         else:
             fleet.mark_down(replica.name, SERVICE_PAUSE_MS)
@@ -177,8 +165,11 @@
         configuration=follower.current,
         authenticator=create_authenticator(follower.current),
         pipelines=pipelines,
+        gate=routing.gate,
         ledger=ledger,
-        call_service=create_service_caller(ledger, pick, host.clock, lambda: True, note_service),
+        call_service=create_service_caller(
+            ledger, pick, host.clock, budget.try_spend, note_service
+        ),
         background=host.background,
         unready=lambda: host.unready(follower.current()),
         max_body_bytes=settings.max_body_bytes,
@@ -191,19 +182,12 @@
     def take(targets: Targets) -> None:
         host.listed = True
         host.peer_addresses = [entry.peer_address for entry in targets.entries]
-        fleet.apply_targets(targets)
+        fleet.apply_targets(own_subset(targets, host.settings))
 
     read = create_host_list_reader(parse_address(host.settings.host_list))
     return create_host_list_poller(read, take, host.clock, host.rng, HOST_LIST_INTERVAL_MS)
 
 
-async def _replan(host: EntryHost, router: Router) -> None:
-    """Plan routes anew whenever the fleet has changed."""
-    while True:
-        await host.clock.sleep_ms(REPLAN_INTERVAL_MS)
-        router.replan()
-
-
 async def _wait_for_stop() -> None:
     """Wait for SIGTERM or SIGINT."""
     stop = asyncio.Event()
