Join membership, signs of leaving and the planned stop to the entry host

Cause: an entry host cut its work on SIGTERM, and a backend server that was leaving got work from every host whose own host list lagged.

Ruled out: refusing new requests at SIGTERM at once (a balancer goes on sending until it has seen that the host is not ready, so callers got refusals); exiting when the last handler has finished (bytes still wait in the connection).

A stopping host is not ready, answers with Connection: close, serves what reaches it for 2 s more, then refuses, waits for requests, background work, outcomes and last bytes, says that it is gone, and exits 0, or 3 when the time was over. New setting peer_advertise, for hosts that are reached under another address.

A test was wrong: routing's "a replica that is leaving stays so" gave work to a leaving replica as soon as one reading of the host list lacked it. A list that flaps is no new boot. It is replaced by one that also holds the replica back then, and frees it after 30 s without a sign.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -24,7 +24,7 @@
   Scenario: a replica that is leaving stays so
     Given a router over 1 failure domains with 4 engines
     When one engine is marked leaving and the host list still calls it live
-    Then it takes no work until it has left the list and come back
+    Then it takes no work though it leaves the list and comes back, until 30 s without a sign
     And it takes work again after a start with another boot id
 
   Scenario: own streams are counted over a gap in the host list
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -2,20 +2,42 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
+import signal
+import threading
+import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgpack
 from behave import given, then, when
+from features.support.layout import HOST_LIST_PORT, Layout, headers_of
+from features.support.site import Program, http, wait_until
+from features.support.steady_load import SteadyLoad
 from hypothesis import given as property_of
 from hypothesis import settings as property_settings
 from hypothesis import strategies
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
 
-from pimentodale.clock import ManualClock
+from pimentodale.callers.app import create_server
+from pimentodale.clock import ManualClock, create_clock
 from pimentodale.leaving.servers import LeavingServers, create_leaving_servers
 from pimentodale.logs import configure_logs
 
 REPLICA = "e1"
+LARGE_BYTES = 8 * 1024 * 1024
+SLOW_READ_LIMIT_BYTES = 4096
+CALLERS = 12
+LEAST_CALLS = 100
+LONG_STREAM_TOKENS = 300
+LIST_LAG_MS = 10_000.0
+LOAD_AFTER_SIGN_S = 6.0
+SECOND_SIGNAL_AFTER_S = 1.0
+STOP_WAIT_S = 40.0
+EXIT_SLACK_S = 0.5
 
 
 @dataclass
@@ -152,3 +174,199 @@
     one.take_word(msgpack.packb(["e9", 7]))
     assert not one.is_leaving(REPLICA)
     assert not one.is_leaving("e9")
+
+
+@given("six entry hosts under steady load behind a balancer that asks each for its readiness")
+def start_hosts_under_load(context: Any) -> None:
+    context.layout = Layout(context.site, entries=6)
+    context.layout.start()
+    start_load(context)
+
+
+@given("{count:d} long streams that were accepted by all hosts")
+def start_long_streams(context: Any, count: int) -> None:
+    layout = context.layout
+    for number in range(count):
+        context.load.start_stream(number % layout.entries, f"long-{number}", LONG_STREAM_TOKENS)
+    wait_until(lambda: started_streams(layout, "long-") >= count, "all streams have started")
+
+
+@given("six entry hosts, of which only host 0 reads a host list that does not lag by 10 s")
+def start_hosts_with_lag(context: Any) -> None:
+    context.layout = layout = Layout(context.site, entries=6, host_list={"lag_ms": LIST_LAG_MS})
+    layout.start_platform()
+    layout.start_backend_servers()
+    layout.put_folder(layout.folder)
+    prompt = f"{context.site.ip(2)}:{HOST_LIST_PORT}"
+    part = {"kind": "host_list", "listen": prompt, "targets": layout.targets()}
+    path = context.site.write("prompt_list.yaml", {"parts": [part]})
+    context.site.start("prompt_list", "pimentodale-standin", str(path))
+    context.prompt_list = f"http://{prompt}/admin/targets"
+    context.site.wait_ready(f"http://{prompt}/targets")
+    for number in range(layout.entries):
+        layout.entry = {"host_list": prompt} if number == 0 else {}
+        layout.start_entry(number)
+    for number in range(layout.entries):
+        context.site.wait_ready(layout.entry_url(number, "/readyz"))
+
+
+@given("steady load over all of them")
+def start_plain_load(context: Any) -> None:
+    start_load(context)
+
+
+@when("entry hosts {first:d} and {second:d} get SIGTERM, and once more a second later")
+def stop_two(context: Any, first: int, second: int) -> None:
+    context.stopped = [first, second]
+    programs = [context.site.programs[f"entry-{number}"] for number in context.stopped]
+    for program in programs:
+        program.process.send_signal(signal.SIGTERM)
+    context.ended_s = {}
+    context.waiting = [
+        threading.Thread(target=note_end, args=(context, program)) for program in programs
+    ]
+    for thread in context.waiting:
+        thread.start()
+    time.sleep(SECOND_SIGNAL_AFTER_S)
+    for program in programs:
+        program.process.send_signal(signal.SIGTERM)
+
+
+@when('both host lists are told that the engine "{replica}" is leaving')
+def tell_lists(context: Any, replica: str) -> None:
+    layout = context.layout
+    wait_until(lambda: starts_at(layout, replica), "the engine has work")
+    groups = layout.targets()
+    for group in groups:
+        if group["labels"]["replica"] == replica:
+            group["labels"]["state"] = "leaving"
+    context.told_ms = time.monotonic() * 1000
+    assert http(context.prompt_list, groups).status == 200
+    layout.set_targets(groups)
+    # The load goes on for this long; that is the measured time, not a wait for something.
+    time.sleep(LOAD_AFTER_SIGN_S)
+    context.load.stop()
+
+
+@then("both say that they are not ready and end their connections with each answer")
+def check_not_ready(context: Any) -> None:
+    for number in context.stopped:
+        ready = http(context.layout.entry_url(number, "/readyz"))
+        assert ready.status == 503 and ready.json()["code"] == 1602, ready
+        assert ready.headers["Connection"] == "close", ready
+        models = context.layout.entry_url(number, "/v1/models")
+        reply = http(models, headers=headers_of("lab"))
+        assert reply.status == 200 and reply.headers["Connection"] == "close", reply
+
+
+@then("both exit with code 0, and not before their long streams have ended")
+def check_exits(context: Any) -> None:
+    for thread in context.waiting:
+        thread.join(STOP_WAIT_S)
+    context.load.stop()
+    for number in context.stopped:
+        name = f"entry-{number}"
+        assert context.site.programs[name].process.returncode == 0, name
+        ends = [call.ended_s for call in context.load.calls if call.host == number]
+        assert max(ends) < context.ended_s[name] + EXIT_SLACK_S, (max(ends), context.ended_s)
+
+
+@then("every stream and every call under load came whole and none was refused")
+def check_all_whole(context: Any) -> None:
+    calls = context.load.calls
+    broken = [call for call in calls if not call.whole]
+    print(f"{len(calls)} calls, {len(broken)} not whole")
+    assert len(calls) > LEAST_CALLS, len(calls)
+    assert not broken, broken[:5]
+
+
+@then("each reservation ran once and was answered")
+def check_reservations(context: Any) -> None:
+    runs = Counter(run["idempotency_key"] for run in context.layout.service_runs())
+    answered = {call.name for call in context.load.calls if call.kind == "reservation"}
+    assert set(runs) == answered, set(runs) ^ answered
+    assert set(runs.values()) == {1}, runs
+
+
+@then('the last new work at "{replica}" started at most {bound:d} s later, though the load went on')
+def check_last_work(context: Any, replica: str, bound: int) -> None:
+    last_ms = max(starts_at(context.layout, replica)) - context.told_ms
+    others_ms = max(
+        at_ms
+        for engine in context.layout.engines
+        if engine.replica != replica
+        for at_ms in starts_at(context.layout, engine.replica)
+    )
+    print(f"last new work {last_ms:.0f} ms after the sign")
+    assert others_ms - context.told_ms > 1000 * (LOAD_AFTER_SIGN_S - 1)
+    assert last_ms <= 1000 * bound, last_ms
+
+
+def start_load(context: Any) -> None:
+    context.load = SteadyLoad(context.layout, context.site.seed)
+    context.add_cleanup(context.load.stop)
+    context.load.start(CALLERS)
+
+
+def started_streams(layout: Layout, prefix: str) -> int:
+    hashes = {
+        hashlib.sha256(f"user: {prefix}{number} [tokens={LONG_STREAM_TOKENS}]".encode()).hexdigest()
+        for number in range(100)
+    }
+    return len(
+        {
+            line["prompt_sha256"]
+            for lines in layout.engine_runs().values()
+            for line in lines
+            if line["event"] == "start" and line["prompt_sha256"] in hashes
+        }
+    )
+
+
+def starts_at(layout: Layout, replica: str) -> list[float]:
+    lines = layout.engine_runs()[replica]
+    return [line["at_ms"] for line in lines if line["event"] == "start"]
+
+
+def note_end(context: Any, program: Program) -> None:
+    program.process.wait(STOP_WAIT_S)
+    context.ended_s[program.name] = time.monotonic()
+
+
+class LargeHandler(RequestHandler):
+    """Answers with more than sockets hold."""
+
+    def get(self) -> None:
+        """Finish at once."""
+        self.finish(bytes(LARGE_BYTES))
+
+
+async def read_slowly(ip: str) -> int:
+    server = create_server(Application([("/", LargeHandler)]))
+    server.add_sockets(bind_sockets(8080, ip))
+    reader, writer = await asyncio.open_connection(ip, 8080, limit=SLOW_READ_LIMIT_BYTES)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    header = await reader.readuntil(b"\r\n\r\n")
+    assert b"200 OK" in header, header
+    closing = asyncio.ensure_future(server.close_when_sent(create_clock(), 10_000.0))
+    # The server gets to act on its closing before the caller reads on.
+    await asyncio.sleep(0.1)
+    body = await reader.read(-1)
+    await closing
+    writer.close()
+    return len(body)
+
+
+@given("a callers' server that has finished an answer of 8 MB")
+def note_large(context: Any) -> None:
+    context.ip = context.site.ip(1)
+
+
+@when("it is closed while the caller has not read yet")
+def close_server(context: Any) -> None:
+    context.read_bytes = asyncio.run(read_slowly(context.ip))
+
+
+@then("the caller reads the answer whole")
+def check_read(context: Any) -> None:
+    assert context.read_bytes == LARGE_BYTES, context.read_bytes
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -264,12 +264,18 @@
     context.fleet.apply_targets(Targets(engines=context.engines))
 
 
-@then("it takes no work until it has left the list and come back")
+@then("it takes no work though it leaves the list and comes back, until 30 s without a sign")
 def check_stays_leaving(context: Any) -> None:
     assert not context.fleet.is_usable("e0")
     context.fleet.apply_targets(Targets(engines=context.engines[1:]))
     assert not context.fleet.is_usable("e0")
     context.fleet.apply_targets(Targets(engines=context.engines))
+    assert not context.fleet.is_usable("e0")
+    context.clock.advance(29_000.0)
+    context.fleet.apply_targets(Targets(engines=context.engines))
+    assert not context.fleet.is_usable("e0")
+    context.clock.advance(2_000.0)
+    context.fleet.apply_targets(Targets(engines=context.engines))
     assert context.fleet.is_usable("e0")
 
 
--- a/features/support/peer_node.py
+++ b/features/support/peer_node.py
@@ -147,6 +147,7 @@
     _answer_all(peers, settings)
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await peers.listen()
     running = asyncio.ensure_future(peers.run())
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
--- a/src/pimentodale/callers/base.py
+++ b/src/pimentodale/callers/base.py
@@ -18,6 +18,7 @@
 from pimentodale.tracing.traceparent import create_trace, parse_traceparent
 
 if TYPE_CHECKING:
+    from asyncio import Future
     from collections.abc import Awaitable
 
     from pimentodale.callers.context import CallerContext
@@ -51,6 +52,12 @@
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(value))
 
+    def flush(self, include_footers: bool = False) -> Future[None]:
+        """Send what is written; a host that is stopping ends the connection with this answer."""
+        if self.context.is_stopping():
+            self.set_header("Connection", "close")
+        return super().flush(include_footers)
+
     def refuse(self, refusal: Refusal) -> None:
         """Finish with a refusal, at once."""
         self.context.metrics.results[refusal.code] += 1
@@ -102,10 +109,13 @@
         self.handed_over = False
         self.refused_early = False
         self._body_read = False
+        self._counted = False
         self._span: Span | None = None
 
     def prepare(self) -> None:
         """Refuse what can be refused by the header alone."""
+        self.context.work.enter()
+        self._counted = True
         self.request_id = self._read_request_id()
         self.set_header("X-Request-Id", self.request_id)
         parent = parse_traceparent(self.request.headers.get("traceparent")) or create_trace()
@@ -126,6 +136,17 @@
             self.body.clear()
             self.refuse(self._too_large())
 
+    def count_off(self) -> None:
+        """Count the request off; every verb does so at its end."""
+        if self._counted:
+            self._counted = False
+            self.context.work.exit()
+
+    def on_connection_close(self) -> None:
+        """Count off a request whose caller went away before its verb ran."""
+        if not self._body_read:
+            self.count_off()
+
     def ended_early(self) -> bool:
         """Finish, now that the body is read, if the answer went out before it; every verb asks."""
         self._body_read = True
@@ -164,6 +185,8 @@
 
     def on_finish(self) -> None:
         """Close the request's span."""
+        if not self._body_read:
+            self.count_off()
         if self._span is None:
             return
         self.context.tracer.end(self._span, status=str(self.get_status()))
--- a/src/pimentodale/callers/context.py
+++ b/src/pimentodale/callers/context.py
@@ -12,6 +12,7 @@
     from pimentodale.callers.authentication import Authenticator
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
+    from pimentodale.leaving.work_in_progress import WorkInProgress
     from pimentodale.ledger.interface import Ledger
     from pimentodale.metrics import Metrics
     from pimentodale.pipelines.generate import PipelineMeans
@@ -54,5 +55,14 @@
     unready: Callable[[], Refusal | None]
     """Why this host takes no new work, if it doesn't."""
 
+    work: WorkInProgress
+    """Counts requests that were accepted and not yet answered."""
+
+    readiness: Callable[[], Refusal | None]
+    """Why balancers should send no more here; a host that stops says so before it refuses."""
+
+    is_stopping: Callable[[], bool]
+    """Whether connections end with their next answer."""
+
     max_body_bytes: int
     """Largest request body."""
--- a/src/pimentodale/callers/generation.py
+++ b/src/pimentodale/callers/generation.py
@@ -48,6 +48,13 @@
 
     async def post(self) -> None:
         """Check the request and answer it."""
+        try:
+            await self._post()
+        finally:
+            self.count_off()
+
+    async def _post(self) -> None:
+        """Check the request and answer it in a task of its own."""
         if self.ended_early():
             return
         checked = self._check()
@@ -66,6 +73,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the work of a caller who is gone."""
+        super().on_connection_close()
         self._caller_gone = True
         if self._work is not None:
             self._work.cancel()
--- a/src/pimentodale/callers/reads.py
+++ b/src/pimentodale/callers/reads.py
@@ -46,8 +46,8 @@
     """Says whether this host takes new work."""
 
     def get(self) -> None:
-        """Answer 200, or the refusal that new work would get."""
-        unready = self.context.unready()
+        """Answer 200, or why this host is to be sent nothing more."""
+        unready = self.context.readiness()
         if unready is not None:
             self.refuse(unready)
             return
--- a/src/pimentodale/callers/services.py
+++ b/src/pimentodale/callers/services.py
@@ -57,11 +57,15 @@
 
     def on_connection_close(self) -> None:
         """Note that the caller is gone; work that was sent goes on to its end."""
+        super().on_connection_close()
         self._caller_gone = True
 
     async def get(self) -> None:
         """Pass the call on."""
-        await self._pass_on()
+        try:
+            await self._pass_on()
+        finally:
+            self.count_off()
 
     head = post = put = patch = delete = get
 
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -17,7 +17,11 @@
 from pimentodale.callers.context import CallerContext
 from pimentodale.clock import create_clock
 from pimentodale.configuration.folder_reader import create_folder_reader
+from pimentodale.entry.load_reports import create_load_reader
+from pimentodale.entry.membership import create_entry_peers, create_sign_publisher, follow_signs
 from pimentodale.entry.services import create_replica_picker
+from pimentodale.leaving.planned_stop import PlannedStop, StopSteps, create_planned_stop
+from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
 from pimentodale.metrics import create_metrics
@@ -34,16 +38,21 @@
     from collections.abc import Callable, Coroutine
 
     from pimentodale.background import BackgroundTasks
+    from pimentodale.callers.app import CallerServer
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
     from pimentodale.configuration.folder_reader import FolderReader
     from pimentodale.entry.settings import EntrySettings
+    from pimentodale.peers.peers import Peers
     from pimentodale.platform.key_value import KeyValueStore
-    from pimentodale.platform.targets import Targets
+    from pimentodale.platform.targets import EntryTarget, Targets
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.router import Router
     from pimentodale.services.messages import ServiceReplica
 
+EXIT_WORK_CUT: Final = 3
+"""Exit code of a planned stop whose time was over with work in progress."""
+
 HOST_LIST_INTERVAL_MS: Final = 1_000.0
 """Mean time between readings of the host list."""
 
@@ -68,14 +77,26 @@
     clock: Clock = field(default_factory=create_clock)
     background: BackgroundTasks = field(default_factory=create_background_tasks)
     rng: random.Random = field(default_factory=random.SystemRandom)
+    work: WorkInProgress = field(default_factory=create_work_in_progress)
+    work_background: BackgroundTasks = field(default_factory=create_background_tasks)
     listed: bool = False
-    stopping: bool = False
+    entries: list[EntryTarget] = field(default_factory=list)
+    stop: PlannedStop = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Prepare the planned stop."""
+        self.stop = create_planned_stop(self.clock, self.work, self.settings.stop_timeout_ms)
+
+    def readiness(self, configuration: Configuration) -> Refusal | None:
+        """Say why this host should be sent no more, if so."""
+        if self.stop.is_stopping:
+            return _leaving()
+        return self.unready(configuration)
 
     def unready(self, configuration: Configuration) -> Refusal | None:
         """Say why this host takes no new work, if it doesn't."""
-        if self.stopping:
-            message = "This host is stopping; send to another one."
-            return _passing(ResultCode.LEAVING, message)
+        if self.stop.is_refusing:
+            return _leaving()
         if configuration.revision == 0:
             message = "No configuration has been accepted yet; put the folder in place."
             return _passing(ResultCode.NO_CONFIGURATION, message)
@@ -98,20 +119,44 @@
     sockets = bind_sockets(listen.port, listen.ip)
     store = create_etcd_gateway([parse_address(text) for text in settings.key_value], host.clock)
     follower = create_folder_reader(store, host.clock)
-    fleet = create_fleet(host.clock)
+    peers = create_entry_peers(
+        settings, host.clock, lambda: [entry.peer_address for entry in host.entries]
+    )
+    fleet = create_fleet(host.clock, create_sign_publisher(peers))
+    follow_signs(peers, fleet)
     router = create_router(fleet, host.clock, settings.failure_domain, host.rng.getrandbits(32))
     context = _create_context(host, store, follower, fleet, router)
     server = create_server(create_application(context, []))
     server.add_sockets(sockets)
+    await peers.listen()
+    host.background.start(peers.run(), "peers")
     host.background.start(follower.run(), "configuration follower")
     host.background.start(_create_poller(host, fleet)(), "host list")
+    host.background.start(create_load_reader(fleet, host.clock)(), "load reports")
     host.background.start(_replan(host, router), "replanning")
     _log.info("The host listens.", host=settings.host, address=settings.listen)
     await _wait_for_stop()
-    host.stopping = True
-    server.stop()
+    whole = await host.stop.run(_create_stop_steps(host, context, server, peers))
     host.background.cancel()
-    return 0
+    return 0 if whole else EXIT_WORK_CUT
+
+
+def _create_stop_steps(
+    host: EntryHost, context: CallerContext, server: CallerServer, peers: Peers
+) -> StopSteps:
+    """Say what is done at each step of a planned stop."""
+
+    async def flush_outcomes(timeout_ms: float) -> bool:
+        return await context.ledger.flush(timeout_ms) == 0
+
+    return StopSteps(
+        tell_peers=peers.leave,
+        refuse_new=server.end_connections_when_answered,
+        drain_background=host.work_background.drain,
+        flush_outcomes=flush_outcomes,
+        close_connections=lambda timeout_ms: server.close_when_sent(host.clock, timeout_ms),
+        leave_peers=peers.stop,
+    )
 
 
 def _create_context(
@@ -149,8 +194,11 @@
         pipelines=pipelines,
         ledger=ledger,
         call_service=create_service_caller(ledger, pick, host.clock, lambda: True, note_service),
-        background=host.background,
+        background=host.work_background,
         unready=lambda: host.unready(follower.current()),
+        work=host.work,
+        readiness=lambda: host.readiness(follower.current()),
+        is_stopping=lambda: host.stop.is_stopping,
         max_body_bytes=settings.max_body_bytes,
     )
 
@@ -160,6 +208,7 @@
 
     def take(targets: Targets) -> None:
         host.listed = True
+        host.entries = targets.entries
         fleet.apply_targets(targets)
 
     read = create_host_list_reader(parse_address(host.settings.host_list))
@@ -182,6 +231,11 @@
     await stop.wait()
 
 
+def _leaving() -> Refusal:
+    """Refuse because this host is stopping."""
+    return _passing(ResultCode.LEAVING, "This host is stopping; send to another one.")
+
+
 def _passing(code: ResultCode, message: str) -> Refusal:
     """Refuse for a reason that will pass."""
     return create_refusal(code, message, retry_after_ms=NOT_READY_RETRY_MS)
--- a/src/pimentodale/entry/settings.py
+++ b/src/pimentodale/entry/settings.py
@@ -25,6 +25,9 @@
     peer_listen: str
     """`IP:PORT` for other entry hosts."""
 
+    peer_advertise: str = ""
+    """`IP:PORT` where other entry hosts reach it; empty when that is `peer_listen`."""
+
     key_value: list[str]
     """`IP:PORT` of the key-value service's end points, tried in order."""
 
--- a/src/pimentodale/leaving/planned_stop.py
+++ b/src/pimentodale/leaving/planned_stop.py
@@ -34,6 +34,9 @@
     refuse_new: Callable[[], None]
     """Has new requests refused from here on."""
 
+    drain_background: Callable[[float], Awaitable[bool]]
+    """Waits so many ms for work that outlives its callers; returns whether it ended."""
+
     flush_outcomes: Callable[[float], Awaitable[bool]]
     """Waits so many ms for outcomes to be written; returns whether they were."""
 
@@ -83,6 +86,8 @@
         self.is_refusing = True
         steps.refuse_new()
         served = await self._work.wait_idle(deadline_ms - self._clock.now_ms())
+        remaining_ms = max(0.0, deadline_ms - self._clock.now_ms())
+        served = await steps.drain_background(remaining_ms) and served
         if not served:
             _log.error(
                 "The time for the stop is over with work in progress; raise stop_timeout_ms.",
--- a/src/pimentodale/peers/peers.py
+++ b/src/pimentodale/peers/peers.py
@@ -125,13 +125,17 @@
         """This host's word about itself."""
         return self._membership.own
 
-    async def run(self) -> None:
-        """Listen, keep the mesh and spread state until `stop` is done.
+    async def listen(self) -> None:
+        """Start to accept connections; come before `run`.
 
         Raises:
             OSError: If the address can't be listened on.
         """
-        await self._listen()
+        listen = self._settings.listen
+        self._server = await asyncio.start_server(self._accept, listen.ip, listen.port)
+
+    async def run(self) -> None:
+        """Keep the mesh and spread state until `stop` is done."""
         self._tasks.start(self._keeper.explore(), "explore")
         ticker = asyncio.ensure_future(self._tick())
         stopping = asyncio.ensure_future(self._stop.wait())
@@ -253,11 +257,6 @@
         await asyncio.gather(*(link.stream.drain(_LAST_WORD_TIMEOUT_MS) for link in links))
         self._stop.set()
 
-    async def _listen(self) -> None:
-        """Start to accept connections."""
-        listen = self._settings.listen
-        self._server = await asyncio.start_server(self._accept, listen.ip, listen.port)
-
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Greet a new connection in a task of its own."""
         if self._greeting >= MAX_GREETING_STREAMS:
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -1,7 +1,7 @@
 """What one entry host knows of the backend servers.
 
 The host list is a hint that lags. What the host saw itself, or what the engine says of itself, goes
-first: a replica that is leaving stays so until it has left the list or started anew.
+first: a replica that is leaving stays so until it has started anew (see `leaving.servers`).
 """
 
 from __future__ import annotations
@@ -10,8 +10,10 @@
 
 import msgspec
 
+from pimentodale.leaving.servers import create_leaving_servers
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from pimentodale.clock import Clock
     from pimentodale.platform.engine_messages import EngineLoad
@@ -49,19 +51,19 @@
     revision: int
     """Rises with each change that calls for another plan."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, publish_sign: Callable[[str, bytes, float], None]) -> None:
         self._clock = clock
         self._engines: dict[str, EngineStatus] = {}
         self._services: dict[str, ServiceTarget] = {}
         self._down_services: dict[str, float] = {}
-        self._leaving: set[str] = set()
+        self._leaving = create_leaving_servers(clock, publish_sign, self._note_leaving)
         self.revision = 0
 
     def apply_targets(self, targets: Targets) -> None:
         """Take a reading of the host list."""
-        listed = {target.replica for target in targets.engines}
-        listed |= {service.replica for service in targets.services}
-        self._leaving &= listed
+        leaving = [target.replica for target in targets.engines if target.leaving]
+        leaving += [target.replica for target in targets.services if target.leaving]
+        self._leaving.note_list(leaving)
         before = self._listed_targets()
         merged = {target.replica: self._merge(target) for target in targets.engines}
         for name, status in self._engines.items():
@@ -82,28 +84,28 @@
             return
         earlier = status.load
         if earlier is not None and earlier.boot_id != report.boot_id:
-            self._leaving.discard(report.replica)
             self.revision += 1
         status.load = report
         status.own_at_report = status.in_flight
-        if report.state == "leaving":
-            self.mark_leaving(report.replica)
+        self._leaving.note_report(report.replica, report.boot_id, report.state == "leaving")
         corrected = _corrected(status.target, report)
         if corrected != status.target:
             status.target = corrected
             self.revision += 1
 
     def mark_leaving(self, replica: str) -> bool:
-        """Give a replica no new work from now on.
+        """Give a replica no new work from now on, here and at the other hosts.
 
         Returns:
             Whether this was news.
         """
-        if replica in self._leaving:
-            return False
-        self._leaving.add(replica)
-        self.revision += 1
-        return True
+        known = self._leaving.is_leaving(replica)
+        self._leaving.note_refusal(replica)
+        return not known
+
+    def take_sign(self, value: bytes) -> None:
+        """Take another host's sign that a replica is leaving."""
+        self._leaving.take_word(value)
 
     def mark_down(self, replica: str, duration_ms: float) -> None:
         """Give a replica no new work for a while.
@@ -133,19 +135,13 @@
         status = self._engines.get(replica)
         if status is None or not status.listed:
             return False
-        if status.target.leaving or replica in self._leaving:
+        if self._leaving.is_leaving(replica):
             return False
         return status.down_until_ms <= self._clock.now_ms()
 
     def is_leaving(self, replica: str) -> bool:
         """Whether a replica is known to be leaving."""
-        if replica in self._leaving:
-            return True
-        target = self._services.get(replica)
-        status = self._engines.get(replica)
-        return (target is not None and target.leaving) or (
-            status is not None and status.target.leaving
-        )
+        return self._leaving.is_leaving(replica)
 
     def status(self, replica: str) -> EngineStatus | None:
         """Return what is known of an engine, or `None` if there is no such engine."""
@@ -168,13 +164,17 @@
         now_ms = self._clock.now_ms()
         usable = []
         for target in self._services.values():
-            if target.service != name or target.leaving or target.replica in self._leaving:
+            if target.service != name or self._leaving.is_leaving(target.replica):
                 continue
             if self._down_services.get(target.replica, 0.0) > now_ms:
                 continue
             usable.append(target)
         return usable
 
+    def _note_leaving(self, _replica: str) -> None:
+        """Have routes planned anew after a replica's leaving became known."""
+        self.revision += 1
+
     def _listed_targets(self) -> dict[str, EngineTarget]:
         """Return the engines of the last reading by name."""
         return {name: status.target for name, status in self._engines.items() if status.listed}
@@ -193,9 +193,21 @@
         return status
 
 
-def create_fleet(clock: Clock) -> Fleet:
-    """Build an empty fleet."""
-    return Fleet(clock)
+def _tell_nobody(_key: str, _value: bytes, _ttl_ms: float) -> None:
+    """Publish nothing."""
+
+
+def create_fleet(
+    clock: Clock, publish_sign: Callable[[str, bytes, float], None] = _tell_nobody
+) -> Fleet:
+    """Build an empty fleet.
+
+    Args:
+        clock: Tells the time.
+        publish_sign: Tells the other hosts, under a key and for so many ms, that a replica is
+            leaving.
+    """
+    return Fleet(clock, publish_sign)
 
 
 def _corrected(target: EngineTarget, report: EngineLoad) -> EngineTarget:
