--- a/src/pimentodale/callers/services.py
+++ b/src/pimentodale/callers/services.py
@@ -101,9 +101,17 @@
 
         Work that has gone out is not cancelled: its outcome is kept for the re-send.
         """
+        super().on_connection_close()
         self._gone = True
 
     async def _answer_call(self) -> None:
+        """Answer a call of any method."""
+        try:
+            await self._check_and_call()
+        finally:
+            self.count_off()
+
+    async def _check_and_call(self) -> None:
         """Check the request, make the call and write its answer."""
         if self.ended_early():
             return
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -18,14 +18,19 @@
 from pimentodale.callers.reads import ConfigurationHandler
 from pimentodale.clock import create_clock
 from pimentodale.configuration.follower import create_follower
+from pimentodale.entry.demand import share_demand
 from pimentodale.entry.membership import (
     create_entry_peers,
+    create_sign_publisher,
+    follow_signs,
     share_configuration,
     share_quarantine,
     show_peers,
 )
 from pimentodale.entry.routing import RoutingParts, create_routing, own_subset, start_routing
 from pimentodale.entry.services import create_replica_picker
+from pimentodale.leaving.planned_stop import PlannedStop, StopSteps, create_planned_stop
+from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
 from pimentodale.metrics import create_metrics
@@ -42,15 +47,20 @@
 
     from pimentodale.addresses import Address
     from pimentodale.background import BackgroundTasks
+    from pimentodale.callers.app import CallerServer
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
     from pimentodale.configuration.follower import Follower
     from pimentodale.entry.settings import EntrySettings
+    from pimentodale.peers.peers import Peers
     from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.platform.targets import Targets
     from pimentodale.routing.fleet import Fleet
     from pimentodale.services.messages import ServiceReplica
 
+EXIT_WORK_CUT: Final = 3
+"""Exit code of a planned stop whose time was over with work in progress."""
+
 HOST_LIST_INTERVAL_MS: Final = 1_000.0
 """Mean time between readings of the host list."""
 
@@ -72,15 +82,26 @@
     clock: Clock = field(default_factory=create_clock)
     background: BackgroundTasks = field(default_factory=create_background_tasks)
     rng: random.Random = field(default_factory=random.SystemRandom)
+    work: WorkInProgress = field(default_factory=create_work_in_progress)
+    work_background: BackgroundTasks = field(default_factory=create_background_tasks)
     listed: bool = False
     peer_addresses: list[Address] = field(default_factory=list)
-    stopping: bool = False
+    stop: PlannedStop = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Prepare the planned stop."""
+        self.stop = create_planned_stop(self.clock, self.work, self.settings.stop_timeout_ms)
+
+    def readiness(self, configuration: Configuration) -> Refusal | None:
+        """Say why this host should be sent no more, if so."""
+        if self.stop.is_stopping:
+            return _leaving()
+        return self.unready(configuration)
 
     def unready(self, configuration: Configuration) -> Refusal | None:
         """Say why this host takes no new work, if it doesn't."""
-        if self.stopping:
-            message = "This host is stopping; send to another one."
-            return _passing(ResultCode.LEAVING, message)
+        if self.stop.is_refusing:
+            return _leaving()
         if configuration.revision == 0:
             message = "No configuration has been accepted yet; put the folder in place."
             return _passing(ResultCode.NO_CONFIGURATION, message)
@@ -104,7 +125,10 @@
     store = create_etcd_gateway([parse_address(text) for text in settings.key_value], host.clock)
     peers = create_entry_peers(settings, host.clock, lambda: host.peer_addresses)
     follower = create_follower(store, host.clock, host.rng, settings.host, peers.is_watcher)
-    routing = create_routing(settings, host.clock, host.rng, follower.current)
+    routing = create_routing(
+        settings, host.clock, host.rng, follower.current, create_sign_publisher(peers)
+    )
+    follow_signs(peers, routing.fleet)
     context = _create_context(host, store, follower, routing)
     shown = {"context": context, "status": follower.status}
     handlers = [(r"/admin/configuration", ConfigurationHandler, shown)]
@@ -115,18 +139,35 @@
     show_peers(peers, context.metrics)
     share_configuration(follower, peers, host.clock, host.rng, host.background)
     share_quarantine(quarantine, peers, store, host.clock, host.background)
+    share_demand(routing.gate.rates, peers, host.clock, host.background)
+    await peers.listen()
     host.background.start(peers.run(), "peers")
     host.background.start(follower.run(), "configuration follower")
     host.background.start(_create_poller(host, routing.fleet)(), "host list")
     start_routing(routing, host.background, host.clock, host.rng)
     _log.info("The host listens.", host=settings.host, address=settings.listen)
     await _wait_for_stop()
-    host.stopping = True
-    peers.leave()
-    server.stop()
-    await peers.stop()
+    whole = await host.stop.run(_create_stop_steps(host, context, server, peers))
     host.background.cancel()
-    return 0
+    return 0 if whole else EXIT_WORK_CUT
+
+
+def _create_stop_steps(
+    host: EntryHost, context: CallerContext, server: CallerServer, peers: Peers
+) -> StopSteps:
+    """Say what is done at each step of a planned stop."""
+
+    async def flush_outcomes(timeout_ms: float) -> bool:
+        return await context.ledger.flush(timeout_ms) == 0
+
+    return StopSteps(
+        tell_peers=peers.leave,
+        refuse_new=server.end_connections_when_answered,
+        drain_background=host.work_background.drain,
+        flush_outcomes=flush_outcomes,
+        close_connections=lambda timeout_ms: server.close_when_sent(host.clock, timeout_ms),
+        leave_peers=peers.stop,
+    )
 
 
 def _create_context(
@@ -170,8 +211,11 @@
         call_service=create_service_caller(
             ledger, pick, host.clock, budget.try_spend, note_service
         ),
-        background=host.background,
+        background=host.work_background,
         unready=lambda: host.unready(follower.current()),
+        work=host.work,
+        readiness=lambda: host.readiness(follower.current()),
+        is_stopping=lambda: host.stop.is_stopping,
         max_body_bytes=settings.max_body_bytes,
     )
 
@@ -197,6 +241,11 @@
     await stop.wait()
 
 
+def _leaving() -> Refusal:
+    """Refuse because this host is stopping."""
+    return _passing(ResultCode.LEAVING, "This host is stopping; send to another one.")
+
+
 def _passing(code: ResultCode, message: str) -> Refusal:
     """Refuse for a reason that will pass."""
     return create_refusal(code, message, retry_after_ms=NOT_READY_RETRY_MS)
--- a/src/pimentodale/entry/routing.py
+++ b/src/pimentodale/entry/routing.py
@@ -51,6 +51,7 @@
     clock: Clock,
     rng: random.Random,
     configuration: Callable[[], Configuration],
+    publish_sign: Callable[[str, bytes, float], None],
 ) -> RoutingParts:
     """Build the parts of one host.
 
@@ -59,11 +60,12 @@
         clock: Tells the time.
         rng: Source of chance.
         configuration: Returns the configuration in force.
+        publish_sign: Tells the other hosts a sign that a backend server leaves.
 
     Returns:
         The parts; `start_routing` keeps them fresh.
     """
-    fleet = create_fleet(clock)
+    fleet = create_fleet(clock, publish_sign)
 
     def links() -> list[Link]:
         return [_create_link(limit) for limit in configuration().limits.links]
--- a/src/pimentodale/routing/load_reports.py
+++ b/src/pimentodale/routing/load_reports.py
@@ -74,7 +74,7 @@
     async def _read(self, engine: EngineTarget, with_events: bool) -> None:
         """Read one engine's load, and its cache events if wanted; a failure changes nothing."""
         report = await read_load(engine.address, READ_TIMEOUT_MS)
-        if report.is_error():
+        if report.is_error() or report.ok.replica != engine.replica:
             return
         self._fleet.apply_load(report.ok)
         if with_events:
