--- a/features/ledger_rules.feature
+++ b/features/ledger_rules.feature
@@ -60,7 +60,8 @@
 
   Scenario: a lost reply to the claim is read back
     Given a ledger host "a" and a ledger host "b" over one store
-    When the store loses its next reply to a transaction of ledger host "a"
+    When work "other" under key "early" is done through ledger host "a"
+    And the store loses its next reply to ledger host "a"
     And work "rig-1" under key "k" is done through ledger host "a"
     Then the last ledger answer is the new outcome of "rig-1"
     And the ledger work under "k" ran 1 time
@@ -81,3 +82,19 @@
     And work "rig-1" under key "k" is done through ledger host "b"
     Then the ledger work under "k" ran 1 time
     And the last ledger answer is the replayed outcome of "rig-1"
+
+  Scenario: a claim whose replies were all lost is withdrawn
+    Given a ledger host "a" and a ledger host "b" over one store
+    When work "other" under key "early" is done through ledger host "a"
+    And the store loses its next 2 replies to ledger host "a"
+    And work "rig-1" under key "k" is done through ledger host "a" and its claims settle
+    Then the last ledger answer is "ledger_unavailable" with ran "may_have_run", this attempt "not_run" and earlier attempt "unknown"
+    When work "rig-1" under key "k" is done through ledger host "b"
+    Then the last ledger answer is the new outcome of "rig-1"
+
+  Scenario: a release whose reply was lost does not take the next claim
+    Given a ledger host "a" and a ledger host "b" over one store
+    When ledger host "a" releases key "k", loses the reply, and ledger host "b" claims it before the next try
+    And the ledger clock moves on by 1000 ms
+    And work "rig-1" under key "k" is done through ledger host "a"
+    Then the last ledger answer is "earlier_attempt_running" with ran "may_have_run", this attempt "not_run" and earlier attempt "running"
--- a/features/steps/ledger_machine.py
+++ b/features/steps/ledger_machine.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 from features.support.ledger_machine import LedgerMachine
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 from structlog.testing import capture_logs
 
@@ -19,6 +19,8 @@
         derandomize=True,
         deadline=None,
         database=None,
+        # A failure is shown as found; making it smaller takes minutes.
+        phases=[Phase.generate],
         suppress_health_check=list(HealthCheck),
     )
     context.machine_fault = None
--- a/features/steps/ledger_rules.py
+++ b/features/steps/ledger_rules.py
@@ -14,6 +14,7 @@
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.ledger.records import (
     MAX_OUTCOME_BYTES,
+    Claim,
     ClaimRequest,
     Outcome,
     digest_request,
@@ -29,6 +30,8 @@
 
 
 DEADLINE_MS: Final = 60_000.0
+RELEASE_TURNS: Final = 12
+SETTLE_MS: Final = 5_000.0
 FIRST_RETENTION_MS: Final = 120_000.0
 
 
@@ -40,7 +43,7 @@
     state: MemoryState = field(init=False)
     ledgers: dict[str, Ledger] = field(default_factory=dict)
     unreachable: set[str] = field(default_factory=set)
-    lose_reply: set[str] = field(default_factory=set)
+    lose_replies: dict[str, int] = field(default_factory=dict)
     retention_ms: float = FIRST_RETENTION_MS
     ran: list[str] = field(default_factory=list)
     last: Result[Outcome, Refusal] | None = None
@@ -55,8 +58,8 @@
             await asyncio.sleep(0)
             if name in self.unreachable:
                 return StoreFault(False, "connection refused")
-            if stage == "reply" and name in self.lose_reply and self.state.items:
-                self.lose_reply.discard(name)
+            if stage == "reply" and self.lose_replies.get(name):
+                self.lose_replies[name] -= 1
                 return StoreFault(True, "no answer in time")
             return None
 
@@ -71,13 +74,13 @@
         work: Callable[[LastLook], Awaitable[Result[Outcome, WorkFault]]],
     ) -> None:
         """Send one attempt through a host and keep the answer."""
-        request = ClaimRequest(
-            workspace="delft",
-            idempotency_key=key,
-            digest=digest_request(text),
-            deadline_ms=self.clock.now_ms() + DEADLINE_MS,
-        )
-        self.last = await run_once(self.ledgers[host], request, work)
+        self.last = await run_once(self.ledgers[host], _request(self, key, text), work)
+
+
+async def _turns(count: int) -> None:
+    """Let the other tasks run."""
+    for _ in range(count):
+        await asyncio.sleep(0)
 
 
 def _outcome(text: str) -> Outcome:
@@ -85,6 +88,26 @@
     return Outcome(status=200, headers={"X-Work": text}, body=text.encode() * size)
 
 
+def _request(world: World, key: str, text: str) -> ClaimRequest:
+    return ClaimRequest(
+        workspace="delft",
+        idempotency_key=key,
+        digest=digest_request(text),
+        deadline_ms=world.clock.now_ms() + DEADLINE_MS,
+    )
+
+
+def _work(
+    world: World, key: str, text: str
+) -> Callable[[LastLook], Awaitable[Result[Outcome, WorkFault]]]:
+    async def work(look: LastLook) -> Result[Outcome, WorkFault]:
+        assert await look.allows()
+        world.ran.append(key)
+        return Ok(_outcome(text))
+
+    return work
+
+
 @given('a ledger host "{first}" and a ledger host "{second}" over one store')
 def make_hosts(context: Any, first: str, second: str) -> None:
     context.world = World()
@@ -95,13 +118,7 @@
 @when('work "{text}" under key "{key}" is done through ledger host "{host}"')
 def do_work(context: Any, text: str, key: str, host: str) -> None:
     world: World = context.world
-
-    async def work(look: LastLook) -> Result[Outcome, WorkFault]:
-        assert await look.allows()
-        world.ran.append(key)
-        return Ok(_outcome(text))
-
-    asyncio.run(world.attempt(host, key, text, work))
+    asyncio.run(world.attempt(host, key, text, _work(world, key, text)))
 
 
 @when('work "{text}" under key "{key}" is held by ledger host "{host}" after its first byte')
@@ -174,9 +191,48 @@
     context.world.unreachable.add(host)
 
 
-@when('the store loses its next reply to a transaction of ledger host "{host}"')
+@when('the store loses its next reply to ledger host "{host}"')
 def lose_next_reply(context: Any, host: str) -> None:
-    context.world.lose_reply.add(host)
+    context.world.lose_replies[host] = 1
+
+
+@when('the store loses its next {count:d} replies to ledger host "{host}"')
+def lose_next_replies(context: Any, count: int, host: str) -> None:
+    context.world.lose_replies[host] = count
+
+
+@when('work "{text}" under key "{key}" is done through ledger host "{host}" and its claims settle')
+def do_work_and_settle(context: Any, text: str, key: str, host: str) -> None:
+    world: World = context.world
+
+    async def do_and_flush() -> None:
+        await world.attempt(host, key, text, _work(world, key, text))
+        assert await world.ledgers[host].flush(SETTLE_MS) == 0
+
+    asyncio.run(do_and_flush())
+
+
+@when(
+    'ledger host "{first}" releases key "{key}", loses the reply, and ledger host "{second}" '
+    "claims it before the next try"
+)
+def release_and_claim(context: Any, first: str, key: str, second: str) -> None:
+    world: World = context.world
+
+    def request() -> ClaimRequest:
+        return _request(world, key, "rig-1")
+
+    async def race() -> None:
+        claimed = await world.ledgers[first].claim(request())
+        world.lose_replies[first] = 1
+        release = asyncio.ensure_future(world.ledgers[first].release(claimed.ok))
+        await _turns(RELEASE_TURNS)
+        assert not world.lose_replies[first]
+        taken = await world.ledgers[second].claim(request())
+        assert isinstance(taken.ok, Claim), taken
+        assert await release
+
+    asyncio.run(race())
 
 
 @when("the retention of the ledger is raised to {retention_ms:d} ms")
--- a/features/support/ledger_machine.py
+++ b/features/support/ledger_machine.py
@@ -131,6 +131,15 @@
         gate = data.draw(st.sampled_from(self._open_gates()))
         self._open(gate, None)
 
+    @rule(number=st.integers(0, HOSTS - 1), steps=st.sampled_from([2, 4, 12]))
+    def run_host(self, number: int, steps: int) -> None:
+        """Let one host go on by several awaits."""
+        for _ in range(steps):
+            gates = [g for g in self._open_gates() if g.host is self.hosts[number]]
+            if not gates:
+                return
+            self._open(gates[0], None)
+
     @precondition(lambda self: self._open_gates())
     @rule(data=st.data(), fault=st.sampled_from([UNSENT, UNKNOWN]))
     def fail(self, data: st.DataObject, fault: StoreFault) -> None:
