Add the steward: orders to engines by lease and fencing number

Cause: versions, adapters, roles and loads have to be brought about by one hand in each failure domain, also when a holder is paused, the service is cut off or restored, or engines ignore old numbers.

Change: program pimentodale-steward; lease with a margin, looked at before each order; a new holder waits out the old one's longest order; states are read back every round and put right; loads take places in the weight store's line; no change that leaves a layer with fewer than the minimum serving. A fencing number that has to go above the service's revision is raised by compare-and-swap against the lease key, so only the holder can, and the next holder starts above it. Placements may name role, load size, replicas and engines to unload; all have defaults. `Follower.refresh` looks at the service once.

Ruled out: raising the number from engines' states alone, as a paused holder could then read the newer holder's number and go above it.

--- a/src/pimentodale/configuration/documents.py
+++ b/src/pimentodale/configuration/documents.py
@@ -102,6 +102,19 @@
     """How long an outcome can be replayed to a re-send."""
 
 
+class PlacedReplica(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An engine that should hold a range of a model's layers."""
+
+    replica: Name
+    """Name of the engine."""
+
+    first_layer: Annotated[int, msgspec.Meta(ge=0)]
+    """First layer that it should hold."""
+
+    last_layer: Positive
+    """Layer after the last one that it should hold."""
+
+
 class Placement(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Where a model's replicas should be and what they should hold."""
 
@@ -118,7 +131,19 @@
     """Version that engines should hold; empty leaves it alone."""
 
     adapters: list[str] = []
-    """Adapters that engines should hold."""
+    """Adapters that engines should hold; empty leaves them alone."""
+
+    role: Literal["", "prefill", "decode", "both"] = ""
+    """Role that engines should have; empty leaves it alone."""
+
+    load_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Octets that one load reads from the weight store; 0 for loads that are not paced."""
+
+    replicas: list[PlacedReplica] = []
+    """Engines that should hold the model, whatever they hold now."""
+
+    unloaded: list[Name] = []
+    """Engines that should hold nothing of the model."""
 
 
 class ConfigurationFile(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/pimentodale/configuration/follower.py
+++ b/src/pimentodale/configuration/follower.py
@@ -181,24 +181,33 @@
             self._store_fault = fault.message
             await self._clock.sleep_ms(wait_ms * (0.5 + self._rng.random()))
 
-    def _note_service_works(self) -> None:
-        """Note that the service answers."""
-        self._store_fault = ""
+    async def refresh(self) -> StoreFault | None:
+        """Look once at the service, and take its snapshot if it is newer.
 
-    async def _poll(self) -> StoreFault | None:
-        """Look once whether the service says another revision, then wait for the next time."""
+        Returns:
+            Why that could not be done, if it couldn't.
+        """
         stored = await read_accepted_revision(self._store)
         if stored.is_error():
             return stored.error
+        if stored.ok < self.current().revision:
+            return await self._watcher.write_back_if_behind()
         if stored.ok > self.current().revision:
             snapshot = await read_accepted(self._store)
             if snapshot.is_error():
                 return snapshot.error
             await self._in_force.adopt(snapshot.ok, "store")
-        elif stored.ok < self.current().revision:
-            fault = await self._watcher.write_back_if_behind()
-            if fault is not None:
-                return fault
+        return None
+
+    def _note_service_works(self) -> None:
+        """Note that the service answers."""
+        self._store_fault = ""
+
+    async def _poll(self) -> StoreFault | None:
+        """Look once whether the service says another revision, then wait for the next time."""
+        fault = await self.refresh()
+        if fault is not None:
+            return fault
         self._note_service_works()
         await self._wait_for_poll()
         return None
--- a/src/pimentodale/standin/weight_store.py
+++ b/src/pimentodale/standin/weight_store.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pimentodale.clock import MS_PER_S, Clock, create_clock
+from pimentodale.platform.weight_store import Reservation, ReservationRequest
 from pimentodale.standin.http_parts import (
     Journal,
     Listener,
@@ -34,28 +35,11 @@
     """Faults from the start."""
 
 
-class ReservationRequest(msgspec.Struct, frozen=True):
-    """Body of `POST /v1/reservations`."""
-
-    bytes: int
-    """Size of the load."""
-
-    holder: str
-    """Who will load."""
-
-
-class Reservation(msgspec.Struct, frozen=True):
-    """Answer of `POST /v1/reservations`."""
-
-    start_after_ms: float
-    """When the load may start, from now."""
-
-
 class ReservationEntry(msgspec.Struct, frozen=True):
     """One line of the journal."""
 
-    wall_ms: float
-    """When it was asked for."""
+    at_ms: float
+    """Monotonic time of this machine when it was asked for."""
 
     holder: str
     """Who asked."""
@@ -86,9 +70,7 @@
         self.free_ms = start_ms + request.bytes / self.settings.bytes_per_s * MS_PER_S
         reservation = Reservation(start_ms - now_ms)
         self.journal.write(
-            ReservationEntry(
-                self.clock.wall_ms(), request.holder, request.bytes, reservation.start_after_ms
-            )
+            ReservationEntry(now_ms, request.holder, request.bytes, reservation.start_after_ms)
         )
         return reservation
 
--- /dev/null
+++ b/src/pimentodale/steward/main.py
@@ -0,0 +1,80 @@
+"""Program `pimentodale-steward`: gives orders to the engines of one failure domain."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Final
+
+import cappa
+
+from pimentodale import VERSION
+from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.clock import create_clock
+from pimentodale.configuration.follower import create_follower
+from pimentodale.logs import configure_logs
+from pimentodale.platform.etcd_gateway import create_etcd_gateway
+from pimentodale.platform.host_list import create_host_list_reader
+from pimentodale.platform.weight_store import create_reserver
+from pimentodale.steward.settings import StewardSettings
+from pimentodale.steward.steward import create_steward
+from pimentodale.yaml_files import read_yaml_file
+
+EXIT_BAD_SETTINGS: Final = 2
+"""Exit code for a settings file that is not accepted."""
+
+
+@cappa.command(name="pimentodale-steward", help="Give orders to the engines of a failure domain.")
+@dataclass(slots=True)
+class StewardCommand:
+    """Arguments of the program."""
+
+    settings: Annotated[Path, cappa.Arg(help="YAML file with this host's place and addresses.")]
+
+
+def main() -> None:
+    """Run the program."""
+    command = cappa.parse(StewardCommand, version=VERSION)
+    result = read_yaml_file(command.settings, StewardSettings)
+    if result.is_error():
+        print(result.error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    settings = result.ok
+    configure_logs(settings.log_level, settings.log_format)
+    try:
+        sys.exit(asyncio.run(_run(settings)))
+    except BadAddressError as error:
+        print(f"{command.settings}: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+async def _run(settings: StewardSettings) -> int:
+    """Run the steward until a signal asks it to stop."""
+    clock = create_clock()
+    rng = random.SystemRandom()
+    store = create_etcd_gateway([parse_address(text) for text in settings.key_value], clock)
+    follower = create_follower(store, clock, rng, settings.host, lambda: False)
+    read_targets = create_host_list_reader(parse_address(settings.host_list))
+    weight_store = settings.weight_store
+    reserve = create_reserver(parse_address(weight_store)) if weight_store else None
+    steward = create_steward(settings, store, follower, read_targets, reserve, clock, rng)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    running = asyncio.create_task(steward.run(), name="steward")
+    stopping = asyncio.create_task(stop.wait(), name="stop")
+    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    if running.done():
+        # It never ends by itself, so this raises what went wrong.
+        running.result()
+    lease = steward.lease
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    if lease is not None:
+        await lease.release()
+    return 0
