Show operators what a host holds of the others: pimentodale-ctl status

Cause: operators could not see which hosts a host knows, nor which backend servers get no new work.

Ruled out: a drain order on the same path. Nothing tells an operator from a caller on the callers' port, and a drain that anyone can order would let any caller take every backend server out of service. It is left open until operators can prove who they are.

Change: GET /admin/status and pimentodale-ctl status.

Conclusion: status stands; drain is left.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -30,6 +30,7 @@
     And steady load over all of them
     When both host lists are told that the engine "eng-a0" is leaving
     Then the last new work at "eng-a0" started at most 3 s later, though the load went on
+    And the operators' status of host 5 names all six hosts as alive and "eng-a0" as leaving
     And every stream and every call under load came whole and none was refused
 
   Scenario: the last bytes of an answer reach a caller that reads slowly
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import re
 import signal
 import threading
 import time
@@ -302,6 +303,20 @@
     assert last_ms <= 1000 * bound, last_ms
 
 
+@then(
+    'the operators\' status of host {number:d} names all six hosts as alive and "{replica}" as leaving'
+)
+def check_status(context: Any, number: int, replica: str) -> None:
+    address = context.layout.entry_address(number)
+    program = context.site.start("status", "pimentodale-ctl", "status", f"--entry={address}")
+    code = program.process.wait(30)
+    output = program.log.read_text()
+    assert code == 0, output
+    for host in range(6):
+        assert re.search(rf"host entry-{host}\t\S+\talive", output), output
+    assert f"leaving {replica}" in output, output
+
+
 def start_load(context: Any) -> None:
     context.load = SteadyLoad(context.layout, context.site.seed)
     context.add_cleanup(context.load.stop)
--- a/src/pimentodale/ctl/main.py
+++ b/src/pimentodale/ctl/main.py
@@ -10,6 +10,7 @@
 from pimentodale import VERSION
 from pimentodale.ctl.config import run_config
 from pimentodale.ctl.config_commands import ConfigCommand
+from pimentodale.ctl.status import HostStatusCommand, run_status
 from pimentodale.ctl.token import TokenCommand, run_token
 from pimentodale.logs import configure_logs
 
@@ -19,7 +20,7 @@
 class CtlCommand:
     """Arguments of the program; a new group joins the union here and `main` below."""
 
-    command: cappa.Subcommands[ConfigCommand | TokenCommand]
+    command: cappa.Subcommands[ConfigCommand | HostStatusCommand | TokenCommand]
 
 
 def main() -> None:
@@ -28,4 +29,6 @@
     command = cappa.parse(CtlCommand, version=VERSION).command
     if isinstance(command, ConfigCommand):
         sys.exit(run_config(command))
+    if isinstance(command, HostStatusCommand):
+        sys.exit(run_status(command))
     sys.exit(run_token(command))
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -28,6 +28,7 @@
     show_peers,
 )
 from pimentodale.entry.services import create_replica_picker
+from pimentodale.entry.status import StatusHandler, create_status_reader
 from pimentodale.leaving.planned_stop import PlannedStop, StopSteps, create_planned_stop
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.ledger.key_ledger import create_key_ledger
@@ -142,7 +143,12 @@
                     r"/admin/configuration",
                     ConfigurationHandler,
                     {"context": context, "status": follower.status},
-                )
+                ),
+                (
+                    r"/admin/status",
+                    StatusHandler,
+                    {"context": context, "status": create_status_reader(context, peers, fleet)},
+                ),
             ],
         )
     )
--- a/src/pimentodale/leaving/servers.py
+++ b/src/pimentodale/leaving/servers.py
@@ -94,6 +94,10 @@
         """Whether a backend server may be given no new work."""
         return replica in self._blocked
 
+    def leaving(self) -> list[str]:
+        """Return the backend servers that may be given no new work."""
+        return sorted(self._blocked)
+
     def note_report(self, replica: str, boot_id: str, leaving: bool) -> None:
         """Take a backend server's own report, which may lag.
 
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -176,6 +176,10 @@
         """Whether a replica is known to be leaving."""
         return self._leaving.is_leaving(replica)
 
+    def leaving(self) -> list[str]:
+        """Return the replicas that are known to be leaving."""
+        return self._leaving.leaving()
+
     def status(self, replica: str) -> EngineStatus | None:
         """Return what is known of an engine, or `None` if there is no such engine."""
         return self._engines.get(replica)
