--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -7,12 +7,15 @@
 import signal
 import sys
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated
 
 import cappa
+import msgspec
 from features.support.layout import LAYERS, MODEL, Layout, headers_of
 from features.support.site import Site, http
 
+from pimentodale.callers.reads import TraceReply
+from pimentodale.ctl.explain import describe_spans
 from pimentodale.standin.reference_text import reference_tokens
 
 if TYPE_CHECKING:
@@ -111,19 +114,9 @@
 def _show_trace(layout: Layout, entry: int, request_id: str) -> None:
     """Print a request's spans as a tree."""
     reply = http(layout.entry_url(entry, f"/admin/trace?request_id={request_id}"))
-    spans: list[dict[str, Any]] = reply.json()["spans"]
-    known = {span["span_id"] for span in spans}
-
-    def show(span: dict[str, Any], depth: int) -> None:
-        words = " ".join(f"{name}={value}" for name, value in span["attributes"].items() if value)
-        print(f"  {'  ' * depth}{span['name']} {span['duration_ms']:.1f} ms {words}")
-        for child in spans:
-            if child["parent_id"] == span["span_id"]:
-                show(child, depth + 1)
-
-    for span in spans:
-        if span["parent_id"] not in known:
-            show(span, 0)
+    spans = msgspec.json.decode(reply.body, type=TraceReply).spans
+    for line in describe_spans(spans):
+        print(f"  {line}")
 
 
 def _keep(layout: Layout) -> None:
--- a/src/pimentodale/ctl/main.py
+++ b/src/pimentodale/ctl/main.py
@@ -10,6 +10,8 @@
 from pimentodale import VERSION
 from pimentodale.ctl.config import run_config
 from pimentodale.ctl.config_commands import ConfigCommand
+from pimentodale.ctl.explain import ExplainCommand, run_explain
+from pimentodale.ctl.status import HostStatusCommand, run_status
 from pimentodale.ctl.token import TokenCommand, run_token
 from pimentodale.logs import configure_logs
 
@@ -19,7 +21,7 @@
 class CtlCommand:
     """Arguments of the program; a new group joins the union here and `main` below."""
 
-    command: cappa.Subcommands[ConfigCommand | TokenCommand]
+    command: cappa.Subcommands[ConfigCommand | HostStatusCommand | TokenCommand | ExplainCommand]
 
 
 def main() -> None:
@@ -28,4 +30,8 @@
     command = cappa.parse(CtlCommand, version=VERSION).command
     if isinstance(command, ConfigCommand):
         sys.exit(run_config(command))
+    if isinstance(command, HostStatusCommand):
+        sys.exit(run_status(command))
+    if isinstance(command, ExplainCommand):
+        sys.exit(run_explain(command))
     sys.exit(run_token(command))
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -29,6 +29,7 @@
 )
 from pimentodale.entry.routing import RoutingParts, create_routing, own_subset, start_routing
 from pimentodale.entry.services import create_replica_picker
+from pimentodale.entry.status import StatusHandler, create_status_reader
 from pimentodale.leaving.planned_stop import PlannedStop, StopSteps, create_planned_stop
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.ledger.key_ledger import create_key_ledger
@@ -130,8 +131,7 @@
     )
     follow_signs(peers, routing.fleet)
     context = _create_context(host, store, follower, routing)
-    shown = {"context": context, "status": follower.status}
-    handlers = [(r"/admin/configuration", ConfigurationHandler, shown)]
+    handlers = _create_operator_handlers(context, follower, peers, routing.fleet)
     server = create_server(create_application(context, handlers))
     server.add_sockets(sockets)
     quarantine = create_quarantine(settings.host, host.clock, host.background, store)
@@ -152,6 +152,21 @@
     return 0 if whole else EXIT_WORK_CUT
 
 
+def _create_operator_handlers(
+    context: CallerContext, follower: Follower, peers: Peers, fleet: Fleet
+) -> list[Any]:
+    """Return Tornado's rules for what operators read of this host."""
+    status = create_status_reader(context, peers, fleet)
+    return [
+        (
+            r"/admin/configuration",
+            ConfigurationHandler,
+            {"context": context, "status": follower.status},
+        ),
+        (r"/admin/status", StatusHandler, {"context": context, "status": status}),
+    ]
+
+
 def _create_stop_steps(
     host: EntryHost, context: CallerContext, server: CallerServer, peers: Peers
 ) -> StopSteps:
