Prove the steward's minimum, pacing and last look apart from each other

Cause: with the last look at the lease, the minimum, or the raised number switched off, features/steward.feature mostly still passed, as one mechanism covered for another. Change: pacing and minimum have a scenario each; a holder is held up inside a round, right before its first order, until another has brought the next version.

--- a/features/steps/steward.py
+++ b/features/steps/steward.py
@@ -2,18 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import random
 import time
 from typing import Any
 
+import msgspec
 import yaml
 from behave import given, step, then, when
-from features.steps.key_value import run, start_key_value
+from expression import Ok, Result
+from features.steps.key_value import create_store, run, start_key_value
 from features.support.site import http, read_journal, wait_until
 
+from pimentodale.addresses import parse_address
+from pimentodale.clock import create_clock
 from pimentodale.configuration.folder_store import ACCEPTED_KEY, read_accepted, write_snapshot
+from pimentodale.configuration.follower import create_follower
 from pimentodale.configuration.snapshots import AcceptedFile, Snapshot, encode_snapshot
+from pimentodale.platform.host_list import create_host_list_reader
 from pimentodale.platform.key_value import Put
+from pimentodale.platform.weight_store import Reservation, ReservationRequest, WeightStoreFault
+from pimentodale.steward.settings import StewardSettings
+from pimentodale.steward.steward import create_steward
+
+FIRST = asyncio.FIRST_COMPLETED
 
 STEWARD_DOMAIN = "delft-a"
 STEWARD_MODELS = [{"name": "tulip", "layers": 8}, {"name": "rose", "layers": 8}]
@@ -83,9 +96,9 @@
     ]
 
 
-def start_steward(context: Any, name: str) -> None:
+def steward_settings(context: Any, name: str) -> dict[str, Any]:
     site = context.site
-    settings = {
+    return {
         "host": name,
         "failure_domain": STEWARD_DOMAIN,
         "key_value": [f"{site.ip(12)}:2379"],
@@ -97,8 +110,12 @@
         "round_interval_ms": ROUND_MS,
         "log_format": "console",
     }
-    path = site.write(f"{name}.yaml", settings)
-    context.stewards[name] = site.start(name, "pimentodale-steward", str(path))
+
+
+def start_steward(context: Any, name: str, **changes: Any) -> None:
+    settings = {**steward_settings(context, name), **changes}
+    path = context.site.write(f"{name}.yaml", settings)
+    context.stewards[name] = context.site.start(name, "pimentodale-steward", str(path))
 
 
 def put_placements(context: Any, placements: list[dict[str, Any]]) -> None:
@@ -289,6 +306,51 @@
     check_version(context, "3", 2)
 
 
+@when('a steward is held up right before its first order, until another has brought version "{v}"')
+def hold_up(context: Any, v: str) -> None:
+    """Run a steward in this process; its place in the store's line comes when its lease is over."""
+    settings = msgspec.convert(steward_settings(context, "held"), StewardSettings)
+    store = create_store(*settings.key_value)
+    context.held_number = 0
+
+    def let_another_lead() -> None:
+        assert http(context.link, {"cut": True}).status == 200
+        wait_until(lambda: holder(context) is None, "the lease has lapsed", 15)
+        direct = {"key_value": [context.store_address]}
+        start_steward(context, "s0", **direct)
+        wish_version(context, v, 0, 0)
+        check_version(context, v, 15)
+
+    async def hold() -> None:
+        clock = create_clock()
+        rng = random.Random(context.site.seed)
+        went_on = asyncio.Event()
+
+        async def reserve(_request: ReservationRequest) -> Result[Reservation, WeightStoreFault]:
+            if context.held_number == 0 and steward.lease is not None:
+                context.held_number = steward.lease.fencing_number
+                await asyncio.to_thread(let_another_lead)
+                asyncio.get_running_loop().call_later(1.0, went_on.set)
+            return Ok(Reservation(0.0))
+
+        follower = create_follower(store, clock, rng, "held", lambda: False)
+        read = create_host_list_reader(parse_address(settings.host_list))
+        steward = create_steward(settings, store, follower, read, reserve, clock, rng)
+        running = asyncio.ensure_future(steward.run())
+        await asyncio.wait({running, asyncio.ensure_future(went_on.wait())}, return_when=FIRST)
+        assert went_on.is_set(), running
+        running.cancel()
+
+    run(hold())
+
+
+@then("that steward sent no order")
+def check_held_sent_none(context: Any) -> None:
+    assert context.held_number > 0
+    numbers = [o["fencing_number"] for name in context.engine_names for o in orders(context, name)]
+    assert numbers and context.held_number not in numbers, (context.held_number, numbers)
+
+
 @when("the steward's link to the service is cut for longer than its lease")
 def cut_link(context: Any) -> None:
     assert http(context.link, {"cut": True}).status == 200
--- a/features/steward.feature
+++ b/features/steward.feature
@@ -2,11 +2,16 @@
   One steward for each failure domain gives orders to its engines. The end state is what the newest
   holder of the lease wishes, and enough replicas serve all the while.
 
-  Scenario: a new version rolls over the engines, paced and with the minimum serving
+  Scenario: a new version rolls over the engines with the minimum serving
     Given a domain of 4 engines with 2 stewards and loads of 400 ms
-    When the placement wishes version "2" with at least 3 serving and loads of 600 ms at the store
+    When the placement wishes version "2" with at least 3 serving and loads of 0 ms at the store
     Then all engines hold version "2" within 20 s
     And at most 1 engine was out at any time
+
+  Scenario: loads are paced to the weight store
+    Given a domain of 4 engines with 1 stewards and loads of 50 ms
+    When the placement wishes version "2" with at least 1 serving and loads of 600 ms at the store
+    Then all engines hold version "2" within 20 s
     And each load began in its own place of the store's line, 600 ms for each before it
 
   Scenario: adapters, role, another model and nothing at all are brought about
@@ -38,6 +43,13 @@
       | 0        |
       | 300      |
 
+  Scenario: a holder that is held up inside a round sends nothing once its lease is over
+    Given a domain of 2 engines with 0 stewards and loads of 200 ms
+    And the placement wishes version "2" with at least 0 serving and loads of 100 ms at the store
+    When a steward is held up right before its first order, until another has brought version "3"
+    Then that steward sent no order
+    And all engines hold version "3" within 5 s
+
   Scenario: a steward that can't reach the service gives no orders
     Given a domain of 2 engines with 1 stewards and loads of 200 ms
     And the placement wishes version "2" with at least 1 serving and loads of 0 ms at the store
