--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -12,6 +12,7 @@
     SharingMeans,
     create_configuration_sharing,
 )
+from pimentodale.leaving.servers import TOPIC as LEAVING_TOPIC
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
 from pimentodale.quarantine.claims import CLAIM_RETENTION_MS, pack_claim, unpack_claim
@@ -34,6 +35,7 @@
     from pimentodale.quarantine.claims import TrialClaim
     from pimentodale.quarantine.entries import QuarantineEntry
     from pimentodale.quarantine.quarantine import Quarantine
+    from pimentodale.routing.fleet import Fleet
 
 QUARANTINE_TOPIC = "quarantine"
 """Topic of quarantine entries."""
@@ -57,10 +59,25 @@
         failure_domain=settings.failure_domain,
         region=settings.region,
         listen=parse_address(settings.peer_listen),
+        advertise=parse_address(settings.peer_advertise) if settings.peer_advertise else None,
     )
     return create_peers(own, clock, list_peers)
 
 
+def create_sign_publisher(peers: Peers) -> Callable[[str, bytes, float], None]:
+    """Return a closure that tells all hosts that a backend server is leaving."""
+
+    def publish(key: str, value: bytes, ttl_ms: float) -> None:
+        peers.publish(LEAVING_TOPIC, key, value, ttl_ms)
+
+    return publish
+
+
+def follow_signs(peers: Peers, fleet: Fleet) -> None:
+    """Have the fleet take other hosts' signs that backend servers are leaving."""
+    peers.subscribe(LEAVING_TOPIC, lambda update: fleet.take_sign(update.value))
+
+
 def share_configuration(
     follower: Follower,
     peers: Peers,
