Prove that an open claim is never taken over, by a killed host at a slow service

Change: a scenario for it; the release's scenario holds the second try back until the next claim, as it passed without the release's comparison before. Seen to fail: without the comparison at the claim all five older scenarios over processes fail; with 'not_run' said while the store is down two of them; the release's and the withdrawal's scenarios fail without these. Checked: ledger_rules 12 and the new scenario pass.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -27,6 +27,11 @@
     When an entry host is killed 0, 2, 4, 6, 8, 10, 14 and 20 ms after it was sent a reservation
     Then no key ran twice and no "not run" was false
 
+  Scenario: a claim that its killed host left open is never taken over
+    When entry host 0 is killed with a reservation under ledger key "open" at a slow service
+    And the ledger key "open" is sent through entry host 1 until it is "earlier_attempt_unresolved"
+    Then no key ran twice and no "not run" was false
+
   Scenario: re-sends under kills, freezes, lost replies and outages
     When 200 ledger keys are sent 3000 times through all entry hosts while faults run
     Then no key ran twice and no "not run" was false
--- a/features/steps/ledger.py
+++ b/features/steps/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any
@@ -9,14 +10,19 @@
 from behave import given, then, when
 from features.support.resends import (
     ENTRIES,
+    SERVICES,
     Send,
     judge,
     run_resends,
     send_reservation,
+    set_service_fault,
     set_store_faults,
     start_site,
 )
-from features.support.site import wait_until
+from features.support.site import http, wait_until
+
+from pimentodale.ledger.records import LEDGER_PREFIX
+from pimentodale.platform.key_value import prefix_end
 
 if TYPE_CHECKING:
     from features.support.layout import Layout
@@ -29,6 +35,16 @@
     return sent
 
 
+def _is_claimed(context: Any) -> bool:
+    """Whether anything stands in the ledger."""
+    body = {
+        "key": base64.b64encode(LEDGER_PREFIX.encode()).decode(),
+        "range_end": base64.b64encode(prefix_end(LEDGER_PREFIX).encode()).decode(),
+    }
+    address = context.layout.key_value_address
+    return bool(http(f"http://{address}/v3/kv/range", body).json().get("kvs"))
+
+
 @given("a ledger site with six entry hosts and three replicas of a service")
 def start_ledger_site(context: Any) -> None:
     context.layout = start_site(context.site)
@@ -111,6 +127,30 @@
             _send(context, key, entry)
 
 
+@when(
+    'entry host {entry:d} is killed with a reservation under ledger key "{key}" at a slow service'
+)
+def kill_at_slow_service(context: Any, entry: int, key: str) -> None:
+    layout: Layout = context.layout
+    for number in range(SERVICES):
+        set_service_fault(layout, number, "slow", 1000)
+    with ThreadPoolExecutor(1) as pool:
+        future = pool.submit(send_reservation, layout, f"first-{key}", key, entry)
+        wait_until(lambda: _is_claimed(context), "the key is claimed")
+        layout.site.programs[f"entry-{entry}"].kill()
+        context.sends.append(future.result())
+
+
+@when('the ledger key "{key}" is sent through entry host {entry:d} until it is "{name}"')
+def send_until_named(context: Any, key: str, entry: int, name: str) -> None:
+    def is_named() -> bool:
+        sent = _send(context, key, entry)
+        assert sent.status != 200, sent
+        return bool(sent.answer.get("name") == name)
+
+    wait_until(is_named, f"the re-send is {name}")
+
+
 @when("{keys:d} ledger keys are sent {sends:d} times through all entry hosts while faults run")
 def send_under_faults(context: Any, keys: int, sends: int) -> None:
     context.verdict = run_resends(context.layout, keys, sends)
--- a/features/steps/ledger_rules.py
+++ b/features/steps/ledger_rules.py
@@ -44,6 +44,8 @@
     ledgers: dict[str, Ledger] = field(default_factory=dict)
     unreachable: set[str] = field(default_factory=set)
     lose_replies: dict[str, int] = field(default_factory=dict)
+    holds: dict[str, asyncio.Event] = field(default_factory=dict)
+    """Holds back what a host asks after its replies were lost."""
     retention_ms: float = FIRST_RETENTION_MS
     ran: list[str] = field(default_factory=list)
     last: Result[Outcome, Refusal] | None = None
@@ -58,6 +60,8 @@
             await asyncio.sleep(0)
             if name in self.unreachable:
                 return StoreFault(False, "connection refused")
+            if stage == "request" and name in self.holds and not self.lose_replies.get(name):
+                await self.holds[name].wait()
             if stage == "reply" and self.lose_replies.get(name):
                 self.lose_replies[name] -= 1
                 return StoreFault(True, "no answer in time")
@@ -225,11 +229,13 @@
     async def race() -> None:
         claimed = await world.ledgers[first].claim(request())
         world.lose_replies[first] = 1
+        world.holds[first] = asyncio.Event()
         release = asyncio.ensure_future(world.ledgers[first].release(claimed.ok))
         await _turns(RELEASE_TURNS)
         assert not world.lose_replies[first]
         taken = await world.ledgers[second].claim(request())
         assert isinstance(taken.ok, Claim), taken
+        world.holds.pop(first).set()
         assert await release
 
     asyncio.run(race())
--- a/features/support/resends.py
+++ b/features/support/resends.py
@@ -194,12 +194,12 @@
 
 def _lose_service_replies(layout: Layout, rng: random.Random) -> None:
     """Let a replica of the service close some connections after the effect."""
-    _service_fault(layout, rng.randrange(SERVICES), "reply_lost", 5)
+    set_service_fault(layout, rng.randrange(SERVICES), "reply_lost", 5)
 
 
 def _silence_service(layout: Layout, rng: random.Random) -> None:
     """Let a replica of the service go silent for some calls."""
-    _service_fault(layout, rng.randrange(SERVICES), "silent", 3)
+    set_service_fault(layout, rng.randrange(SERVICES), "silent", 3)
 
 
 def set_store_faults(layout: Layout, faults: dict[str, Any]) -> None:
@@ -208,7 +208,7 @@
     assert http(f"http://{address}/admin/faults", faults).status == 200
 
 
-def _service_fault(layout: Layout, number: int, fault: str, calls: int) -> None:
+def set_service_fault(layout: Layout, number: int, fault: str, calls: int) -> None:
     """Set a replica's fault."""
     url = f"http://{layout.service_address(number)}/admin/faults"
     assert http(url, {"fault": fault, "calls": calls}).status == 200
