--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -23,6 +23,13 @@
     And entry host 0 wakes up and the key is sent through entry host 2
     Then no key ran twice and no "not run" was false
 
+  Scenario: a call that its caller gave up does not run after a "not run"
+    When entry host 0 is frozen with a reservation under ledger key "late" on its way
+    And all replicas of the service are killed and the ledger key "late" is sent through entry host 1
+    Then the ledger site's last answer is "backend_server_unreachable", ran "not_run", within 3000 ms
+    When the replicas of the service are back and entry host 0 wakes up and serves ledger key "next"
+    Then no key ran twice and no "not run" was false
+
   Scenario: an entry host is killed at points between accept and answer
     When an entry host is killed 0, 2, 4, 6, 8, 10, 14 and 20 ms after it was sent a reservation
     Then no key ran twice and no "not run" was false
--- a/features/steps/ledger.py
+++ b/features/steps/ledger.py
@@ -110,6 +110,30 @@
     _send(context, context.frozen_key, entry)
 
 
+@when(
+    'all replicas of the service are killed and the ledger key "{key}" is sent through '
+    "entry host {entry:d}"
+)
+def kill_services(context: Any, key: str, entry: int) -> None:
+    assert context.sends[-1].status == 0, context.sends[-1]
+    for number in range(SERVICES):
+        context.site.programs[f"rigs-{number}"].kill()
+    _send(context, key, entry)
+
+
+@when(
+    "the replicas of the service are back and entry host {entry:d} wakes up and serves "
+    'ledger key "{key}"'
+)
+def bring_services_back(context: Any, entry: int, key: str) -> None:
+    layout: Layout = context.layout
+    for number in range(SERVICES):
+        layout.start_service(number)
+        layout.site.wait_ready(f"http://{layout.service_address(number)}/status/up")
+    context.site.programs[f"entry-{entry}"].wake()
+    wait_until(lambda: _send(context, key, entry).status == 200, "the woken host serves")
+
+
 @when("an entry host is killed {points} ms after it was sent a reservation")
 def kill_at_points(context: Any, points: str) -> None:
     layout: Layout = context.layout
--- a/features/support/ledger_ways.py
+++ b/features/support/ledger_ways.py
@@ -26,6 +26,7 @@
 from pimentodale.clock import create_clock
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.ledger.records import Claim, ClaimRequest, Outcome, digest_request
+from pimentodale.logs import configure_logs
 from pimentodale.platform.etcd_gateway import create_etcd_gateway
 from pimentodale.platform.key_value import Compare, KeyValueStore, Put, prefix_end
 
@@ -326,7 +327,11 @@
         command += ["--rate", str(rate), "--seed", str(seed), "--store", store]
         command += ["--network", site.network, "--start", str(time.monotonic() + 2.0)]
         hosts = [
-            subprocess.Popen([*command, "--number", str(number)], stdout=subprocess.PIPE)
+            subprocess.Popen(
+                [*command, "--number", str(number)],
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+            )
             for number in range(HOSTS)
         ]
         if kill:
@@ -368,6 +373,7 @@
     parser.add_argument("--kill", action="store_true")
     arguments = parser.parse_args()
     if arguments.number is not None:
+        configure_logs("error", "json")
         asyncio.run(run_host(arguments))
         return
     for way in [arguments.way] if arguments.way else ["key", "bucket", "log"]:
