--- a/src/pimentodale/configuration/documents.py
+++ b/src/pimentodale/configuration/documents.py
@@ -83,6 +83,22 @@
     """Its calls; the first that fits decides."""
 
 
+class LinkLimit(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What the way from one failure domain to another carries."""
+
+    from_failure_domain: Name
+    """Failure domain that activations leave."""
+
+    to_failure_domain: Name
+    """Failure domain that they enter."""
+
+    tokens_per_s: PositiveFloat
+    """Tokens a second that it carries."""
+
+    scope: Literal["shared", "pair"] = "shared"
+    """Whether that holds for all replicas together, or for each pair of replicas."""
+
+
 class Limits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Limits that operators may change while the system runs."""
 
@@ -98,10 +114,26 @@
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     """Retries allowed for each recent success."""
 
+    links: list[LinkLimit] = []
+    """Links that are slow enough to matter for routes; others count as unlimited."""
+
     claim_retention_ms: PositiveFloat = 86_400_000.0
     """How long an outcome can be replayed to a re-send."""
 
 
+class PlacedReplica(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An engine that should hold a range of a model's layers."""
+
+    replica: Name
+    """Name of the engine."""
+
+    first_layer: Annotated[int, msgspec.Meta(ge=0)]
+    """First layer that it should hold."""
+
+    last_layer: Positive
+    """Layer after the last one that it should hold."""
+
+
 class Placement(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Where a model's replicas should be and what they should hold."""
 
@@ -118,7 +150,19 @@
     """Version that engines should hold; empty leaves it alone."""
 
     adapters: list[str] = []
-    """Adapters that engines should hold."""
+    """Adapters that engines should hold; empty leaves them alone."""
+
+    role: Literal["", "prefill", "decode", "both"] = ""
+    """Role that engines should have; empty leaves it alone."""
+
+    load_bytes: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Octets that one load reads from the weight store; 0 for loads that are not paced."""
+
+    replicas: list[PlacedReplica] = []
+    """Engines that should hold the model, whatever they hold now."""
+
+    unloaded: list[Name] = []
+    """Engines that should hold nothing of the model."""
 
 
 class ConfigurationFile(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
