Prove the calls of plain services: retried when repeatable, once when not

Cause: only keyed calls were proved over processes. Seen to fail: with one try a call the scenario of retries fails; with a second try after a byte the scenario of the keyless call whose reply is lost fails.

--- /dev/null
+++ b/features/services.feature
@@ -0,0 +1,25 @@
+Feature: services
+  Calls of plain services: repeatable ones are retried, the others go once.
+
+  Background:
+    Given a ledger site with six entry hosts and three replicas of a service
+
+  Scenario: a repeatable call is retried on another replica
+    When replica 0 of the plain service is killed and its status is read 12 times through entry host 0
+    Then every plain service answer is 200
+
+  Scenario: a non-repeatable call without a key is refused
+    When the plain service gets a POST to "/reservations" without a key through entry host 1
+    Then the plain service answer is "idempotency_key_required" with ran "not_run"
+    And the plain service ran 0 calls
+
+  Scenario: a keyless call whose reply is lost goes once
+    When all replicas of the plain service lose their replies
+    And the plain service gets a POST to "/notes" without a key through entry host 1
+    Then the plain service answer is "backend_server_lost" with ran "may_have_run"
+    And the plain service ran 1 call
+
+  Scenario: a path that no operation names is refused
+    When the plain service gets a POST to "/elsewhere" without a key through entry host 1
+    Then the plain service answer is "unknown_operation" with ran "not_run"
+    And the plain service ran 0 calls
--- /dev/null
+++ b/features/steps/services.py
@@ -0,0 +1,49 @@
+"""Steps for calls of plain services."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then, when
+from features.support.layout import headers_of
+from features.support.resends import SERVICES, set_service_fault
+from features.support.site import http
+
+
+@when(
+    "replica {number:d} of the plain service is killed and its status is read {times:d} times "
+    "through entry host {entry:d}"
+)
+def read_status(context: Any, number: int, times: int, entry: int) -> None:
+    context.site.programs[f"rigs-{number}"].kill()
+    url = context.layout.entry_url(entry, "/services/rigs/status/rig-1")
+    context.replies = [http(url, headers=headers_of("lab")) for _ in range(times)]
+
+
+@when('the plain service gets a POST to "{path}" without a key through entry host {entry:d}')
+def post_keyless(context: Any, path: str, entry: int) -> None:
+    url = context.layout.entry_url(entry, f"/services/rigs{path}")
+    context.replies = [http(url, {"text": "one"}, headers=headers_of("lab"))]
+
+
+@when("all replicas of the plain service lose their replies")
+def lose_replies(context: Any) -> None:
+    for number in range(SERVICES):
+        set_service_fault(context.layout, number, "reply_lost", 1000)
+
+
+@then("every plain service answer is {status:d}")
+def check_statuses(context: Any, status: int) -> None:
+    assert {reply.status for reply in context.replies} == {status}, context.replies
+
+
+@then('the plain service answer is "{name}" with ran "{ran}"')
+def check_plain_refusal(context: Any, name: str, ran: str) -> None:
+    answer = context.replies[-1].json()
+    assert (answer["name"], answer["ran"]) == (name, ran), answer
+
+
+@then("the plain service ran {count:d} call")
+@then("the plain service ran {count:d} calls")
+def check_runs(context: Any, count: int) -> None:
+    assert len(context.layout.service_runs()) == count, context.layout.service_runs()
