Wait where every way is busy, and let a request's first loss pass without the retry budget

Ruled out: a larger least budget; any number is too small for some backend server, and too large for a storm. Excluding busy replicas for a fixed time; it guesses what the replicas can tell. Change: busy replicas are passed over for the round, then asked again after 20 to 320 ms within the deadline; a request's first lost attempt doesn't draw on the budget, each further one does, so lost work at most doubles.

--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -44,6 +44,12 @@
 MAX_ATTEMPTS: Final = 6
 """Routes that one generation may be sent on."""
 
+BUSY_PAUSE_MS: Final = 20.0
+"""First pause before replicas that were busy are asked again; it doubles with each round."""
+
+MAX_BUSY_PAUSE_MS: Final = 320.0
+"""Longest such pause."""
+
 BUDGET_RETRY_MS: Final = 1_000.0
 """When a caller may come back after the retry budget was spent."""
 
@@ -105,7 +111,7 @@
         return conviction
     if progress.remaining_ms <= 0:
         return progress.refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline passed.")
-    if progress.attempt >= MAX_ATTEMPTS:
+    if progress.failed_attempts >= MAX_ATTEMPTS:
         message = f"{MAX_ATTEMPTS} routes were tried without success; come back later."
         return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
     return None
@@ -118,7 +124,7 @@
         chosen = await choose_trial_route(progress, lambda taken: _pick(progress, taken))
     else:
         # What is on trial is kept out of where others go, as long as there is another way.
-        route = _pick(progress, _on_trial(progress)) or _pick(progress, set())
+        route = await _pick_or_wait(progress)
         chosen = Error(no_route(progress)) if route is None else Ok(route)
     progress.attempt += 1
     progress.means.tracer.note(
@@ -132,6 +138,21 @@
     return chosen
 
 
+async def _pick_or_wait(progress: Progress) -> Route | None:
+    """Choose a route; where all ways were busy, wait a little and ask the busy ones again."""
+    while True:
+        # What is on trial is kept out of where others go, as long as there is another way.
+        route = _pick(progress, _on_trial(progress)) or _pick(progress, set())
+        if route is not None or not progress.busy:
+            return route
+        progress.busy.clear()
+        pause_ms = min(BUSY_PAUSE_MS * 2 ** min(progress.busy_rounds, 4), MAX_BUSY_PAUSE_MS)
+        progress.busy_rounds += 1
+        if pause_ms >= progress.remaining_ms:
+            return None
+        await progress.means.clock.sleep_ms(pause_ms)
+
+
 def _on_trial(progress: Progress) -> Collection[str]:
     """Return the replicas where this host tries a struck request."""
     quarantine = progress.means.quarantine
@@ -146,7 +167,7 @@
         progress.repeat_route = False
         return last
     reserved = progress.reserved
-    barred = progress.excluded.union(taken)
+    barred = progress.excluded.union(taken, progress.busy)
     if reserved is not None and barred.isdisjoint(reserved.route.replicas):
         return reserved.route
     route = means.router.pick_route(model.name, model.layers, generation.prefix_hash, barred)
@@ -157,7 +178,8 @@
 
 def _may_stay(progress: Progress, replica: str) -> bool:
     """Whether a stage of the last route may be used again."""
-    return replica not in progress.excluded and progress.means.fleet.is_usable(replica)
+    avoided = replica in progress.excluded or replica in progress.busy
+    return not avoided and progress.means.fleet.is_usable(replica)
 
 
 async def _after_fault(progress: Progress, route: Route, fault: EngineFault) -> Refusal | None:
@@ -167,6 +189,11 @@
     if progress.gate is not None and progress.gate.denied:
         message = "The work was given up before its first byte."
         return progress.refuse(ResultCode.CLAIM_LOST, message)
+    if fault.refused is not None and fault.refused.busy:
+        progress.busy.add(fault.refused.busy)
+        means.metrics.retries["busy"] += 1
+        return None
+    progress.failed_attempts += 1
     if not fault.connection_lost:
         await _blame(progress, route, fault)
     if not fault.sent or fault.refused is not None:
@@ -175,7 +202,10 @@
     if not progress.generation.repeatable:
         message = f"The work was in progress when {fault.message}; it is not run again."
         return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
-    if not means.spend_retry():
+    progress.losses += 1
+    # The first loss is free: the lost work's own place has become free with it, and a backend
+    # server that dies under many streams would else spend the budget of all of them at once.
+    if progress.losses > 1 and not means.spend_retry():
         message = "The retry budget is spent, as too much work was lost lately; come back later."
         return progress.refuse(ResultCode.RETRY_BUDGET_SPENT, message, BUDGET_RETRY_MS)
     means.metrics.retries["lost"] += 1
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -111,6 +111,18 @@
     excluded: set[str] = field(default_factory=set)
     """Replicas that this generation avoids."""
 
+    busy: set[str] = field(default_factory=set)
+    """Replicas that had no slot for it; they may have one again."""
+
+    busy_rounds: int = 0
+    """How often every way was busy."""
+
+    failed_attempts: int = 0
+    """Attempts that ended in anything but an answer or a busy replica."""
+
+    losses: int = 0
+    """Attempts that were lost with the work in progress."""
+
     attempt: int = 0
     """Attempts so far."""
 
