Let the first resume of a stream go without the retry budget

Ruled out: a larger floor of the budget: it would have to follow the slots of the largest engine. Change: the first resume of a generation is free, as it takes the place of the load that was lost with the stage; each later one draws on the budget, up to six attempts.

--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -175,7 +175,9 @@
     if not progress.generation.repeatable:
         message = f"The work was in progress when {fault.message}; it is not run again."
         return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
-    if not means.spend_retry():
+    # The first resume takes the place of the load that was lost with the stage, and adds none.
+    first_resume, progress.resumed = not progress.resumed, True
+    if not first_resume and not means.spend_retry():
         message = "The retry budget is spent, as too much work was lost lately; come back later."
         return progress.refuse(ResultCode.RETRY_BUDGET_SPENT, message, BUDGET_RETRY_MS)
     means.metrics.retries["lost"] += 1
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -120,6 +120,9 @@
     last_route: Route | None = None
     """Route of the latest attempt."""
 
+    resumed: bool = False
+    """Whether it has been resumed before; only later resumes draw on the retry budget."""
+
     repeat_route: bool = False
     """Whether the next attempt takes that route again, over a fresh connection."""
 
