--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -120,9 +120,6 @@
     failed_attempts: int = 0
     """Attempts that ended in anything but an answer or a busy replica."""
 
-    losses: int = 0
-    """Attempts that were lost with the work in progress."""
-
     attempt: int = 0
     """Attempts so far."""
 
@@ -132,6 +129,9 @@
     last_route: Route | None = None
     """Route of the latest attempt."""
 
+    resumed: bool = False
+    """Whether it has been resumed before; only later resumes draw on the retry budget."""
+
     repeat_route: bool = False
     """Whether the next attempt takes that route again, over a fresh connection."""
 
