Keep the stricter scenarios of a killed stage and of a poison request

Cause: two scenarios had been changed to gentler timing on the way: the kill amid 200 openings, and the poison request sent again at the instant of the crash. Change: both stand again beside the new ones.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -16,6 +16,13 @@
     And every innocent stream is whole and none of them is convicted
     And the marked prompt's last sending was refused as quarantined
 
+  Scenario: the poison request's caller sends it again through another host at the crash itself
+    Given 4 engines for each of 2 ranges that crash on a marked prompt, and 3 entry hosts
+    When 30 innocent streams run and the marked prompt's caller goes away at each crash and sends it again 0 ms later
+    Then at most 2 engines crashed
+    And every innocent stream is whole and none of them is convicted
+    And the marked prompt's last sending was refused as quarantined
+
   Scenario: the same poison request through all entry hosts while one of them tries it
     Given 4 engines for each of 2 ranges that crash on a marked prompt, and 3 entry hosts
     When the marked prompt is sent, and sent through all hosts at once after the first crash
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -10,6 +10,13 @@
     And the journals show that each stage ran only its own layers
     And nine in ten resumed streams kept their surviving stages and their KV caches
 
+  Scenario: a stage is killed while most of 200 streams still open
+    Given 2 engine processes for each of 3 ranges of 24 layers with a step of 20 ms
+    When 200 streams of 40 to 60 tokens run and engine "e1a" is killed once 60 of them have begun
+    Then each stream is whole and its own prompt's text
+    And no stream waited longer than 1000 ms for its next token after the kill
+    And the journals show that each stage ran only its own layers
+
   Scenario: a killed head
     Given 2 engine processes for each of 3 ranges of 24 layers with a step of 10 ms
     When 30 streams of 60 to 80 tokens run and engine "e0a" is killed once 20 of them have begun
