Share what programs, ctl commands and handlers wrote twice

Cause: three programs read settings alike, three ctl commands asked hosts alike, two handlers checked the caller alike.

--- a/src/pimentodale/callers/base.py
+++ b/src/pimentodale/callers/base.py
@@ -5,7 +5,7 @@
 import math
 import re
 import uuid
-from typing import TYPE_CHECKING, Any, Final, TypeVar
+from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 from expression import Error, Ok, Result
@@ -14,7 +14,7 @@
 from pimentodale.clock import MS_PER_S
 from pimentodale.ledger.refusals import unread_key
 from pimentodale.logs import get_log
-from pimentodale.results import Refusal, ResultCode, create_refusal
+from pimentodale.results import Ran, Refusal, ResultCode, create_refusal
 from pimentodale.tracing.traceparent import create_trace, parse_traceparent
 
 if TYPE_CHECKING:
@@ -22,6 +22,7 @@
     from collections.abc import Awaitable
 
     from pimentodale.callers.context import CallerContext
+    from pimentodale.configuration.documents import Workspace
     from pimentodale.tracing.tracer import Span
 
 MAX_TIMEOUT_MS: Final = 3_600_000.0
@@ -33,8 +34,6 @@
 _VISIBLE_ASCII: Final = re.compile(r"^[\x21-\x7e]+$")
 _log = get_log("callers")
 
-S = TypeVar("S")
-
 
 class Handler(RequestHandler):
     """Base of all handlers: answers and refusals as JSON."""
@@ -79,10 +78,8 @@
         message = "This program met a fault of its own; its log has the details."
         self.refuse(create_refusal(ResultCode.INTERNAL, message, ran=self.ran_on_fault()))
 
-    def ran_on_fault(self) -> Any:
+    def ran_on_fault(self) -> Ran:
         """Return whether work may have run when this handler fails unexpectedly."""
-        from pimentodale.results import Ran
-
         return Ran.NOT_RUN
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
@@ -177,10 +174,8 @@
         assert self._span is not None
         return self._span
 
-    def ran_on_fault(self) -> Any:
+    def ran_on_fault(self) -> Ran:
         """Return `may_have_run` once the work was handed over."""
-        from pimentodale.results import Ran
-
         return Ran.MAY_HAVE_RUN if self.handed_over else Ran.NOT_RUN
 
     def on_finish(self) -> None:
@@ -202,6 +197,13 @@
             self._span.attributes["reason"] = refusal.message
         super().refuse(refusal)
 
+    def check_caller(self) -> Result[Workspace, Refusal]:
+        """Return who calls, unless this host takes no work or doesn't know them."""
+        unready = self.context.unready()
+        if unready is not None:
+            return Error(unready)
+        return self.context.authenticator.workspace_of(self.request.headers.get("Authorization"))
+
     def read_deadline_ms(self, default_timeout_ms: float) -> Result[float, Refusal]:
         """Return the monotonic deadline from `X-Request-Timeout-Ms`."""
         text = self.request.headers.get("X-Request-Timeout-Ms")
@@ -226,13 +228,6 @@
             return Error(create_refusal(ResultCode.BAD_HEADER, message))
         return Ok(key)
 
-    def take(self, result: Result[S, Refusal]) -> S | None:
-        """Return a result's value, or refuse and return `None`."""
-        if result.is_ok():
-            return result.ok
-        self.refuse(result.error)
-        return None
-
     def _read_request_id(self) -> str:
         """Return the caller's request id if it can be used, else a new one."""
         given = self.request.headers.get("X-Request-Id", "")
--- a/src/pimentodale/callers/generation.py
+++ b/src/pimentodale/callers/generation.py
@@ -86,12 +86,7 @@
 
     def _check(self) -> Result[_Asked, Refusal]:
         """Check who calls, the body and the headers."""
-        unready = self.context.unready()
-        if unready is not None:
-            return Error(unready)
-        workspace = self.context.authenticator.workspace_of(
-            self.request.headers.get("Authorization")
-        )
+        workspace = self.check_caller()
         if workspace.is_error():
             return Error(workspace.error)
         return self._check_body(workspace.ok)
--- a/src/pimentodale/callers/services.py
+++ b/src/pimentodale/callers/services.py
@@ -134,11 +134,8 @@
 
     def _check(self) -> Result[ServiceRequest, Refusal]:
         """Check who calls and the headers."""
-        unready = self.context.unready()
-        if unready is not None:
-            return Error(unready)
         headers = self.request.headers
-        workspace = self.context.authenticator.workspace_of(headers.get("Authorization"))
+        workspace = self.check_caller()
         if workspace.is_error():
             return Error(workspace.error)
         key = self.read_idempotency_key()
--- a/src/pimentodale/ctl/config_show.py
+++ b/src/pimentodale/ctl/config_show.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import difflib
 import sys
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
-import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Result
 
-from pimentodale.addresses import BadAddressError, parse_address
 from pimentodale.configuration.follower import FollowerStatus
+from pimentodale.ctl.ask_hosts import ask_hosts, parse_entries
 from pimentodale.ctl.exit_codes import ExitCode
 from pimentodale.ctl.key_value_option import load_view, open_store
 from pimentodale.ctl.local_folder import RevisionRecord, read_folder, write_record
-from pimentodale.platform.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
-    from pimentodale.addresses import Address
     from pimentodale.configuration.folder_store import FolderView
     from pimentodale.ctl.config_commands import (
         DiffCommand,
@@ -27,9 +23,6 @@
         StatusCommand,
     )
 
-STATUS_TIMEOUT_MS: Final = 3000.0
-"""Longest wait for a host's answer."""
-
 
 async def run_pull(command: PullCommand) -> ExitCode:
     """Copy the folder here."""
@@ -101,16 +94,11 @@
 
 async def run_status(command: StatusCommand) -> ExitCode:
     """Ask hosts for their revisions."""
-    try:
-        addresses = [parse_address(text) for text in command.entry]
-    except BadAddressError as error:
-        print(f"--entry: {error}", file=sys.stderr)
-        return ExitCode.USAGE
-    if not addresses:
-        print("give --entry IP:PORT, once for each host", file=sys.stderr)
-        return ExitCode.USAGE
-    answers = await asyncio.gather(*(_ask(address) for address in addresses))
-    for address, answer in zip(addresses, answers, strict=True):
+    addresses = parse_entries(command.entry)
+    if addresses.is_error():
+        return addresses.error
+    answers = await ask_hosts(addresses.ok, "/admin/configuration", FollowerStatus)
+    for address, answer in zip(addresses.ok, answers, strict=True):
         print(f"{address}\t{_describe(answer.ok) if answer.is_ok() else answer.error}")
     statuses = [answer.ok for answer in answers if answer.is_ok()]
     for problem in sorted({problem for status in statuses for problem in status.problems}):
@@ -129,20 +117,6 @@
     return await load_view(store.ok)
 
 
-async def _ask(address: Address) -> Result[FollowerStatus, str]:
-    """Ask one host."""
-    request = CallRequest(method="GET", path="/admin/configuration")
-    reply = await fetch(address, request, STATUS_TIMEOUT_MS)
-    if reply.is_error():
-        return Error(reply.error.message)
-    if reply.ok.status != 200:
-        return Error(f"answered HTTP {reply.ok.status}")
-    try:
-        return Ok(msgspec.json.decode(reply.ok.body, type=FollowerStatus))
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        return Error(f"its answer can't be read: {error}")
-
-
 def _describe(status: FollowerStatus) -> str:
     """Return a host's line."""
     parts = [f"{status.host}\trevision {status.revision} (from {status.source})"]
--- a/src/pimentodale/ctl/explain.py
+++ b/src/pimentodale/ctl/explain.py
@@ -11,14 +11,10 @@
 import cappa
 import msgspec
 
-from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.ctl.ask_hosts import ask_hosts, parse_entries
 from pimentodale.ctl.exit_codes import ExitCode
-from pimentodale.platform.http_call import CallRequest, fetch
 from pimentodale.tracing.tracer import Span
 
-READ_TIMEOUT_MS: Final = 3_000.0
-"""Longest wait for a host's answer."""
-
 _HIDDEN: Final = frozenset({"host"})
 
 
@@ -51,23 +47,18 @@
 
 async def _explain(command: ExplainCommand) -> ExitCode:
     """Ask all hosts at once and print their spans."""
-    try:
-        addresses = [parse_address(text) for text in command.entry]
-    except BadAddressError as error:
-        print(error, file=sys.stderr)
-        return ExitCode.USAGE
+    addresses = parse_entries(command.entry)
+    if addresses.is_error():
+        return addresses.error
     path = f"/admin/trace?request_id={quote(command.request_id)}"
-    request = CallRequest(method="GET", path=path)
-    replies = await asyncio.gather(
-        *(fetch(address, request, READ_TIMEOUT_MS) for address in addresses)
-    )
     known = unreachable = 0
-    for text, reply in zip(command.entry, replies, strict=True):
-        if reply.is_error():
-            print(f"{text}: {reply.error.message}", file=sys.stderr)
+    answers = await ask_hosts(addresses.ok, path, _TraceReply)
+    for address, answer in zip(addresses.ok, answers, strict=True):
+        if answer.is_error():
+            print(f"{address}: {answer.error}", file=sys.stderr)
             unreachable += 1
             continue
-        spans = msgspec.json.decode(reply.ok.body, type=_TraceReply).spans
+        spans = answer.ok.spans
         known += bool(spans)
         print("\n".join(describe_spans(spans)), end="\n" if spans else "")
     if known:
--- a/src/pimentodale/ctl/status.py
+++ b/src/pimentodale/ctl/status.py
@@ -3,25 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Annotated, Final
+from typing import TYPE_CHECKING, Annotated
 
 import cappa
-import msgspec
-from expression import Error, Ok, Result
 
-from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.ctl.ask_hosts import ask_hosts, parse_entries
 from pimentodale.ctl.exit_codes import ExitCode
 from pimentodale.entry.status import HostStatus
-from pimentodale.platform.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
     from pimentodale.addresses import Address
 
-STATUS_TIMEOUT_MS: Final = 3_000.0
-"""Longest wait for a host's answer."""
-
 
 @cappa.command(name="status", help="Show what entry hosts hold of each other.")
 @dataclass(slots=True)
@@ -42,16 +35,11 @@
     Returns:
         `UNREACHABLE` if any host gave no answer.
     """
-    try:
-        addresses = [parse_address(text) for text in command.entry]
-    except BadAddressError as error:
-        print(f"--entry: {error}", file=sys.stderr)
-        return ExitCode.USAGE
-    if not addresses:
-        print("give --entry IP:PORT, once for each host", file=sys.stderr)
-        return ExitCode.USAGE
-    answers = asyncio.run(_ask_all(addresses))
-    for address, answer in zip(addresses, answers, strict=True):
+    addresses = parse_entries(command.entry)
+    if addresses.is_error():
+        return addresses.error
+    answers = asyncio.run(ask_hosts(addresses.ok, "/admin/status", HostStatus))
+    for address, answer in zip(addresses.ok, answers, strict=True):
         if answer.is_error():
             print(f"{address}\t{answer.error}")
             continue
@@ -59,23 +47,6 @@
     return ExitCode.UNREACHABLE if any(one.is_error() for one in answers) else ExitCode.OK
 
 
-async def _ask_all(addresses: list[Address]) -> list[Result[HostStatus, str]]:
-    """Ask all hosts at once."""
-    return await asyncio.gather(*(_ask(address) for address in addresses))
-
-
-async def _ask(address: Address) -> Result[HostStatus, str]:
-    """Ask one host."""
-    request = CallRequest(method="GET", path="/admin/status")
-    reply = await fetch(address, request, STATUS_TIMEOUT_MS)
-    if reply.is_error():
-        return Error(f"can't be read: {reply.error.message}")
-    try:
-        return Ok(msgspec.json.decode(reply.ok.body, type=HostStatus))
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        return Error(f"is no entry host's answer: {error}")
-
-
 def _print_status(address: Address, status: HostStatus) -> None:
     """Print one host's answer."""
     state = "stopping" if status.stopping else "serving"
--- a/src/pimentodale/entry/main.py
+++ b/src/pimentodale/entry/main.py
@@ -6,17 +6,14 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated
 
 import cappa
 
 from pimentodale import VERSION
 from pimentodale.entry.settings import EntrySettings
 from pimentodale.logs import configure_logs
-from pimentodale.yaml_files import read_yaml_file
-
-EXIT_BAD_SETTINGS: Final = 2
-"""Exit code for a settings file that is not accepted."""
+from pimentodale.programs import read_file_or_stop, stop_program
 
 
 @cappa.command(name="pimentodale-entry", help="Run one entry host.")
@@ -30,10 +27,7 @@
 def main() -> None:
     """Run the program."""
     command = cappa.parse(EntryCommand, version=VERSION)
-    result = read_yaml_file(command.settings, EntrySettings)
-    if result.is_error():
-        _stop(str(result.error))
-    settings = result.ok
+    settings = read_file_or_stop(command.settings, EntrySettings)
     configure_logs(settings.log_level, settings.log_format)
     # Imported here, so that --help and a bad file don't pay for the whole program.
     from pimentodale.addresses import BadAddressError
@@ -42,13 +36,9 @@
     try:
         exit_code = asyncio.run(run_entry_host(settings))
     except BadAddressError as error:
-        _stop(f"{command.settings}: {error}")
+        stop_program(f"{command.settings}: {error}")
     except OSError as error:
-        _stop(f"{command.settings}: listen: {error}; choose addresses that this host can bind")
+        stop_program(
+            f"{command.settings}: listen: {error}; choose addresses that this host can bind"
+        )
     sys.exit(exit_code)
-
-
-def _stop(message: str) -> None:
-    """Print what is wrong and end the program."""
-    print(message, file=sys.stderr)
-    sys.exit(EXIT_BAD_SETTINGS)
--- a/src/pimentodale/load/main.py
+++ b/src/pimentodale/load/main.py
@@ -6,7 +6,7 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Final, NoReturn, TypeVar
+from typing import Annotated, Final
 
 import cappa
 import msgspec
@@ -18,16 +18,11 @@
 from pimentodale.load.plan import RunPlan
 from pimentodale.load.records import Record, figures_of
 from pimentodale.load.run import check_plan, run_load
-from pimentodale.yaml_files import read_yaml_file
-
-T = TypeVar("T")
+from pimentodale.programs import read_file_or_stop, stop_program
 
 EXIT_FOUND: Final = 1
 """Exit code when a journal check found something."""
 
-EXIT_BAD_FILE: Final = 2
-"""Exit code for a file that is not accepted."""
-
 
 @cappa.command(name="run", help="Send one run of load and print its figures as JSON.")
 @dataclass(slots=True)
@@ -41,10 +36,10 @@
 
     def __call__(self) -> None:
         """Run it."""
-        plan = _read(self.plan, RunPlan)
+        plan = read_file_or_stop(self.plan, RunPlan)
         checked = check_plan(plan)
         if checked.is_error():
-            _stop(f"{self.plan}: {checked.error}")
+            stop_program(f"{self.plan}: {checked.error}")
         records = asyncio.run(run_load(plan, checked.ok, create_clock(), _report))
         if self.records is not None:
             lines = b"".join(msgspec.json.encode(record) + b"\n" for record in records)
@@ -64,10 +59,10 @@
 
     def __call__(self) -> None:
         """Run it."""
-        experiment = _read(self.experiment, Experiment)
+        experiment = read_file_or_stop(self.experiment, Experiment)
         result = asyncio.run(run_experiment(experiment, create_clock(), _report))
         if result.is_error():
-            _stop(f"{self.experiment}: {result.error}")
+            stop_program(f"{self.experiment}: {result.error}")
         self.output.write_bytes(msgspec.json.format(msgspec.json.encode(result.ok)))
         print(self.output)
 
@@ -87,7 +82,7 @@
         try:
             result = msgspec.json.decode(self.result.read_bytes(), type=ExperimentResult)
         except (OSError, msgspec.DecodeError) as error:
-            _stop(f"{self.result}: {error}")
+            stop_program(f"{self.result}: {error}")
         print(write_report(result, self.folder))
 
 
@@ -106,7 +101,7 @@
             records = [msgspec.json.decode(line, type=Record) for line in lines]
             findings = check_journal(read_runs(self.journals), records)
         except (OSError, msgspec.DecodeError) as error:
-            _stop(str(error))
+            stop_program(str(error))
         print(msgspec.json.format(msgspec.json.encode(findings)).decode())
         if not findings.clean:
             sys.exit(EXIT_FOUND)
@@ -125,20 +120,6 @@
     cappa.invoke(LoadCommand, version=VERSION)
 
 
-def _read(path: Path, kind: type[T]) -> T:
-    """Read a YAML file or stop the program."""
-    result = read_yaml_file(path, kind)
-    if result.is_error():
-        _stop(str(result.error))
-    return result.ok
-
-
 def _report(line: str) -> None:
     """Print a progress line beside the results."""
     print(line, file=sys.stderr, flush=True)
-
-
-def _stop(message: str) -> NoReturn:
-    """Print what is wrong and end the program."""
-    print(message, file=sys.stderr)
-    sys.exit(EXIT_BAD_FILE)
--- a/src/pimentodale/standin/main.py
+++ b/src/pimentodale/standin/main.py
@@ -15,14 +15,11 @@
 
 from pimentodale import VERSION
 from pimentodale.logs import LogFormat, LogLevel, configure_logs, get_log
-from pimentodale.yaml_files import read_yaml_file
+from pimentodale.programs import EXIT_BAD_FILE, read_file_or_stop
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-EXIT_BAD_SETTINGS: Final = 2
-"""Exit code for a settings file that is not accepted."""
-
 PART_MODULES: Final = {
     "engine": "pimentodale.standin.engine",
     "host_list": "pimentodale.standin.host_list",
@@ -58,11 +55,7 @@
 def main() -> None:
     """Run the program."""
     command = cappa.parse(StandinCommand, version=VERSION)
-    result = read_yaml_file(command.settings, StandinSettings)
-    if result.is_error():
-        print(result.error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    settings = result.ok
+    settings = read_file_or_stop(command.settings, StandinSettings)
     configure_logs(settings.log_level, settings.log_format)
     sys.exit(asyncio.run(_run(settings)))
 
@@ -73,7 +66,7 @@
         fault = await _start_part(fields)
         if fault is not None:
             print(f"parts[{number}]: {fault}", file=sys.stderr)
-            return EXIT_BAD_SETTINGS
+            return EXIT_BAD_FILE
     get_log("standin").info("All parts run.", parts=len(settings.parts))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/pimentodale/steward/main.py
+++ b/src/pimentodale/steward/main.py
@@ -8,7 +8,7 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated
 
 import cappa
 
@@ -20,12 +20,9 @@
 from pimentodale.platform.etcd_gateway import create_etcd_gateway
 from pimentodale.platform.host_list import create_host_list_reader
 from pimentodale.platform.weight_store import create_reserver
+from pimentodale.programs import read_file_or_stop, stop_program
 from pimentodale.steward.settings import StewardSettings
 from pimentodale.steward.steward import create_steward
-from pimentodale.yaml_files import read_yaml_file
-
-EXIT_BAD_SETTINGS: Final = 2
-"""Exit code for a settings file that is not accepted."""
 
 
 @cappa.command(name="pimentodale-steward", help="Give orders to the engines of a failure domain.")
@@ -39,17 +36,12 @@
 def main() -> None:
     """Run the program."""
     command = cappa.parse(StewardCommand, version=VERSION)
-    result = read_yaml_file(command.settings, StewardSettings)
-    if result.is_error():
-        print(result.error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    settings = result.ok
+    settings = read_file_or_stop(command.settings, StewardSettings)
     configure_logs(settings.log_level, settings.log_format)
     try:
         sys.exit(asyncio.run(_run(settings)))
     except BadAddressError as error:
-        print(f"{command.settings}: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+        stop_program(f"{command.settings}: {error}")
 
 
 async def _run(settings: StewardSettings) -> int:
