--- a/src/pimentodale/entry/demand.py
+++ b/src/pimentodale/entry/demand.py
@@ -22,7 +22,11 @@
 """Topic of demands."""
 
 TELL_INTERVAL_MS: Final = 2_000.0
-"""Shortest time between two tellings."""
+"""Shortest time between two tellings while hosts are few."""
+
+FEW_HOSTS: Final = 16
+"""Up to so many hosts tell at the shortest interval; more of them share the same rate of tellings,
+since each telling reaches every host."""
 
 TELL_TTL_MS: Final = 600_000.0
 """How long a demand is told to hosts that come later."""
@@ -74,7 +78,8 @@
     async def tell() -> None:
         told: dict[str, float] = {}
         while True:
-            await clock.sleep_ms(TELL_INTERVAL_MS)
+            crowd = max(1.0, len(peers.live_members()) / FEW_HOSTS)
+            await clock.sleep_ms(TELL_INTERVAL_MS * crowd)
             forget_the_gone()
             # A host that leaves gives its share back at once.
             stays = peers.own.state is MemberState.ALIVE
