--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -47,8 +47,8 @@
 BUSY_PAUSE_MS: Final = 20.0
 """First pause before replicas that were busy are asked again; it doubles with each round."""
 
-MAX_BUSY_PAUSE_MS: Final = 320.0
-"""Longest such pause."""
+MAX_BUSY_ROUNDS: Final = 3
+"""How often busy replicas are asked again before the generation is given up, which is then at once."""
 
 BUDGET_RETRY_MS: Final = 1_000.0
 """When a caller may come back after the retry budget was spent."""
@@ -145,11 +145,11 @@
         route = _pick(progress, _on_trial(progress)) or _pick(progress, set())
         if route is not None or not progress.busy:
             return route
-        progress.busy.clear()
-        pause_ms = min(BUSY_PAUSE_MS * 2 ** min(progress.busy_rounds, 4), MAX_BUSY_PAUSE_MS)
-        progress.busy_rounds += 1
-        if pause_ms >= progress.remaining_ms:
+        pause_ms = BUSY_PAUSE_MS * 2**progress.busy_rounds
+        if progress.busy_rounds == MAX_BUSY_ROUNDS or pause_ms >= progress.remaining_ms:
             return None
+        progress.busy_rounds += 1
+        progress.busy.clear()
         await progress.means.clock.sleep_ms(pause_ms)
 
 
