Name the clients of outside systems for what they are

Cause: the folder platform/ is to hold the adapter to the users' platform alone. Change: the modules for the key-value service, host list, engines and weight store move to clients/. Nothing else changes.

--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -17,11 +17,11 @@
 from hypothesis import settings as drawn_settings
 from hypothesis import strategies as st
 
+from pimentodale.clients.key_value import Delete, Put, prefix_end
 from pimentodale.configuration.acceptance import accept_folder, merge_accepted
 from pimentodale.configuration.files import create_file_check
 from pimentodale.configuration.folder_store import ACCEPTED_KEY, FOLDER_PREFIX, read_view
 from pimentodale.configuration.snapshots import AcceptedFile, Snapshot, encode_snapshot
-from pimentodale.platform.key_value import Delete, Put, prefix_end
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/features/steps/host_list.py
+++ b/features/steps/host_list.py
@@ -11,8 +11,8 @@
 from features.support.site import http
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.host_list import create_host_list_poller, create_host_list_reader
 from pimentodale.clock import create_clock
-from pimentodale.platform.host_list import create_host_list_poller, create_host_list_reader
 
 ENGINE_LABELS = {
     "kind": "engine",
--- a/features/steps/http_call.py
+++ b/features/steps/http_call.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from pimentodale.addresses import Address
-from pimentodale.platform.http_call import CallRequest, HttpCall, open_call
+from pimentodale.clients.http_call import CallRequest, HttpCall, open_call
 
 
 @given("a server that sends a chunk of a response and then waits")
--- a/features/steps/key_value.py
+++ b/features/steps/key_value.py
@@ -10,14 +10,14 @@
 from features.support.site import http, wait_until
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
+from pimentodale.clients.key_value import Compare, Delete, Put, prefix_end
 from pimentodale.clock import create_clock
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
-from pimentodale.platform.key_value import Compare, Delete, Put, prefix_end
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from pimentodale.platform.key_value import KeyValueStore
+    from pimentodale.clients.key_value import KeyValueStore
 
 T = TypeVar("T")
 
--- a/features/steps/ledger.py
+++ b/features/steps/ledger.py
@@ -21,8 +21,8 @@
 )
 from features.support.site import http, wait_until
 
+from pimentodale.clients.key_value import prefix_end
 from pimentodale.ledger.records import LEDGER_PREFIX
-from pimentodale.platform.key_value import prefix_end
 
 if TYPE_CHECKING:
     from features.support.layout import Layout
--- a/features/steps/ledger_rules.py
+++ b/features/steps/ledger_rules.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 from features.support.memory_store import MemoryState, MemoryStore
 
+from pimentodale.clients.key_value import StoreFault
 from pimentodale.clock import ManualClock
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.ledger.records import (
@@ -20,7 +21,6 @@
     digest_request,
 )
 from pimentodale.ledger.run_once import REPLAYED_HEADER, LastLook, WorkFault, run_once
-from pimentodale.platform.key_value import StoreFault
 from pimentodale.results import Refusal, ResultCode
 
 if TYPE_CHECKING:
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -11,8 +11,8 @@
 from features.support.layout import LAYERS, MODEL, EngineLayout, Layout, default_folder, headers_of
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.http_call import CallRequest, open_call
 from pimentodale.clock import create_clock
-from pimentodale.platform.http_call import CallRequest, open_call
 from pimentodale.standin.reference_text import reference_tokens
 
 if TYPE_CHECKING:
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -20,8 +20,8 @@
 from hypothesis import strategies as st
 
 from pimentodale.addresses import Address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
 from pimentodale.clock import create_clock
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
 from pimentodale.quarantine.entries import QuarantineEntry, Strike, merge_entries
 from pimentodale.results import ResultCode
 from pimentodale.standin.reference_text import answer_end, reference_tokens
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -14,9 +14,9 @@
 from hypothesis import strategies as st
 
 from pimentodale.addresses import Address
+from pimentodale.clients.engine_messages import EngineLoad
+from pimentodale.clients.targets import EngineTarget, Targets
 from pimentodale.clock import ManualClock
-from pimentodale.platform.engine_messages import EngineLoad
-from pimentodale.platform.targets import EngineTarget, Targets
 from pimentodale.routing.fleet import create_fleet
 from pimentodale.routing.max_flow import create_flow_graph
 from pimentodale.routing.route_plan import Link, RoutePlan, plan_routes
--- a/features/steps/steward.py
+++ b/features/steps/steward.py
@@ -16,13 +16,13 @@
 from features.support.site import http, read_journal, wait_until
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.host_list import create_host_list_reader
+from pimentodale.clients.key_value import Put
+from pimentodale.clients.weight_store import Reservation, ReservationRequest, WeightStoreFault
 from pimentodale.clock import create_clock
 from pimentodale.configuration.folder_store import ACCEPTED_KEY, read_accepted, write_snapshot
 from pimentodale.configuration.follower import create_follower
 from pimentodale.configuration.snapshots import AcceptedFile, Snapshot, encode_snapshot
-from pimentodale.platform.host_list import create_host_list_reader
-from pimentodale.platform.key_value import Put
-from pimentodale.platform.weight_store import Reservation, ReservationRequest, WeightStoreFault
 from pimentodale.steward.settings import StewardSettings
 from pimentodale.steward.steward import create_steward
 
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
 from pimentodale.clock import create_clock
 from pimentodale.configuration.follower import Follower, create_follower
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- a/features/support/generation_hosts.py
+++ b/features/support/generation_hosts.py
@@ -11,13 +11,13 @@
 from features.support.engines import MODEL
 from pimentodale.addresses import parse_address
 from pimentodale.background import create_background_tasks
+from pimentodale.clients.targets import EngineTarget, Targets
 from pimentodale.clock import MS_PER_S, create_clock
 from pimentodale.configuration.documents import Limits, Model, Workspace
 from pimentodale.logs import configure_logs
 from pimentodale.metrics import create_metrics
 from pimentodale.pipelines.generate import PipelineMeans, generate
 from pimentodale.pipelines.messages import Finished, Generation
-from pimentodale.platform.targets import EngineTarget, Targets
 from pimentodale.quarantine.claims import pack_claim, unpack_claim
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.quarantine import create_quarantine
@@ -32,8 +32,8 @@
 
     from features.support.engines import EngineSpec
     from pimentodale.background import BackgroundTasks
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.quarantine.quarantine import Quarantine
     from pimentodale.results import Refusal
 
--- a/features/support/ledger_machine.py
+++ b/features/support/ledger_machine.py
@@ -16,11 +16,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from features.support.memory_store import MemoryState, MemoryStore
+from pimentodale.clients.key_value import StoreFault
 from pimentodale.clock import Clock, ManualClock
 from pimentodale.ledger.key_ledger import STORE_PAUSE_MS, create_key_ledger
 from pimentodale.ledger.records import ClaimRequest, Outcome, digest_request
 from pimentodale.ledger.run_once import REPLAYED_HEADER, LastLook, WorkFault, run_once
-from pimentodale.platform.key_value import StoreFault
 from pimentodale.results import EarlierAttempt, Ran, Refusal, ResultCode
 
 if TYPE_CHECKING:
--- a/features/support/ledger_ways.py
+++ b/features/support/ledger_ways.py
@@ -23,12 +23,12 @@
 
 from features.support.site import Site, http
 from pimentodale.addresses import parse_address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
+from pimentodale.clients.key_value import Compare, KeyValueStore, Put, prefix_end
 from pimentodale.clock import create_clock
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.ledger.records import Claim, ClaimRequest, Outcome, digest_request
 from pimentodale.logs import configure_logs
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
-from pimentodale.platform.key_value import Compare, KeyValueStore, Put, prefix_end
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok, Result
 
-from pimentodale.platform.key_value import (
+from pimentodale.clients.key_value import (
     Compare,
     Delete,
     KeyValue,
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
+    from pimentodale.clients.key_value import WatchBatch
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import WatchBatch
 
 Gate = Callable[[str], Awaitable[StoreFault | None]]
 """Awaited with "request" before a call takes effect and with "reply" after it."""
--- a/features/support/mixed_fleet.py
+++ b/features/support/mixed_fleet.py
@@ -7,7 +7,7 @@
 
 from features.support.engines import ADMIN_PORT, HTTP_PORT, MODEL
 from pimentodale.addresses import Address
-from pimentodale.platform.targets import EngineTarget
+from pimentodale.clients.targets import EngineTarget
 from pimentodale.routing.route_plan import Link
 
 if TYPE_CHECKING:
--- a/features/support/streaming_callers.py
+++ b/features/support/streaming_callers.py
@@ -8,8 +8,8 @@
 
 from features.support.layout import MODEL, headers_of
 from pimentodale.addresses import parse_address
+from pimentodale.clients.http_call import CallRequest, open_call
 from pimentodale.clock import create_clock
-from pimentodale.platform.http_call import CallRequest, open_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/scripts/measure_configuration.py
+++ b/scripts/measure_configuration.py
@@ -22,13 +22,13 @@
 from features.support.site import Site, http
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
+from pimentodale.clients.key_value import Put
 from pimentodale.clock import create_clock
 from pimentodale.configuration.folder_store import FOLDER_PREFIX
 from pimentodale.configuration.follower import create_follower
 from pimentodale.configuration.snapshots import AcceptedFile, Snapshot, encode_snapshot
 from pimentodale.logs import configure_logs
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
-from pimentodale.platform.key_value import Put
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/scripts/measure_router.py
+++ b/scripts/measure_router.py
@@ -24,10 +24,10 @@
 from features.support.site import Site
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.engine_client import EngineToken, open_stream
+from pimentodale.clients.engine_messages import EngineCall, Hop
+from pimentodale.clients.http_call import CallRequest, open_call
 from pimentodale.load.records import LatencyFigures, latency_figures
-from pimentodale.platform.engine_client import EngineToken, open_stream
-from pimentodale.platform.engine_messages import EngineCall, Hop
-from pimentodale.platform.http_call import CallRequest, open_call
 
 LENGTHS: Final = (1, 16, 64, 128)
 STREAMS: Final = 200
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -24,10 +24,10 @@
 from pimentodale.admission.admission import AdmissionLimits, create_admission
 from pimentodale.admission.rate_shares import create_rate_shares
 from pimentodale.admission.route_room import create_route_room
+from pimentodale.clients.engine_client import EngineToken, open_stream, read_load
+from pimentodale.clients.engine_messages import EngineCall
+from pimentodale.clients.targets import Targets
 from pimentodale.clock import create_clock
-from pimentodale.platform.engine_client import EngineToken, open_stream, read_load
-from pimentodale.platform.engine_messages import EngineCall
-from pimentodale.platform.targets import Targets
 from pimentodale.routing.fleet import create_fleet
 from pimentodale.routing.pick import planned_pickers, round_robin_pickers, shortest_queue_pickers
 from pimentodale.routing.router import create_router
@@ -37,8 +37,8 @@
     from collections.abc import Callable
 
     from pimentodale.admission.admission import Admission
+    from pimentodale.clients.targets import EngineTarget
     from pimentodale.clock import Clock
-    from pimentodale.platform.targets import EngineTarget
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.pick import CreatePicker
     from pimentodale.routing.router import Router
--- a/src/pimentodale/callers/generation.py
+++ b/src/pimentodale/callers/generation.py
@@ -19,11 +19,11 @@
     malformed,
     parse_json,
 )
+from pimentodale.clients.prompt_text import prefix_hash, prompt_text
 from pimentodale.pipelines.generate import generate
 from pimentodale.pipelines.keyed import key_required, keyed_events
 from pimentodale.pipelines.means import Reservation
 from pimentodale.pipelines.messages import Finished, Generation, Token
-from pimentodale.platform.prompt_text import prefix_hash, prompt_text
 from pimentodale.results import Refusal, ResultCode, create_refusal
 
 if TYPE_CHECKING:
--- a/src/pimentodale/platform/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -8,20 +8,20 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.platform.engine_messages import (
+from pimentodale.clients.engine_messages import (
     EngineLoad,
     EngineRefusal,
     RequestProgress,
     TokenNote,
 )
-from pimentodale.platform.http_call import CallFault, CallRequest, fetch, open_call
+from pimentodale.clients.http_call import CallFault, CallRequest, fetch, open_call
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from pimentodale.addresses import Address
-    from pimentodale.platform.engine_messages import EngineCall
-    from pimentodale.platform.http_call import HttpCall
+    from pimentodale.clients.engine_messages import EngineCall
+    from pimentodale.clients.http_call import HttpCall
 
 HTTP_OK: Final = 200
 """Status of an opened stream."""
--- a/src/pimentodale/platform/engine_orders.py
+++ b/src/pimentodale/clients/engine_orders.py
@@ -8,12 +8,12 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.platform.engine_messages import EngineOrder, EngineStateReport
-from pimentodale.platform.http_call import CallRequest, fetch
+from pimentodale.clients.engine_messages import EngineOrder, EngineStateReport
+from pimentodale.clients.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
     from pimentodale.addresses import Address
-    from pimentodale.platform.http_call import CallReply
+    from pimentodale.clients.http_call import CallReply
 
 
 class OrderFaultKind(Enum):
--- a/src/pimentodale/platform/etcd_gateway.py
+++ b/src/pimentodale/clients/etcd_gateway.py
@@ -8,8 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.clock import MS_PER_S
-from pimentodale.platform.etcd_messages import (
+from pimentodale.clients.etcd_messages import (
     DeleteRangeRequest,
     EtcdCompare,
     EtcdKeyValue,
@@ -30,8 +29,8 @@
     WatchRequest,
     WatchResponse,
 )
-from pimentodale.platform.http_call import CallReply, CallRequest, fetch, open_call
-from pimentodale.platform.key_value import (
+from pimentodale.clients.http_call import CallReply, CallRequest, fetch, open_call
+from pimentodale.clients.key_value import (
     Compare,
     Delete,
     KeyValue,
@@ -42,13 +41,14 @@
     WatchBatch,
     prefix_end,
 )
+from pimentodale.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
     from pimentodale.addresses import Address
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore
 
 CALL_TIMEOUT_MS: Final = 2000.0
 """Longest time for a call, over all end points."""
--- a/src/pimentodale/platform/host_list.py
+++ b/src/pimentodale/clients/host_list.py
@@ -8,9 +8,9 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import Address, BadAddressError, parse_address
+from pimentodale.clients.http_call import CallRequest, fetch
+from pimentodale.clients.targets import EngineTarget, EntryTarget, ServiceTarget, Targets
 from pimentodale.logs import get_log
-from pimentodale.platform.http_call import CallRequest, fetch
-from pimentodale.platform.targets import EngineTarget, EntryTarget, ServiceTarget, Targets
 
 if TYPE_CHECKING:
     import random
--- a/src/pimentodale/platform/prompt_text.py
+++ b/src/pimentodale/clients/prompt_text.py
@@ -5,7 +5,7 @@
 import hashlib
 from typing import Any
 
-from pimentodale.platform.engine_messages import PREFIX_CHARS
+from pimentodale.clients.engine_messages import PREFIX_CHARS
 
 
 def prompt_text(body: dict[str, Any]) -> str:
--- a/src/pimentodale/platform/weight_store.py
+++ b/src/pimentodale/clients/weight_store.py
@@ -7,7 +7,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.platform.http_call import CallRequest, fetch
+from pimentodale.clients.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/pimentodale/configuration/edits.py
+++ b/src/pimentodale/configuration/edits.py
@@ -7,14 +7,14 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.clients.key_value import Compare, Delete, Put
 from pimentodale.configuration.folder_store import FOLDER_PREFIX
-from pimentodale.platform.key_value import Compare, Delete, Put
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from pimentodale.clients.key_value import KeyValueStore, StoreFault, TxnReply
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore, StoreFault, TxnReply
 
 EDIT_TRIES: Final = 5
 """How often a write is tried whose outcome is not known."""
--- a/src/pimentodale/configuration/folder_store.py
+++ b/src/pimentodale/configuration/folder_store.py
@@ -7,12 +7,12 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.clients.key_value import Compare, Delete, Put, prefix_end
 from pimentodale.configuration.snapshots import Snapshot, decode_snapshot, encode_snapshot
 from pimentodale.logs import get_log
-from pimentodale.platform.key_value import Compare, Delete, Put, prefix_end
 
 if TYPE_CHECKING:
-    from pimentodale.platform.key_value import (
+    from pimentodale.clients.key_value import (
         KeyValue,
         KeyValueStore,
         StoreFault,
--- a/src/pimentodale/configuration/follower.py
+++ b/src/pimentodale/configuration/follower.py
@@ -20,9 +20,9 @@
     import random
     from collections.abc import Callable
 
+    from pimentodale.clients.key_value import KeyValueStore, StoreFault
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
-    from pimentodale.platform.key_value import KeyValueStore, StoreFault
 
 POLL_INTERVAL_MS: Final = 30_000.0
 """Mean time between the polls of a host that does not watch."""
--- a/src/pimentodale/configuration/watcher.py
+++ b/src/pimentodale/configuration/watcher.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pimentodale.clients.key_value import StoreFault
 from pimentodale.configuration.folder_store import (
     ACCEPTED_KEY,
     VIEW_END,
@@ -18,15 +19,14 @@
 )
 from pimentodale.configuration.snapshots import MAX_SNAPSHOT_BYTES, Snapshot, encode_snapshot
 from pimentodale.logs import get_log
-from pimentodale.platform.key_value import StoreFault
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
     from pimentodale.configuration.in_force import InForce
-    from pimentodale.platform.key_value import KeyValueStore
 
 WATCH_SILENCE_MS: Final = 6_000.0
 """A watch without any octet for so long is opened anew."""
--- a/src/pimentodale/ctl/ask_hosts.py
+++ b/src/pimentodale/ctl/ask_hosts.py
@@ -10,8 +10,8 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.ctl.exit_codes import ExitCode
-from pimentodale.platform.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/pimentodale/ctl/config_edit.py
+++ b/src/pimentodale/ctl/config_edit.py
@@ -23,9 +23,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.configuration.folder_store import FolderView
     from pimentodale.ctl.config_commands import PushCommand, PutCommand, RemoveCommand
-    from pimentodale.platform.key_value import KeyValueStore
 
 ACCEPT_POLL_MS: Final = 200.0
 """Wait between looks for acceptance."""
--- a/src/pimentodale/ctl/key_value_option.py
+++ b/src/pimentodale/ctl/key_value_option.py
@@ -8,15 +8,15 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
 from pimentodale.clock import create_clock
 from pimentodale.configuration.folder_store import FolderView, read_view
 from pimentodale.ctl.exit_codes import ExitCode
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pimentodale.platform.key_value import KeyValueStore
+    from pimentodale.clients.key_value import KeyValueStore
 
 
 def open_store(addresses: Sequence[str]) -> Result[KeyValueStore, ExitCode]:
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -16,6 +16,8 @@
 from pimentodale.callers.authentication import create_authenticator
 from pimentodale.callers.context import CallerContext
 from pimentodale.callers.reads import ConfigurationHandler
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
+from pimentodale.clients.host_list import create_host_list_poller, create_host_list_reader
 from pimentodale.clock import create_clock
 from pimentodale.configuration.follower import create_follower
 from pimentodale.entry.demand import share_demand
@@ -36,8 +38,6 @@
 from pimentodale.logs import get_log
 from pimentodale.metrics import create_metrics
 from pimentodale.pipelines.generate import PipelineMeans
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
-from pimentodale.platform.host_list import create_host_list_poller, create_host_list_reader
 from pimentodale.quarantine.quarantine import create_quarantine
 from pimentodale.results import Refusal, ResultCode, create_refusal
 from pimentodale.services.caller import create_service_caller
@@ -49,13 +49,13 @@
     from pimentodale.addresses import Address
     from pimentodale.background import BackgroundTasks
     from pimentodale.callers.app import CallerServer
+    from pimentodale.clients.key_value import KeyValueStore
+    from pimentodale.clients.targets import Targets
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
     from pimentodale.configuration.follower import Follower
     from pimentodale.entry.settings import EntrySettings
     from pimentodale.peers.peers import Peers
-    from pimentodale.platform.key_value import KeyValueStore
-    from pimentodale.platform.targets import Targets
     from pimentodale.routing.fleet import Fleet
     from pimentodale.services.messages import ServiceReplica
 
--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -25,13 +25,13 @@
     from collections.abc import Callable, Sequence
 
     from pimentodale.background import BackgroundTasks
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
     from pimentodale.configuration.follower import Follower
     from pimentodale.entry.settings import EntrySettings
     from pimentodale.metrics import Metrics
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
-    from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.quarantine.claims import TrialClaim
     from pimentodale.quarantine.entries import QuarantineEntry
     from pimentodale.quarantine.quarantine import Quarantine
--- a/src/pimentodale/entry/routing.py
+++ b/src/pimentodale/entry/routing.py
@@ -20,10 +20,10 @@
     from collections.abc import Callable
 
     from pimentodale.background import BackgroundTasks
+    from pimentodale.clients.targets import Targets
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration, LinkLimit
     from pimentodale.entry.settings import EntrySettings
-    from pimentodale.platform.targets import Targets
 
 REPLAN_INTERVAL_MS: Final = 100.0
 """Time between looks at whether routes need another plan."""
--- a/src/pimentodale/ledger/key_ledger.py
+++ b/src/pimentodale/ledger/key_ledger.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.clients.key_value import Compare, Delete, KeyValue, KeyValueStore, Put
 from pimentodale.ledger import refusals
 from pimentodale.ledger.records import (
     Claim,
@@ -22,15 +23,14 @@
 )
 from pimentodale.ledger.retention import RetentionLease
 from pimentodale.logs import get_log
-from pimentodale.platform.key_value import Compare, Delete, KeyValue, KeyValueStore, Put
 from pimentodale.results import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from pimentodale.clients.key_value import StoreFault, TxnReply
     from pimentodale.clock import Clock
     from pimentodale.ledger.interface import Ledger
-    from pimentodale.platform.key_value import StoreFault, TxnReply
     from pimentodale.results import Refusal
 
 CLAIM_TRIES: Final = 2
--- a/src/pimentodale/ledger/retention.py
+++ b/src/pimentodale/ledger/retention.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentodale.clients.key_value import KeyValueStore, StoreFault
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore, StoreFault
 
 SLICES: Final = 8
 """A lease takes claims for one in so many parts of the retention, and lives that much longer."""
--- a/src/pimentodale/load/experiment.py
+++ b/src/pimentodale/load/experiment.py
@@ -11,10 +11,10 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.load.plan import RunPlan
 from pimentodale.load.records import RunFigures, figures_of
 from pimentodale.load.run import check_plan, run_load
-from pimentodale.platform.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/pimentodale/load/sender.py
+++ b/src/pimentodale/load/sender.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from pimentodale.clients.http_call import CallRequest, open_call
 from pimentodale.load.mixes import prompt_of
-from pimentodale.platform.http_call import CallRequest, open_call
 from pimentodale.results import Refusal
 
 if TYPE_CHECKING:
@@ -17,11 +17,11 @@
     from collections.abc import Sequence
 
     from pimentodale.addresses import Address
+    from pimentodale.clients.http_call import HttpCall
     from pimentodale.clock import Clock
     from pimentodale.load.mixes import RequestShape
     from pimentodale.load.plan import LoadWorkspace
     from pimentodale.load.records import Record
-    from pimentodale.platform.http_call import HttpCall
 
 SLACK_MS: Final = 2_000.0
 """How much longer than its deadline a caller waits for an answer."""
--- a/src/pimentodale/pipelines/attempt.py
+++ b/src/pimentodale/pipelines/attempt.py
@@ -8,21 +8,21 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.engine_client import EngineFault, EngineFinish, open_stream
+from pimentodale.clients.engine_messages import EngineCall
 from pimentodale.pipelines.means import describe_route
 from pimentodale.pipelines.messages import Finished, Token
 from pimentodale.pipelines.receipts import receipt_fault
 from pimentodale.pipelines.resume import choose_kv_source
 from pimentodale.pipelines.silence import cancel_in_background, examine_silence
-from pimentodale.platform.engine_client import EngineFault, EngineFinish, open_stream
-from pimentodale.platform.engine_messages import EngineCall
 from pimentodale.routing.routes import RouteOutcome
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
+    from pimentodale.clients.engine_client import EngineEvent, EngineStream
+    from pimentodale.clients.engine_messages import TokenNote
     from pimentodale.pipelines.means import Progress
-    from pimentodale.platform.engine_client import EngineEvent, EngineStream
-    from pimentodale.platform.engine_messages import TokenNote
     from pimentodale.routing.routes import Route
     from pimentodale.routing.windows import RouteUse
     from pimentodale.tracing.tracer import Span
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -12,6 +12,7 @@
 
 from expression import Error, Ok, Result
 
+from pimentodale.clients.engine_client import EngineFault
 from pimentodale.pipelines.attempt import GenerationEvent, run_attempt
 from pimentodale.pipelines.loss import Loss, examine_loss
 from pimentodale.pipelines.means import FirstByteGate, PipelineMeans, Progress, describe_route
@@ -29,7 +30,6 @@
     note_event,
     note_start,
 )
-from pimentodale.platform.engine_client import EngineFault
 from pimentodale.results import Refusal, ResultCode
 
 if TYPE_CHECKING:
--- a/src/pimentodale/pipelines/loss.py
+++ b/src/pimentodale/pipelines/loss.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.addresses import parse_address
-from pimentodale.platform.engine_client import read_load
+from pimentodale.clients.engine_client import read_load
 
 if TYPE_CHECKING:
+    from pimentodale.clients.engine_client import EngineFault
+    from pimentodale.clients.engine_messages import Hop
     from pimentodale.pipelines.means import PipelineMeans, Progress
-    from pimentodale.platform.engine_client import EngineFault
-    from pimentodale.platform.engine_messages import Hop
     from pimentodale.routing.routes import Route
 
 PROBE_TIMEOUT_MS: Final = 300.0
--- a/src/pimentodale/pipelines/observations.py
+++ b/src/pimentodale/pipelines/observations.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.platform.engine_messages import EngineRefusal
+from pimentodale.clients.engine_messages import EngineRefusal
 
 if TYPE_CHECKING:
-    from pimentodale.platform.engine_client import EngineFault
+    from pimentodale.clients.engine_client import EngineFault
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.routes import Route
 
--- a/src/pimentodale/pipelines/receipts.py
+++ b/src/pimentodale/pipelines/receipts.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pimentodale.platform.engine_messages import Hop, StageReceipt
+    from pimentodale.clients.engine_messages import Hop, StageReceipt
 
 
 class ReceiptFault(msgspec.Struct, frozen=True):
--- a/src/pimentodale/pipelines/resume.py
+++ b/src/pimentodale/pipelines/resume.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from pimentodale.platform.engine_messages import Hop
+    from pimentodale.clients.engine_messages import Hop
 
 
 def choose_kv_source(last_route: Route | None, route: Route, lost: Collection[str]) -> str:
--- a/src/pimentodale/pipelines/silence.py
+++ b/src/pimentodale/pipelines/silence.py
@@ -14,15 +14,15 @@
 from expression import Ok
 
 from pimentodale.addresses import parse_address
+from pimentodale.clients.engine_client import cancel_request, read_load, read_progress
 from pimentodale.logs import get_log
-from pimentodale.platform.engine_client import cancel_request, read_load, read_progress
 
 if TYPE_CHECKING:
     from expression import Result
 
+    from pimentodale.clients.engine_client import EngineFault
+    from pimentodale.clients.engine_messages import Hop, RequestProgress
     from pimentodale.pipelines.means import Progress
-    from pimentodale.platform.engine_client import EngineFault
-    from pimentodale.platform.engine_messages import Hop, RequestProgress
     from pimentodale.routing.routes import Route
 
 PROBE_TIMEOUT_MS: Final = 300.0
--- a/src/pimentodale/quarantine/quarantine.py
+++ b/src/pimentodale/quarantine/quarantine.py
@@ -13,8 +13,8 @@
     from collections.abc import Coroutine
 
     from pimentodale.background import BackgroundTasks
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore
     from pimentodale.quarantine.register import QuarantineRegister
     from pimentodale.quarantine.trials import Trials
 
--- a/src/pimentodale/quarantine/sharing.py
+++ b/src/pimentodale/quarantine/sharing.py
@@ -9,8 +9,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.clients.key_value import Put, prefix_end
 from pimentodale.logs import get_log
-from pimentodale.platform.key_value import Put, prefix_end
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.register import STRIKE_RETENTION_MS
 from pimentodale.quarantine.trials import CONVICTED_PREFIX
@@ -18,8 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from pimentodale.clients.key_value import KeyValue, KeyValueStore
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValue, KeyValueStore
     from pimentodale.quarantine.entries import QuarantineEntry
     from pimentodale.quarantine.register import QuarantineRegister
 
--- a/src/pimentodale/quarantine/trials.py
+++ b/src/pimentodale/quarantine/trials.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
+from pimentodale.clients.key_value import Compare, Delete, Put
 from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
-from pimentodale.platform.key_value import Compare, Delete, Put
 from pimentodale.quarantine.claims import Claims
 from pimentodale.quarantine.entries import QuarantineEntry, pack_entry, unpack_entry
 from pimentodale.quarantine.register import CONVICTION_RETENTION_MS
@@ -22,8 +22,8 @@
     from collections.abc import Sequence
 
     from pimentodale.background import BackgroundTasks
+    from pimentodale.clients.key_value import KeyValueStore, TxnReply
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore, TxnReply
 
 CONVICTED_PREFIX: Final = "pimentodale/quarantine/convicted/"
 """Key prefix of convictions."""
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from pimentodale.clients.engine_messages import EngineLoad
+    from pimentodale.clients.targets import EngineTarget, ServiceTarget, Targets
     from pimentodale.clock import Clock
-    from pimentodale.platform.engine_messages import EngineLoad
-    from pimentodale.platform.targets import EngineTarget, ServiceTarget, Targets
 
 
 class EngineStatus:
--- a/src/pimentodale/routing/load_reports.py
+++ b/src/pimentodale/routing/load_reports.py
@@ -6,17 +6,17 @@
 
 import msgspec
 
+from pimentodale.clients.engine_client import read_load
+from pimentodale.clients.engine_messages import CacheEvents
+from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.clock import MS_PER_S
-from pimentodale.platform.engine_client import read_load
-from pimentodale.platform.engine_messages import CacheEvents
-from pimentodale.platform.http_call import CallRequest, fetch
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
+    from pimentodale.clients.targets import EngineTarget
     from pimentodale.clock import Clock
-    from pimentodale.platform.targets import EngineTarget
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.prefix_index import PrefixIndex
 
--- a/src/pimentodale/routing/pick.py
+++ b/src/pimentodale/routing/pick.py
@@ -16,7 +16,7 @@
     import random
     from collections.abc import Callable, Collection, Sequence
 
-    from pimentodale.platform.targets import EngineTarget
+    from pimentodale.clients.targets import EngineTarget
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.route_plan import PlannedRoute, RoutePlan
     from pimentodale.routing.routes import Route
--- a/src/pimentodale/routing/prefix_index.py
+++ b/src/pimentodale/routing/prefix_index.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pimentodale.platform.engine_messages import CacheEvent
+    from pimentodale.clients.engine_messages import CacheEvent
 
 MAX_PREFIXES: Final = 4096
 """Prefixes that are remembered by default."""
--- a/src/pimentodale/routing/route_plan.py
+++ b/src/pimentodale/routing/route_plan.py
@@ -13,14 +13,14 @@
 
 import msgspec
 
-from pimentodale.platform.engine_messages import Hop
+from pimentodale.clients.engine_messages import Hop
 from pimentodale.routing.max_flow import UNLIMITED, FlowGraph, create_flow_graph
 from pimentodale.routing.routes import Route
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pimentodale.platform.targets import EngineTarget
+    from pimentodale.clients.targets import EngineTarget
 
 _UNITS_PER_TOKEN: Final = 1000
 """Flow units in one token a second."""
--- a/src/pimentodale/routing/router.py
+++ b/src/pimentodale/routing/router.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
+    from pimentodale.clients.targets import EngineTarget
     from pimentodale.clock import Clock
-    from pimentodale.platform.targets import EngineTarget
     from pimentodale.routing.fleet import Fleet
     from pimentodale.routing.pick import CreatePicker, Picker
     from pimentodale.routing.prefix_index import PrefixIndex
--- a/src/pimentodale/routing/routes.py
+++ b/src/pimentodale/routing/routes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pimentodale.platform.engine_messages import Hop
+from pimentodale.clients.engine_messages import Hop
 
 
 class RouteOutcome(StrEnum):
--- a/src/pimentodale/routing/stages.py
+++ b/src/pimentodale/routing/stages.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from pimentodale.platform.engine_messages import Hop
+from pimentodale.clients.engine_messages import Hop
 from pimentodale.routing.routes import Route
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from pimentodale.platform.targets import EngineTarget
+    from pimentodale.clients.targets import EngineTarget
 
 
 def find_route(
--- a/src/pimentodale/routing/subsets.py
+++ b/src/pimentodale/routing/subsets.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
 
-    from pimentodale.platform.targets import EngineTarget
+    from pimentodale.clients.targets import EngineTarget
 
 _MIN_OF_RANGE: Final = 2
 """Replicas kept of each layer range, so that one loss leaves a route."""
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -7,9 +7,9 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.clients.http_call import CallFault, CallReply, CallRequest, fetch
 from pimentodale.ledger.records import ClaimRequest, Outcome, digest_request
 from pimentodale.ledger.run_once import WorkFault, run_once
-from pimentodale.platform.http_call import CallFault, CallReply, CallRequest, fetch
 from pimentodale.results import Ran, ResultCode, create_refusal
 from pimentodale.services.messages import ServiceCall, ServiceReply
 
--- a/src/pimentodale/standin/_answer.py
+++ b/src/pimentodale/standin/_answer.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pimentodale.platform.engine_messages import TokenNote
+from pimentodale.clients.engine_messages import TokenNote
 from pimentodale.standin.reference_text import prompt_token_count
 
 if TYPE_CHECKING:
--- a/src/pimentodale/standin/_engine_core.py
+++ b/src/pimentodale/standin/_engine_core.py
@@ -12,12 +12,12 @@
 from tornado.netutil import bind_sockets
 
 from pimentodale.addresses import parse_address
-from pimentodale.logs import get_log
-from pimentodale.platform.engine_messages import (
+from pimentodale.clients.engine_messages import (
     EngineHolding,
     EngineLoad,
     StageReceipt,
 )
+from pimentodale.logs import get_log
 from pimentodale.standin._batch import Batch
 from pimentodale.standin._engine_links import (
     Activation,
@@ -44,8 +44,8 @@
     from tornado.iostream import IOStream
 
     from pimentodale.addresses import Address
+    from pimentodale.clients.engine_messages import Hop
     from pimentodale.clock import Clock
-    from pimentodale.platform.engine_messages import Hop
     from pimentodale.standin._faults import FaultOrder, Faults
     from pimentodale.standin.engine import Settings
 
--- a/src/pimentodale/standin/_engine_http.py
+++ b/src/pimentodale/standin/_engine_http.py
@@ -9,14 +9,14 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from pimentodale.platform.engine_messages import (
+from pimentodale.clients.engine_messages import (
     EngineCall,
     EngineOrder,
     EngineRefusal,
     RequestProgress,
     TokenNote,
 )
-from pimentodale.platform.prompt_text import prompt_text
+from pimentodale.clients.prompt_text import prompt_text
 from pimentodale.standin._answer import AnswerChunks, ChunkIds, answer_chunks
 from pimentodale.standin._faults import FaultOrder
 from pimentodale.standin._head import HeadStream, StageLostError, StreamCancelledError
--- a/src/pimentodale/standin/_engine_links.py
+++ b/src/pimentodale/standin/_engine_links.py
@@ -16,9 +16,9 @@
 from tornado.tcpserver import TCPServer
 
 from pimentodale.addresses import Address, parse_address
+from pimentodale.clients.engine_messages import EngineRefusal, Hop, StageReceipt
 from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
-from pimentodale.platform.engine_messages import EngineRefusal, Hop, StageReceipt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/pimentodale/standin/_head.py
+++ b/src/pimentodale/standin/_head.py
@@ -10,8 +10,8 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import BadAddressError
+from pimentodale.clients.engine_messages import EngineCall, EngineRefusal, StageReceipt
 from pimentodale.clock import MS_PER_S
-from pimentodale.platform.engine_messages import EngineCall, EngineRefusal, StageReceipt
 from pimentodale.standin._engine_links import (
     Activation,
     CloseStream,
--- a/src/pimentodale/standin/_kv_cache.py
+++ b/src/pimentodale/standin/_kv_cache.py
@@ -10,7 +10,7 @@
 import msgpack
 import msgspec
 
-from pimentodale.platform.engine_messages import PREFIX_CHARS, CacheEvent, CacheEvents
+from pimentodale.clients.engine_messages import PREFIX_CHARS, CacheEvent, CacheEvents
 
 if TYPE_CHECKING:
     from pimentodale.clock import Clock
--- a/src/pimentodale/standin/_orders.py
+++ b/src/pimentodale/standin/_orders.py
@@ -11,10 +11,10 @@
 from pimentodale.standin._journal import OrderSeen
 
 if TYPE_CHECKING:
-    from pimentodale.platform.engine_messages import EngineOrder
+    from pimentodale.clients.engine_messages import EngineOrder
     from pimentodale.standin._engine_core import Engine
 
-from pimentodale.platform.engine_messages import EngineHolding, EngineStateReport
+from pimentodale.clients.engine_messages import EngineHolding, EngineStateReport
 
 
 class Fenced(msgspec.Struct, frozen=True):
--- a/src/pimentodale/standin/_stage.py
+++ b/src/pimentodale/standin/_stage.py
@@ -9,8 +9,8 @@
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import BadAddressError, parse_address
-from pimentodale.platform.engine_messages import EngineRefusal, Hop, StageReceipt
-from pimentodale.platform.http_call import CallRequest, fetch
+from pimentodale.clients.engine_messages import EngineRefusal, Hop, StageReceipt
+from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.standin._batch import Job
 from pimentodale.standin._journal import (
     StreamEnded,
--- a/src/pimentodale/standin/key_value.py
+++ b/src/pimentodale/standin/key_value.py
@@ -8,8 +8,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clock import create_clock
-from pimentodale.platform.etcd_messages import (
+from pimentodale.clients.etcd_messages import (
     DeleteRangeRequest,
     KeepAliveLine,
     LeaseGrantRequest,
@@ -19,6 +18,7 @@
     RangeRequest,
     TxnRequest,
 )
+from pimentodale.clock import create_clock
 from pimentodale.standin.http_parts import (
     Listener,
     PartHandler,
--- a/src/pimentodale/standin/key_value_part.py
+++ b/src/pimentodale/standin/key_value_part.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from pimentodale.clients.etcd_messages import GatewayError
 from pimentodale.clock import MS_PER_S
-from pimentodale.platform.etcd_messages import GatewayError
 from pimentodale.standin.http_parts import Listener, Outage, PartHandler, RateLimit
 from pimentodale.standin.key_value_state import KeyValueState
 
--- a/src/pimentodale/standin/key_value_state.py
+++ b/src/pimentodale/standin/key_value_state.py
@@ -7,8 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from pimentodale.clock import MS_PER_S
-from pimentodale.platform.etcd_messages import (
+from pimentodale.clients.etcd_messages import (
     DeleteRangeRequest,
     DeleteRangeResponse,
     EtcdCompare,
@@ -25,6 +24,7 @@
     TxnResponse,
     WatchEvent,
 )
+from pimentodale.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from pimentodale.clock import Clock
--- a/src/pimentodale/standin/key_value_watch.py
+++ b/src/pimentodale/standin/key_value_watch.py
@@ -8,12 +8,12 @@
 import msgspec
 from tornado.iostream import StreamClosedError
 
+from pimentodale.clients.etcd_messages import WatchLine, WatchRequest, WatchResponse
 from pimentodale.clock import MS_PER_S
-from pimentodale.platform.etcd_messages import WatchLine, WatchRequest, WatchResponse
 from pimentodale.standin.key_value_part import KeyValueHandler
 
 if TYPE_CHECKING:
-    from pimentodale.platform.etcd_messages import Header
+    from pimentodale.clients.etcd_messages import Header
 
 
 class WatchHandler(KeyValueHandler):
--- a/src/pimentodale/standin/weight_store.py
+++ b/src/pimentodale/standin/weight_store.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from pimentodale.clients.weight_store import Reservation, ReservationRequest
 from pimentodale.clock import MS_PER_S, Clock, create_clock
-from pimentodale.platform.weight_store import Reservation, ReservationRequest
 from pimentodale.standin.http_parts import (
     Journal,
     Listener,
--- a/src/pimentodale/steward/lease.py
+++ b/src/pimentodale/steward/lease.py
@@ -6,11 +6,11 @@
 
 from expression import Error, Ok, Result
 
-from pimentodale.platform.key_value import Compare, Put, StoreFault
+from pimentodale.clients.key_value import Compare, Put, StoreFault
 
 if TYPE_CHECKING:
+    from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
-    from pimentodale.platform.key_value import KeyValueStore
 
 LEASE_PREFIX: Final = "pimentodale/steward/"
 """Prefix of the lease keys; the failure domain follows."""
--- a/src/pimentodale/steward/main.py
+++ b/src/pimentodale/steward/main.py
@@ -14,12 +14,12 @@
 
 from pimentodale import VERSION
 from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.clients.etcd_gateway import create_etcd_gateway
+from pimentodale.clients.host_list import create_host_list_reader
+from pimentodale.clients.weight_store import create_reserver
 from pimentodale.clock import create_clock
 from pimentodale.configuration.follower import create_follower
 from pimentodale.logs import configure_logs
-from pimentodale.platform.etcd_gateway import create_etcd_gateway
-from pimentodale.platform.host_list import create_host_list_reader
-from pimentodale.platform.weight_store import create_reserver
 from pimentodale.programs import read_file_or_stop, stop_program
 from pimentodale.steward.settings import StewardSettings
 from pimentodale.steward.steward import create_steward
--- a/src/pimentodale/steward/steward.py
+++ b/src/pimentodale/steward/steward.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.clients.engine_orders import OrderFaultKind, read_engine_state, send_order
+from pimentodale.clients.weight_store import ReservationRequest
 from pimentodale.logs import get_log
-from pimentodale.platform.engine_orders import OrderFaultKind, read_engine_state, send_order
-from pimentodale.platform.weight_store import ReservationRequest
 from pimentodale.steward.lease import HeldLease, acquire_lease
 from pimentodale.steward.wishes import WishedChange, find_change, keeps_minimum
 
@@ -17,14 +17,14 @@
 
     from expression import Result
 
+    from pimentodale.clients.engine_messages import EngineStateReport
+    from pimentodale.clients.host_list import HostListFault
+    from pimentodale.clients.key_value import KeyValueStore
+    from pimentodale.clients.targets import EngineTarget, Targets
+    from pimentodale.clients.weight_store import Reservation, WeightStoreFault
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Placement
     from pimentodale.configuration.follower import Follower
-    from pimentodale.platform.engine_messages import EngineStateReport
-    from pimentodale.platform.host_list import HostListFault
-    from pimentodale.platform.key_value import KeyValueStore
-    from pimentodale.platform.targets import EngineTarget, Targets
-    from pimentodale.platform.weight_store import Reservation, WeightStoreFault
     from pimentodale.steward.settings import StewardSettings
 
     Reserve = Callable[[ReservationRequest], Awaitable[Result[Reservation, WeightStoreFault]]]
--- a/src/pimentodale/steward/wishes.py
+++ b/src/pimentodale/steward/wishes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pimentodale.platform.engine_messages import EngineOrder, EngineStateReport
+from pimentodale.clients.engine_messages import EngineOrder, EngineStateReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
