--- /dev/null
+++ b/src/gateway.py
@@ -0,0 +1,7 @@
+"""Starts `pimentodale-gateway` from a checkout, where the package isn't installed."""
+
+from __future__ import annotations
+
+from pimentodale.platform.main import main
+
+main()
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -63,7 +63,7 @@
     """Path with its query."""
 
     headers: dict[str, str] = {}
-    """Request headers besides Host and Content-Length."""
+    """Request headers besides Content-Length; Host is the address unless it is given."""
 
     body: bytes = b""
     """Request body."""
@@ -93,7 +93,7 @@
     def __init__(self, stream: IOStream, connection: HTTP1Connection) -> None:
         self._stream = stream
         self._connection = connection
-        self._response = _Response()
+        self._response = _Response(stream)
         self._reader: asyncio.Future[bool] | None = None
 
     @property
@@ -139,7 +139,8 @@
     async def _send(self, request: CallRequest, address: Address) -> None:
         """Write the request and wait for the response's header."""
         headers = HTTPHeaders(request.headers)
-        headers["Host"] = str(address)
+        if "Host" not in headers:
+            headers["Host"] = str(address)
         headers["Content-Length"] = str(len(request.body))
         headers["Connection"] = "close"
         start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
@@ -260,9 +261,10 @@
 class _Response(HTTPMessageDelegate):
     """Receives one response and queues its chunks; `None` marks the end."""
 
-    __slots__ = ("header", "headers", "queue", "status", "whole")
+    __slots__ = ("_stream", "header", "headers", "queue", "status", "whole")
 
-    def __init__(self) -> None:
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
         self.header: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.headers = HTTPHeaders()
         self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(_QUEUED_CHUNKS)
@@ -286,8 +288,11 @@
         return self.queue.put(chunk)
 
     def finish(self) -> None:
-        """Note that the body is whole."""
-        self.whole = True
+        """Note that the body is whole.
+
+        One without a length ends with its connection, which a reset must not pass for.
+        """
+        self.whole = self._stream.error is None
 
     def end(self, reader: asyncio.Future[bool]) -> None:
         """Mark the end once the connection's reader is done, however it ended."""
--- /dev/null
+++ b/src/pimentodale/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Clients' requests, forwarded to replicas of the services that their routes lead to."""
--- /dev/null
+++ b/src/pimentodale/forwarding/means.py
@@ -0,0 +1,103 @@
+"""What forwarding needs of the rest of the program, and the state that requests share."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.logs import get_log
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pimentodale.clock import Clock
+    from pimentodale.forwarding.front_server import ClientExchange
+    from pimentodale.forwarding.loads import LoadBoard
+    from pimentodale.forwarding.messages import ExchangeCodec
+    from pimentodale.forwarding.poison import PoisonStrikes
+    from pimentodale.forwarding.retry_share import RetryShare
+    from pimentodale.gateway.metrics import GatewayMetrics
+    from pimentodale.placement.messages import EngineCalls
+    from pimentodale.results import ResultCode
+    from pimentodale.site.beliefs import ReplicaBeliefs
+    from pimentodale.site.model import BackendService, RouteRule
+    from pimentodale.site.view import SiteView
+
+_log = get_log("request")
+
+TIMEOUT_MARGIN_MS: Final = 20.0
+"""How much sooner than a route's time-out a request is given up, so that its answer is in time."""
+
+
+@dataclass(slots=True)
+class ForwardingMeans:
+    """Shared by all requests of a host."""
+
+    clock: Clock
+    codec: ExchangeCodec
+    engines: EngineCalls
+    view: SiteView
+    beliefs: ReplicaBeliefs
+    loads: LoadBoard
+    retries: RetryShare
+    poison: PoisonStrikes
+    metrics: GatewayMetrics
+    failure_domain: str
+    stall_ms: float
+    """How long engines wait for a replica that doesn't answer."""
+
+    fence: Callable[[], int]
+    """Returns the highest fencing number known."""
+
+    rng: random.Random = field(default_factory=random.SystemRandom)
+
+
+@dataclass(slots=True)
+class RoutedRequest:
+    """A request that was admitted to a route."""
+
+    exchange: ClientExchange
+    route: RouteRule
+    service: BackendService
+    workspace: str | None
+    """Workspace that holds the client's key; `None` on a public route."""
+
+    priority: int
+    """Rank; 0 goes first."""
+
+    sends: int = 0
+    """Replicas that it has been sent to."""
+
+    history: list[str] = field(default_factory=list)
+    """What became of each send, for the log line."""
+
+    def left_ms(self, now_ms: float) -> float:
+        """Return how long the client and the operators let it wait."""
+        elapsed_ms = now_ms - self.exchange.request.received_ms
+        allowed_ms = self.route.timeout_ms - TIMEOUT_MARGIN_MS
+        if self.exchange.request.deadline_ms is not None:
+            allowed_ms = min(allowed_ms, self.exchange.request.deadline_ms)
+        return allowed_ms - elapsed_ms
+
+
+def log_end(means: ForwardingMeans, routed: RoutedRequest, code: ResultCode, status: int) -> None:
+    """Write the line that says how a request ended and what decided it."""
+    request = routed.exchange.request
+    elapsed_ms = means.clock.now_ms() - request.received_ms
+    means.metrics.note_end(code, elapsed_ms)
+    version = means.view.configuration.version if means.view.configuration else 0
+    _log.info(
+        "A request ended.",
+        request=request.attempt_id,
+        route=routed.route.name,
+        service=routed.service.name,
+        workspace=routed.workspace,
+        code=int(code),
+        name=code.name.lower(),
+        status=status,
+        elapsed_ms=round(elapsed_ms),
+        sends=routed.history,
+        configuration=version,
+        view_age_ms=round(means.view.mirror.age_ms()),
+    )
--- /dev/null
+++ b/src/pimentodale/forwarding/stages.py
@@ -0,0 +1,144 @@
+"""Replicas of an engine with their loads, and the path for a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.clock import MS_PER_S
+from pimentodale.placement.paths import PathWish, StageLoad, find_path
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from pimentodale.forwarding.means import ForwardingMeans
+    from pimentodale.forwarding.messages import ClientRequest
+    from pimentodale.placement.paths import Path
+    from pimentodale.site.model import BackendService, EngineModel
+
+HELD_ANSWER_FRACTION: Final = 0.6
+"""Part of an answer's tokens that a request holds on average while it runs, with some reserve."""
+
+FAILURE_SLOWNESS: Final = 4.0
+"""How many times slower a replica counts whose answers all fail."""
+
+ROOM_POLL_MS: Final = 30.0
+"""Pause between two looks for room by the request that is next in turn."""
+
+ROOM_WAIT_MS: Final = 1_200.0
+"""Longest wait for room; a first event after it is late but still wanted."""
+
+QUEUE_FRACTION: Final = 0.5
+"""Requests that may wait for each one that runs: about one second of work."""
+
+MIN_QUEUE: Final = 4
+"""Requests that may wait however few run."""
+
+
+@dataclass(slots=True)
+class RoomQueue:
+    """Requests of this host that wait for room, the most urgent first."""
+
+    waiting: list[tuple[int, int]] = field(default_factory=list)
+    """Rank and ticket of each."""
+
+    next_ticket: int = 0
+    """Ticket of the next one."""
+
+    def enter(self, rank: int) -> tuple[int, int]:
+        """Take a place."""
+        self.next_ticket += 1
+        place = (rank, self.next_ticket)
+        self.waiting.append(place)
+        self.waiting.sort()
+        return place
+
+
+def tokens_held(engine: EngineModel, request: ClientRequest) -> float:
+    """Estimate the tokens that a request holds on average while it runs."""
+    answer = engine.usual_answer_tokens
+    if request.length_hint_tokens is not None:
+        answer = request.length_hint_tokens
+    if request.max_answer_tokens > 0:
+        answer = min(answer, request.max_answer_tokens)
+    prompt = request.prompt_tokens or engine.usual_prompt_tokens
+    return prompt + answer * HELD_ANSWER_FRACTION
+
+
+def list_stages(means: ForwardingMeans, service: BackendService) -> list[StageLoad]:
+    """Return a service's usable replicas that hold layers."""
+    stages = []
+    for replica in means.view.replicas_of(service.name):
+        if replica.held is None or not means.beliefs.is_usable(replica):
+            continue
+        load = means.loads.total(replica.replica_id)
+        slowness = 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
+        stages.append(StageLoad(replica, load.streams, load.headed, load.kv_in_use, slowness))
+    return stages
+
+
+def choose_path(
+    means: ForwardingMeans,
+    service: BackendService,
+    tokens: float,
+    avoid: Collection[str],
+    head: str = "",
+) -> Path | None:
+    """Choose a path by the loads known now."""
+    if service.engine is None:
+        return None
+    wish = PathWish(means.failure_domain, tokens, avoid, head)
+    return find_path(service.engine, list_stages(means, service), wish)
+
+
+async def wait_for_path(
+    means: ForwardingMeans,
+    queue: RoomQueue,
+    service: BackendService,
+    tokens: float,
+    avoid: Collection[str],
+    rank: int,
+    wait_ms: float,
+) -> Path | None:
+    """Choose a path, waiting in turn for room where there is none.
+
+    Args:
+        means: Shared state.
+        queue: The host's queue.
+        service: The service.
+        tokens: Tokens that the request holds.
+        avoid: Ids of replicas that it must not use.
+        rank: Its rank; 0 goes first.
+        wait_ms: Longest wait.
+
+    Returns:
+        The path; `None` if there is none in time, or if waiting has no prospect.
+    """
+    path = choose_path(means, service, tokens, avoid) if not queue.waiting else None
+    if path is not None:
+        return path
+    running = sum(load.headed for load in means.loads.own.values())
+    if len(queue.waiting) >= max(MIN_QUEUE, running * QUEUE_FRACTION):
+        return None
+    end_ms = means.clock.now_ms() + wait_ms
+    place = queue.enter(rank)
+    try:
+        while means.clock.now_ms() < end_ms:
+            if queue.waiting[0] == place:
+                path = choose_path(means, service, tokens, avoid)
+                if path is not None:
+                    return path
+            await means.clock.sleep_ms(ROOM_POLL_MS)
+    finally:
+        queue.waiting.remove(place)
+    return None
+
+
+def covers_model(means: ForwardingMeans, service: BackendService) -> bool:
+    """Whether usable replicas hold every layer, room or not."""
+    return choose_path(means, service, 0.0, ()) is not None
+
+
+def repair_ms(engine: EngineModel) -> float:
+    """Estimate how long lost layers take to be loaded elsewhere."""
+    return MS_PER_S + engine.load_ms * 0.1
--- /dev/null
+++ b/src/pimentodale/forwarding/streams.py
@@ -0,0 +1,417 @@
+"""Streams from engines: events passed on as they come, and resumed elsewhere within one answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.clients.http_call import CallRequest, open_call
+from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.event_stream import EventSplitter, EventTooLongError, follows
+from pimentodale.forwarding.means import log_end
+from pimentodale.forwarding.poison import fingerprint_of
+from pimentodale.forwarding.refusing import fail, refuse
+from pimentodale.forwarding.stages import (
+    ROOM_WAIT_MS,
+    RoomQueue,
+    covers_model,
+    repair_ms,
+    tokens_held,
+    wait_for_path,
+)
+from pimentodale.forwarding.stalls import StallReports, Verdict, check_stall
+from pimentodale.results import ResultCode
+from pimentodale.site.beliefs import incarnation_of
+
+if TYPE_CHECKING:
+    from pimentodale.clients.http_call import HttpCall
+    from pimentodale.forwarding.front_server import ClientExchange
+    from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
+    from pimentodale.forwarding.messages import BackendAnswer
+    from pimentodale.placement.paths import Path
+
+CONNECT_TIMEOUT_MS: Final = 400.0
+"""Longest opening of a connection to a replica, over a hundred times the usual one."""
+
+CHECK_INTERVAL_MS: Final = 100.0
+"""How often a stream is looked at."""
+
+FIRST_EVENT_PAUSE_MS: Final = 450.0
+"""Wait for the first event after which its cause is looked for."""
+
+PAUSE_MS: Final = 300.0
+"""Pause between events after which its cause is looked for; usual ones last some 50 ms."""
+
+SILENT_MS: Final = 1_300.0
+"""Pause after which a stream is resumed although its replicas answer: its connection may be dead.
+
+Clients give a stream up after a pause of 2 s.
+"""
+
+RESUME_WAIT_MS: Final = 1_200.0
+"""Longest wait for a path by a stream that has begun, before its client gives it up."""
+
+NO_ROOM_PASS_OVER_MS: Final = 150.0
+"""How long a replica that had no room gets no new requests."""
+
+MAX_SENDS: Final = 6
+"""Most sends of one attempt, refused ones included."""
+
+RETRY_AFTER_MS: Final = 1_000.0
+"""When a client may come back after a refusal for lack of room; streams last some 3 s."""
+
+
+class AttemptEnd(Enum):
+    """How one send of a stream ended."""
+
+    WHOLE = "whole"
+    PASSED_ON = "passed on"
+    """The replica's own failure was given to the client."""
+
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    LOST = "lost"
+    """A replica of its path doesn't answer."""
+
+    TIMED_OUT = "timed out"
+
+
+@dataclass(slots=True)
+class StreamPool:
+    """What the streams of a host share."""
+
+    queue: RoomQueue = field(default_factory=RoomQueue)
+    """Streams that wait for room."""
+
+    reports: StallReports = field(default_factory=StallReports)
+    """Reports asked for lately."""
+
+
+@dataclass(slots=True)
+class StreamState:
+    """One client's stream over all its sends."""
+
+    last_event_id: str | None
+    """Last event that the client has; at first the one that it asked to go on after."""
+
+    tokens: float
+    """Tokens that it holds on average."""
+
+    avoid: set[str] = field(default_factory=set)
+    """Ids of replicas that it must not use again."""
+
+    active_ms: float = 0.0
+    """When it was last sent, moved or heard of."""
+
+    events: int = 0
+    """Events passed on."""
+
+    send_events: int = 0
+    """Events passed on in the send that runs."""
+
+    may_have_run: bool = False
+    """Whether a replica may have begun to run it."""
+
+    path: Path | None = None
+    """The path of the send that runs."""
+
+    faulty_address: str = ""
+    """Replica at fault in the last refusal."""
+
+
+async def serve_stream(means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest) -> None:
+    """Answer a request with a stream of events."""
+    request = routed.exchange.request
+    engine = routed.service.engine
+    if engine is None:
+        log_end(means, routed, ResultCode.UNKNOWN_MODEL, 502)
+        await fail(routed.exchange, ResultCode.UNKNOWN_MODEL, "The service runs no engine.")
+        return
+    fingerprint = fingerprint_of(request.path, routed.workspace, request.body)
+    if means.poison.is_convicted(fingerprint):
+        log_end(means, routed, ResultCode.QUARANTINED, 502)
+        message = "This request crashed the replicas that ran it."
+        await fail(routed.exchange, ResultCode.QUARANTINED, message)
+        return
+    state = StreamState(request.last_event_id, tokens_held(engine, request))
+    while True:
+        end = await _next_send(means, pool, routed, state)
+        if end is None:
+            await _give_up(means, routed, state)
+            return
+        if end in (AttemptEnd.WHOLE, AttemptEnd.PASSED_ON):
+            return
+        if end is AttemptEnd.TIMED_OUT:
+            log_end(means, routed, ResultCode.DEADLINE_EXCEEDED, 504)
+            message = "The time was over before the answer was whole."
+            await fail(routed.exchange, ResultCode.DEADLINE_EXCEEDED, message)
+            return
+        if end is AttemptEnd.BROKEN and state.path is not None:
+            head = state.path.parts[0].replica_id
+            means.poison.strike(fingerprint, f"{head}")
+        if state.may_have_run and not routed.route.is_resumable:
+            await _give_up(means, routed, state)
+            return
+
+
+async def _next_send(
+    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
+) -> AttemptEnd | None:
+    """Send the stream once more; `None` if it can't be."""
+    if routed.sends >= MAX_SENDS:
+        return None
+    left_ms = routed.left_ms(means.clock.now_ms())
+    wait_ms = RESUME_WAIT_MS if routed.exchange.is_begun else ROOM_WAIT_MS
+    if not routed.exchange.is_begun and not covers_model(means, routed.service):
+        return None
+    path = await wait_for_path(
+        means,
+        pool.queue,
+        routed.service,
+        state.tokens,
+        state.avoid,
+        0 if routed.exchange.is_begun else routed.priority + 1,
+        min(wait_ms, left_ms),
+    )
+    if path is None:
+        return None
+    if routed.sends > 0 and not means.retries.try_spend(routed.service.name):
+        routed.history.append("no retry budget")
+        return None
+    state.path = path
+    state.active_ms = means.clock.now_ms()
+    state.send_events = 0
+    state.faulty_address = ""
+    end = await _watched_send(means, pool, routed, state)
+    head = path.parts[0].replica_id
+    routed.history.append(f"{head}+{len(path.parts) - 1}: {end.value}, {state.send_events} events")
+    _learn(means, routed, state, end)
+    return end
+
+
+async def _watched_send(
+    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
+) -> AttemptEnd:
+    """Pass a stream on while looking for the cause of its pauses."""
+    path = state.path
+    if path is None:
+        return AttemptEnd.NOT_SENT
+    means.loads.add(path.parts, state.tokens)
+    pump = asyncio.ensure_future(_pump(means, routed, state, path))
+    try:
+        while True:
+            await asyncio.wait({pump}, timeout=CHECK_INTERVAL_MS / MS_PER_S)
+            if pump.done():
+                return pump.result()
+            now_ms = means.clock.now_ms()
+            if routed.left_ms(now_ms) <= 0:
+                return AttemptEnd.TIMED_OUT
+            pause_ms = now_ms - state.active_ms
+            if pause_ms < (PAUSE_MS if state.send_events else FIRST_EVENT_PAUSE_MS):
+                continue
+            if pause_ms > SILENT_MS and routed.route.is_resumable:
+                return AttemptEnd.LOST
+            if not await _keep_going(means, pool, routed, state):
+                return AttemptEnd.LOST
+    finally:
+        pump.cancel()
+        if state.path is not None:
+            means.loads.remove(state.path.parts, state.tokens)
+
+
+async def _keep_going(
+    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
+) -> bool:
+    """Look for the cause of a pause; False if the stream has to go on elsewhere."""
+    path = state.path
+    if path is None:
+        return False
+    heard_ms = state.active_ms
+    request = routed.exchange.request
+    check = await check_stall(
+        means, pool.reports, routed.service, path, request.attempt_id, state.tokens, state.avoid
+    )
+    if check.verdict is Verdict.WAIT or state.active_ms > heard_ms:
+        return True
+    routed.history.append(check.reason)
+    if check.verdict is Verdict.LOST or check.path is None:
+        return not routed.route.is_resumable
+    means.loads.remove(path.parts, state.tokens)
+    state.path = check.path
+    means.loads.add(check.path.parts, state.tokens)
+    state.active_ms = means.clock.now_ms()
+    return True
+
+
+async def _pump(
+    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, path: Path
+) -> AttemptEnd:
+    """Send the request on a path and pass its events on."""
+    exchange = routed.exchange
+    request = exchange.request
+    head = path.parts[0]
+    left_ms = routed.left_ms(means.clock.now_ms())
+    headers = means.codec.encode_request(
+        request, routed.workspace, left_ms, head.replica_id, path.parts, state.last_event_id
+    )
+    call_request = CallRequest(
+        method=request.method, path=request.path, headers=headers, body=request.body
+    )
+    opened = await open_call(head.address, call_request, left_ms, CONNECT_TIMEOUT_MS)
+    if opened.is_error() and not opened.error.sent:
+        return AttemptEnd.NOT_SENT
+    routed.sends += 1
+    if opened.is_error():
+        state.may_have_run = True
+        return AttemptEnd.BROKEN
+    call = opened.ok
+    try:
+        answer = means.codec.decode_answer(call.status, call.headers, request.attempt_id)
+        if answer.refused is not None:
+            state.faulty_address = answer.faulty_address
+            return AttemptEnd.REFUSED
+        state.may_have_run = True
+        if not answer.is_success:
+            return await _pass_failure_on(means, routed, call, answer, left_ms)
+        if not exchange.is_begun:
+            await exchange.begin(answer.status, answer.headers)
+        return await _pass_events_on(means, routed, state, call, left_ms)
+    finally:
+        call.close()
+
+
+async def _pass_events_on(
+    means: ForwardingMeans,
+    routed: RoutedRequest,
+    state: StreamState,
+    call: HttpCall,
+    silence_ms: float,
+) -> AttemptEnd:
+    """Pass whole events on until the stream ends."""
+    splitter = EventSplitter()
+    async for chunk in call.chunks(silence_ms):
+        if chunk.is_error():
+            return AttemptEnd.BROKEN
+        try:
+            events = splitter.feed(chunk.ok)
+        except EventTooLongError:
+            return AttemptEnd.BROKEN
+        passed: list[bytes] = []
+        for event in events:
+            if event.event_id is not None:
+                if not follows(event.event_id, state.last_event_id):
+                    routed.history.append(f"event {event.event_id} after {state.last_event_id}")
+                    return AttemptEnd.BROKEN
+                state.last_event_id = event.event_id
+            passed.append(event.data)
+        if not passed:
+            continue
+        _note_events(means, routed, state, len(passed))
+        await routed.exchange.write(b"".join(passed))
+    if splitter.has_partial:
+        return AttemptEnd.BROKEN
+    log_end(means, routed, ResultCode.OK, 200)
+    routed.exchange.end()
+    return AttemptEnd.WHOLE
+
+
+def _note_events(
+    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, count: int
+) -> None:
+    """Count events and the time that they took."""
+    now_ms = means.clock.now_ms()
+    if state.events == 0:
+        means.metrics.first_event.record(now_ms - routed.exchange.request.received_ms)
+    else:
+        means.metrics.between_events.record(now_ms - state.active_ms)
+    means.metrics.events += count
+    state.active_ms = now_ms
+    state.events += count
+    state.send_events += count
+
+
+async def _pass_failure_on(
+    means: ForwardingMeans,
+    routed: RoutedRequest,
+    call: HttpCall,
+    answer: BackendAnswer,
+    silence_ms: float,
+) -> AttemptEnd:
+    """Give the client the replica's own failure, if it is one and nothing has been passed on."""
+    if not answer.is_genuine or answer.claims_not_run or routed.exchange.is_begun:
+        return AttemptEnd.BROKEN
+    body = bytearray()
+    async for chunk in call.chunks(silence_ms):
+        if chunk.is_error():
+            return AttemptEnd.BROKEN
+        body += chunk.ok
+    log_end(means, routed, ResultCode.OK, answer.status)
+    await routed.exchange.answer(answer.status, answer.headers, bytes(body))
+    return AttemptEnd.PASSED_ON
+
+
+def _learn(
+    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, end: AttemptEnd
+) -> None:
+    """Keep what a send showed of its replicas."""
+    if state.path is None or end is AttemptEnd.TIMED_OUT:
+        return
+    head = means.view.replicas.get(state.path.parts[0].replica_id)
+    if head is None:
+        return
+    incarnation = incarnation_of(head)
+    if end is AttemptEnd.NOT_SENT:
+        means.beliefs.mark_down(incarnation, "it can't be connected to")
+        state.avoid.add(head.replica_id)
+    elif end is AttemptEnd.BROKEN:
+        means.beliefs.note_result(incarnation, False)
+        means.beliefs.mark_down(incarnation, "a stream broke off")
+        state.avoid.add(head.replica_id)
+    elif end is AttemptEnd.REFUSED:
+        _pass_over(means, state, head.replica_id)
+    elif end is AttemptEnd.LOST:
+        state.avoid.add(head.replica_id)
+    else:
+        means.beliefs.note_result(incarnation, True)
+
+
+def _pass_over(means: ForwardingMeans, state: StreamState, head_id: str) -> None:
+    """Pass the replica over that a refusal names; the first one where it names none."""
+    parts = state.path.parts if state.path else ()
+    waited_ms = means.clock.now_ms() - state.active_ms
+    for part in parts:
+        named = str(part.address) == state.faulty_address
+        if not named and (state.faulty_address or part.replica_id != head_id):
+            continue
+        replica = means.view.replicas.get(part.replica_id)
+        if replica is None:
+            continue
+        state.avoid.add(part.replica_id)
+        if waited_ms >= means.stall_ms * 0.8:
+            means.beliefs.mark_down(incarnation_of(replica), "requests stalled on it")
+        else:
+            means.beliefs.pass_over(incarnation_of(replica), NO_ROOM_PASS_OVER_MS)
+
+
+async def _give_up(means: ForwardingMeans, routed: RoutedRequest, state: StreamState) -> None:
+    """End a stream that can't be sent any more."""
+    exchange: ClientExchange = routed.exchange
+    if state.may_have_run:
+        log_end(means, routed, ResultCode.BACKEND_SERVER_LOST, 0 if exchange.is_begun else 502)
+        message = "The stream broke off and could not be resumed."
+        await fail(exchange, ResultCode.BACKEND_SERVER_LOST, message)
+        return
+    engine = routed.service.engine
+    if covers_model(means, routed.service) or engine is None:
+        log_end(means, routed, ResultCode.QUEUE_FULL, 503)
+        message = "All replicas are full; it has not run, come back."
+        await refuse(
+            exchange, ResultCode.QUEUE_FULL, message, retry_after_ms=RETRY_AFTER_MS, status=503
+        )
+        return
+    log_end(means, routed, ResultCode.NO_ROUTE, 503)
+    message = "Some layers are being loaded anew; it has not run, come back."
+    await refuse(exchange, ResultCode.NO_ROUTE, message, retry_after_ms=repair_ms(engine))
--- /dev/null
+++ b/src/pimentodale/gateway/host.py
@@ -0,0 +1,293 @@
+"""Wires the slices of one gateway together and runs them until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from pimentodale.addresses import parse_address
+from pimentodale.background import BackgroundTasks, create_background_tasks
+from pimentodale.clock import MS_PER_S, Clock, create_clock
+from pimentodale.forwarding.forwarder import forward
+from pimentodale.forwarding.front_server import create_front_server
+from pimentodale.forwarding.loads import create_load_board
+from pimentodale.forwarding.means import ForwardingMeans
+from pimentodale.forwarding.poison import create_poison_strikes
+from pimentodale.forwarding.retry_share import create_retry_share
+from pimentodale.forwarding.streams import StreamPool
+from pimentodale.gateway.metrics import create_gateway_metrics
+from pimentodale.gateway.registration import keep_registered
+from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_loads
+from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
+from pimentodale.logs import get_log
+from pimentodale.mirror.follower import create_mirror_follower
+from pimentodale.mirror.mirror import create_mirror
+from pimentodale.peers.peers import create_peers
+from pimentodale.peers.settings import PeersSettings
+from pimentodale.placement.placer import Placer, highest_fence
+from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
+from pimentodale.site.view import create_site_view
+
+if TYPE_CHECKING:
+    from pimentodale.addresses import Address
+    from pimentodale.clients.key_value import KeyValueStore
+    from pimentodale.forwarding.front_server import ClientExchange, FrontServer
+    from pimentodale.forwarding.messages import ExchangeCodec
+    from pimentodale.gateway.settings import GatewaySettings
+    from pimentodale.peers.peers import Peers
+    from pimentodale.placement.messages import EngineCalls
+    from pimentodale.site.view import SiteRecords, SiteView
+
+UNREADY_MS: Final = 2_300.0
+"""How long a stopping host goes on accepting: the balancer takes it out after two misses."""
+
+STOP_RESERVE_MS: Final = 400.0
+"""Time kept before the process is ended, to close connections in order."""
+
+BELIEF_TICK_MS: Final = 100.0
+"""How often it is looked which replicas are due to be probed."""
+
+STOP_POLL_MS: Final = 50.0
+
+_log = get_log("gateway")
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformMeans:
+    """What an adapter provides."""
+
+    store: KeyValueStore
+    """The store."""
+
+    records: SiteRecords
+    """Where operators and replicas write, and how it is decoded."""
+
+    codec: ExchangeCodec
+    """Translates headers."""
+
+    engines: EngineCalls
+    """Reports of replicas, and orders to them."""
+
+
+@dataclass(slots=True)
+class Gateway:
+    """State of one running gateway."""
+
+    settings: GatewaySettings
+    platform: PlatformMeans
+    clock: Clock = field(default_factory=create_clock)
+    background: BackgroundTasks = field(default_factory=create_background_tasks)
+    rng: random.Random = field(default_factory=random.SystemRandom)
+    work: WorkInProgress = field(default_factory=create_work_in_progress)
+    pool: StreamPool = field(default_factory=StreamPool)
+    is_stopping: bool = False
+    is_last_round: bool = False
+    """Whether connections close after the next answer."""
+
+
+async def run_gateway(settings: GatewaySettings, platform: PlatformMeans) -> int:
+    """Run a gateway until SIGTERM.
+
+    Args:
+        settings: Its place and addresses.
+        platform: The adapter to the platform that it runs on.
+
+    Returns:
+        The program's exit code.
+    """
+    gateway = Gateway(settings, platform)
+    mirror = create_mirror(gateway.clock)
+    view = create_site_view(platform.records, mirror, gateway.clock)
+    peers = _create_peers(gateway, view)
+    means = _create_means(gateway, view, peers)
+    follower = create_mirror_follower(mirror, platform.store, peers, gateway.clock, gateway.rng)
+    placer = Placer(
+        settings.host,
+        platform.store,
+        platform.engines,
+        view,
+        means.beliefs,
+        gateway.clock,
+        gateway.rng,
+    )
+    server = _serve_clients(gateway, means)
+    _serve_readiness(gateway, means)
+    await peers.listen()
+    start = gateway.background.start
+    start(peers.run(), "peers")
+    start(follower.follow_store(), "store")
+    start(follower.follow_peers(), "mirror through peers")
+    start(
+        keep_registered(platform.store, gateway.clock, settings.host, settings.peer_listen),
+        "registration",
+    )
+    start(share_loads(means.loads, peers, gateway.clock), "loads")
+    start(_probe_replicas(means), "probes")
+    start(placer.run(), "placement")
+    _log.info("The gateway listens.", host=settings.host, address=settings.client_listen)
+    await _wait_for_stop()
+    await _stop(gateway, server, peers, placer)
+    return 0
+
+
+def _create_peers(gateway: Gateway, view: SiteView) -> Peers:
+    """Return this host's membership, not running yet."""
+    settings = gateway.settings
+    own = parse_address(settings.peer_listen)
+    seeds = [parse_address(text) for text in settings.seeds]
+
+    def list_peers() -> list[Address]:
+        known = {*view.peer_addresses.values(), *seeds}
+        return sorted(known - {own})
+
+    peers_settings = PeersSettings(
+        host=settings.host,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        listen=own,
+    )
+    return create_peers(peers_settings, gateway.clock, list_peers)
+
+
+def _create_means(gateway: Gateway, view: SiteView, peers: Peers) -> ForwardingMeans:
+    """Join the slices that requests work with."""
+    settings, clock = gateway.settings, gateway.clock
+    beliefs = create_replica_beliefs(clock)
+    poison = create_poison_strikes(clock)
+    share_beliefs(beliefs, peers)
+    share_crashes(poison, peers)
+    metrics = create_gateway_metrics()
+    metrics.add_gauge("requests_in_progress", lambda: len(gateway.work))
+    metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue.waiting))
+    metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
+    metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
+
+    def count_hosts() -> int:
+        return max(len(peers.live_members()), len(view.peer_addresses))
+
+    retries = create_retry_share(
+        clock,
+        settings.retry_ratio,
+        settings.retry_fixed,
+        settings.retry_window_s * MS_PER_S,
+        count_hosts,
+    )
+    return ForwardingMeans(
+        clock=clock,
+        codec=gateway.platform.codec,
+        engines=gateway.platform.engines,
+        view=view,
+        beliefs=beliefs,
+        loads=create_load_board(clock),
+        retries=retries,
+        poison=poison,
+        metrics=metrics,
+        failure_domain=settings.failure_domain,
+        stall_ms=settings.stall_ms,
+        fence=lambda: highest_fence(view),
+        rng=gateway.rng,
+    )
+
+
+def _serve_clients(gateway: Gateway, means: ForwardingMeans) -> FrontServer:
+    """Listen for clients."""
+
+    async def handle(exchange: ClientExchange) -> None:
+        exchange.is_last = gateway.is_stopping
+        with gateway.work.counted():
+            await forward(means, gateway.pool, exchange)
+
+    server = create_front_server(gateway.platform.codec, gateway.clock, handle)
+
+    def apply_limits() -> None:
+        if means.view.configuration is not None:
+            server.apply_limits(means.view.configuration.limits)
+
+    means.view.subscribe(apply_limits)
+    listen = parse_address(gateway.settings.client_listen)
+    server.add_sockets(bind_sockets(listen.port, listen.ip))
+    return server
+
+
+def _serve_readiness(gateway: Gateway, means: ForwardingMeans) -> None:
+    """Listen for the balancer, and for whoever reads metrics."""
+
+    class ReadyHandler(RequestHandler):
+        """Says whether this host takes new connections."""
+
+        def get(self) -> None:
+            """Answer 200 once a configuration is known, until the host stops."""
+            is_ready = means.view.configuration is not None and not gateway.is_stopping
+            self.set_status(200 if is_ready else 503)
+            self.finish(b"")
+
+    class MetricsHandler(RequestHandler):
+        """Shows the metrics."""
+
+        def get(self) -> None:
+            """Answer with Prometheus text."""
+            self.set_header("Content-Type", "text/plain; version=0.0.4")
+            self.finish(means.metrics.exposition())
+
+    settings = gateway.settings
+    ready_path = gateway.platform.codec.READY_PATH
+    application = Application(
+        [(ready_path, ReadyHandler), ("/metrics", MetricsHandler)],
+        log_function=lambda _handler: None,
+    )
+    addresses = {settings.ready_listen, settings.metrics_listen} - {""}
+    for text in sorted(addresses):
+        listen = parse_address(text)
+        application.listen(listen.port, listen.ip)
+
+
+async def _probe_replicas(means: ForwardingMeans) -> None:
+    """Ask replicas that count as down whether they answer again, for ever."""
+    while True:
+        await means.clock.sleep_ms(BELIEF_TICK_MS)
+        known = {incarnation_of(replica): replica for replica in means.view.replicas.values()}
+        due = means.beliefs.due_probes()
+        for incarnation in due:
+            if incarnation not in known:
+                means.beliefs.forget(incarnation)
+        probes = [known[incarnation] for incarnation in due if incarnation in known]
+        reports = await asyncio.gather(*(means.engines.report(replica) for replica in probes))
+        for replica, report in zip(probes, reports, strict=True):
+            if report.is_error():
+                continue
+            if report.ok.started_ms in (0, replica.started_ms):
+                means.beliefs.mark_up(incarnation_of(replica))
+
+
+async def _wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("The settings stay as they are."))
+    await stop.wait()
+
+
+async def _stop(gateway: Gateway, server: FrontServer, peers: Peers, placer: Placer) -> None:
+    """Stop without cutting a request: not ready, then no new connections, then the end."""
+    started_ms = gateway.clock.now_ms()
+    end_ms = started_ms + gateway.settings.stop_timeout_s * MS_PER_S - STOP_RESERVE_MS
+    gateway.is_stopping = True
+    server.end_connections_when_answered()
+    _log.info("The gateway stops.", requests_in_progress=len(gateway.work))
+    peers.leave()
+    gateway.background.start(placer.release(), "release of the lease")
+    await gateway.clock.sleep_ms(UNREADY_MS)
+    while len(gateway.work) and gateway.clock.now_ms() < end_ms:
+        await gateway.clock.sleep_ms(STOP_POLL_MS)
+    await server.close_when_sent(gateway.clock, STOP_RESERVE_MS / 2)
+    await asyncio.wait_for(peers.stop(), STOP_RESERVE_MS / 2 / MS_PER_S)
+    gateway.background.cancel()
+    _log.info("The gateway has stopped.", requests_cut=len(gateway.work))
--- /dev/null
+++ b/src/pimentodale/gateway/sharing.py
@@ -0,0 +1,91 @@
+"""What gateways tell each other: loads, replicas that are down, crashes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from pimentodale.forwarding.loads import TELL_INTERVAL_MS, TOLD_TTL_MS, ReplicaLoad
+from pimentodale.forwarding.poison import STRIKE_RETENTION_MS
+from pimentodale.logs import get_log
+
+if TYPE_CHECKING:
+    from pimentodale.clock import Clock
+    from pimentodale.forwarding.loads import LoadBoard
+    from pimentodale.forwarding.poison import PoisonStrikes
+    from pimentodale.peers.membership import EntryUpdate
+    from pimentodale.peers.peers import Peers
+    from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
+
+LOAD_TOPIC: Final = "load"
+DOWN_TOPIC: Final = "replica-down"
+CRASH_TOPIC: Final = "crash"
+
+DOWN_TTL_MS: Final = 3_000.0
+"""How long the word that a replica is down travels; each host probes for itself."""
+
+_log = get_log("sharing")
+_loads = msgspec.msgpack.Decoder(dict[str, ReplicaLoad])
+_down = msgspec.msgpack.Decoder(tuple[str, int, str])
+_crash = msgspec.msgpack.Decoder(tuple[str, str])
+
+
+async def share_loads(board: LoadBoard, peers: Peers, clock: Clock) -> None:
+    """Tell the other hosts this host's loads, for ever, and take theirs."""
+
+    def take(update: EntryUpdate) -> None:
+        try:
+            board.take_told(update.owner, _loads.decode(update.value))
+        except msgspec.MsgspecError as error:
+            _log.warning("A host's loads can't be read.", host=update.owner, problem=str(error))
+
+    peers.subscribe(LOAD_TOPIC, take)
+    told: bytes = b""
+    told_ms = 0.0
+    while True:
+        await clock.sleep_ms(TELL_INTERVAL_MS)
+        value = msgspec.msgpack.encode(board.own)
+        now_ms = clock.now_ms()
+        if value == told and now_ms - told_ms < TOLD_TTL_MS / 2:
+            continue
+        told, told_ms = value, now_ms
+        peers.publish(LOAD_TOPIC, "", value, TOLD_TTL_MS)
+
+
+def share_beliefs(beliefs: ReplicaBeliefs, peers: Peers) -> None:
+    """Have hosts tell each other of replicas that are down."""
+
+    def tell(incarnation: Incarnation, reason: str) -> None:
+        value = msgspec.msgpack.encode((*incarnation, reason))
+        peers.publish(DOWN_TOPIC, incarnation[0], value, DOWN_TTL_MS)
+
+    def take(update: EntryUpdate) -> None:
+        try:
+            replica_id, started_ms, reason = _down.decode(update.value)
+        except msgspec.MsgspecError as error:
+            _log.warning("A host's word can't be read.", host=update.owner, problem=str(error))
+            return
+        beliefs.mark_down((replica_id, started_ms), reason, by_peer=update.owner)
+
+    beliefs.tell = tell
+    peers.subscribe(DOWN_TOPIC, take)
+
+
+def share_crashes(strikes: PoisonStrikes, peers: Peers) -> None:
+    """Have hosts tell each other which requests ran when a replica crashed."""
+
+    def tell(fingerprint: str, crash: str) -> None:
+        value = msgspec.msgpack.encode((fingerprint, crash))
+        peers.publish(CRASH_TOPIC, f"{fingerprint}/{crash}"[:120], value, STRIKE_RETENTION_MS)
+
+    def take(update: EntryUpdate) -> None:
+        try:
+            fingerprint, crash = _crash.decode(update.value)
+        except msgspec.MsgspecError as error:
+            _log.warning("A host's word can't be read.", host=update.owner, problem=str(error))
+            return
+        strikes.strike(fingerprint, crash, by_peer=True)
+
+    strikes.tell = tell
+    peers.subscribe(CRASH_TOPIC, take)
--- /dev/null
+++ b/src/pimentodale/mirror/follower.py
@@ -0,0 +1,138 @@
+"""Keeps a mirror up to date: by a watch on the store, and through other hosts without it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from pimentodale.logs import get_log
+from pimentodale.mirror.mirror import MirrorChanges
+
+if TYPE_CHECKING:
+    import random
+
+    from pimentodale.clients.key_value import KeyValueStore
+    from pimentodale.clock import Clock
+    from pimentodale.mirror.mirror import Mirror
+    from pimentodale.peers.peers import Peers
+
+TOPIC: Final = "mirror"
+"""Topic of requests between hosts."""
+
+RETRY_MS: Final = 150.0
+"""Mean pause between readings of a store that doesn't answer; a change has 2 s to be in force."""
+
+PEER_INTERVAL_MS: Final = 250.0
+"""Pause between questions to other hosts while the store doesn't answer."""
+
+PEER_TIMEOUT_MS: Final = 400.0
+"""Longest question to another host."""
+
+BEHIND_MS: Final = 2_200.0
+"""Age from which a mirror counts as cut off; a quiet watch renews it each second."""
+
+ALL_KEYS_END: Final = "\0"
+"""Exclusive end of a reading of every key."""
+
+_log = get_log("mirror")
+_decoder = msgspec.msgpack.Decoder(MirrorChanges)
+
+
+@dataclass(slots=True)
+class MirrorFollower:
+    """Runs the watch and the questions to other hosts."""
+
+    mirror: Mirror
+    store: KeyValueStore
+    peers: Peers
+    clock: Clock
+    rng: random.Random
+    is_connected: bool = False
+    """Whether the store's last answer was a success."""
+
+    async def follow_store(self) -> None:
+        """Read everything, then watch; begin anew after each fault. Runs for ever."""
+        while True:
+            whole = await self.store.read("", ALL_KEYS_END)
+            if whole.is_error():
+                self._note_lost(whole.error.message)
+                await self.clock.sleep_ms(RETRY_MS * self.rng.uniform(0.6, 1.4))
+                continue
+            self._note_regained(whole.ok.revision)
+            self.mirror.apply_whole(whole.ok.revision, whole.ok.items)
+            await self._watch()
+            await self.clock.sleep_ms(RETRY_MS * self.rng.uniform(0.1, 0.3))
+
+    async def follow_peers(self) -> None:
+        """While the store doesn't answer, learn from a host that it does answer. Runs for ever."""
+        while True:
+            await self.clock.sleep_ms(PEER_INTERVAL_MS * self.rng.uniform(0.8, 1.2))
+            if self.is_connected and self.mirror.age_ms() < BEHIND_MS:
+                continue
+            await self._ask_peer()
+
+    async def answer(self, body: bytes) -> bytes:
+        """Answer another host's question."""
+        revision = msgspec.msgpack.decode(body, type=int)
+        return msgspec.msgpack.encode(self.mirror.changes_since(revision))
+
+    async def _watch(self) -> None:
+        """Take changes until the watch ends."""
+        batches = self.store.watch("", self.mirror.revision + 1, BEHIND_MS)
+        async for batch in batches:
+            if batch.is_error():
+                self._note_lost(batch.error.message)
+                return
+            self.mirror.apply_changes(batch.ok.revision, batch.ok.puts, batch.ok.deletes)
+
+    async def _ask_peer(self) -> None:
+        """Ask one other host what is new."""
+        own = self.peers.own.host
+        others = [member.host for member in self.peers.live_members() if member.host != own]
+        if not others:
+            return
+        host = self.rng.choice(others)
+        question = msgspec.msgpack.encode(self.mirror.revision)
+        reply = await self.peers.request(host, TOPIC, question, PEER_TIMEOUT_MS)
+        if reply.is_error():
+            return
+        try:
+            changes = _decoder.decode(reply.ok)
+        except msgspec.MsgspecError as error:
+            _log.warning("Another host's answer can't be read.", host=host, problem=str(error))
+            return
+        before = self.mirror.revision
+        self.mirror.take(changes)
+        if self.mirror.revision > before:
+            _log.info(
+                "Learned of changes through another host.",
+                host=host,
+                revision=self.mirror.revision,
+                age_ms=round(changes.age_ms),
+            )
+
+    def _note_lost(self, reason: str) -> None:
+        """Log once that the store doesn't answer."""
+        if self.is_connected:
+            _log.warning("The store doesn't answer.", reason=reason, revision=self.mirror.revision)
+        self.is_connected = False
+
+    def _note_regained(self, revision: int) -> None:
+        """Log that the store answers, and remember an outage's end."""
+        if self.is_connected:
+            return
+        self.is_connected = True
+        if self.mirror.revision > 0:
+            self.mirror.outage_ended_ms = self.clock.now_ms()
+        _log.info("The store answers.", revision=revision)
+
+
+def create_mirror_follower(
+    mirror: Mirror, store: KeyValueStore, peers: Peers, clock: Clock, rng: random.Random
+) -> MirrorFollower:
+    """Return a follower and have it answer other hosts' questions."""
+    follower = MirrorFollower(mirror, store, peers, clock, rng)
+    peers.handle(TOPIC, follower.answer)
+    return follower
--- /dev/null
+++ b/src/pimentodale/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which replica holds which layers, and which replicas a request passes through."""
--- /dev/null
+++ b/src/pimentodale/placement/placer.py
@@ -0,0 +1,235 @@
+"""Gives the orders that place layers, on the one host that holds the lease for it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from pimentodale.logs import get_log
+from pimentodale.placement.messages import OrderOutcome
+from pimentodale.placement.planner import Holder, plan_placement
+from pimentodale.site.beliefs import incarnation_of
+from pimentodale.steward.lease import LEASE_PREFIX, acquire_lease
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Coroutine
+
+    from pimentodale.clients.key_value import KeyValueStore
+    from pimentodale.clock import Clock
+    from pimentodale.placement.messages import EngineCalls
+    from pimentodale.placement.planner import Assignment
+    from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
+    from pimentodale.site.model import BackendService, EngineModel, LayerRange, ReplicaRecord
+    from pimentodale.site.view import SiteView
+    from pimentodale.steward.lease import HeldLease
+
+LEASE_NAME: Final = "placement"
+"""Name of the lease; there is one for the whole site, as copies may borrow replicas."""
+
+LEASE_TTL_MS: Final = 3_000.0
+"""Time to live of the lease: how long a lost holder leaves layers unplaced."""
+
+LEASE_MARGIN_MS: Final = 600.0
+"""How much sooner a holder stops: drift of clocks, and an order that is under way."""
+
+TICK_MS: Final = 200.0
+"""Pause between two plans."""
+
+RENEW_MS: Final = 900.0
+"""Pause between two renewals of the lease."""
+
+SETTLE_MS: Final = 700.0
+"""Quiet time after a replica came or went before empty ones are placed for the first time."""
+
+ORDER_SLACK_MS: Final = 4_000.0
+"""How much longer than its load an order may take before it counts as lost."""
+
+_log = get_log("placement")
+
+
+@dataclass(slots=True)
+class _Order:
+    """An order that is under way."""
+
+    layers: LayerRange
+    until_ms: float
+
+
+@dataclass(slots=True)
+class Placer:
+    """Plans and orders while this host holds the lease."""
+
+    host: str
+    store: KeyValueStore
+    engines: EngineCalls
+    view: SiteView
+    beliefs: ReplicaBeliefs
+    clock: Clock
+    rng: random.Random
+    lease: HeldLease | None = None
+    """The lease, while this host has it."""
+
+    _orders: dict[Incarnation, _Order] = field(default_factory=dict)
+    _renewed_ms: float = 0.0
+    _held_since_ms: float = 0.0
+
+    async def run(self) -> None:
+        """Compete for the lease; plan while it is held. Runs for ever."""
+        while True:
+            await self.clock.sleep_ms(TICK_MS * self.rng.uniform(0.8, 1.2))
+            if self.view.configuration is None:
+                continue
+            if self.lease is None:
+                await self._compete()
+                continue
+            if not await self._keep():
+                continue
+            await self._place()
+
+    async def release(self) -> None:
+        """Give the lease up, so that another host takes over at once."""
+        lease, self.lease = self.lease, None
+        if lease is not None:
+            await lease.release()
+
+    async def _compete(self) -> None:
+        """Take the lease if nobody has it."""
+        if self.view.mirror.items.get(_LEASE_KEY) is not None:
+            return
+        taken = await acquire_lease(
+            self.store, self.clock, LEASE_NAME, self.host, LEASE_TTL_MS, LEASE_MARGIN_MS
+        )
+        if taken.is_error() or taken.ok is None:
+            return
+        self.lease = taken.ok
+        self._renewed_ms = self._held_since_ms = self.clock.now_ms()
+        self._orders.clear()
+        _log.info("This host places layers now.", fence=self.lease.fencing_number)
+
+    async def _keep(self) -> bool:
+        """Renew the lease when it is time; False once it is lost."""
+        lease = self.lease
+        if lease is None:
+            return False
+        now_ms = self.clock.now_ms()
+        if now_ms - self._renewed_ms >= RENEW_MS:
+            self._renewed_ms = now_ms
+            renewed = await lease.renew()
+            if not renewed:
+                self._lose("the store says that it has ended")
+                return False
+        if not lease.is_sure_for(0.0):
+            self._lose("it was not renewed in time")
+            return False
+        return True
+
+    def _lose(self, reason: str) -> None:
+        """Stop giving orders."""
+        self.lease = None
+        _log.warning("This host no longer places layers.", reason=reason)
+
+    async def _place(self) -> None:
+        """Plan every engine service and give the orders."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return
+        pending = []
+        for service in configuration.services.values():
+            if service.engine is None:
+                continue
+            replicas = self.view.replicas_of(service.name)
+            if self._is_unsettled(replicas):
+                continue
+            pending += self._plan(service, service.engine, replicas)
+        limit = self._concurrent_loads()
+        for start in range(0, len(pending), limit):
+            await asyncio.gather(*pending[start : start + limit])
+
+    def _is_unsettled(self, replicas: list[ReplicaRecord]) -> bool:
+        """Whether replicas are still registering, so that a first plan would be a poor one."""
+        if any(replica.held is not None for replica in replicas):
+            return False
+        now_ms = self.clock.now_ms()
+        return now_ms - max(self.view.changed_ms, self._held_since_ms) < SETTLE_MS
+
+    def _plan(
+        self, service: BackendService, engine: EngineModel, replicas: list[ReplicaRecord]
+    ) -> list[Coroutine[Any, Any, None]]:
+        """Return the orders that the plan asks for, not begun yet."""
+        now_ms = self.clock.now_ms()
+        holders = []
+        by_id = {}
+        for replica in replicas:
+            if self.beliefs.is_down(replica):
+                continue
+            by_id[replica.replica_id] = replica
+            order = self._orders.get(incarnation_of(replica))
+            if order is not None and (order.until_ms < now_ms or replica.held == order.layers):
+                del self._orders[incarnation_of(replica)]
+                order = None
+            held = order.layers if order else replica.held
+            holders.append(
+                Holder(
+                    replica.replica_id, replica.failure_domain, replica.kind, held, order is None
+                )
+            )
+        orders = []
+        for assignment in plan_placement(engine, holders):
+            replica = by_id[assignment.replica_id]
+            share = len(assignment.layers) / engine.layers
+            until_ms = now_ms + engine.load_ms * share * 2 + ORDER_SLACK_MS
+            self._orders[incarnation_of(replica)] = _Order(assignment.layers, until_ms)
+            orders.append(self._order(service, replica, assignment))
+        return orders
+
+    async def _order(
+        self, service: BackendService, replica: ReplicaRecord, assignment: Assignment
+    ) -> None:
+        """Look at a replica and order it to hold its new range."""
+        incarnation = incarnation_of(replica)
+        report = await self.engines.report(replica)
+        lease = self.lease
+        if report.is_error() or lease is None or not lease.is_sure_for(0.0):
+            if report.is_error():
+                self.beliefs.mark_down(incarnation, f"no report: {report.error}")
+            self._orders.pop(incarnation, None)
+            return
+        if report.ok.is_busy:
+            return
+        outcome = await self.engines.place(
+            replica, assignment.layers, lease.fencing_number, report.ok.orders_accepted
+        )
+        _log.info(
+            "A replica was ordered to hold layers.",
+            replica=replica.replica_id,
+            service=service.name,
+            layers=f"{assignment.layers.first}-{assignment.layers.end}",
+            held=str(report.ok.held),
+            fence=lease.fencing_number,
+            orders_accepted=report.ok.orders_accepted,
+            outcome=outcome.error if outcome.is_error() else outcome.ok.value,
+        )
+        if outcome.is_error():
+            return
+        if outcome.ok is OrderOutcome.FENCED:
+            self._lose("a replica has followed a higher fencing number")
+        if outcome.ok not in (OrderOutcome.DONE, OrderOutcome.BEGUN):
+            self._orders.pop(incarnation, None)
+
+    def _concurrent_loads(self) -> int:
+        """Return how many loads may run at once without slowing each other."""
+        configuration = self.view.configuration
+        services = configuration.services.values() if configuration else ()
+        limits = [service.engine.concurrent_loads for service in services if service.engine]
+        return max([limit for limit in limits if limit > 0], default=8)
+
+
+_LEASE_KEY = LEASE_PREFIX + LEASE_NAME
+
+
+def highest_fence(view: SiteView) -> int:
+    """Return the fencing number of the lease's holder, as the store shows it."""
+    item = view.mirror.items.get(_LEASE_KEY)
+    return 0 if item is None else item.mod_revision
--- /dev/null
+++ b/src/pimentodale/placement/planner.py
@@ -0,0 +1,233 @@
+"""Decides which replica holds which layers.
+
+Each failure domain gets a whole copy of its own where its replicas allow that. A layer that no
+replica of the domain holds costs most; beyond that, a replica goes where it takes the most time off
+a token: layers that slow replicas hold, or that few hold.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.site.model import LayerRange
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pimentodale.site.model import EngineModel
+
+WEIGHTS_FRACTION: Final = 0.6
+"""Part of a replica's memory that weights take; the rest holds requests.
+
+At 0.6 a copy holds some 60 requests of the usual size, about as many as its pace allows.
+"""
+
+TIGHT_WEIGHTS_FRACTION: Final = 0.78
+"""The same where a failure domain could not hold every layer otherwise."""
+
+GAP_PACE: Final = 1_000.0
+"""Cost of a layer that nobody holds, against paces of about 1 to 20."""
+
+MOVE_GAIN: Final = GAP_PACE / 2
+"""Least gain for which a replica gives layers up: only a gap is worth it."""
+
+
+@dataclass(slots=True)
+class Holder:
+    """A replica to plan for."""
+
+    replica_id: str
+    """The replica."""
+
+    failure_domain: str
+    """Where it stands."""
+
+    kind: str
+    """Its accelerator."""
+
+    held: LayerRange | None
+    """Layers that it holds or has been ordered to hold."""
+
+    is_movable: bool = True
+    """Whether it may be ordered; False while an order is under way."""
+
+
+@dataclass(slots=True, frozen=True)
+class Assignment:
+    """A replica's new range."""
+
+    replica_id: str
+    """The replica."""
+
+    layers: LayerRange
+    """Layers that it is to hold."""
+
+
+def plan_placement(engine: EngineModel, holders: Sequence[Holder]) -> list[Assignment]:
+    """Decide the next orders.
+
+    Args:
+        engine: Figures of the model and of the accelerators.
+        holders: Every replica that stays, with what it holds.
+
+    Returns:
+        New ranges; empty when nothing is worth changing.
+    """
+    assignments: list[Assignment] = []
+    known = [holder for holder in holders if holder.kind in engine.kinds]
+    for domain in sorted({holder.failure_domain for holder in known}):
+        members = [holder for holder in known if holder.failure_domain == domain]
+        assignments += _fill_empty(engine, members)
+        assignments += _close_gaps(engine, members)
+    assignments += _lend(engine, known)
+    return assignments
+
+
+def max_layers(engine: EngineModel, kind: str, fraction: float) -> int:
+    """Return how many layers fit in a part of an accelerator's memory."""
+    memory_mb = engine.kinds[kind].memory_mb
+    if engine.layer_mb <= 0:
+        return engine.layers
+    return min(engine.layers, int(memory_mb * fraction / engine.layer_mb))
+
+
+def find_gaps(engine: EngineModel, holders: Sequence[Holder]) -> list[LayerRange]:
+    """Return the ranges that none of the replicas holds."""
+    paces = _layer_paces(engine, holders)
+    gaps: list[LayerRange] = []
+    for layer, pace in enumerate(paces):
+        if pace < GAP_PACE:
+            continue
+        if gaps and gaps[-1].end == layer:
+            gaps[-1] = LayerRange(gaps[-1].first, layer + 1)
+        else:
+            gaps.append(LayerRange(layer, layer + 1))
+    return gaps
+
+
+def _fill_empty(engine: EngineModel, members: list[Holder]) -> list[Assignment]:
+    """Give every empty replica of a failure domain its layers, the fastest first."""
+    fraction = _weights_fraction(engine, members)
+    assignments = []
+    empty = [holder for holder in members if holder.held is None and holder.is_movable]
+    empty.sort(key=lambda holder: (engine.kinds[holder.kind].pace, holder.replica_id))
+    for holder in empty:
+        paces = _layer_paces(engine, members)
+        best, _ = _best_range(engine, holder.kind, paces, fraction)
+        if best is None:
+            continue
+        holder.held = best
+        assignments.append(Assignment(holder.replica_id, best))
+    return assignments
+
+
+def _close_gaps(engine: EngineModel, members: list[Holder]) -> list[Assignment]:
+    """Close gaps of a failure domain with replicas that aren't needed where they are."""
+    assignments: list[Assignment] = []
+    for _ in members:
+        if not find_gaps(engine, members):
+            break
+        move = _best_move(engine, members, members) or _best_extension(engine, members)
+        if move is None:
+            break
+        assignments.append(move)
+    return assignments
+
+
+def _lend(engine: EngineModel, holders: list[Holder]) -> list[Assignment]:
+    """Close gaps that no failure domain covers, with replicas of any of them."""
+    assignments: list[Assignment] = []
+    for _ in holders:
+        if not find_gaps(engine, holders):
+            break
+        move = _best_move(engine, holders, holders)
+        if move is None:
+            break
+        assignments.append(move)
+    return assignments
+
+
+def _best_move(
+    engine: EngineModel, movers: Sequence[Holder], members: Sequence[Holder]
+) -> Assignment | None:
+    """Find the replica whose layers others hold too and that closes most of the gaps."""
+    best: tuple[float, Holder, LayerRange] | None = None
+    for holder in movers:
+        if not holder.is_movable or holder.held is None:
+            continue
+        others = [other for other in members if other is not holder]
+        paces = _layer_paces(engine, others)
+        wanted, gain = _best_range(engine, holder.kind, paces, TIGHT_WEIGHTS_FRACTION)
+        stay = _gain(paces, engine.kinds[holder.kind].pace, holder.held)
+        if wanted is None or gain - stay < MOVE_GAIN:
+            continue
+        if best is None or gain - stay > best[0]:
+            best = (gain - stay, holder, wanted)
+    if best is None:
+        return None
+    best[1].held = best[2]
+    return Assignment(best[1].replica_id, best[2])
+
+
+def _best_extension(engine: EngineModel, members: Sequence[Holder]) -> Assignment | None:
+    """Find a replica beside a gap that has memory for some more layers."""
+    for gap in find_gaps(engine, members):
+        for holder in members:
+            if not holder.is_movable or holder.held is None:
+                continue
+            spare = max_layers(engine, holder.kind, TIGHT_WEIGHTS_FRACTION) - len(holder.held)
+            grown = holder.held
+            if spare > 0 and grown.end == gap.first:
+                grown = LayerRange(grown.first, min(gap.end, grown.end + spare))
+            elif spare > 0 and grown.first == gap.end:
+                grown = LayerRange(max(gap.first, grown.first - spare), grown.end)
+            if grown != holder.held:
+                holder.held = grown
+                return Assignment(holder.replica_id, grown)
+    return None
+
+
+def _weights_fraction(engine: EngineModel, members: Sequence[Holder]) -> float:
+    """Return the part of memory for weights: more where the usual one can't hold every layer."""
+    usual = sum(max_layers(engine, holder.kind, WEIGHTS_FRACTION) for holder in members)
+    return WEIGHTS_FRACTION if usual >= engine.layers else TIGHT_WEIGHTS_FRACTION
+
+
+def _layer_paces(engine: EngineModel, holders: Sequence[Holder]) -> list[float]:
+    """Return for each layer the pace of its holders together."""
+    rates = [0.0] * engine.layers
+    for holder in holders:
+        if holder.held is None:
+            continue
+        rate = 1.0 / engine.kinds[holder.kind].pace
+        for layer in range(holder.held.first, min(holder.held.end, engine.layers)):
+            rates[layer] += rate
+    return [1.0 / rate if rate > 0 else GAP_PACE for rate in rates]
+
+
+def _best_range(
+    engine: EngineModel, kind: str, paces: Sequence[float], fraction: float
+) -> tuple[LayerRange | None, float]:
+    """Return where a replica takes the most off a token, and how much."""
+    length = max_layers(engine, kind, fraction)
+    if length < 1:
+        return None, 0.0
+    pace = engine.kinds[kind].pace
+    best: LayerRange | None = None
+    best_gain = 0.0
+    for first in range(engine.layers - length + 1):
+        candidate = LayerRange(first, first + length)
+        gain = _gain(paces, pace, candidate)
+        if best is None or gain > best_gain + 1e-9:
+            best, best_gain = candidate, gain
+    return best, best_gain
+
+
+def _gain(paces: Sequence[float], pace: float, layers: LayerRange) -> float:
+    """Return how much a replica of some pace takes off the layers' paces."""
+    gain = 0.0
+    for layer in range(layers.first, min(layers.end, len(paces))):
+        joined = 1.0 / (1.0 / paces[layer] + 1.0 / pace)
+        gain += paces[layer] - joined
+    return gain
--- /dev/null
+++ b/src/pimentodale/platform/configuration.py
@@ -0,0 +1,196 @@
+"""Decodes the operators' configuration from the platform's record."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.site.model import (
+    AcceleratorKind,
+    BackendService,
+    ClientLimits,
+    EngineModel,
+    Repeatability,
+    RouteRule,
+    ServiceShare,
+    SiteConfiguration,
+    WorkspaceAccess,
+)
+
+CONFIGURATION_KEY = "op/config"
+"""Key of the newest configuration in the store."""
+
+_REPEATABILITY = {
+    "idempotent": Repeatability.IDEMPOTENT,
+    "non_idempotent": Repeatability.ONCE,
+    "streaming": Repeatability.STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    name: str = ""
+    kind: str = "non_idempotent"
+    timeout_ms: float | None = None
+    target_latency_ms: float = 1_000.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Kind(msgspec.Struct):
+    name: str
+    mb: float
+    pace: float = 1.0
+    # Factor on the time to read prompts.
+    read_x: float = 1.0
+
+
+class _Model(msgspec.Struct):
+    # Seconds to load the weights of all layers.
+    load_s: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 500.0
+    answer: float = 200.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    layers: int = 1
+    layer_mb: float = 0.0
+    # Memory of one token in all layers, in bytes.
+    kv_bytes: float = 1.0
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1_000.0
+    loads_at_once: int = 0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    models: list[_Model] = []
+    kinds: list[_Kind] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(value: bytes) -> Result[SiteConfiguration, str]:
+    """Decode the configuration.
+
+    Args:
+        value: Bytes of the record.
+
+    Returns:
+        The configuration, or why it can't be read.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Configuration)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Error(f"the configuration can't be read: {error}")
+    workspaces: dict[str, WorkspaceAccess] = {}
+    for tenant in raw.tenants or []:
+        access = WorkspaceAccess(tenant.name, tenant.priority)
+        workspaces.update(dict.fromkeys(tenant.api_keys, access))
+    return Ok(
+        SiteConfiguration(
+            version=raw.version,
+            routes=tuple(_route(route) for route in raw.routes),
+            services={service.name: _service(service) for service in raw.services},
+            workspaces=workspaces,
+            needs_keys=raw.tenants is not None,
+            limits=ClientLimits(**_fields(raw.limits)),
+        )
+    )
+
+
+def _fields(limits: _Limits) -> dict[str, Any]:
+    """Return the limits by name; both sides use the same names here."""
+    return msgspec.structs.asdict(limits)
+
+
+def _route(raw: _Route) -> RouteRule:
+    """Translate one route."""
+    splits = raw.traffic_split or [_Split(raw.service)]
+    return RouteRule(
+        name=raw.name,
+        host=raw.host.lower(),
+        path_prefix=raw.path_prefix,
+        repeatability=_REPEATABILITY.get(raw.kind, Repeatability.ONCE),
+        timeout_ms=math.inf if raw.timeout_ms is None else raw.timeout_ms,
+        target_latency_ms=raw.target_latency_ms,
+        priority=raw.priority,
+        shares=tuple(ServiceShare(split.service, split.weight) for split in splits),
+        max_attempts=max(1, raw.max_attempts),
+        is_public=raw.public,
+        is_resumable=raw.resumable,
+        gap_target_ms=raw.gap_target_ms,
+    )
+
+
+def _service(raw: _Service) -> BackendService:
+    """Translate one service."""
+    engine = None if raw.engine is None else _engine(raw.engine)
+    return BackendService(raw.name, raw.health_path, raw.max_conns, engine)
+
+
+def _engine(raw: _Engine) -> EngineModel:
+    """Translate an engine's figures."""
+    load_s = max((model.load_s for model in raw.models), default=0.0)
+    kinds = {
+        kind.name: AcceleratorKind(memory_mb=kind.mb, pace=kind.pace, read_pace=kind.read_x)
+        for kind in raw.kinds
+    }
+    return EngineModel(
+        layers=raw.layers,
+        layer_mb=raw.layer_mb,
+        load_ms=load_s * 1_000.0,
+        concurrent_loads=raw.loads_at_once,
+        step_ms=raw.step_ms,
+        per_sequence_ms=raw.per_seq_ms,
+        per_context_k_ms=raw.context_per_k,
+        read_tokens_per_ms=raw.read_per_s / 1_000.0,
+        kv_bytes_per_token=raw.kv_bytes,
+        slots=raw.slots,
+        usual_prompt_tokens=raw.usual.prompt,
+        usual_answer_tokens=raw.usual.answer,
+        kinds=kinds,
+    )
--- /dev/null
+++ b/src/pimentodale/platform/engines.py
@@ -0,0 +1,129 @@
+"""Reports of replicas and orders to them, in the platform's form."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.clients.http_call import CallRequest, fetch
+from pimentodale.placement.messages import (
+    EngineReport,
+    OrderOutcome,
+    StalledRequest,
+)
+from pimentodale.platform.replicas import _Layers, decode_layers
+
+if TYPE_CHECKING:
+    from pimentodale.placement.messages import PathPart
+    from pimentodale.site.model import LayerRange, ReplicaRecord
+
+CALL_TIMEOUT_MS: Final = 700.0
+"""Longest report or order; replicas answer both without a slot, in milliseconds."""
+
+EXPECT_REPLICA: Final = "Pimentodale-Expect-Replica"
+
+_OUTCOMES: Final = {
+    200: OrderOutcome.DONE,
+    202: OrderOutcome.BEGUN,
+    404: OrderOutcome.UNKNOWN_REQUEST,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.FENCED,
+    421: OrderOutcome.WRONG_REPLICA,
+}
+
+
+class _Stalled(msgspec.Struct):
+    id: str
+    # The replica that the request waits for.
+    address: str = ""
+
+
+class _Report(msgspec.Struct):
+    busy: bool = False
+    # Orders accepted since its start.
+    sequence: int = 0
+    active_requests: int = 0
+    queued_requests: int = 0
+    kv_used: float = 0.0
+    kv_total: float = 0.0
+    # Over 1 when the replica runs slowly.
+    pace: float = 1.0
+    born: int = 0
+    layers: _Layers | None = None
+    stalled: list[_Stalled] = []
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformEngines:
+    """Implements `EngineCalls` over HTTP."""
+
+    async def report(self, replica: ReplicaRecord) -> Result[EngineReport, str]:
+        """Ask a replica for its state."""
+        headers = {EXPECT_REPLICA: replica.replica_id}
+        request = CallRequest(method="GET", path="/api/report", headers=headers)
+        reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
+        if reply.is_error():
+            return Error(reply.error.message)
+        if reply.ok.status != 200:
+            return Error(f"{replica.address} answered {reply.ok.status}")
+        try:
+            raw = msgspec.json.decode(reply.ok.body, type=_Report)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return Error(f"the report of {replica.address} can't be read: {error}")
+        return Ok(
+            EngineReport(
+                is_busy=raw.busy,
+                orders_accepted=raw.sequence,
+                running=raw.active_requests,
+                waiting=raw.queued_requests,
+                kv_used=raw.kv_used,
+                kv_total=raw.kv_total,
+                pace=raw.pace,
+                started_ms=raw.born,
+                held=decode_layers(raw.layers),
+                stalled=tuple(StalledRequest(item.id, item.address) for item in raw.stalled),
+            )
+        )
+
+    async def place(
+        self, replica: ReplicaRecord, wanted: LayerRange, fence: int, orders_accepted: int
+    ) -> Result[OrderOutcome, str]:
+        """Order a replica to hold a range of layers."""
+        order = {"operation": "place", "from": wanted.first, "to": wanted.end, "strategy": "queue"}
+        return await self._order(replica, {**order, "fence": fence, "expected": orders_accepted})
+
+    async def repath(
+        self, head: ReplicaRecord, attempt_id: str, parts: tuple[PathPart, ...], fence: int
+    ) -> Result[OrderOutcome, str]:
+        """Move a running request to other replicas behind the same first one."""
+        order = {"operation": "repath", "id": attempt_id, "path": format_path(parts)}
+        return await self._order(head, {**order, "fence": fence})
+
+    async def _order(
+        self, replica: ReplicaRecord, order: dict[str, Any]
+    ) -> Result[OrderOutcome, str]:
+        """Send one order; a reply that doesn't come leaves open whether it is carried out."""
+        headers = {"Content-Type": "application/json", EXPECT_REPLICA: replica.replica_id}
+        request = CallRequest(
+            method="POST", path="/api/order", headers=headers, body=msgspec.json.encode(order)
+        )
+        reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
+        if reply.is_error():
+            return Error(reply.error.message)
+        outcome = _OUTCOMES.get(reply.ok.status)
+        if outcome is None:
+            return Error(f"{replica.address} answered {reply.ok.status}: {reply.ok.body[:200]!r}")
+        return Ok(outcome)
+
+
+def create_platform_engines() -> PlatformEngines:
+    """Return the calls."""
+    return PlatformEngines()
+
+
+def format_path(parts: tuple[PathPart, ...]) -> str:
+    """Write a path as the platform's header and order carry it."""
+    return ",".join(f"{part.address}={part.layers.first}-{part.layers.end}" for part in parts)
--- /dev/null
+++ b/src/pimentodale/platform/main.py
@@ -0,0 +1,68 @@
+"""Runs `pimentodale-gateway` on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from pimentodale import VERSION
+from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.gateway.settings import GatewaySettings
+from pimentodale.logs import configure_bounded_logs
+from pimentodale.programs import read_file_or_stop, stop_program
+
+SETTINGS_VARIABLE = "PIMENTODALE_SETTINGS"
+"""Environment variable with the settings file's path, where no argument names it."""
+
+
+@cappa.command(name="pimentodale-gateway", help="Run one gateway.")
+@dataclass(slots=True)
+class GatewayCommand:
+    """Arguments of the program."""
+
+    settings: Annotated[
+        Path | None,
+        cappa.Arg(default=None, help=f"YAML settings file; {SETTINGS_VARIABLE} where left out."),
+    ] = None
+
+
+def main() -> None:
+    """Run the program."""
+    command = cappa.parse(GatewayCommand, version=VERSION)
+    path = command.settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    settings = read_file_or_stop(path, GatewaySettings)
+    configure_bounded_logs(settings.log_level)
+    # Imported here, so that --help and a bad file don't pay for the whole program.
+    from pimentodale.gateway.host import PlatformMeans, run_gateway
+    from pimentodale.platform import exchanges
+    from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
+    from pimentodale.platform.engines import create_platform_engines
+    from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
+    from pimentodale.platform.store import create_platform_store
+    from pimentodale.site.view import SiteRecords
+
+    try:
+        platform = PlatformMeans(
+            store=create_platform_store(parse_address(settings.store)),
+            records=SiteRecords(
+                CONFIGURATION_KEY, REPLICA_PREFIX, decode_configuration, decode_replica
+            ),
+            codec=exchanges,
+            engines=create_platform_engines(),
+        )
+        exit_code = asyncio.run(run_gateway(settings, platform))
+    except BadAddressError as error:
+        stop_program(f"{path}: {error}")
+    except OSError as error:
+        stop_program(f"{path}: {error}; choose addresses that this host can bind")
+    sys.exit(exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/pimentodale/platform/replicas.py
@@ -0,0 +1,72 @@
+"""Decodes the records that replicas keep of themselves in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.site.model import LayerRange, ReplicaRecord
+
+REPLICA_PREFIX = "servers/"
+"""Prefix of the records; the replica's id follows."""
+
+_READY = "ready"
+_DRAINING = "draining"
+
+
+class _Layers(msgspec.Struct):
+    from_: int = msgspec.field(name="from")
+    # Exclusive.
+    to: int
+
+
+class _Replica(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    # Unix milliseconds of its start.
+    born: int = 0
+    kind: str | None = None
+    layers: _Layers | None = None
+
+
+def decode_replica(key: str, value: bytes) -> Result[ReplicaRecord, str]:
+    """Decode one record.
+
+    Args:
+        key: Key of the record in the store.
+        value: Its bytes.
+
+    Returns:
+        The replica, or why the record names none.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Replica)
+        address = parse_address(raw.address)
+    except (msgspec.MsgspecError, BadAddressError, ValueError) as error:
+        return Error(str(error))
+    if raw.state not in (_READY, _DRAINING):
+        return Error(f"its state '{raw.state}' is not known")
+    return Ok(
+        ReplicaRecord(
+            replica_id=key.removeprefix(REPLICA_PREFIX),
+            service=raw.service,
+            address=address,
+            failure_domain=raw.zone,
+            is_draining=raw.state == _DRAINING,
+            started_ms=raw.born,
+            kind=raw.kind or "",
+            held=decode_layers(raw.layers),
+            slots=raw.slots,
+        )
+    )
+
+
+def decode_layers(raw: _Layers | None) -> LayerRange | None:
+    """Translate a range of layers; an empty one is none."""
+    if raw is None or raw.to <= raw.from_:
+        return None
+    return LayerRange(raw.from_, raw.to)
--- /dev/null
+++ b/src/pimentodale/platform/store.py
@@ -0,0 +1,255 @@
+"""The platform's metadata store behind the project's own `KeyValueStore`."""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+from urllib.parse import quote
+
+import msgspec
+from expression import Error, Ok, Result
+
+from pimentodale.clients.http_call import CallRequest, fetch
+from pimentodale.clients.key_value import (
+    Delete,
+    KeyValue,
+    Put,
+    RangeReply,
+    StoreFault,
+    TxnReply,
+    WatchBatch,
+    prefix_end,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from pimentodale.addresses import Address
+    from pimentodale.clients.http_call import CallReply
+    from pimentodale.clients.key_value import Compare
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_MS: Final = 1_500.0
+"""Longest call; the store answers in milliseconds and in about 0.4 s while it is slow."""
+
+WATCH_WAIT_MS: Final = 1_000
+"""How long a quiet watch waits; short, so that a connection that went silent shows soon."""
+
+WATCH_SLACK_MS: Final = 600.0
+"""How much later than `WATCH_WAIT_MS` a watch may answer before its connection counts as silent."""
+
+OK: Final = 200
+NOT_FOUND: Final = 404
+HISTORY_GONE: Final = 410
+CONDITION_FAILED: Final = 412
+NOT_DONE: Final = (429, 503)
+"""Statuses with which the store says that nothing was done."""
+
+
+class _Item(msgspec.Struct):
+    """One key as the store writes it; `value` is base64 text."""
+
+    key: str
+    value: str = ""
+    revision: int = 0
+    created: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct):
+    """One page of a range."""
+
+    items: list[_Item]
+    at: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct):
+    """What a watch reports."""
+
+    events: list[_Item]
+    at: int
+
+
+class _Changed(msgspec.Struct):
+    """Reply to a transaction that was carried out."""
+
+    revision: int
+
+
+class _Conflict(msgspec.Struct):
+    """Reply to a transaction whose condition does not hold."""
+
+    items: list[_Item] = []
+
+
+class _Lease(msgspec.Struct):
+    """Reply to a call on a lease."""
+
+    ttl_ms: float = 0.0
+    lease: int = 0
+
+
+class PlatformStore:
+    """Implements `KeyValueStore` by the platform's HTTP calls."""
+
+    __slots__ = ("_address", "calls")
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self.calls = 0
+        """Calls made so far, watches included."""
+
+    async def read(
+        self, key: str, range_end: str = "", limit: int = 0, keys_only: bool = False
+    ) -> Result[RangeReply, StoreFault]:
+        """Read one key, or all keys under a prefix when `range_end` is the prefix's end."""
+        if not range_end:
+            return await self._read_one(key)
+        if key and range_end != prefix_end(key):
+            return Error(StoreFault(False, "only whole prefixes can be read; ask for one"))
+        items: list[KeyValue] = []
+        revision = 0
+        after = ""
+        while True:
+            query = f"path_prefix={quote(key, safe='/')}&after={quote(after, safe='/')}"
+            page = await self._get(f"/api/kv-range?{query}", _Page)
+            if page.is_error():
+                return Error(page.error)
+            # Pages are no snapshot: changes are followed from the first one's revision.
+            revision = revision or page.ok.at
+            items += [_key_value(item) for item in page.ok.items]
+            if not page.ok.has_more or not page.ok.items or 0 < limit <= len(items):
+                return Ok(RangeReply(revision, items))
+            after = page.ok.items[-1].key
+
+    async def txn(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> Result[TxnReply, StoreFault]:
+        """Apply the writes if every condition holds."""
+        puts: list[dict[str, Any]] = []
+        removals: list[str] = []
+        for write in writes:
+            if isinstance(write, Delete):
+                removals.append(write.key)
+                continue
+            value = base64.b64encode(write.value).decode()
+            puts.append({"key": write.key, "value": value, "lease": write.lease_id})
+        expected = [{"key": item.key, "revision": item.mod_revision} for item in compares]
+        body = {"expected": expected, "puts": puts, "remove": removals}
+        reply = await self._call("POST", "/api/kv-txn", body)
+        if reply.is_error():
+            return Error(reply.error)
+        if reply.ok.status == OK:
+            return _decode(reply.ok, _Changed).map(lambda done: TxnReply(done.revision, True))
+        if reply.ok.status == CONDITION_FAILED:
+            return _decode(reply.ok, _Conflict).map(
+                lambda conflict: TxnReply(
+                    0, False, [_key_value(item) for item in conflict.items if item.revision]
+                )
+            )
+        return Error(_refused(reply.ok))
+
+    async def grant_lease(self, ttl_ms: float) -> Result[int, StoreFault]:
+        """Create a lease; returns its id."""
+        reply = await self._call("POST", "/api/kv-lease", {"ttl_ms": int(ttl_ms)})
+        if reply.is_error():
+            return Error(reply.error)
+        return _decode(reply.ok, _Lease).map(lambda lease: lease.lease)
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFault]:
+        """Renew a lease; returns its time in ms, 0 when it has ended."""
+        reply = await self._call("POST", f"/api/kv-keep/{lease_id}", None)
+        if reply.is_error():
+            return Error(reply.error)
+        if reply.ok.status == NOT_FOUND:
+            return Ok(0.0)
+        return _decode(reply.ok, _Lease).map(lambda lease: lease.ttl_ms)
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
+        """End a lease and remove its keys."""
+        reply = await self._call("DELETE", f"/api/kv-lease-end/{lease_id}", None)
+        return reply.map(lambda _: None)
+
+    async def watch(
+        self, prefix: str, from_revision: int, silence_timeout_ms: float, range_end: str = ""
+    ) -> AsyncIterator[Result[WatchBatch, StoreFault]]:
+        """Report changes under a prefix from a revision on; ends after one fault."""
+        after = from_revision - 1
+        yield Ok(WatchBatch(after, [], []))
+        while True:
+            query = f"path_prefix={quote(prefix, safe='/')}&after={after}&wait_ms={WATCH_WAIT_MS}"
+            timeout_ms = min(silence_timeout_ms, WATCH_WAIT_MS + WATCH_SLACK_MS)
+            events = await self._get(f"/api/kv-watch?{query}", _Events, timeout_ms)
+            if events.is_error():
+                yield Error(events.error)
+                return
+            after = max(after, events.ok.at)
+            puts = [_key_value(item) for item in events.ok.events if not item.deleted]
+            deletes = [item.key for item in events.ok.events if item.deleted]
+            yield Ok(WatchBatch(after, puts, deletes))
+
+    async def _read_one(self, key: str) -> Result[RangeReply, StoreFault]:
+        """Read one key."""
+        reply = await self._call("GET", f"/api/kv-key?key={quote(key, safe='/')}", None)
+        if reply.is_error():
+            return Error(reply.error)
+        if reply.ok.status == NOT_FOUND:
+            return Ok(RangeReply(0, []))
+        return _decode(reply.ok, _Item).map(
+            lambda item: RangeReply(item.revision, [_key_value(item)])
+        )
+
+    async def _get(
+        self, path: str, kind: type[T], timeout_ms: float = CALL_TIMEOUT_MS
+    ) -> Result[T, StoreFault]:
+        """Make a reading call and decode its reply."""
+        reply = await self._call("GET", path, None, timeout_ms)
+        if reply.is_error():
+            return Error(reply.error)
+        return _decode(reply.ok, kind)
+
+    async def _call(
+        self, method: str, path: str, body: object, timeout_ms: float = CALL_TIMEOUT_MS
+    ) -> Result[CallReply, StoreFault]:
+        """Make one call on a connection of its own."""
+        self.calls += 1
+        payload = b"" if body is None else msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"} if payload else {}
+        request = CallRequest(method=method, path=path, headers=headers, body=payload)
+        reply = await fetch(self._address, request, timeout_ms)
+        if reply.is_ok():
+            return Ok(reply.ok)
+        fault = reply.error
+        return Error(StoreFault(fault.sent, fault.message, fault.silent))
+
+
+def create_platform_store(address: Address) -> PlatformStore:
+    """Return the store at an address."""
+    return PlatformStore(address)
+
+
+def _decode(reply: CallReply, kind: type[T]) -> Result[T, StoreFault]:
+    """Check the body of a successful reply into its type."""
+    if reply.status != OK:
+        return Error(_refused(reply))
+    try:
+        return Ok(msgspec.json.decode(reply.body, type=kind))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Error(StoreFault(True, f"the store's reply can't be read: {error}"))
+
+
+def _refused(reply: CallReply) -> StoreFault:
+    """Describe a status that is no success."""
+    return StoreFault(reply.status not in NOT_DONE, f"the store answered {reply.status}")
+
+
+def _key_value(item: _Item) -> KeyValue:
+    """Translate one item; a value that is no base64 text becomes empty bytes."""
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        value = b""
+    return KeyValue(item.key, value, item.created, item.revision, item.lease)
