Stop a host without cutting streams that came late, and tell loads in fewer bytes

Each load message named every replica by its id and went to five peers four times a second. Change: 2.5 s after SIGTERM the host stops listening, closes waiting connections and refuses with Retry-After. Loads go each 400 ms under checksums of the ids.

--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -123,6 +123,8 @@
         """Take Tornado's own arguments."""
         super().initialize(*args, **kwargs)
         self._streams: WeakSet[IOStream] = WeakSet()
+        self.busy_streams: WeakSet[IOStream] = WeakSet()
+        """Connections whose request has begun to arrive and has no whole answer yet."""
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection."""
@@ -141,9 +143,15 @@
         """Close each connection after the answer to its next request."""
         self.conn_params.no_keep_alive = True
 
-    async def close_when_sent(self, clock: Clock, timeout_ms: float) -> None:
-        """Stop listening, and close the connections once what was written has left."""
+    def take_no_more(self) -> None:
+        """Stop listening and close the connections that wait for a client's next request."""
         self.stop()
+        for stream in list(self._streams):
+            if stream not in self.busy_streams and not stream.writing():
+                stream.close()
+
+    async def close_when_sent(self, clock: Clock, timeout_ms: float) -> None:
+        """Close the connections once what was written has left."""
         end_ms = clock.now_ms() + timeout_ms
         while any(stream.writing() for stream in self._streams) and clock.now_ms() < end_ms:
             await clock.sleep_ms(_SEND_POLL_MS)
@@ -165,12 +173,13 @@
         self._codec = codec
         self._clock = clock
         self._handle = handle
+        self.busy_streams: WeakSet[IOStream] = WeakSet()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Receive one request."""
-        return _Receiver(request_conn, self._codec, self._clock, self._handle)
+        return _Receiver(request_conn, self._codec, self._clock, self._handle, self.busy_streams)
 
 
 class _Receiver(HTTPMessageDelegate):
@@ -182,8 +191,10 @@
         codec: ExchangeCodec,
         clock: Clock,
         handle: Callable[[ClientExchange], Awaitable[None]],
+        busy_streams: WeakSet[IOStream],
     ) -> None:
         self._connection = connection
+        self._busy_streams = busy_streams
         self._codec = codec
         self._clock = clock
         self._handle = handle
@@ -199,6 +210,8 @@
             return
         self._request = self._codec.decode_request(start_line.method, start_line.path, headers)
         self._request.received_ms = self._clock.now_ms()
+        if isinstance(self._connection, HTTP1Connection):
+            self._busy_streams.add(self._connection.stream)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
@@ -228,6 +241,8 @@
         finally:
             if not exchange.is_ended:
                 exchange.abort()
+            if isinstance(self._connection, HTTP1Connection):
+                self._busy_streams.discard(self._connection.stream)
 
 
 def create_front_server(
@@ -240,7 +255,10 @@
         clock: Tells the time.
         handle: Answers one request; cancelled when the client leaves.
     """
-    return FrontServer(_Connections(codec, clock, handle))
+    connections = _Connections(codec, clock, handle)
+    server = FrontServer(connections)
+    server.busy_streams = connections.busy_streams
+    return server
 
 
 def _start_line(status: int) -> ResponseStartLine:
--- a/src/pimentodale/forwarding/loads.py
+++ b/src/pimentodale/forwarding/loads.py
@@ -13,8 +13,8 @@
     from pimentodale.clock import Clock
     from pimentodale.placement.messages import PathPart
 
-TELL_INTERVAL_MS: Final = 250.0
-"""How often hosts tell each other their loads; a stream lasts about ten times as long."""
+TELL_INTERVAL_MS: Final = 400.0
+"""How often hosts tell each other their loads; a stream lasts several times as long."""
 
 TOLD_TTL_MS: Final = 1_500.0
 """How long another host's word holds."""
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -19,6 +19,7 @@
 from pimentodale.forwarding.loads import create_load_board
 from pimentodale.forwarding.means import ForwardingMeans
 from pimentodale.forwarding.poison import create_poison_strikes
+from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.retry_share import create_retry_share
 from pimentodale.forwarding.streams import StreamPool
 from pimentodale.gateway.metrics import create_gateway_metrics
@@ -31,6 +32,7 @@
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
 from pimentodale.placement.placer import Placer, highest_fence
+from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.view import create_site_view
 
@@ -44,8 +46,11 @@
     from pimentodale.placement.messages import EngineCalls
     from pimentodale.site.view import SiteRecords, SiteView
 
-UNREADY_MS: Final = 2_300.0
-"""How long a stopping host goes on accepting: the balancer takes it out after two misses."""
+UNREADY_MS: Final = 2_500.0
+"""How long a stopping host goes on accepting: the balancer takes it out after two misses.
+
+The balancer asks each second. Where too few hosts are ready it sends to this one all the same.
+"""
 
 STOP_RESERVE_MS: Final = 400.0
 """Time kept before the process is ended, to close connections in order."""
@@ -55,6 +60,9 @@
 
 STOP_POLL_MS: Final = 50.0
 
+LEAVING_RETRY_MS: Final = 50.0
+"""When a client may come back that a stopping host refused: its next try reaches another host."""
+
 _log = get_log("gateway")
 
 
@@ -87,8 +95,8 @@
     work: WorkInProgress = field(default_factory=create_work_in_progress)
     pool: StreamPool = field(default_factory=StreamPool)
     is_stopping: bool = False
-    is_last_round: bool = False
-    """Whether connections close after the next answer."""
+    is_refusing: bool = False
+    """Whether the time left is too short for a stream that begins now."""
 
 
 async def run_gateway(settings: GatewaySettings, platform: PlatformMeans) -> int:
@@ -127,7 +135,7 @@
         keep_registered(platform.store, gateway.clock, settings.host, settings.peer_listen),
         "registration",
     )
-    start(share_loads(means.loads, peers, gateway.clock), "loads")
+    start(share_loads(means.loads, view, peers, gateway.clock), "loads")
     start(_probe_replicas(means), "probes")
     start(placer.run(), "placement")
     _log.info("The gateway listens.", host=settings.host, address=settings.client_listen)
@@ -200,6 +208,10 @@
 
     async def handle(exchange: ClientExchange) -> None:
         exchange.is_last = gateway.is_stopping
+        if gateway.is_refusing:
+            message = "This host is stopping; it has not run, send to another one."
+            await refuse(exchange, ResultCode.LEAVING, message, retry_after_ms=LEAVING_RETRY_MS)
+            return
         with gateway.work.counted():
             await forward(means, gateway.pool, exchange)
 
@@ -285,6 +297,8 @@
     peers.leave()
     gateway.background.start(placer.release(), "release of the lease")
     await gateway.clock.sleep_ms(UNREADY_MS)
+    gateway.is_refusing = True
+    server.take_no_more()
     while len(gateway.work) and gateway.clock.now_ms() < end_ms:
         await gateway.clock.sleep_ms(STOP_POLL_MS)
     await server.close_when_sent(gateway.clock, STOP_RESERVE_MS / 2)
--- a/src/pimentodale/gateway/sharing.py
+++ b/src/pimentodale/gateway/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
+from zlib import crc32
 
 import msgspec
 
@@ -11,12 +12,15 @@
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from pimentodale.clock import Clock
     from pimentodale.forwarding.loads import LoadBoard
     from pimentodale.forwarding.poison import PoisonStrikes
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
     from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
+    from pimentodale.site.view import SiteView
 
 LOAD_TOPIC: Final = "load"
 DOWN_TOPIC: Final = "replica-down"
@@ -26,17 +30,45 @@
 """How long the word that a replica is down travels; each host probes for itself."""
 
 _log = get_log("sharing")
-_loads = msgspec.msgpack.Decoder(dict[str, ReplicaLoad])
+KV_UNIT: Final = 1_000.0
+"""Tokens x layers that a told load counts by."""
+
+_loads = msgspec.msgpack.Decoder(dict[int, tuple[int, int, int]])
 _down = msgspec.msgpack.Decoder(tuple[str, int, str])
 _crash = msgspec.msgpack.Decoder(tuple[str, str])
 
 
-async def share_loads(board: LoadBoard, peers: Peers, clock: Clock) -> None:
+def pack_loads(loads: dict[str, ReplicaLoad]) -> bytes:
+    """Encode loads in a few bytes a replica, named by a checksum of its id."""
+    return msgspec.msgpack.encode(
+        {
+            crc32(replica_id.encode()): (load.streams, load.headed, round(load.kv_in_use / KV_UNIT))
+            for replica_id, load in loads.items()
+        }
+    )
+
+
+def unpack_loads(value: bytes, replica_ids: Iterable[str]) -> dict[str, ReplicaLoad]:
+    """Decode loads; those of replicas that this host doesn't know are left out.
+
+    Raises:
+        msgspec.MsgspecError: If the bytes are no loads.
+    """
+    told = _loads.decode(value)
+    loads = {}
+    for replica_id in replica_ids:
+        load = told.get(crc32(replica_id.encode()))
+        if load is not None:
+            loads[replica_id] = ReplicaLoad(load[0], load[1], load[2] * KV_UNIT)
+    return loads
+
+
+async def share_loads(board: LoadBoard, view: SiteView, peers: Peers, clock: Clock) -> None:
     """Tell the other hosts this host's loads, for ever, and take theirs."""
 
     def take(update: EntryUpdate) -> None:
         try:
-            board.take_told(update.owner, _loads.decode(update.value))
+            board.take_told(update.owner, unpack_loads(update.value, view.replicas))
         except msgspec.MsgspecError as error:
             _log.warning("A host's loads can't be read.", host=update.owner, problem=str(error))
 
@@ -45,7 +77,7 @@
     told_ms = 0.0
     while True:
         await clock.sleep_ms(TELL_INTERVAL_MS)
-        value = msgspec.msgpack.encode(board.own)
+        value = pack_loads(board.own)
         now_ms = clock.now_ms()
         if value == told and now_ms - told_ms < TOLD_TTL_MS / 2:
             continue
