Read the store's conflicts as such

Cause: a transaction whose condition fails answers 412; its body was only read under 200, so that a conflict came as a fault. The feature of the adapter failed on it first.

--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -145,7 +145,7 @@
         if reply.ok.status == OK:
             return _decode(reply.ok, _Changed).map(lambda done: TxnReply(done.revision, True))
         if reply.ok.status == CONDITION_FAILED:
-            return _decode(reply.ok, _Conflict).map(
+            return _parse(reply.ok, _Conflict).map(
                 lambda conflict: TxnReply(
                     0, False, [_key_value(item) for item in conflict.items if item.revision]
                 )
@@ -235,6 +235,11 @@
     """Check the body of a successful reply into its type."""
     if reply.status != OK:
         return Error(_refused(reply))
+    return _parse(reply, kind)
+
+
+def _parse(reply: CallReply, kind: type[T]) -> Result[T, StoreFault]:
+    """Check a body into its type."""
     try:
         return Ok(msgspec.json.decode(reply.body, type=kind))
     except (msgspec.MsgspecError, ValueError) as error:
