--- /dev/null
+++ b/features/steps/gateway.py
@@ -0,0 +1,365 @@
+"""Steps for gateways on the stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import re
+import signal
+import socket
+import time
+from typing import Any
+
+from behave import given, then, when
+from features.support.gateway_site import (
+    ENGINE_REPLICAS,
+    GATEWAYS,
+    LAYERS,
+    PLAIN_REPLICAS,
+    create_gateway_site,
+)
+from features.support.site import http as call
+from features.support.site import wait_until
+
+STREAMS = 6
+CONFIGURATION_BOUND_S = 2.0
+DRAIN_BOUND_S = 2.0
+
+
+@given("a site of two gateways, eight replicas and a store")
+def start_site(context: Any) -> None:
+    context.gateways = create_gateway_site(context.site)
+    context.gateways.start_all(events=40, event_ms=25.0)
+
+
+@given("a store without a configuration and one gateway")
+def start_bare(context: Any) -> None:
+    context.gateways = create_gateway_site(context.site)
+    context.gateways.start_platform()
+    context.gateways.start_gateway("g1")
+    ready = f"http://{context.gateways.ip('g1')}:7001/api/ready"
+    wait_until(lambda: answers(ready), "the gateway answers", 20.0)
+
+
+def answers(url: str) -> bool:
+    try:
+        call(url, timeout_s=2.0)
+    except OSError:
+        return False
+    return True
+
+
+@given(
+    "a site of two gateways, eight replicas and a store whose second gateway reaches it through a "
+    "relay"
+)
+def start_relayed(context: Any) -> None:
+    site = create_gateway_site(context.site)
+    context.gateways = site
+    site.start_platform()
+    site.configure()
+    site.start_gateway("g1")
+    site.start_gateway("g2", store=f"{context.site.ip(2)}:9002")
+    site.wait_serving()
+
+
+@then("reads, bookings and streams come back whole through both gateways")
+def check_served(context: Any) -> None:
+    site = context.gateways
+    context.bookings = []
+    for name in GATEWAYS:
+        for number in range(5):
+            read = site.request(name, f"/read/{number}", method="GET")
+            assert read.status == 200, read
+            assert read.body == f"body of /read/{number} ".encode()
+            booking = site.request(name, "/book/rig")
+            assert booking.status == 200, booking
+            assert booking.body == b"body of /book/rig body"
+            context.bookings.append(booking.headers["Pimentodale-Attempt-Id"])
+        stream = site.open_stream(name)
+        wait_until(lambda stream=stream: stream.is_over, "the stream ends", 12.0)
+        assert stream.is_whole
+        assert stream.events == [str(number) for number in range(1, 41)]
+
+
+@then("every event ran every layer once and in order")
+def check_layers(context: Any) -> None:
+    events = context.gateways.journal("event")
+    assert events
+    for event in events:
+        ranges = [tuple(map(int, text.split("-"))) for text in event["detail"].split()[1:]]
+        position = 0
+        for first, end in ranges:
+            assert first == position, event
+            position = end
+        assert position == LAYERS, event
+
+
+@then("each booking ran once")
+def check_bookings(context: Any) -> None:
+    runs = [run["attempt"] for run in context.gateways.journal("run")]
+    for attempt in context.bookings:
+        assert runs.count(attempt) == 1, attempt
+
+
+@then("requests reached the replicas with the workspace in place of the key")
+def check_workspace(context: Any) -> None:
+    for run in context.gateways.journal("run"):
+        headers = json.loads(run["detail"].partition(" ")[2])
+        assert headers["Pimentodale-Tenant"] == "w1"
+        assert "Authorization" not in headers
+        assert 0 < int(headers["Pimentodale-Deadline-Ms"]) <= 10_000
+
+
+@then(
+    "an unknown path gets 404, an unknown key 401, and bytes that are no HTTP close only their own "
+    "connection"
+)
+def check_unknown(context: Any) -> None:
+    site = context.gateways
+    assert site.request("g1", "/nowhere/x").status == 404
+    assert site.request("g1", "/read/x", key="forged", method="GET").status == 401
+    with socket.create_connection((site.ip("g1"), 7000), timeout=5.0) as stream:
+        stream.sendall(b"\x00\xff\r\n no http \r\n\r\n")
+        while stream.recv(1000):
+            continue
+    assert site.request("g1", "/read/x", method="GET").status == 200
+
+
+@then("the gateway is not ready and answers 503 with Retry-After")
+def check_not_ready(context: Any) -> None:
+    assert not context.gateways.is_ready("g1")
+    reply = context.gateways.request("g1", "/read/x", method="GET")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert reply.json()["ran"] == "not_run"
+
+
+@then("it is ready once the operator has written a configuration")
+def check_ready(context: Any) -> None:
+    context.gateways.configure()
+    wait_until(lambda: context.gateways.is_ready("g1"), "the gateway is ready", 3.0)
+
+
+@when("the operator adds a route and then takes it away")
+def change_routes(context: Any) -> None:
+    site = context.gateways
+    route = {"path_prefix": "/new/", "kind": "idempotent", "service": "plain"}
+    context.took_s = []
+    for routes, status in (([route], 200), ([], 404)):
+        started = time.monotonic()
+        site.configure(routes)
+        for name in GATEWAYS:
+            wait_until(
+                lambda name=name, status=status: site.request(name, "/new/x").status == status,
+                f"{name} answers {status}",
+                5.0,
+            )
+        context.took_s.append(time.monotonic() - started)
+
+
+@then("each change is in force on both gateways within 2 s")
+def check_in_force(context: Any) -> None:
+    assert max(context.took_s) <= CONFIGURATION_BOUND_S, context.took_s
+
+
+def open_streams(context: Any) -> None:
+    context.streams = [
+        context.gateways.open_stream(GATEWAYS[number % 2]) for number in range(STREAMS)
+    ]
+    wait_until(
+        lambda: all(len(stream.events) >= 3 for stream in context.streams), "streams run", 5.0
+    )
+
+
+def path_replicas(context: Any) -> tuple[set[str], set[str]]:
+    """Return the replicas that head streams now, and those that run later stages."""
+    heads = {event["replica"].removeprefix("i-") for event in context.gateways.journal("event")}
+    held = {}
+    for name in ENGINE_REPLICAS:
+        url = f"http://{context.gateways.ip(name)}:8000/api/report"
+        held[name] = call(url).json()["layers"]
+    later = {name for name, layers in held.items() if layers and layers["to"] == LAYERS}
+    return heads, later - heads
+
+
+@when("a later stage of running streams falls silent")
+def silence_later(context: Any) -> None:
+    open_streams(context)
+    heads, later = path_replicas(context)
+    own = sorted(name for name in later if name[0] in {head[0] for head in heads})
+    context.gateways.fault(own[0], down=True, down_mode="silent")
+
+
+@when("the first stage of running streams is killed")
+def kill_head(context: Any) -> None:
+    open_streams(context)
+    heads, _ = path_replicas(context)
+    context.gateways.fault(sorted(heads)[0], down=True, down_mode="refuse")
+
+
+@then("all the streams come to their end with each event once")
+def check_streams(context: Any) -> None:
+    wait_until(lambda: all(stream.is_over for stream in context.streams), "streams end", 12.0)
+    for stream in context.streams:
+        assert stream.is_whole, (stream.status, stream.events)
+        assert stream.events == [str(number) for number in range(1, 41)], stream.events
+
+
+@when("a failure domain loses a replica for good")
+def lose_for_good(context: Any) -> None:
+    site = context.gateways
+    _, later = path_replicas(context)
+    context.lost = sorted(name for name in later if name[0] == "a")[0] if later else "a1"
+    site.fault(context.lost, down=True, down_mode="refuse")
+    remove = {"remove": [f"servers/i-{context.lost}"]}
+    call(f"{site.store}/api/kv-txn", remove)
+
+
+def is_covered(context: Any) -> bool:
+    layers: set[int] = set()
+    for name in ENGINE_REPLICAS:
+        if name[0] != "a" or name == context.lost:
+            continue
+        held = call(f"http://{context.gateways.ip(name)}:8000/api/report").json()["layers"]
+        if held:
+            layers.update(range(held["from"], held["to"]))
+    return layers == set(range(LAYERS))
+
+
+@then("its layers are held in that failure domain again within 6 s")
+def check_covered(context: Any) -> None:
+    wait_until(lambda: is_covered(context), "the failure domain holds every layer", 6.0)
+
+
+@then("no replica was ordered to hold more than fits")
+def check_orders(context: Any) -> None:
+    for order in context.gateways.journal("place"):
+        first, end = map(int, order["detail"].split("-"))
+        assert end - first <= 8, order
+
+
+@when("the replicas of the plain service reset every connection after running its request")
+def lose_answers(context: Any) -> None:
+    for name in PLAIN_REPLICAS:
+        call(f"http://{context.gateways.ip(name)}:8001/admin/lose-answers", {})
+
+
+@then("a booking gets 502 and ran at most once")
+def check_lost(context: Any) -> None:
+    reply = context.gateways.request("g1", "/book/rig")
+    assert reply.status == 502, reply
+    assert reply.json()["ran"] == "may_have_run"
+    attempt = f"attempt-{context.gateways.next_attempt}"
+    runs = [run["attempt"] for run in context.gateways.journal("run")]
+    assert runs.count(attempt) == 1
+
+
+@when("a replica of the plain service announces that it leaves")
+def drain(context: Any) -> None:
+    context.gateways.admin("pa", "drain")
+    wait_until(lambda: "draining" in store_text(context, "servers/i-pa"), "it is announced", 5.0)
+    context.drained_s = time.monotonic()
+
+
+def store_text(context: Any, key: str) -> str:
+    import base64
+
+    item = call(f"{context.gateways.store}/api/kv-key?key={key}").json()
+    return base64.b64decode(item["value"]).decode()
+
+
+@then("no request reaches it any more from 2 s on, and all are served")
+def check_drained(context: Any) -> None:
+    site = context.gateways
+    time.sleep(max(0.0, context.drained_s + DRAIN_BOUND_S - time.monotonic()))
+    before = sum(1 for run in site.journal("run") if run["replica"] == "i-pa")
+    for _ in range(10):
+        for name in GATEWAYS:
+            assert site.request(name, "/read/x", method="GET").status == 200
+    assert sum(1 for run in site.journal("run") if run["replica"] == "i-pa") == before
+
+
+@when("a client leaves in the middle of its stream")
+def leave(context: Any) -> None:
+    site = context.gateways
+    context.left = site.open_stream("g1")
+    wait_until(lambda: len(context.left.events) >= 5, "the stream runs", 5.0)
+    attempt = f"attempt-{site.next_attempt}"
+    context.left.connection.sock.shutdown(socket.SHUT_RDWR)
+    time.sleep(0.5)
+    context.made = [event for event in site.journal("event") if event["attempt"] == attempt]
+    context.left_attempt = attempt
+
+
+@then("the replicas make no more events for it 0.5 s later")
+def check_left(context: Any) -> None:
+    time.sleep(0.3)
+    made = [e for e in context.gateways.journal("event") if e["attempt"] == context.left_attempt]
+    assert len(made) == len(context.made), (len(made), len(context.made))
+    assert len(made) < 40
+
+
+@when("a gateway gets SIGTERM under streams and kept connections")
+def stop_gateway(context: Any) -> None:
+    site = context.gateways
+    kept = http.client.HTTPConnection(site.ip("g1"), 7000, timeout=5.0)
+    kept.request("GET", "/read/x", headers=site.headers())
+    assert kept.getresponse().read()
+    open_streams(context)
+    site.site.programs["g1"].process.send_signal(signal.SIGTERM)
+    context.kept = kept
+
+
+@then("it is not ready at once")
+def check_unready(context: Any) -> None:
+    wait_until(lambda: not context.gateways.is_ready("g1"), "it is not ready", 0.5)
+
+
+@then("it exits with 0 and takes no new connections")
+def check_exit(context: Any) -> None:
+    assert context.gateways.site.programs["g1"].process.wait(9.0) == 0
+    assert not answers(f"http://{context.gateways.ip('g1')}:7000/")
+    context.kept.close()
+
+
+@when("the relay is cut and the operator adds a route")
+def cut_relay(context: Any) -> None:
+    call(f"http://{context.site.ip(2)}:9003/admin/faults", {"cut": True})
+    context.gateways.configure([{"path_prefix": "/new/", "kind": "idempotent", "service": "plain"}])
+
+
+@then("the route is in force on the gateway that is cut off within 3 s")
+def check_cut_off(context: Any) -> None:
+    wait_until(lambda: context.gateways.request("g2", "/new/x").status == 200, "in force", 3.0)
+
+
+@when("all gateways are killed and started")
+def restart_gateways(context: Any) -> None:
+    context.orders_before = len(context.gateways.journal("place"))
+    for name in GATEWAYS:
+        context.site.programs[name].kill()
+    for name in GATEWAYS:
+        context.gateways.start_gateway(name)
+
+
+@then("streams are served again within 6 s, without one new order")
+def check_restarted(context: Any) -> None:
+    for name in GATEWAYS:
+        wait_until(lambda name=name: context.gateways.serves(name), f"{name} serves", 6.0)
+    # The next holder of the lease plans once the old one has lapsed.
+    wait_until(lambda: re.search("places layers now", gateway_logs(context)), "a holder", 6.0)
+    time.sleep(0.5)
+    assert len(context.gateways.journal("place")) == context.orders_before
+
+
+def gateway_logs(context: Any) -> str:
+    texts = [context.site.programs[name].log.read_text() for name in GATEWAYS]
+    # Lines of the first start are passed over.
+    return "".join(text.rpartition("The gateway listens.")[2] for text in texts)
+
+
+@when("the store is down")
+def store_down(context: Any) -> None:
+    down = {"down": True, "down_mode": "silent"}
+    call(f"http://{context.site.ip(2)}:9001/admin/faults", down)
--- /dev/null
+++ b/features/support/gateway_site.py
@@ -0,0 +1,250 @@
+"""A site on the stand-ins of the users' platform: its store, replicas and gateways."""
+
+from __future__ import annotations
+
+import base64
+import http.client
+import json
+import threading
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from features.support.site import http as call
+from features.support.site import read_journal, wait_until
+
+if TYPE_CHECKING:
+    from features.support.site import Program, Site
+
+LAYERS: Final = 8
+"""Layers of the model."""
+
+HOST_NAME: Final = "lab.example"
+"""Host name of all routes."""
+
+KEY: Final = "key-1"
+"""API key of the workspace `w1`."""
+
+ENGINE_REPLICAS: Final = ("a1", "a2", "a3", "b1", "b2", "b3")
+"""Engine replicas; the first letter is the failure domain. Two hold a copy, the third is spare."""
+
+PLAIN_REPLICAS: Final = ("pa", "pb")
+"""Replicas of the plain service."""
+
+GATEWAYS: Final = ("g1", "g2")
+"""Gateways, in the failure domains a and b."""
+
+
+@dataclass(slots=True)
+class StreamClient:
+    """A client that reads one stream in a thread of its own."""
+
+    events: list[str] = field(default_factory=list)
+    """Ids of the events read, in order."""
+
+    status: int = 0
+    """Status of the answer."""
+
+    is_whole: bool = False
+    """Whether the answer ended as complete."""
+
+    is_over: bool = False
+    """Whether the answer has ended in any way."""
+
+    headers: dict[str, str] = field(default_factory=dict)
+    """Headers of the answer."""
+
+    connection: http.client.HTTPConnection | None = None
+
+
+@dataclass(slots=True)
+class GatewaySite:
+    """The programs of one scenario."""
+
+    site: Site
+    version: int = 0
+    next_attempt: int = 0
+    numbers: dict[str, int] = field(default_factory=dict)
+
+    def ip(self, name: str) -> str:
+        """Return the address of a replica or gateway."""
+        return self.site.ip(self.numbers.setdefault(name, 20 + len(self.numbers)))
+
+    @property
+    def store(self) -> str:
+        """Base URL of the store."""
+        return f"http://{self.site.ip(2)}:9000"
+
+    def start_platform(self, events: int = 20, event_ms: float = 10.0) -> None:
+        """Start the store and the replicas."""
+        ip = self.site.ip(2)
+        store = {"kind": "platform_store", "listen": f"{ip}:9000", "admin_listen": f"{ip}:9001"}
+        relay = {"kind": "relay", "listen": f"{ip}:9002", "target": f"{ip}:9000"}
+        relay["admin_listen"] = f"{ip}:9003"
+        path = self.site.write("store.yaml", {"parts": [store, relay]})
+        self.site.start("store", "pimentodale-standin", str(path))
+        self.site.wait_ready(f"{self.store}/healthz")
+        parts = []
+        for name in (*ENGINE_REPLICAS, *PLAIN_REPLICAS):
+            is_engine = name in ENGINE_REPLICAS
+            parts.append(
+                {
+                    "kind": "platform_replica",
+                    "listen": f"{self.ip(name)}:8000",
+                    "admin_listen": f"{self.ip(name)}:8001",
+                    "replica_id": f"i-{name}",
+                    "service": "lm" if is_engine else "plain",
+                    "failure_domain": name[0] if is_engine else name[1],
+                    "store": f"{ip}:9000",
+                    "journal": str(self.site.folder / "journal"),
+                    "events": events,
+                    "event_ms": event_ms,
+                }
+                | ({"memory_layers": 8, "model_layers": LAYERS} if is_engine else {})
+            )
+            if is_engine:
+                parts[-1]["accelerator"] = "card"
+        path = self.site.write("replicas.yaml", {"parts": parts})
+        self.site.start("replicas", "pimentodale-standin", str(path))
+
+    def start_gateway(self, name: str, store: str = "") -> Program:
+        """Start one gateway."""
+        ip = self.ip(name)
+        settings = {
+            "host": name,
+            "failure_domain": "a" if name == "g1" else "b",
+            "client_listen": f"{ip}:7000",
+            "ready_listen": f"{ip}:7001",
+            "peer_listen": f"{ip}:7002",
+            "seeds": [f"{self.ip(other)}:7002" for other in GATEWAYS],
+            "store": store or f"{self.site.ip(2)}:9000",
+            "stop_timeout_s": 8,
+            "stall_ms": 2_500,
+        }
+        path = self.site.write(f"{name}.yaml", settings)
+        return self.site.start(name, "pimentodale-gateway", str(path))
+
+    def start_all(self, events: int = 20, event_ms: float = 10.0) -> None:
+        """Start everything, and wait until streams can be served."""
+        self.start_platform(events, event_ms)
+        self.configure()
+        for name in GATEWAYS:
+            self.start_gateway(name)
+        self.wait_serving()
+
+    def wait_serving(self) -> None:
+        """Wait until every gateway serves streams."""
+        for name in GATEWAYS:
+            wait_until(lambda name=name: self.serves(name), f"{name} serves streams", 20.0)
+
+    def serves(self, name: str) -> bool:
+        """Whether a gateway serves a stream."""
+        try:
+            return self.request(name, "/lm/probe").status == 200
+        except OSError:
+            return False
+
+    def configure(self, extra_routes: list[dict[str, Any]] | None = None) -> int:
+        """Write the next configuration, as the operator does; returns its version."""
+        self.version += 1
+        common = {"host": HOST_NAME, "target_latency_ms": 200, "priority": 1, "max_attempts": 2}
+        routes = [
+            {"path_prefix": "/lm/", "kind": "streaming", "service": "lm", "timeout_ms": 20_000}
+            | {"resumable": True, "gap_target_ms": 250},
+            {"path_prefix": "/read/", "kind": "idempotent", "service": "plain"},
+            {"path_prefix": "/book/", "kind": "non_idempotent", "service": "plain"}
+            | {"max_attempts": 1},
+            *(extra_routes or []),
+        ]
+        engine = {
+            "slots": 96,
+            "layers": LAYERS,
+            "layer_mb": 100.0,
+            "kv_bytes": 1_000.0,
+            "step_ms": 1.0,
+            "loads_at_once": 6,
+            "usual": {"prompt": 50, "answer": 20},
+            "models": [{"load_s": 0.05}],
+            "kinds": [{"name": "card", "mb": 800.0, "pace": 1.0}],
+        }
+        value = {
+            "version": self.version,
+            "routes": [common | {"name": route["path_prefix"]} | route for route in routes],
+            "services": [{"name": "lm", "engine": engine}, {"name": "plain"}],
+            "tenants": [{"name": "w1", "api_keys": [KEY]}],
+        }
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        call(f"{self.store}/api/kv-txn", {"puts": [{"key": "op/config", "value": text}]})
+        return self.version
+
+    def headers(self, key: str = KEY) -> dict[str, str]:
+        """Return the headers of a new attempt."""
+        self.next_attempt += 1
+        return {
+            "Host": HOST_NAME,
+            "Authorization": f"Bearer {key}",
+            "Pimentodale-Attempt-Id": f"attempt-{self.next_attempt}",
+            "Pimentodale-Deadline-Ms": "10000",
+            "Pimentodale-Token-Count": "50,80",
+        }
+
+    def request(self, gateway: str, path: str, key: str = KEY, method: str = "POST") -> Any:
+        """Send one request and read its whole answer."""
+        url = f"http://{self.ip(gateway)}:7000{path}"
+        body = b"body" if method == "POST" else None
+        return call(url, body, headers=self.headers(key), method=method, timeout_s=12.0)
+
+    def open_stream(self, gateway: str) -> StreamClient:
+        """Begin to read a stream."""
+        client = StreamClient()
+        connection = http.client.HTTPConnection(self.ip(gateway), 7000, timeout=15.0)
+        client.connection = connection
+        headers = self.headers()
+        threading.Thread(target=_read, args=(client, connection, headers), daemon=True).start()
+        return client
+
+    def fault(self, name: str, **faults: object) -> None:
+        """Set a replica's faults."""
+        call(f"http://{self.ip(name)}:8001/admin/faults", faults)
+
+    def admin(self, name: str, what: str) -> None:
+        """Bring something about at a replica."""
+        call(f"http://{self.ip(name)}:8001/admin/{what}", {})
+
+    def journal(self, what: str) -> list[dict[str, Any]]:
+        """Return what replicas did, of one sort."""
+        entries = read_journal(self.site.folder / "journal")
+        return [entry for entry in entries if entry["what"] == what]
+
+    def is_ready(self, gateway: str) -> bool:
+        """Whether a gateway says that it is ready."""
+        try:
+            return call(f"http://{self.ip(gateway)}:7001/api/ready", timeout_s=2.0).status == 200
+        except OSError:
+            return False
+
+
+def create_gateway_site(site: Site) -> GatewaySite:
+    """Return a site with nothing started."""
+    return GatewaySite(site)
+
+
+def _read(
+    client: StreamClient, connection: http.client.HTTPConnection, headers: dict[str, str]
+) -> None:
+    """Read a stream to its end."""
+    try:
+        connection.request("POST", "/lm/stream", b"body", headers)
+        response = connection.getresponse()
+        client.status = response.status
+        client.headers = dict(response.getheaders())
+        text = b""
+        # A chunked body that breaks off raises here.
+        while chunk := response.read1():
+            text += chunk
+            *lines, text = text.split(b"\n")
+            client.events += [line[3:].strip().decode() for line in lines if line[:3] == b"id:"]
+        client.is_whole = response.status == 200
+    except (OSError, http.client.HTTPException, ValueError, AttributeError):
+        client.is_whole = False
+    finally:
+        client.is_over = True
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -61,7 +61,7 @@
     store: str
     """`IP:PORT` of the store that it registers in."""
 
-    kind: str = ""
+    accelerator: str = ""
     """Its accelerator; empty for a plain service."""
 
     memory_layers: int = 0
@@ -133,6 +133,9 @@
     highest_fence: int = 0
     is_busy: bool = False
     is_draining: bool = False
+    loses_answers: bool = False
+    """Whether connections are reset once their request has run."""
+
     running: dict[str, list[PathStep]] = field(default_factory=dict)
     stalled: dict[str, str] = field(default_factory=dict)
 
@@ -154,9 +157,9 @@
             "sequence": self.orders,
             "born": self.started_ms,
         }
-        if self.settings.kind:
+        if self.settings.accelerator:
             layers = {"from": self.held[0], "to": self.held[1], "version": 1} if self.held else None
-            record |= {"kind": self.settings.kind, "layers": layers}
+            record |= {"kind": self.settings.accelerator, "layers": layers}
         return record
 
     async def register(self) -> None:
@@ -308,6 +311,9 @@
         headers = msgspec.json.encode(dict(self.request.headers)).decode()
         self._journal("run", attempt, f"{self.request.uri} {headers}")
         await asyncio.sleep(self.part.settings.work_ms / MS_PER_S)
+        if self.part.loses_answers:
+            self.reset_connection()
+            return
         await self.finish(b"body of " + self.request.uri.encode() + b" " + self.request.body)
 
     async def _stream(self, attempt: str, path: list[PathStep]) -> None:
@@ -375,6 +381,15 @@
         self.reply({})
 
 
+class LoseAnswersHandler(ReplicaHandler):
+    """`/admin/lose-answers`: from now on requests run and their answers are lost."""
+
+    def post(self) -> None:
+        """Lose them."""
+        self.part.loses_answers = True
+        self.reply({})
+
+
 class RestartHandler(ReplicaHandler):
     """`/admin/restart`: the replica starts again under its id, empty."""
 
@@ -425,6 +440,7 @@
     spawn(part.register(), "registration")
     admin: dict[str, type[PartHandler]] = {
         "/admin/drain": DrainHandler,
+        "/admin/lose-answers": LoseAnswersHandler,
         "/admin/restart": RestartHandler,
     }
     Listener(settings.admin_listen, create_application(admin, arguments, outage)).open()
