Check another's word about a replica before it loses its work, and keep paths within a failure domain

Change: such words are doubts, which a probe settles; refusals for a gap need a probe without an answer. Steps between failure domains within a path cost more, begun streams are not turned away by the queue's length, and pauses are looked into 0.26 and 0.38 s after the last event. Not measured yet.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -64,3 +64,10 @@
     When 40 requests choose one of them, each ending before the next
     Then all go to the own one
     And of 8 at once some go to the other one
+
+  Scenario: another host's word about a replica is checked before it is believed
+    Given a replica that is thought well of
+    When another host tells that requests stall on it
+    Then it is probed at once and gets no work until the probe has ended
+    And it gets work again once it answers
+    And the word is not told on
--- a/features/steps/forwarding.py
+++ b/features/steps/forwarding.py
@@ -203,7 +203,10 @@
 def check_lost(context: Any) -> None:
     assert context.beliefs.is_lost(context.replica)
     other = replica("other", "a", "l4", LayerRange(0, 8))
-    context.beliefs.mark_down(incarnation_of(other), "requests stall on it")
+    context.beliefs.doubt(incarnation_of(other), "requests stall on it")
+    assert not context.beliefs.is_usable(other)
+    assert not context.beliefs.is_lost(other)
+    context.beliefs.mark_down(incarnation_of(other), "it can't be connected to")
     assert not context.beliefs.is_usable(other)
     assert not context.beliefs.is_lost(other)
 
@@ -271,3 +274,22 @@
         part = PathPart(picked.replica_id, picked.address, LayerRange(0, 1))
         context.means.loads.add((part,), 0.0)
     assert "other" in chosen
+
+
+@when("another host tells that requests stall on it")
+def be_told(context: Any) -> None:
+    context.told = []
+    context.beliefs.tell = lambda incarnation, reason: context.told.append(incarnation)
+    context.beliefs.doubt(incarnation_of(context.replica), "requests stall on it", by_peer="other")
+
+
+@then("it is probed at once and gets no work until the probe has ended")
+def check_doubted(context: Any) -> None:
+    assert context.beliefs.due_probes() == [incarnation_of(context.replica)]
+    assert not context.beliefs.is_usable(context.replica)
+    assert not context.beliefs.is_lost(context.replica)
+
+
+@then("the word is not told on")
+def check_not_told(context: Any) -> None:
+    assert context.told == []
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -25,8 +25,8 @@
 ROOM_POLL_MS: Final = 30.0
 """Pause between two looks for room by the request that is next in turn."""
 
-ROOM_WAIT_MS: Final = 1_200.0
-"""Longest wait for room; a first event after it is late but still wanted."""
+ROOM_WAIT_MS: Final = 1_300.0
+"""Longest wait for room; clients leave when no event comes within 2 s."""
 
 QUEUE_FRACTION: Final = 0.5
 """Requests that may wait for each one that runs: about one second of work."""
@@ -66,20 +66,20 @@
 
 
 def list_stages(
-    means: ForwardingMeans, service: BackendService, *, and_passed_over: bool = False
+    means: ForwardingMeans, service: BackendService, *, and_doubted: bool = False
 ) -> list[StageLoad]:
     """Return a service's usable replicas that hold layers.
 
     Args:
         means: Shared state.
         service: The service.
-        and_passed_over: Whether to return those too that have no room for the moment.
+        and_doubted: Whether to return all that have not left a probe without an answer.
     """
     stages = []
     for replica in means.view.replicas_of(service.name):
-        if replica.held is None or means.beliefs.is_down(replica):
+        if replica.held is None or means.beliefs.is_lost(replica):
             continue
-        if not and_passed_over and not means.beliefs.is_usable(replica):
+        if not and_doubted and not means.beliefs.is_usable(replica):
             continue
         load = means.loads.total(replica.replica_id)
         slowness = 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
@@ -109,6 +109,8 @@
     avoid: Collection[str],
     rank: int,
     wait_ms: float,
+    *,
+    is_begun: bool = False,
 ) -> Path | None:
     """Choose a path, waiting in turn for room where there is none.
 
@@ -120,6 +122,7 @@
         avoid: Ids of replicas that it must not use.
         rank: Its rank; 0 goes first.
         wait_ms: Longest wait.
+        is_begun: Whether its client has events already, so that it is not refused for the queue.
 
     Returns:
         The path; `None` if there is none in time, or if waiting has no prospect.
@@ -128,7 +131,7 @@
     if path is not None:
         return path
     running = sum(load.headed for load in means.loads.own.values())
-    if len(queue.waiting) >= max(MIN_QUEUE, running * QUEUE_FRACTION):
+    if not is_begun and len(queue.waiting) >= max(MIN_QUEUE, running * QUEUE_FRACTION):
         return None
     end_ms = means.clock.now_ms() + wait_ms
     place = queue.enter(rank)
@@ -145,11 +148,11 @@
 
 
 def covers_model(means: ForwardingMeans, service: BackendService) -> bool:
-    """Whether the replicas that are up hold every layer, room or not."""
+    """Whether replicas that are not lost hold every layer, room or not."""
     if service.engine is None:
         return False
     covered = 0
-    stages = list_stages(means, service, and_passed_over=True)
+    stages = list_stages(means, service, and_doubted=True)
     ranges = sorted((held.first, held.end) for stage in stages if (held := stage.record.held))
     for first, end in ranges:
         if first > covered:
--- a/src/pimentodale/forwarding/stalls.py
+++ b/src/pimentodale/forwarding/stalls.py
@@ -71,6 +71,9 @@
     path: Path | None = None
     """The new path, when it was moved."""
 
+    faulty: frozenset[str] = frozenset()
+    """Ids of the replicas that it waited for."""
+
 
 async def check_stall(
     means: ForwardingMeans,
@@ -111,7 +114,7 @@
             continue
         lost = means.view.replicas.get(part.replica_id)
         if lost is not None:
-            means.beliefs.mark_down(incarnation_of(lost), "requests stall on it")
+            means.beliefs.doubt(incarnation_of(lost), "requests stall on it")
     return await _move(means, service, head, path, attempt_id, tokens, faulty, avoid)
 
 
@@ -126,14 +129,14 @@
     avoid: Collection[str],
 ) -> StallCheck:
     """Send a stalled stream past the replica at fault."""
-    lost = {part.replica_id for part in path.parts if str(part.address) == faulty}
+    lost = frozenset(part.replica_id for part in path.parts if str(part.address) == faulty)
     moved = choose_path(means, service, tokens, {*avoid, *lost}, head.replica_id)
     if moved is None or moved.parts[0].layers != path.parts[0].layers:
-        return StallCheck(Verdict.LOST, f"it stalls on {faulty}, and no other path has its head")
+        return StallCheck(Verdict.LOST, f"it stalls on {faulty}, no other path", None, lost)
     outcome = await means.engines.repath(head, attempt_id, moved.parts, means.fence())
     if outcome.is_error():
-        return StallCheck(Verdict.LOST, f"it stalls on {faulty}; no answer: {outcome.error}")
+        return StallCheck(Verdict.LOST, f"it stalls on {faulty}, no answer", None, lost)
     if outcome.ok not in (OrderOutcome.DONE, OrderOutcome.BEGUN):
-        return StallCheck(Verdict.LOST, f"it stalls on {faulty}; moving: {outcome.ok.value}")
+        return StallCheck(Verdict.LOST, f"it stalls on {faulty}, {outcome.ok.value}", None, lost)
     _log.info("A stream was moved.", request=attempt_id, past=faulty, parts=len(moved.parts))
-    return StallCheck(Verdict.MOVED, f"it was moved past {faulty}", moved)
+    return StallCheck(Verdict.MOVED, f"it was moved past {faulty}", moved, lost)
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -38,10 +38,10 @@
 CHECK_INTERVAL_MS: Final = 100.0
 """How often a stream is looked at."""
 
-FIRST_EVENT_PAUSE_MS: Final = 450.0
+FIRST_EVENT_PAUSE_MS: Final = 380.0
 """Wait for the first event after which its cause is looked for."""
 
-PAUSE_MS: Final = 300.0
+PAUSE_MS: Final = 260.0
 """Pause between events after which its cause is looked for; usual ones last some 50 ms."""
 
 SILENT_MS: Final = 1_300.0
@@ -179,6 +179,7 @@
         state.avoid,
         0 if routed.exchange.is_begun else routed.priority + 1,
         min(wait_ms, left_ms),
+        is_begun=routed.exchange.is_begun,
     )
     if path is None:
         return None
@@ -241,6 +242,7 @@
     if check.verdict is Verdict.WAIT or state.active_ms > heard_ms:
         return True
     routed.history.append(check.reason)
+    state.avoid |= check.faulty
     if check.verdict is Verdict.LOST or check.path is None:
         return not routed.route.is_resumable
     means.loads.remove(path.parts, state.tokens)
@@ -394,7 +396,7 @@
             continue
         state.avoid.add(part.replica_id)
         if waited_ms >= means.stall_ms * 0.8:
-            means.beliefs.mark_down(incarnation_of(replica), "requests stalled on it")
+            means.beliefs.doubt(incarnation_of(replica), "requests stalled on it")
         else:
             means.beliefs.pass_over(incarnation_of(replica), NO_ROOM_PASS_OVER_MS)
 
--- a/src/pimentodale/gateway/sharing.py
+++ b/src/pimentodale/gateway/sharing.py
@@ -98,7 +98,7 @@
         except msgspec.MsgspecError as error:
             _log.warning("A host's word can't be read.", host=update.owner, problem=str(error))
             return
-        beliefs.mark_down((replica_id, started_ms), reason, by_peer=update.owner)
+        beliefs.doubt((replica_id, started_ms), reason, by_peer=update.owner)
 
     beliefs.tell = tell
     peers.subscribe(DOWN_TOPIC, take)
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -25,8 +25,15 @@
 HOP_COST_MS: Final = 0.05
 """Cost of a further replica for each token: the delay within a failure domain."""
 
-CROSSING_COST_MS: Final = 1.5
-"""Cost of a step to another failure domain for each token: its delay, and the shared pipe's load."""
+CROSSING_COST_MS: Final = 4.0
+"""Cost of a step to another failure domain within a path, for each token.
+
+The delay is a tenth of it; the rest keeps paths within one domain, so that a cut between two domains
+meets as few streams as possible.
+"""
+
+ENTRY_CROSSING_COST_MS: Final = 1.0
+"""Cost of a first replica in another failure domain than the request, for each token."""
 
 FULL_FRACTION: Final = 0.97
 """Part of a replica's memory for requests that admission fills."""
@@ -171,11 +178,12 @@
     if record.held is None:
         return
     domain = record.failure_domain
+    step_ms = ENTRY_CROSSING_COST_MS if position == 0 else CROSSING_COST_MS
     start = min(
         here.items(),
-        key=lambda item: item[1].cost_ms + (0.0 if item[0] == domain else CROSSING_COST_MS),
+        key=lambda item: item[1].cost_ms + (0.0 if item[0] == domain else step_ms),
     )
-    crossing_ms = 0.0 if start[0] == domain else CROSSING_COST_MS
+    crossing_ms = 0.0 if start[0] == domain else step_ms
     base_ms = start[1].cost_ms + crossing_ms + HOP_COST_MS
     layer_ms = token_ms(engine, stage) / engine.layers
     kind = engine.kinds.get(record.kind)
--- a/src/pimentodale/platform/engines.py
+++ b/src/pimentodale/platform/engines.py
@@ -20,7 +20,7 @@
     from pimentodale.placement.messages import PathPart
     from pimentodale.site.model import LayerRange, ReplicaRecord
 
-CALL_TIMEOUT_MS: Final = 700.0
+CALL_TIMEOUT_MS: Final = 500.0
 """Longest report or order; replicas answer both without a slot, in milliseconds."""
 
 EXPECT_REPLICA: Final = "Pimentodale-Expect-Replica"
--- a/src/pimentodale/site/beliefs.py
+++ b/src/pimentodale/site/beliefs.py
@@ -16,6 +16,9 @@
 PROBE_INTERVAL_MS: Final = 600.0
 """Pause between two questions to a replica that counts as down."""
 
+DOUBT_MS: Final = 600.0
+"""Longest doubt: a probe that has no answer by then makes the replica count as down."""
+
 FAILURE_HALF_LIFE_MS: Final = 3_000.0
 """Time in which a replica's failures lose half their weight."""
 
@@ -78,23 +81,35 @@
         if incarnation not in self._down:
             self._suspects.add(incarnation)
 
-    def mark_down(self, incarnation: Incarnation, reason: str, *, by_peer: str = "") -> None:
-        """Give a replica no work until it answers a probe.
+    def doubt(self, incarnation: Incarnation, reason: str, *, by_peer: str = "") -> None:
+        """Give a replica no work until its probe has ended: others could not reach it.
 
         Args:
             incarnation: The replica.
             reason: What showed it, for the log.
-            by_peer: Host that told; empty when this host found out itself.
+            by_peer: Host that told; empty when this host learned it from a replica.
         """
-        if incarnation in self._down:
+        if incarnation in self._down or incarnation in self._suspects:
             return
-        self._down[incarnation] = _Down(reason, self.clock.now_ms())
-        _log.warning(
-            "A replica counts as down.", replica=incarnation[0], reason=reason, told_by=by_peer
-        )
+        _log.info("A replica is doubted.", replica=incarnation[0], reason=reason, told_by=by_peer)
+        self._suspects.add(incarnation)
+        self.pass_over(incarnation, DOUBT_MS)
         if not by_peer:
             self.tell(incarnation, reason)
 
+    def mark_down(self, incarnation: Incarnation, reason: str) -> None:
+        """Give a replica no work until it answers a probe: this host could not reach it.
+
+        Args:
+            incarnation: The replica.
+            reason: What showed it, for the log.
+        """
+        if incarnation in self._down:
+            return
+        self._down[incarnation] = _Down(reason, self.clock.now_ms())
+        _log.warning("A replica counts as down.", replica=incarnation[0], reason=reason)
+        self.tell(incarnation, reason)
+
     def pass_over(self, incarnation: Incarnation, duration_ms: float) -> None:
         """Give a replica no new work for a while."""
         until_ms = self.clock.now_ms() + duration_ms
@@ -117,6 +132,7 @@
 
     def mark_up(self, incarnation: Incarnation) -> None:
         """Give a replica work again: it answered."""
+        self._passed_over.pop(incarnation, None)
         if self._down.pop(incarnation, None) is not None:
             _log.info("A replica answers again.", replica=incarnation[0])
 
