--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -81,3 +81,9 @@
     When the store is down
     And a failure domain loses a replica that the store can't tell of
     Then its layers are held in that failure domain again within 9 s
+
+  Scenario: a request that crashes its replicas is refused after a few crashes
+    Given a site of two gateways, eight replicas and a store
+    When a request that crashes its first replica is sent again and again through both gateways
+    Then at most 4 replicas crash and the request is refused from then on
+    And other streams are served again within 8 s
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -372,3 +372,26 @@
 def store_down(context: Any) -> None:
     down = {"down": True, "down_mode": "silent"}
     call(f"http://{context.site.ip(2)}:9001/admin/faults", down)
+
+
+@when("a request that crashes its first replica is sent again and again through both gateways")
+def send_poison(context: Any) -> None:
+    context.statuses = []
+    for number in range(8):
+        reply = context.gateways.request(GATEWAYS[number % 2], "/lm/stream", body=b"poison")
+        context.statuses.append((reply.status, reply.json()["name"]))
+        # A caller that sends again once the crash is known; replicas are back after 1 s.
+        time.sleep(1.2)
+
+
+@then("at most 4 replicas crash and the request is refused from then on")
+def check_poison(context: Any) -> None:
+    crashes = context.gateways.journal("crash")
+    assert len(crashes) <= 4, (len(crashes), context.statuses)
+    assert context.statuses[-1] == (502, "quarantined"), context.statuses
+
+
+@then("other streams are served again within 8 s")
+def check_served_again(context: Any) -> None:
+    for name in GATEWAYS:
+        wait_until(lambda name=name: context.gateways.serves(name), f"{name} serves", 8.0)
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -7,17 +7,14 @@
 import random
 from typing import Any
 
-import msgspec
 from behave import given, then, when
-from expression import Error, Ok
+from features.support.mirror_fakes import CountingStore, FakePeers
 
-from pimentodale.clients.key_value import KeyValue, RangeReply, StoreFault
+from pimentodale.clients.key_value import KeyValue
 from pimentodale.clock import ManualClock, create_clock
-from pimentodale.mirror.follower import WATCHERS, MirrorQuestion, create_mirror_follower
+from pimentodale.mirror.follower import WATCHERS, create_mirror_follower
 from pimentodale.mirror.mirror import Mirror, create_mirror
 from pimentodale.peers.mesh import choose_watchers
-from pimentodale.peers.messages import MemberRecord, MemberState
-from pimentodale.peers.peers import PeerFault
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
 from pimentodale.site.view import SiteRecords, create_site_view
@@ -194,48 +191,6 @@
     assert context.view.configuration.version == 7
 
 
-class FakePeers:
-    """Membership of a failure domain of five hosts, whose watchers answer from one copy."""
-
-    def __init__(self, source: Mirror) -> None:
-        self.members = [
-            MemberRecord(f"h{n}", 1, MemberState.ALIVE, "b", "a", "r", "10.0.0.1", 1 + n)
-            for n in range(5)
-        ]
-        self.own = self.members[0]
-        self.source = source
-        self.answers = True
-        self.asked: list[str] = []
-
-    def live_members(self) -> list[MemberRecord]:
-        return self.members
-
-    def handle(self, topic: str, handler: object) -> None:
-        pass
-
-    async def request(self, host: str, topic: str, body: bytes, timeout_ms: float) -> Any:
-        self.asked.append(host)
-        await asyncio.sleep(0.01)
-        if not self.answers:
-            return Error(PeerFault(False, "no answer"))
-        question = msgspec.msgpack.decode(body, type=MirrorQuestion)
-        return Ok(msgspec.msgpack.encode(self.source.changes_since(question.revision)))
-
-
-class CountingStore:
-    """A store that counts its readings and gives no answer to a watch."""
-
-    def __init__(self) -> None:
-        self.reads = 0
-
-    async def read(self, key: str, range_end: str) -> Any:
-        self.reads += 1
-        return Ok(RangeReply(20, [item("k", 20, b"from the store")]))
-
-    async def watch(self, prefix: str, from_revision: int, silence_timeout_ms: float) -> Any:
-        yield Error(StoreFault(False, "no answer"))
-
-
 @given("a failure domain of five hosts, three of which watch the store")
 def five_hosts(context: Any) -> None:
     clock = create_clock()
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -187,11 +187,13 @@
             "Pimentodale-Token-Count": "50,80",
         }
 
-    def request(self, gateway: str, path: str, key: str = KEY, method: str = "POST") -> Any:
+    def request(
+        self, gateway: str, path: str, key: str = KEY, method: str = "POST", body: bytes = b"body"
+    ) -> Any:
         """Send one request and read its whole answer."""
         url = f"http://{self.ip(gateway)}:7000{path}"
-        body = b"body" if method == "POST" else None
-        return call(url, body, headers=self.headers(key), method=method, timeout_s=12.0)
+        sent = body if method == "POST" else None
+        return call(url, sent, headers=self.headers(key), method=method, timeout_s=12.0)
 
     def open_stream(self, gateway: str) -> StreamClient:
         """Begin to read a stream."""
--- /dev/null
+++ b/features/support/mirror_fakes.py
@@ -0,0 +1,63 @@
+"""Peers and a store for following the store without a network."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from expression import Error, Ok
+
+from pimentodale.clients.key_value import KeyValue, RangeReply, StoreFault
+from pimentodale.mirror.follower import MirrorQuestion
+from pimentodale.peers.messages import MemberRecord, MemberState
+from pimentodale.peers.peers import PeerFault
+
+if TYPE_CHECKING:
+    from pimentodale.mirror.mirror import Mirror
+
+
+class FakePeers:
+    """Membership of a failure domain of five hosts, whose watchers answer from one copy."""
+
+    def __init__(self, source: Mirror) -> None:
+        self.members = [
+            MemberRecord(f"h{n}", 1, MemberState.ALIVE, "b", "a", "r", "10.0.0.1", 1 + n)
+            for n in range(5)
+        ]
+        self.own = self.members[0]
+        self.source = source
+        self.answers = True
+        self.asked: list[str] = []
+
+    def live_members(self) -> list[MemberRecord]:
+        """Return all five."""
+        return self.members
+
+    def handle(self, topic: str, handler: object) -> None:
+        """Take no handler: nobody asks this host."""
+
+    async def request(self, host: str, topic: str, body: bytes, timeout_ms: float) -> Any:
+        """Answer from the copy."""
+        self.asked.append(host)
+        await asyncio.sleep(0.01)
+        if not self.answers:
+            return Error(PeerFault(False, "no answer"))
+        question = msgspec.msgpack.decode(body, type=MirrorQuestion)
+        return Ok(msgspec.msgpack.encode(self.source.changes_since(question.revision)))
+
+
+class CountingStore:
+    """A store that counts its readings and gives no answer to a watch."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read(self, key: str, range_end: str) -> Any:
+        """Return one key."""
+        self.reads += 1
+        return Ok(RangeReply(20, [KeyValue("k", b"from the store", 20, 20)]))
+
+    async def watch(self, prefix: str, from_revision: int, silence_timeout_ms: float) -> Any:
+        """End at once."""
+        yield Error(StoreFault(False, "no answer"))
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.forwarding.front_server import ClientExchange
     from pimentodale.forwarding.loads import LoadBoard
@@ -47,6 +48,9 @@
     stall_ms: float
     """How long engines wait for a replica that doesn't answer."""
 
+    background: BackgroundTasks
+    """Runs what outlives a request."""
+
     fence: Callable[[], int]
     """Returns the highest fencing number known."""
 
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -31,6 +31,7 @@
     from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
     from pimentodale.forwarding.messages import BackendAnswer
     from pimentodale.placement.paths import Path
+    from pimentodale.site.model import ReplicaRecord
 
 CONNECT_TIMEOUT_MS: Final = 400.0
 """Longest opening of a connection to a replica, over a hundred times the usual one."""
@@ -56,6 +57,9 @@
 NO_ROOM_PASS_OVER_MS: Final = 150.0
 """How long a replica that had no room gets no new requests."""
 
+CRASH_CHECK_MS: Final = 800.0
+"""When it is looked whether a replica has crashed: a probe has ended by then."""
+
 MAX_SENDS: Final = 6
 """Most sends of one attempt, refused ones included."""
 
@@ -118,6 +122,12 @@
     path: Path | None = None
     """The path of the send that runs."""
 
+    broken_at_start: int = 0
+    """Sends that broke off before an event: the request itself may crash its replicas."""
+
+    crash_suspects: set[str] = field(default_factory=set)
+    """Ids of replicas that it ran at and that may have crashed."""
+
     faulty_address: str = ""
     """Replica at fault in the last refusal."""
 
@@ -154,13 +164,35 @@
             await fail(routed.exchange, ResultCode.DEADLINE_EXCEEDED, message)
             return
         if end is AttemptEnd.BROKEN and state.path is not None:
-            head = state.path.parts[0].replica_id
-            means.poison.strike(fingerprint, f"{head}")
-        if state.may_have_run and not routed.route.is_resumable:
+            state.crash_suspects.add(state.path.parts[0].replica_id)
+            state.broken_at_start += state.send_events == 0
+        _watch_for_crashes(means, state, fingerprint)
+        is_over = state.broken_at_start >= routed.route.max_attempts
+        if is_over or (state.may_have_run and not routed.route.is_resumable):
             await _give_up(means, routed, state)
             return
 
 
+def _watch_for_crashes(means: ForwardingMeans, state: StreamState, fingerprint: str) -> None:
+    """Hold crashes against a request once probes have told them from lost connections."""
+    for replica_id in state.crash_suspects:
+        replica = means.view.replicas.get(replica_id)
+        if replica is not None:
+            work = _strike_if_crashed(means, fingerprint, replica)
+            means.background.start(work, "crash check")
+    state.crash_suspects.clear()
+
+
+async def _strike_if_crashed(
+    means: ForwardingMeans, fingerprint: str, replica: ReplicaRecord
+) -> None:
+    """Hold a replica's crash against a request, if it is down or has started anew."""
+    await means.clock.sleep_ms(CRASH_CHECK_MS)
+    known = means.view.replicas.get(replica.replica_id)
+    if known is None or known.started_ms != replica.started_ms or means.beliefs.is_lost(known):
+        means.poison.strike(fingerprint, f"{replica.replica_id}/{replica.started_ms}")
+
+
 async def _next_send(
     means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
 ) -> AttemptEnd | None:
@@ -243,6 +275,7 @@
         return True
     routed.history.append(check.reason)
     state.avoid |= check.faulty
+    state.crash_suspects |= check.faulty
     if check.verdict is Verdict.LOST or check.path is None:
         return not routed.route.is_resumable
     means.loads.remove(path.parts, state.tokens)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -198,6 +198,7 @@
         metrics=metrics,
         failure_domain=settings.failure_domain,
         stall_ms=settings.stall_ms,
+        background=gateway.background,
         fence=lambda: highest_fence(view),
         rng=gateway.rng,
     )
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -33,6 +33,12 @@
 HEARTBEAT_MS: Final = 400.0
 """How often a replica looks whether its record is what it should be."""
 
+POISON: Final = b"poison"
+"""Body of a request that crashes its first replica."""
+
+CRASHED_MS: Final = 1_000.0
+"""How long a crashed replica is away."""
+
 STALL_MS: Final = 2_500.0
 """How long a request waits for a replica that doesn't answer."""
 
@@ -144,6 +150,13 @@
         held = self.held
         return held is not None and held[0] <= step.first and step.end <= held[1]
 
+    def restart(self) -> None:
+        """Start again under its id, empty."""
+        self.held = None
+        self.orders = self.highest_fence = 0
+        self.started_ms = int(self.clock.wall_ms())
+        self.outage.faults = Outage()
+
     def record(self) -> dict[str, Any]:
         """Return what it says of itself in the store."""
         record: dict[str, Any] = {
@@ -319,6 +332,10 @@
     async def _stream(self, attempt: str, path: list[PathStep]) -> None:
         """Write the events of a stream; each needs every part of the path."""
         part = self.part
+        if self.request.body == POISON:
+            self._journal("crash", attempt, "")
+            await self._crash()
+            return
         part.running[attempt] = path
         # A replica that is dead keeps its work waiting; one that lacks its part refuses at once.
         if is_down(find_fault(path)):
@@ -345,6 +362,16 @@
             part.running.pop(attempt, None)
             part.stalled.pop(attempt, None)
 
+    async def _crash(self) -> None:
+        """Crash, and be back empty after a while."""
+        part = self.part
+        self.reset_connection()
+        part.outage.faults = Outage(down=True, down_mode="refuse")
+        await part.outage.apply()
+        await asyncio.sleep(CRASHED_MS / MS_PER_S)
+        part.restart()
+        await part.outage.apply()
+
     async def _write_event(self, number: int) -> None:
         """Write one event."""
         if number == 1:
@@ -399,10 +426,7 @@
 
     def post(self) -> None:
         """Forget everything."""
-        self.part.held = None
-        self.part.orders = self.part.highest_fence = 0
-        self.part.started_ms = int(self.part.clock.wall_ms())
-        self.part.outage.faults = Outage()
+        self.part.restart()
         self.reply({})
 
 
