--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -91,6 +91,7 @@
                     "kind": "platform_replica",
                     "listen": f"{self.ip(name)}:8000",
                     "admin_listen": f"{self.ip(name)}:8001",
+                    "advertise": f"{self.ip(name)}:8002",
                     "replica_id": f"i-{name}",
                     "service": "lm" if is_engine else "plain",
                     "failure_domain": name[0] if is_engine else name[1],
@@ -103,6 +104,15 @@
             )
             if is_engine:
                 parts[-1]["accelerator"] = "card"
+            # Requests and orders pass through a relay, where links are harmed.
+            parts.append(
+                {
+                    "kind": "relay",
+                    "listen": f"{self.ip(name)}:8002",
+                    "target": f"{self.ip(name)}:8000",
+                    "admin_listen": f"{self.ip(name)}:8003",
+                }
+            )
         path = self.site.write("replicas.yaml", {"parts": parts})
         self.site.start("replicas", "pimentodale-standin", str(path))
 
@@ -188,12 +198,18 @@
         }
 
     def request(
-        self, gateway: str, path: str, key: str = KEY, method: str = "POST", body: bytes = b"body"
+        self,
+        gateway: str,
+        path: str,
+        key: str = KEY,
+        method: str = "POST",
+        body: bytes = b"body",
+        headers: dict[str, str] | None = None,
     ) -> Any:
-        """Send one request and read its whole answer."""
+        """Send one request and read its whole answer; `headers` are those of a new attempt."""
         url = f"http://{self.ip(gateway)}:7000{path}"
         sent = body if method == "POST" else None
-        return call(url, sent, headers=self.headers(key), method=method, timeout_s=12.0)
+        return call(url, sent, headers=headers or self.headers(key), method=method, timeout_s=12.0)
 
     def open_stream(self, gateway: str) -> StreamClient:
         """Begin to read a stream."""
@@ -208,6 +224,15 @@
         """Set a replica's faults."""
         call(f"http://{self.ip(name)}:8001/admin/faults", faults)
 
+    def link_fault(self, name: str, **faults: object) -> None:
+        """Set the faults of the link to a replica, or with `store` to the store."""
+        address = f"{self.site.ip(2)}:9003" if name == "store" else f"{self.ip(name)}:8003"
+        call(f"http://{address}/admin/faults", faults)
+
+    def store_fault(self, **faults: object) -> None:
+        """Set the store's faults."""
+        call(f"http://{self.site.ip(2)}:9001/admin/faults", faults)
+
     def admin(self, name: str, what: str) -> None:
         """Bring something about at a replica."""
         call(f"http://{self.ip(name)}:8001/admin/{what}", {})
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -55,6 +55,9 @@
     admin_listen: str
     """`IP:PORT` where faults are set."""
 
+    advertise: str = ""
+    """`IP:PORT` that it registers, such as a relay's; empty when that is `listen`."""
+
     replica_id: str
     """Its identity."""
 
@@ -161,7 +164,7 @@
         """Return what it says of itself in the store."""
         record: dict[str, Any] = {
             "service": self.settings.service,
-            "address": self.settings.listen,
+            "address": self.settings.advertise or self.settings.listen,
             "zone": self.settings.failure_domain,
             "version": "v1",
             "slots": 96,
@@ -462,7 +465,7 @@
     part = PlatformReplicaPart(
         settings, clock, outage, Journal(settings.journal), int(clock.wall_ms())
     )
-    _replicas[settings.listen] = part
+    _replicas[settings.advertise or settings.listen] = part
     arguments: dict[str, Any] = {"part": part}
     handlers: dict[str, type[PartHandler]] = {
         "/api/report": ReportHandler,
