Share the tracking server and the metric families, and split streams by duty

Moves and names only: TrackingServer serves entry hosts and gateways, metric families are written once, and a stream's state and its passing on have modules of their own. 35 scenarios of gateway, adapter and leaving features pass.

--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -48,7 +48,6 @@
 
     from pimentodale.addresses import Address
     from pimentodale.background import BackgroundTasks
-    from pimentodale.callers.app import CallerServer
     from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clients.targets import Targets
     from pimentodale.clock import Clock
@@ -58,6 +57,7 @@
     from pimentodale.peers.peers import Peers
     from pimentodale.routing.fleet import Fleet
     from pimentodale.services.messages import ServiceReplica
+    from pimentodale.tracking_server import TrackingServer
 
 EXIT_WORK_CUT: Final = 3
 """Exit code of a planned stop whose time was over with work in progress."""
@@ -168,7 +168,7 @@
 
 
 def _create_stop_steps(
-    host: EntryHost, context: CallerContext, server: CallerServer, peers: Peers
+    host: EntryHost, context: CallerContext, server: TrackingServer, peers: Peers
 ) -> StopSteps:
     """Say what is done at each step of a planned stop."""
 
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 from pimentodale.forwarding.plain import serve_plain
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.route_table import choose_service
-from pimentodale.forwarding.streams import StreamPool, serve_stream
+from pimentodale.forwarding.streams import serve_stream
 from pimentodale.logs import get_log
 from pimentodale.results import ResultCode
 from pimentodale.site.model import Repeatability
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from pimentodale.forwarding.front_server import ClientExchange
     from pimentodale.forwarding.means import ForwardingMeans
+    from pimentodale.forwarding.stream_state import StreamPool
 
 STALE_MS: Final = 2_600.0
 """Age of the configuration from which "there is no such route or key" can't be said any more."""
--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -8,7 +8,6 @@
 from weakref import WeakSet
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
@@ -19,6 +18,7 @@
 from tornado.iostream import StreamClosedError
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.tracking_server import TrackingServer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -116,20 +116,18 @@
             self._connection.finish()
 
 
-class FrontServer(HTTPServer):
+class FrontServer(TrackingServer):
     """Accepts clients' connections."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Take Tornado's own arguments."""
         super().initialize(*args, **kwargs)
-        self._streams: WeakSet[IOStream] = WeakSet()
         self.busy_streams: WeakSet[IOStream] = WeakSet()
         """Connections whose request has begun to arrive and has no whole answer yet."""
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection."""
         stream.set_nodelay(True)
-        self._streams.add(stream)
         super().handle_stream(stream, address)
 
     def apply_limits(self, limits: ClientLimits) -> None:
@@ -139,27 +137,13 @@
         # The same time-out bounds an idle connection and a slow header; the longer one holds.
         self.conn_params.header_timeout = limits.idle_timeout_ms / MS_PER_S
 
-    def end_connections_when_answered(self) -> None:
-        """Close each connection after the answer to its next request."""
-        self.conn_params.no_keep_alive = True
-
     def take_no_more(self) -> None:
         """Stop listening and close the connections that wait for a client's next request."""
         self.stop()
-        for stream in list(self._streams):
+        for stream in list(self.streams):
             if stream not in self.busy_streams and not stream.writing():
                 stream.close()
 
-    async def close_when_sent(self, clock: Clock, timeout_ms: float) -> None:
-        """Close the connections once what was written has left."""
-        end_ms = clock.now_ms() + timeout_ms
-        while any(stream.writing() for stream in self._streams) and clock.now_ms() < end_ms:
-            await clock.sleep_ms(_SEND_POLL_MS)
-        await self.close_all_connections()
-
-
-_SEND_POLL_MS: Final = 10.0
-
 
 class _Connections(HTTPServerConnectionDelegate):
     """Creates the receiver of each request."""
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -11,6 +11,7 @@
 from pimentodale.clock import MS_PER_S
 from pimentodale.forwarding.means import log_end
 from pimentodale.forwarding.refusing import fail, refuse
+from pimentodale.forwarding.stream_passing import CONNECT_TIMEOUT_MS
 from pimentodale.placement.messages import PathPart
 from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import incarnation_of
@@ -21,9 +22,6 @@
     from pimentodale.forwarding.messages import BackendAnswer
     from pimentodale.site.model import ReplicaRecord
 
-CONNECT_TIMEOUT_MS: Final = 400.0
-"""Longest opening of a connection to a replica, over a hundred times the usual one."""
-
 PATIENCE: Final = 4.0
 """Multiple of the target latency after which a repeatable request goes to another replica too."""
 
--- /dev/null
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -0,0 +1,81 @@
+"""One client's stream over all its sends, and what the streams of a host share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from pimentodale.forwarding.stages import RoomQueue
+from pimentodale.forwarding.stalls import StallReports
+
+if TYPE_CHECKING:
+    from pimentodale.placement.paths import Path
+
+
+class AttemptEnd(Enum):
+    """How one send of a stream ended."""
+
+    WHOLE = "whole"
+    PASSED_ON = "passed on"
+    """The replica's own failure was given to the client."""
+
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    LOST = "lost"
+    """A replica of its path doesn't answer."""
+
+    TIMED_OUT = "timed out"
+
+
+@dataclass(slots=True)
+class StreamPool:
+    """What the streams of a host share."""
+
+    queue: RoomQueue = field(default_factory=RoomQueue)
+    """Streams that wait for room."""
+
+    reports: StallReports = field(default_factory=StallReports)
+    """Reports asked for lately."""
+
+
+@dataclass(slots=True)
+class StreamState:
+    """One client's stream over all its sends."""
+
+    last_event_id: str | None
+    """Last event that the client has; at first the one that it asked to go on after."""
+
+    tokens: float
+    """Tokens that it holds on average."""
+
+    avoid: set[str] = field(default_factory=set)
+    """Ids of replicas that it must not use again."""
+
+    active_ms: float = 0.0
+    """When it was last sent, moved or heard of."""
+
+    events: int = 0
+    """Events passed on."""
+
+    send_events: int = 0
+    """Events passed on in the send that runs."""
+
+    may_have_run: bool = False
+    """Whether a replica may have begun to run it."""
+
+    path: Path | None = None
+    """The path of the send that runs."""
+
+    broken_at_start: int = 0
+    """Sends that broke off before an event: the request itself may crash its replicas."""
+
+    crash_suspects: set[str] = field(default_factory=set)
+    """Ids of replicas that it ran at and that may have crashed."""
+
+    faulty_address: str = ""
+    """Replica at fault in the last refusal."""
+
+    status: int = 0
+    """HTTP status of the last answer."""
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -3,39 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clients.http_call import CallRequest, open_call
 from pimentodale.clock import MS_PER_S
-from pimentodale.forwarding.event_stream import EventSplitter, EventTooLongError, follows
 from pimentodale.forwarding.means import log_end
 from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.forwarding.refusing import fail, refuse
 from pimentodale.forwarding.stages import (
     ROOM_WAIT_MS,
-    RoomQueue,
     covers_model,
     repair_ms,
     tokens_held,
     wait_for_path,
 )
-from pimentodale.forwarding.stalls import StallReports, Verdict, check_stall
+from pimentodale.forwarding.stalls import Verdict, check_stall
+from pimentodale.forwarding.stream_passing import pass_stream_on
+from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
 from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
-    from pimentodale.clients.http_call import HttpCall
     from pimentodale.forwarding.front_server import ClientExchange
     from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
-    from pimentodale.forwarding.messages import BackendAnswer
-    from pimentodale.placement.paths import Path
     from pimentodale.site.model import ReplicaRecord
 
-CONNECT_TIMEOUT_MS: Final = 400.0
-"""Longest opening of a connection to a replica, over a hundred times the usual one."""
-
 CHECK_INTERVAL_MS: Final = 100.0
 """How often a stream is looked at."""
 
@@ -67,74 +58,6 @@
 """When a client may come back after a refusal for lack of room; streams last some 3 s."""
 
 
-class AttemptEnd(Enum):
-    """How one send of a stream ended."""
-
-    WHOLE = "whole"
-    PASSED_ON = "passed on"
-    """The replica's own failure was given to the client."""
-
-    NOT_SENT = "not sent"
-    REFUSED = "refused"
-    BROKEN = "broken"
-    LOST = "lost"
-    """A replica of its path doesn't answer."""
-
-    TIMED_OUT = "timed out"
-
-
-@dataclass(slots=True)
-class StreamPool:
-    """What the streams of a host share."""
-
-    queue: RoomQueue = field(default_factory=RoomQueue)
-    """Streams that wait for room."""
-
-    reports: StallReports = field(default_factory=StallReports)
-    """Reports asked for lately."""
-
-
-@dataclass(slots=True)
-class StreamState:
-    """One client's stream over all its sends."""
-
-    last_event_id: str | None
-    """Last event that the client has; at first the one that it asked to go on after."""
-
-    tokens: float
-    """Tokens that it holds on average."""
-
-    avoid: set[str] = field(default_factory=set)
-    """Ids of replicas that it must not use again."""
-
-    active_ms: float = 0.0
-    """When it was last sent, moved or heard of."""
-
-    events: int = 0
-    """Events passed on."""
-
-    send_events: int = 0
-    """Events passed on in the send that runs."""
-
-    may_have_run: bool = False
-    """Whether a replica may have begun to run it."""
-
-    path: Path | None = None
-    """The path of the send that runs."""
-
-    broken_at_start: int = 0
-    """Sends that broke off before an event: the request itself may crash its replicas."""
-
-    crash_suspects: set[str] = field(default_factory=set)
-    """Ids of replicas that it ran at and that may have crashed."""
-
-    faulty_address: str = ""
-    """Replica at fault in the last refusal."""
-
-    status: int = 0
-    """HTTP status of the last answer."""
-
-
 async def serve_stream(means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest) -> None:
     """Answer a request with a stream of events."""
     request = routed.exchange.request
@@ -237,7 +160,7 @@
     if path is None:
         return AttemptEnd.NOT_SENT
     means.loads.add(path.parts, state.tokens)
-    pump = asyncio.ensure_future(_pump(means, routed, state, path))
+    pump = asyncio.ensure_future(pass_stream_on(means, routed, state, path))
     try:
         while True:
             await asyncio.wait({pump}, timeout=CHECK_INTERVAL_MS / MS_PER_S)
@@ -285,112 +208,6 @@
     return True
 
 
-async def _pump(
-    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, path: Path
-) -> AttemptEnd:
-    """Send the request on a path and pass its events on."""
-    exchange = routed.exchange
-    request = exchange.request
-    head = path.parts[0]
-    left_ms = routed.left_ms(means.clock.now_ms())
-    headers = means.codec.encode_request(
-        request, routed.workspace, left_ms, head.replica_id, path.parts, state.last_event_id
-    )
-    call_request = CallRequest(
-        method=request.method, path=request.path, headers=headers, body=request.body
-    )
-    opened = await open_call(head.address, call_request, left_ms, CONNECT_TIMEOUT_MS)
-    if opened.is_error() and not opened.error.sent:
-        return AttemptEnd.NOT_SENT
-    routed.sends += 1
-    if opened.is_error():
-        state.may_have_run = True
-        return AttemptEnd.BROKEN
-    call = opened.ok
-    try:
-        answer = means.codec.decode_answer(call.status, call.headers, request.attempt_id)
-        if answer.refused is not None:
-            state.faulty_address = answer.faulty_address
-            return AttemptEnd.REFUSED
-        state.may_have_run = True
-        state.status = answer.status
-        if not answer.is_success:
-            return await _pass_failure_on(means, routed, call, answer, left_ms)
-        if not exchange.is_begun:
-            await exchange.begin(answer.status, answer.headers)
-        return await _pass_events_on(means, routed, state, call, left_ms)
-    finally:
-        call.close()
-
-
-async def _pass_events_on(
-    means: ForwardingMeans,
-    routed: RoutedRequest,
-    state: StreamState,
-    call: HttpCall,
-    silence_ms: float,
-) -> AttemptEnd:
-    """Pass whole events on until the stream ends."""
-    splitter = EventSplitter()
-    async for chunk in call.chunks(silence_ms):
-        if chunk.is_error():
-            return AttemptEnd.BROKEN
-        try:
-            events = splitter.feed(chunk.ok)
-        except EventTooLongError:
-            return AttemptEnd.BROKEN
-        passed: list[bytes] = []
-        for event in events:
-            if event.event_id is not None:
-                if not follows(event.event_id, state.last_event_id):
-                    routed.history.append(f"event {event.event_id} after {state.last_event_id}")
-                    return AttemptEnd.BROKEN
-                state.last_event_id = event.event_id
-            passed.append(event.data)
-        if not passed:
-            continue
-        _note_events(means, routed, state, len(passed))
-        await routed.exchange.write(b"".join(passed))
-    if splitter.has_partial:
-        return AttemptEnd.BROKEN
-    routed.exchange.end()
-    return AttemptEnd.WHOLE
-
-
-def _note_events(
-    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, count: int
-) -> None:
-    """Count events and the time that they took."""
-    now_ms = means.clock.now_ms()
-    if state.events == 0:
-        means.metrics.first_event.record(now_ms - routed.exchange.request.received_ms)
-    else:
-        means.metrics.between_events.record(now_ms - state.active_ms)
-    means.metrics.events += count
-    state.active_ms = now_ms
-    state.events += count
-    state.send_events += count
-
-
-async def _pass_failure_on(
-    means: ForwardingMeans,
-    routed: RoutedRequest,
-    call: HttpCall,
-    answer: BackendAnswer,
-    silence_ms: float,
-) -> AttemptEnd:
-    """Give the client the replica's own failure, if it is one and nothing has been passed on."""
-    if not answer.is_genuine or answer.claims_not_run or routed.exchange.is_begun:
-        return AttemptEnd.BROKEN
-    body = bytearray()
-    async for chunk in call.chunks(silence_ms):
-        if chunk.is_error():
-            return AttemptEnd.BROKEN
-        body += chunk.ok
-    await routed.exchange.answer(answer.status, answer.headers, bytes(body))
-    return AttemptEnd.PASSED_ON
-
-
 def _learn(
     means: ForwardingMeans, routed: RoutedRequest, state: StreamState, end: AttemptEnd
 ) -> None:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -21,7 +21,7 @@
 from pimentodale.forwarding.poison import create_poison_strikes
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.retry_share import create_retry_share
-from pimentodale.forwarding.streams import StreamPool
+from pimentodale.forwarding.stream_state import StreamPool
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.gateway.registration import keep_registered
 from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_loads
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from pimentodale.metrics import QUANTILES, Latency
+from pimentodale.metrics import Latency, latency_families, render_metrics, result_family
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -44,23 +44,13 @@
 
     def exposition(self) -> bytes:
         """Return all metrics as Prometheus text."""
-        # Imported here: it costs memory that only hosts whose metrics are read should pay.
-        from prometheus_client import CollectorRegistry, generate_latest
-
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(self)
-        return generate_latest(registry)
+        return render_metrics(self)
 
     def collect(self) -> Iterator[Metric]:
         """Yield the metric families, as prometheus_client asks of a collector."""
         from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-        results = CounterMetricFamily(
-            "pimentodale_requests", "Requests ended, by result code.", labels=["code", "name"]
-        )
-        for code, count in sorted(self.results.items()):
-            results.add_metric([str(int(code)), code.name.lower()], count)
-        yield results
+        yield result_family(self.results)
         yield CounterMetricFamily("pimentodale_events", "Events passed on.", value=self.events)
         latencies = (
             ("request_ms", self.request),
@@ -68,11 +58,7 @@
             ("between_events_ms", self.between_events),
         )
         for name, latency in latencies:
-            quantiles = GaugeMetricFamily(f"pimentodale_{name}", name, labels=["quantile"])
-            for percentile in QUANTILES:
-                quantiles.add_metric([f"{percentile / 100:g}"], latency.percentile_ms(percentile))
-            yield quantiles
-            yield CounterMetricFamily(f"pimentodale_{name}_count", name, value=latency.count)
+            yield from latency_families(name, latency)
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f"pimentodale_{name}", name, value=read())
 
--- a/src/pimentodale/metrics.py
+++ b/src/pimentodale/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from hdrh.histogram import HdrHistogram
 
@@ -90,34 +90,20 @@
 
     def exposition(self) -> bytes:
         """Return all metrics as Prometheus text."""
-        # Imported here: it costs memory that only hosts whose metrics are read should pay.
-        from prometheus_client import CollectorRegistry, generate_latest
-
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(self)
-        return generate_latest(registry)
+        return render_metrics(self)
 
     def collect(self) -> Iterator[Metric]:
         """Yield the metric families, as prometheus_client asks of a collector."""
         from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-        results = CounterMetricFamily(
-            "pimentodale_requests", "Requests ended, by result code.", labels=["code", "name"]
-        )
-        for code, count in sorted(self.results.items()):
-            results.add_metric([str(int(code)), code.name.lower()], count)
-        yield results
+        yield result_family(self.results)
         retries = CounterMetricFamily("pimentodale_retries", "Retries by cause.", labels=["cause"])
         for cause, count in sorted(self.retries.items()):
             retries.add_metric([cause], count)
         yield retries
         yield CounterMetricFamily("pimentodale_tokens", "Tokens passed on.", value=self.tokens)
         for name, latency in self._latencies():
-            quantiles = GaugeMetricFamily(f"pimentodale_{name}", name, labels=["quantile"])
-            for percentile in QUANTILES:
-                quantiles.add_metric([f"{percentile / 100:g}"], latency.percentile_ms(percentile))
-            yield quantiles
-            yield CounterMetricFamily(f"pimentodale_{name}_count", name, value=latency.count)
+            yield from latency_families(name, latency)
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f"pimentodale_{name}", name, value=read())
 
@@ -133,3 +119,36 @@
 def create_metrics() -> Metrics:
     """Return empty metrics."""
     return Metrics()
+
+
+def render_metrics(collector: Any) -> bytes:
+    """Return a collector's metrics as Prometheus text."""
+    # Imported here: it costs memory that only hosts whose metrics are read should pay.
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(collector)
+    return generate_latest(registry)
+
+
+def result_family(results: Counter[ResultCode]) -> Metric:
+    """Return ended requests by result code."""
+    from prometheus_client.core import CounterMetricFamily
+
+    family = CounterMetricFamily(
+        "pimentodale_requests", "Requests ended, by result code.", labels=["code", "name"]
+    )
+    for code, count in sorted(results.items()):
+        family.add_metric([str(int(code)), code.name.lower()], count)
+    return family
+
+
+def latency_families(name: str, latency: Latency) -> Iterator[Metric]:
+    """Yield a histogram's quantiles and its count."""
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+    quantiles = GaugeMetricFamily(f"pimentodale_{name}", name, labels=["quantile"])
+    for percentile in QUANTILES:
+        quantiles.add_metric([f"{percentile / 100:g}"], latency.percentile_ms(percentile))
+    yield quantiles
+    yield CounterMetricFamily(f"pimentodale_{name}_count", name, value=latency.count)
--- a/src/pimentodale/platform/engines.py
+++ b/src/pimentodale/platform/engines.py
@@ -14,7 +14,7 @@
     OrderOutcome,
     StalledRequest,
 )
-from pimentodale.platform.replicas import _Layers, decode_layers
+from pimentodale.platform.replicas import LayersRecord, decode_layers
 
 if TYPE_CHECKING:
     from pimentodale.placement.messages import PathPart
@@ -52,7 +52,7 @@
     # Over 1 when the replica runs slowly.
     pace: float = 1.0
     born: int = 0
-    layers: _Layers | None = None
+    layers: LayersRecord | None = None
     stalled: list[_Stalled] = []
 
 
--- a/src/pimentodale/platform/replicas.py
+++ b/src/pimentodale/platform/replicas.py
@@ -15,10 +15,12 @@
 _DRAINING = "draining"
 
 
-class _Layers(msgspec.Struct):
+class LayersRecord(msgspec.Struct):
+    """A range of layers as replicas write it."""
+
     from_: int = msgspec.field(name="from")
-    # Exclusive.
     to: int
+    """Layer after the last."""
 
 
 class _Replica(msgspec.Struct):
@@ -30,7 +32,7 @@
     # Unix milliseconds of its start.
     born: int = 0
     kind: str | None = None
-    layers: _Layers | None = None
+    layers: LayersRecord | None = None
 
 
 def decode_replica(key: str, value: bytes) -> Result[ReplicaRecord, str]:
@@ -65,7 +67,7 @@
     )
 
 
-def decode_layers(raw: _Layers | None) -> LayerRange | None:
+def decode_layers(raw: LayersRecord | None) -> LayerRange | None:
     """Translate a range of layers; an empty one is none."""
     if raw is None or raw.to <= raw.from_:
         return None
