--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -27,6 +27,9 @@
 ENGINE_REPLICAS: Final = ("a1", "a2", "a3", "b1", "b2", "b3")
 """Engine replicas; the first letter is the failure domain. Two hold a copy, the third is spare."""
 
+OPERATOR_TIMEOUT_S: Final = 1.0
+"""Longest write of a configuration; a store that is silent gives no answer at all."""
+
 PLAIN_REPLICAS: Final = ("pa", "pb")
 """Replicas of the plain service."""
 
@@ -183,7 +186,9 @@
             "tenants": [{"name": "w1", "api_keys": [KEY]}],
         }
         text = base64.b64encode(json.dumps(value).encode()).decode()
-        call(f"{self.store}/api/kv-txn", {"puts": [{"key": "op/config", "value": text}]})
+        put = {"puts": [{"key": "op/config", "value": text}]}
+        # Bounded, as whoever calls may have faults to mend meanwhile.
+        call(f"{self.store}/api/kv-txn", put, timeout_s=OPERATOR_TIMEOUT_S)
         return self.version
 
     def headers(self, key: str = KEY) -> dict[str, str]:
