--- a/features/ledger_rules.feature
+++ b/features/ledger_rules.feature
@@ -42,6 +42,29 @@
     Then the ledger work under "k" ran 1 time
     And the last ledger answer is the new outcome of "rig-1"
 
+  Scenario: a key that is being released runs nowhere before it is free
+    Given a ledger host "a" and a ledger host "b" over one store
+    When ledger host "a" begins to release key "k" and work "rig-1" under it starts through ledger host "b"
+    Then the ledger work under "k" ran 0 times
+    When ledger host "a" releases key "k"
+    Then the ledger work under "k" ran 1 time
+    And the last ledger answer is the new outcome of "rig-1"
+
+  Scenario: a release goes on after the mark's reply was lost
+    Given a ledger host "a" and a ledger host "b" over one store
+    When work "other" under key "early" is done through ledger host "a"
+    And ledger host "a" loses the reply to its mark on key "k" and releases it
+    And work "rig-1" under key "k" is done through ledger host "b"
+    Then the ledger work under "k" ran 1 time
+    And the last ledger answer is the new outcome of "rig-1"
+
+  Scenario: a key whose holder died while it released it is refused
+    Given a ledger host "a" and a ledger host "b" over one store
+    When ledger host "a" begins to release key "k" and never goes on
+    And work "rig-1" under key "k" is done through ledger host "b"
+    Then the ledger work under "k" ran 0 times
+    And the last ledger answer is "earlier_attempt_running" with ran "may_have_run", this attempt "not_run" and earlier attempt "running"
+
   Scenario: work that was lost after its first byte never runs again
     Given a ledger host "a" and a ledger host "b" over one store
     When work "rig-1" under key "k" is lost at ledger host "a" after its first byte
--- a/features/steps/ledger_rules.py
+++ b/features/steps/ledger_rules.py
@@ -24,7 +24,7 @@
 from pimentodale.results import Refusal, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from pimentodale.ledger.interface import Ledger
 
@@ -49,10 +49,16 @@
     retention_ms: float = FIRST_RETENTION_MS
     ran: list[str] = field(default_factory=list)
     last: Result[Outcome, Refusal] | None = None
+    loop: asyncio.AbstractEventLoop = field(default_factory=asyncio.new_event_loop)
+    """Lives through all steps, so that what a host does after its answer is not cut off by a step."""
 
     def __post_init__(self) -> None:
         self.state = MemoryState(self.clock)
 
+    def run(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run until some work has ended; tasks that it started go on with the next call."""
+        self.loop.run_until_complete(work)
+
     def add_host(self, name: str) -> None:
         """Add a host with a gate of its own to the store."""
 
@@ -115,6 +121,7 @@
 @given('a ledger host "{first}" and a ledger host "{second}" over one store')
 def make_hosts(context: Any, first: str, second: str) -> None:
     context.world = World()
+    context.add_cleanup(context.world.loop.close)
     context.world.add_host(first)
     context.world.add_host(second)
 
@@ -122,7 +129,7 @@
 @when('work "{text}" under key "{key}" is done through ledger host "{host}"')
 def do_work(context: Any, text: str, key: str, host: str) -> None:
     world: World = context.world
-    asyncio.run(world.attempt(host, key, text, _work(world, key, text)))
+    world.run(world.attempt(host, key, text, _work(world, key, text)))
 
 
 @when('work "{text}" under key "{key}" is held by ledger host "{host}" after its first byte')
@@ -153,7 +160,7 @@
         await asyncio.sleep(0)
         return Error(WorkFault(sent=False, code=ResultCode.NO_ROUTE, message="none"))
 
-    asyncio.run(context.world.attempt(host, key, text, work))
+    context.world.run(context.world.attempt(host, key, text, work))
 
 
 @when('work "{text}" under key "{key}" is lost at ledger host "{host}" after its first byte')
@@ -165,7 +172,7 @@
         world.ran.append(key)
         return Error(WorkFault(sent=True, code=ResultCode.BACKEND_SERVER_LOST, message="closed"))
 
-    asyncio.run(world.attempt(host, key, text, work))
+    world.run(world.attempt(host, key, text, work))
 
 
 @when(
@@ -182,7 +189,7 @@
             return Ok(_outcome(text))
         return Error(WorkFault(sent=False, code=ResultCode.INTERNAL, message="forbidden"))
 
-    asyncio.run(world.attempt(host, key, text, work))
+    world.run(world.attempt(host, key, text, work))
 
 
 @when("the ledger clock moves on by {duration_ms:d} ms")
@@ -213,7 +220,7 @@
         await world.attempt(host, key, text, _work(world, key, text))
         assert await world.ledgers[host].flush(SETTLE_MS) == 0
 
-    asyncio.run(do_and_flush())
+    world.run(do_and_flush())
 
 
 @when(
@@ -238,7 +245,64 @@
         world.holds.pop(first).set()
         assert await release
 
-    asyncio.run(race())
+    world.run(race())
+
+
+@when(
+    'ledger host "{first}" begins to release key "{key}" and work "{text}" under it starts '
+    'through ledger host "{second}"'
+)
+def begin_release(context: Any, first: str, key: str, text: str, second: str) -> None:
+    world: World = context.world
+
+    async def begin() -> None:
+        claimed = await world.ledgers[first].claim(_request(world, key, text))
+        assert await world.ledgers[first].begin_release(claimed.ok)
+        context.claim = claimed.ok
+        resend = world.attempt(second, key, text, _work(world, key, text))
+        context.resend = asyncio.ensure_future(resend)
+        await _turns(RELEASE_TURNS)
+
+    world.run(begin())
+
+
+@when('ledger host "{host}" releases key "{key}"')
+def end_release(context: Any, host: str, key: str) -> None:
+    world: World = context.world
+
+    async def end() -> None:
+        assert context.claim.record.state == "open"
+        assert await world.ledgers[host].release(context.claim)
+        await context.resend
+
+    del key
+    world.run(end())
+
+
+@when('ledger host "{host}" loses the reply to its mark on key "{key}" and releases it')
+def release_after_lost_mark(context: Any, host: str, key: str) -> None:
+    world: World = context.world
+
+    async def release() -> None:
+        claimed = await world.ledgers[host].claim(_request(world, key, "rig-1"))
+        standing = claimed.ok.mod_revision
+        world.lose_replies[host] = 1
+        assert await world.ledgers[host].begin_release(claimed.ok)
+        claimed.ok.mod_revision = standing
+        assert await world.ledgers[host].release(claimed.ok)
+
+    world.run(release())
+
+
+@when('ledger host "{host}" begins to release key "{key}" and never goes on')
+def abandon_release(context: Any, host: str, key: str) -> None:
+    world: World = context.world
+
+    async def begin() -> None:
+        claimed = await world.ledgers[host].claim(_request(world, key, "rig-1"))
+        assert await world.ledgers[host].begin_release(claimed.ok)
+
+    world.run(begin())
 
 
 @when("the retention of the ledger is raised to {retention_ms:d} ms")
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -94,10 +94,10 @@
         self._gate = gate
 
     async def read(
-        self, key: str, range_end: str = "", limit: int = 0
+        self, key: str, range_end: str = "", limit: int = 0, *, keys_only: bool = False
     ) -> Result[RangeReply, StoreFault]:
         """Read one key."""
-        del range_end, limit
+        del range_end, limit, keys_only
 
         def read_now() -> Result[RangeReply, StoreFault]:
             self._state.expire()
--- a/src/pimentodale/ledger/interface.py
+++ b/src/pimentodale/ledger/interface.py
@@ -37,6 +37,15 @@
             Whether it is stored. When it is not yet, the ledger goes on trying for a while.
         """
 
+    async def begin_release(self, claim: Claim) -> bool:
+        """Mark a claim under which no byte went out; it keeps the key until `release`.
+
+        Another attempt under the key waits for the `release` for a short while.
+
+        Returns:
+            Whether the mark is stored. The claim keeps the key either way.
+        """
+
     async def release(self, claim: Claim) -> bool:
         """Give a claim back under which no byte went out, so that a re-send may claim anew.
 
--- a/src/pimentodale/ledger/key_ledger.py
+++ b/src/pimentodale/ledger/key_ledger.py
@@ -51,12 +51,22 @@
 SETTLE_FOR_MS: Final = 60_000.0
 """How long an outcome or a release is tried in the background."""
 
+MIN_SETTLE_TRIES: Final = 8
+"""Tries in any case, about as many as fit into half of that time."""
+
 FIRST_BACKOFF_MS: Final = 100.0
 """First pause between two tries in the background; each next one is twice as long."""
 
 LAST_BACKOFF_MS: Final = 5_000.0
 """Longest pause between two tries in the background."""
 
+RELEASE_LOOKS: Final = 10
+"""Tries to claim a key whose holder has marked it as released; with the pauses, half the time that
+a release may hold up its caller."""
+
+RELEASE_PAUSE_MS: Final = 25.0
+"""Pause between two of them: some answers of a service that takes milliseconds."""
+
 WITHDRAW_LOOKS: Final = 3
 """Looks for a claim whose write gave no answer, as it may take effect late."""
 
@@ -124,6 +134,10 @@
         """Write the outcome over the claim; see `Ledger.finish`."""
         return await self._wait_for(self._settle(self._write_outcome(claim, outcome)))
 
+    async def begin_release(self, claim: Claim) -> bool:
+        """Write the mark over the claim; see `Ledger.begin_release`."""
+        return await self._wait_for(self._settle(self._mark_released(claim)))
+
     async def release(self, claim: Claim) -> bool:
         """Delete the claim if it stands as this host wrote it; see `Ledger.release`."""
         return await self._wait_for(self._settle(self._delete(claim)))
@@ -159,16 +173,23 @@
         record, deadline_ms = self._new_record(request)
         put = Put(key, encode_record(record), lease.ok)
         may_stand = False
-        for _ in range(CLAIM_TRIES):
+        faults = 0
+        looks = 0
+        while faults < CLAIM_TRIES:
             seen_ms = self._clock.now_ms()
             try:
                 reply = await self._store.txn([Compare(key, 0)], [put])
+                if reply.is_ok() and looks < RELEASE_LOOKS and _is_released(reply.ok):
+                    looks += 1
+                    await self._clock.sleep_ms(RELEASE_PAUSE_MS)
+                    continue
             except asyncio.CancelledError:
                 self._settle(self._withdraw(key, record.attempt_id))
                 raise
             if reply.is_ok():
                 self._store_down = False
                 return self._judge(request, key, record, deadline_ms, seen_ms, reply.ok)
+            faults += 1
             may_stand = may_stand or reply.error.may_have_applied
             self._note_fault(reply.error)
             if not may_stand:
@@ -265,8 +286,8 @@
 
     async def _wait_for(self, task: asyncio.Task[bool]) -> bool:
         """Wait a short time for a task that goes on by itself."""
-        done, _ = await asyncio.wait({task}, timeout=SETTLE_WAIT_MS / 1000.0)
-        return bool(done) and task.exception() is None and task.result()
+        done = await self._clock.wait_for(task, SETTLE_WAIT_MS)
+        return done and task.exception() is None and task.result()
 
     async def _write_outcome(self, claim: Claim, outcome: Outcome | None) -> bool:
         """Put the outcome in place of the open claim, and read back after a lost reply."""
@@ -297,17 +318,44 @@
 
     async def _delete(self, claim: Claim) -> bool:
         """Delete the claim as this host wrote it."""
-        compare = Compare(claim.key, claim.mod_revision)
 
         async def delete_once() -> bool | None:
+            compare = Compare(claim.key, claim.mod_revision)
             reply = await self._store.txn([compare], [Delete(claim.key)])
             if reply.is_error():
                 self._note_fault(reply.error)
                 return None
-            return reply.ok.succeeded or not _stands(reply.ok.items, claim)
+            if reply.ok.succeeded:
+                return True
+            own_revision = _own_revision(reply.ok, claim)
+            if own_revision is None:
+                return True
+            # The mark took effect after its reply was lost.
+            claim.mod_revision = own_revision
+            return None
 
         return await self._try_for_a_while(delete_once)
 
+    async def _mark_released(self, claim: Claim) -> bool:
+        """Write the claim anew as released, and read back after a lost reply."""
+        value = encode_record(msgspec.structs.replace(claim.record, state="released"))
+
+        async def mark_once() -> bool | None:
+            lease = await self._lease.lease_id()
+            if lease.is_error():
+                return False
+            compare = Compare(claim.key, claim.mod_revision)
+            reply = await self._store.txn([compare], [Put(claim.key, value, lease.ok)])
+            if reply.is_error():
+                self._note_fault(reply.error)
+                return None if reply.error.may_have_applied else False
+            revision = reply.ok.revision if reply.ok.succeeded else _own_revision(reply.ok, claim)
+            if revision is not None:
+                claim.mod_revision = revision
+            return revision is not None
+
+        return await self._try_for_a_while(mark_once)
+
     async def _withdraw(self, key: str, attempt_id: str) -> bool:
         """Take back a claim that may or may not have been written."""
         looks = 0
@@ -334,11 +382,14 @@
         """Repeat an act until it says how it ended, with growing pauses and a limit in time."""
         end_ms = self._clock.now_ms() + SETTLE_FOR_MS
         backoff_ms = FIRST_BACKOFF_MS
+        tries = 0
         while True:
             ended = await act_once()
+            tries += 1
             if ended is not None:
                 return ended
-            if self._clock.now_ms() + backoff_ms > end_ms:
+            # A host that was frozen for the whole time has not tried yet.
+            if self._clock.now_ms() + backoff_ms > end_ms and tries >= MIN_SETTLE_TRIES:
                 return False
             await self._clock.sleep_ms(backoff_ms)
             backoff_ms = min(2 * backoff_ms, LAST_BACKOFF_MS)
@@ -361,6 +412,23 @@
     return KeyLedger(store, clock, host, RetentionLease(store, clock, retention_ms))
 
 
+def _is_released(reply: TxnReply) -> bool:
+    """Whether a claim was refused because of one that is being released."""
+    if reply.succeeded or not reply.items:
+        return False
+    found = decode_record(reply.items[0].value)
+    return found.is_ok() and found.ok.state == "released"
+
+
+def _own_revision(reply: TxnReply, claim: Claim) -> int | None:
+    """Return the revision at which a claim stands, or `None` if it no longer does."""
+    for item in reply.items:
+        found = decode_record(item.value)
+        if found.is_ok() and found.ok.attempt_id == claim.record.attempt_id:
+            return item.mod_revision
+    return None
+
+
 def _stands(items: list[KeyValue], claim: Claim) -> bool:
     """Whether a claim still stands as this host wrote it."""
     return any(item.mod_revision == claim.mod_revision for item in items)
--- a/src/pimentodale/ledger/records.py
+++ b/src/pimentodale/ledger/records.py
@@ -21,8 +21,9 @@
 DIGEST_BYTES: Final = 16
 """Bytes of the SHA-256 of a request that a claim keeps."""
 
-ClaimState = Literal["open", "finished", "unknown"]
-"""Whether the work under a claim may still run, ended with an outcome, or was given up unresolved."""
+ClaimState = Literal["open", "released", "finished", "unknown"]
+"""Whether the work under a claim may still run, was given up before its first byte, ended with an
+outcome, or was given up unresolved."""
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/pimentodale/ledger/run_once.py
+++ b/src/pimentodale/ledger/run_once.py
@@ -11,10 +11,10 @@
 from pimentodale.ledger import refusals
 from pimentodale.ledger.records import Claim, Outcome
 from pimentodale.logs import get_log
-from pimentodale.results import ResultCode
+from pimentodale.results import Ran, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from pimentodale.ledger.interface import Ledger
     from pimentodale.ledger.records import ClaimRequest
@@ -132,26 +132,34 @@
     if fault.sent and look.granted:
         await ledger.finish(claim, None)
         return refusals.may_have_run(fault.code, fault.message)
-    await ledger.release(claim)
-    if look.refusal is not None:
-        return look.refusal
-    return refusals.nothing_sent(fault.code, fault.message, fault.retry_after_ms)
+    refusal = look.refusal or refusals.nothing_sent(fault.code, fault.message, fault.retry_after_ms)
+    if refusal.ran is not Ran.NOT_RUN:
+        await ledger.release(claim)
+        return refusal
+    # A key that is free again may run elsewhere before "not run" is said.
+    await ledger.begin_release(claim)
+    _settle_later(ledger.release(claim))
+    return refusal
 
 
 def _settle_cancelled(ledger: Ledger, claim: Claim, sent: bool) -> None:
-    """Settle a claim whose task was cancelled, in a task of its own."""
-    work = ledger.finish(claim, None) if sent else ledger.release(claim)
+    """Settle a claim whose task was cancelled."""
+    _settle_later(ledger.finish(claim, None) if sent else ledger.release(claim))
+
+
+def _settle_later(work: Coroutine[None, None, bool]) -> None:
+    """Settle a claim in a task of its own, after the current task's next wait."""
     task = asyncio.ensure_future(work)
     _settling.add(task)
     task.add_done_callback(_end_settling)
 
 
-def _end_settling(task: asyncio.Future[bool]) -> None:
+def _end_settling(task: asyncio.Task[bool]) -> None:
     """Forget a settled claim and log a fault."""
     _settling.discard(task)
     if not task.cancelled() and task.exception() is not None:
         get_log("ledger").error("Settling a claim failed.", problem=repr(task.exception()))
 
 
-_settling: set[asyncio.Future[bool]] = set()
-"""Claims of cancelled tasks that are being settled, kept so that they are not collected."""
+_settling: set[asyncio.Task[bool]] = set()
+"""Tasks that settle claims, kept so that they are not collected."""
