--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -55,6 +55,12 @@
     Then at most 2 engines crashed
     And the marked prompt's sendings were all refused as quarantined
 
+  Scenario: a request that had only begun at two crashes, one of them shared with a stream that had run on
+    Given a request that had only begun at two crashes, and one that had run on at the first of them
+    Then the first is not convicted, and lets the other one be tried before it
+    And it is convicted once the other one has run well
+    And the other one does not wait for it
+
   Scenario: entries merge into the same whatever their order
     When quarantine entries are merged in any order and grouping
     Then they always come to the same entry
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -21,8 +21,9 @@
 
 from pimentodale.addresses import Address
 from pimentodale.clients.etcd_gateway import create_etcd_gateway
-from pimentodale.clock import create_clock
+from pimentodale.clock import ManualClock, create_clock
 from pimentodale.quarantine.entries import QuarantineEntry, Strike, merge_entries
+from pimentodale.quarantine.register import create_register
 from pimentodale.results import ResultCode
 from pimentodale.standin.reference_text import answer_end, reference_tokens
 
@@ -277,6 +278,38 @@
     check_last_refused(context, len(context.marked))
 
 
+@given("a request that had only begun at two crashes, and one that had run on at the first of them")
+def strike_both(context: Any) -> None:
+    context.clock = ManualClock()
+    context.register = create_register(context.clock)
+    for name, first_is_fresh in (("begun", True), ("run-on", False)):
+        context.register.strike(name, Strike("e1", "b1", 1_000.0, first_is_fresh))
+        context.register.strike(name, Strike("e2", "b2", 1_200.0, True))
+
+
+@then("the first is not convicted, and lets the other one be tried before it")
+def check_yields(context: Any) -> None:
+    context.register.judge_settled("begun")
+    assert not context.register.is_convicted("begun")
+    assert context.register.has_lesser_suspects("begun")
+
+
+@then("it is convicted once the other one has run well")
+def check_convicted_after(context: Any) -> None:
+    assert not context.register.has_lesser_suspects("run-on")
+    context.clock.advance(2_000.0)
+    context.register.close_strikes("run-on")
+    assert not context.register.has_lesser_suspects("begun")
+    context.register.judge_settled("begun")
+    assert context.register.is_convicted("begun")
+
+
+@then("the other one does not wait for it")
+def check_other_free(context: Any) -> None:
+    assert not context.register.has_lesser_suspects("run-on")
+    assert not context.register.is_convicted("run-on")
+
+
 _STRIKES = st.builds(
     Strike,
     replica=st.sampled_from(["e1", "e2"]),
--- a/features/support/engine_fleet.py
+++ b/features/support/engine_fleet.py
@@ -31,6 +31,7 @@
         per_sequence_ms=0.0092,
         per_context_k_ms=0.0123,
         read_tokens_per_ms=164.0,
+        tokens_per_event=4,
         kv_bytes_per_token=1_180_000.0,
         slots=96,
         usual_prompt_tokens=775.0,
@@ -54,6 +55,7 @@
         per_sequence_ms=0.1,
         per_context_k_ms=0.0,
         read_tokens_per_ms=100.0,
+        tokens_per_event=4,
         kv_bytes_per_token=8_000.0,
         slots=96,
         usual_prompt_tokens=100.0,
@@ -66,10 +68,12 @@
     )
 
 
-def replica(name: str, domain: str, kind: str, held: LayerRange | None) -> ReplicaRecord:
+def replica(
+    name: str, domain: str, kind: str, held: LayerRange | None, started_ms: int = 1
+) -> ReplicaRecord:
     """Return a replica's record."""
     address = Address("127.0.0.1", 10_000 + sum(name.encode()) % 50_000)
-    return ReplicaRecord(name, "lm", address, domain, False, 1, kind, held, 96)
+    return ReplicaRecord(name, "lm", address, domain, False, started_ms, kind, held, 96)
 
 
 def create_trekvast_holders() -> list[Holder]:
@@ -100,4 +104,6 @@
     for _ in range(MAX_ROUNDS):
         if not plan_placement(engine, holders):
             return
+        for holder in holders:
+            holder.is_movable = True
     raise AssertionError("the placement does not come to rest")
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -26,6 +26,7 @@
     no_route,
     note_caller_gone,
     note_crash,
+    note_cut_off,
     note_end,
     note_event,
     note_start,
@@ -50,6 +51,9 @@
 MAX_BUSY_ROUNDS: Final = 3
 """How often busy replicas are asked again before the generation is given up, which is then at once."""
 
+MAX_WAYS: Final = 8
+"""Disjoint routes that are counted; with as many, all suspects of a crash are tried alone."""
+
 BUDGET_RETRY_MS: Final = 1_000.0
 """When a caller may come back after the retry budget was spent."""
 
@@ -72,7 +76,7 @@
         Verified tokens in order, then `Finished`; or one refusal, after which nothing follows.
     """
     progress = Progress(generation, means, gate, reserved=reserved)
-    begin(progress)
+    await begin(progress)
     while True:
         refusal = _refusal_before_attempt(progress)
         chosen = Error(refusal) if refusal else await _choose(progress)
@@ -87,6 +91,7 @@
                 async for event in events:
                     if event.is_error():
                         fault = event.error
+                        note_cut_off(progress, fault)
                         break
                     note_event(progress, event.ok)
                     yield Ok(event.ok)
@@ -121,7 +126,9 @@
     """Choose the route of the next attempt and note the choice."""
     generation = progress.generation
     if progress.on_trial:
-        chosen = await choose_trial_route(progress, lambda taken: _pick(progress, taken))
+        chosen = await choose_trial_route(
+            progress, lambda taken: _pick(progress, taken), lambda: _count_ways(progress)
+        )
     else:
         # What is on trial is kept out of where others go, as long as there is another way.
         route = await _pick_or_wait(progress)
@@ -176,6 +183,18 @@
     return keep_stages(last, route, lambda name: name not in taken and _may_stay(progress, name))
 
 
+def _count_ways(progress: Progress) -> int:
+    """Return how many disjoint routes the generation may take, up to a few."""
+    generation, router = progress.generation, progress.means.router
+    model, barred = generation.model, set(progress.excluded)
+    for ways in range(MAX_WAYS):
+        route = router.pick_route(model.name, model.layers, generation.prefix_hash, barred)
+        if route is None:
+            return ways
+        barred.update(route.replicas)
+    return MAX_WAYS
+
+
 def _may_stay(progress: Progress, replica: str) -> bool:
     """Whether a stage of the last route may be used again."""
     avoided = replica in progress.excluded or replica in progress.busy
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -138,6 +138,9 @@
     on_trial: bool = False
     """Whether the next attempt may run only where no other struck request runs."""
 
+    cut_off: bool = False
+    """Whether it is on trial for a crash that cut it off, and not for one before it came."""
+
     running: Running | None = None
     """The attempt under way, as quarantine notes it."""
 
--- a/src/pimentodale/pipelines/suspicion.py
+++ b/src/pimentodale/pipelines/suspicion.py
@@ -8,12 +8,17 @@
 
 from pimentodale.pipelines.loss import crashed_replicas
 from pimentodale.pipelines.messages import Finished
-from pimentodale.quarantine.register import refuse_convicted
+from pimentodale.quarantine.register import (
+    LESSER_SUSPECTS_WAIT_MS,
+    SETTLING_MS,
+    refuse_convicted,
+)
 from pimentodale.results import Ran, Refusal, ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
+    from pimentodale.clients.engine_client import EngineFault
     from pimentodale.pipelines.attempt import GenerationEvent
     from pimentodale.pipelines.means import PipelineMeans, Progress
     from pimentodale.quarantine.quarantine import Running
@@ -25,12 +30,27 @@
 _SECOND_LOOK_MS: Final = 300.0
 """When a route is looked at again after its caller left."""
 
+_LONGEST_HOLD_MS: Final = 2 * SETTLING_MS
+"""Longest time that crashes hold up a new request: a crash and one more during the wait."""
 
-def begin(progress: Progress) -> None:
-    """Put a request on trial that was running at a crash before."""
+
+async def begin(progress: Progress) -> None:
+    """Put a request on trial that was running at a crash before, once crashes are settled."""
     quarantine = progress.means.quarantine
-    if quarantine is not None:
-        progress.on_trial = quarantine.needs_trial(progress.generation.fingerprint)
+    if quarantine is None:
+        return
+    clock, model = progress.means.clock, progress.generation.model.name
+    until_ms = clock.now_ms() + min(_LONGEST_HOLD_MS, progress.remaining_ms)
+    while (hold_ms := min(quarantine.hold_ms(model), until_ms - clock.now_ms())) > 0:
+        await clock.sleep_ms(hold_ms)
+    progress.on_trial = quarantine.needs_trial(progress.generation.fingerprint)
+
+
+def note_cut_off(progress: Progress, fault: EngineFault) -> None:
+    """Note a stream that was cut off, which a crash may be behind."""
+    quarantine = progress.means.quarantine
+    if quarantine is not None and fault.sent and fault.refused is None and not fault.malformed:
+        quarantine.note_lost_stream(progress.generation.model.name)
 
 
 def conviction_of(progress: Progress) -> Refusal | None:
@@ -42,13 +62,18 @@
 
 
 async def choose_trial_route(
-    progress: Progress, pick: Callable[[Collection[str]], Route | None]
+    progress: Progress,
+    pick: Callable[[Collection[str]], Route | None],
+    count_ways: Callable[[], int],
 ) -> Result[Route, Refusal]:
     """Wait for a route on which no other struck request runs, and hold it.
 
+    A stream that was cut off together with too many others to try them all alone goes on among them.
+
     Args:
         progress: The generation.
         pick: Chooses a route that avoids the given replicas.
+        count_ways: Returns how many disjoint routes are left.
 
     Returns:
         The route, or why there is none.
@@ -58,6 +83,7 @@
     trials = quarantine.trials
     fingerprint = progress.generation.fingerprint
     taken_elsewhere: set[str] = set()
+    yields_until_ms = progress.means.clock.now_ms() + LESSER_SUSPECTS_WAIT_MS
     tries = 0
     while progress.remaining_ms > 0:
         await progress.means.clock.sleep_ms(quarantine.register.settling_ms(fingerprint))
@@ -65,6 +91,15 @@
         conviction = conviction_of(progress)
         if conviction is not None:
             return Error(conviction)
+        if progress.cut_off and not quarantine.must_isolate(fingerprint, count_ways()):
+            progress.on_trial = False
+            route = pick(trials.taken_replicas) or pick(set())
+            return Error(no_route(progress)) if route is None else Ok(route)
+        may_yield = progress.means.clock.now_ms() < yields_until_ms
+        if may_yield and quarantine.register.has_lesser_suspects(fingerprint):
+            await trials.wait_for_change(tries)
+            tries += 1
+            continue
         route = pick(trials.taken_replicas | taken_elsewhere)
         if route is not None:
             occupied = await trials.acquire(fingerprint, route.replicas)
@@ -110,9 +145,9 @@
     if quarantine is None or running is None:
         return
     boot_id = progress.means.boot_id_of(replica)
-    must_isolate = quarantine.note_crash(running, replica, boot_id)
+    suspected = quarantine.note_crash(running, replica, boot_id)
     _end_trial(progress)
-    progress.on_trial = must_isolate
+    progress.on_trial = progress.cut_off = suspected
 
 
 def note_end(progress: Progress) -> None:
--- a/src/pimentodale/quarantine/quarantine.py
+++ b/src/pimentodale/quarantine/quarantine.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.quarantine.entries import Strike
-from pimentodale.quarantine.register import create_register
+from pimentodale.quarantine.register import SETTLING_MS, create_register
 from pimentodale.quarantine.trials import create_trials
 
 if TYPE_CHECKING:
@@ -18,11 +18,13 @@
     from pimentodale.quarantine.register import QuarantineRegister
     from pimentodale.quarantine.trials import Trials
 
-PROVING_TOKENS: Final = 4
-"""Tokens on one route after which an attempt is thought to run well there."""
+PROVING_TOKENS: Final = 2
+"""Tokens on one route after which an attempt is thought to run well there: one of each kind of step,
+prefill and decode."""
 
 MAX_ISOLATED: Final = 4
-"""Fresh requests at one crash up to which each of them is tried alone at this host."""
+"""Fresh requests at one crash, for each way left, up to which each of them is tried alone. They
+are tried one after the other on each way, and no stream may wait longer than 1 s."""
 
 WHOLE_RUN_STRIKES: Final = 2
 """Remembered strikes from which a request is on trial to its end."""
@@ -66,7 +68,15 @@
 class Quarantine:
     """Attempts under way at this host, and what is known of requests that crash."""
 
-    __slots__ = ("_background", "_clock", "_crashes", "_running", "register", "trials")
+    __slots__ = (
+        "_background",
+        "_clock",
+        "_crashes",
+        "_lost_streams",
+        "_running",
+        "register",
+        "trials",
+    )
 
     def __init__(
         self,
@@ -83,6 +93,7 @@
         self._background = background
         self._running: set[Running] = set()
         self._crashes: dict[str, _Crash] = {}
+        self._lost_streams: dict[str, float] = {}
 
     def start(self, fingerprint: str, replicas: list[str], on_trial: bool) -> Running:
         """Note an attempt; `end` it in any case."""
@@ -94,6 +105,21 @@
         """Note that an attempt and the handling of its fault are over."""
         self._running.discard(running)
 
+    def note_lost_stream(self, model: str) -> None:
+        """Note that a stream of a model was cut off, before anything is known of the cause."""
+        self._lost_streams[model] = self._clock.now_ms()
+
+    def hold_ms(self, model: str) -> float:
+        """Return how long a new request of a model waits for the strikes of a likely crash.
+
+        A host that only sees its own streams end knows of the crash, but not of the request behind
+        it, which may be sent again through this very host before the strike has come.
+        """
+        lost_at_ms = self._lost_streams.get(model)
+        if lost_at_ms is None:
+            return 0.0
+        return max(0.0, lost_at_ms + SETTLING_MS - self._clock.now_ms())
+
     def note_crash(self, running: Running, replica: str, boot_id: str) -> bool:
         """Give an attempt's request its strike for a crash.
 
@@ -103,7 +129,7 @@
             boot_id: Its life that ended; empty when it is not known.
 
         Returns:
-            Whether the request has to be tried alone before it runs among others again.
+            Whether the request is a suspect, which `must_isolate` is asked of once strikes are settled.
         """
         fresh = self._fresh_at_crash(replica)
         now_ms = self._clock.wall_ms()
@@ -111,7 +137,18 @@
         self.register.strike(running.fingerprint, strike)
         if self.register.open_strikes(running.fingerprint) >= WHOLE_RUN_STRIKES:
             return True
-        return running.fingerprint in fresh and len(fresh) <= MAX_ISOLATED
+        return running.fingerprint in fresh
+
+    def must_isolate(self, fingerprint: str, ways: int) -> bool:
+        """Whether a suspect whose stream was cut off has to run alone before it goes on among others.
+
+        Args:
+            fingerprint: The request; the strikes of its crash have settled.
+            ways: Disjoint routes that are left.
+        """
+        if self.register.open_strikes(fingerprint) >= WHOLE_RUN_STRIKES:
+            return True
+        return self.register.count_suspects(fingerprint) <= MAX_ISOLATED * ways
 
     def release_trial(self, fingerprint: str) -> None:
         """Give up the place of a request on trial; a conviction is stored in the same step."""
--- a/src/pimentodale/quarantine/register.py
+++ b/src/pimentodale/quarantine/register.py
@@ -39,6 +39,9 @@
 CONVICTING_STRIKES: Final = 2
 """Open strikes that it takes to convict a request."""
 
+LESSER_SUSPECTS_WAIT_MS: Final = 3_000.0
+"""Longest wait for the trials of requests that are suspected less; they last as long as a stream."""
+
 SETTLING_MS: Final = 150.0
 """How long the strikes of other hosts may be under way."""
 
@@ -82,6 +85,14 @@
         entry = self.find(fingerprint)
         return 0 if entry is None else len(entry.strikes)
 
+    def count_suspects(self, fingerprint: str) -> int:
+        """Return how many requests have an open strike of a crash that a request had only begun at."""
+        entry = self.find(fingerprint)
+        if entry is None:
+            return 0
+        strikes = _fresh_strikes(entry)
+        return sum(_has_any(other, strikes) for other in self._entries.values())
+
     def strike(self, fingerprint: str, strike: Strike) -> None:
         """Note that a request was running when a backend server crashed.
 
@@ -121,6 +132,23 @@
                 return
         self._tell(self._keep(_convict(entry, self._clock.wall_ms())))
 
+    def has_lesser_suspects(self, fingerprint: str) -> bool:
+        """Whether others that may explain a request's crashes, though less likely, are yet to be tried.
+
+        Args:
+            fingerprint: A request that had only begun at two crashes or more.
+        """
+        entry = self.find(fingerprint)
+        strikes = [] if entry is None else _fresh_strikes(entry)
+        if len(strikes) < CONVICTING_STRIKES:
+            return False
+        for other in self._entries.values():
+            if other.fingerprint == fingerprint or other.convicted or not _shares(other, strikes):
+                continue
+            if _count_shared(_fresh_strikes(other), strikes) < CONVICTING_STRIKES:
+                return True
+        return False
+
     def close_strikes(self, fingerprint: str) -> None:
         """Note that a struck request has run well since."""
         known = self.find(fingerprint)
@@ -201,7 +229,18 @@
     return [strike for strike in entry.open_strikes if strike.fresh]
 
 
+def _has_any(other: QuarantineEntry, strikes: list[Strike]) -> bool:
+    """Whether another request had only begun at one of the crashes and has not run well since."""
+    return any(
+        is_same_crash(strike, known) for strike in strikes for known in _fresh_strikes(other)
+    )
+
+
 def _shares(other: QuarantineEntry, strikes: list[Strike]) -> bool:
-    """Whether another request was running at two or more of the crashes."""
-    shared = sum(any(is_same_crash(strike, known) for known in other.strikes) for strike in strikes)
-    return shared >= CONVICTING_STRIKES
+    """Whether another request was running at two or more of the crashes, and not well since."""
+    return _count_shared(other.open_strikes, strikes) >= CONVICTING_STRIKES
+
+
+def _count_shared(known: list[Strike], strikes: list[Strike]) -> int:
+    """Return how many of the crashes are among known ones."""
+    return sum(any(is_same_crash(strike, one) for one in known) for strike in strikes)
--- a/src/pimentodale/quarantine/trials.py
+++ b/src/pimentodale/quarantine/trials.py
@@ -35,7 +35,9 @@
 """Longest time that a place is kept for a host that has gone."""
 
 _FIRST_PAUSE_MS: Final = 40.0
-_LONGEST_PAUSE_MS: Final = 400.0
+_LONGEST_PAUSE_MS: Final = 120.0
+"""Longest pause before the place of another host is looked for again; a few fit into the 1 s that a
+stream may wait."""
 
 _log = get_log("quarantine")
 
@@ -109,8 +111,8 @@
             self.release(fingerprint)
             raise
         if occupied is not None:
+            # Nothing came free, so the others that wait here are left to wait.
             self._trials.pop(fingerprint, None)
-            self._note_change()
         return occupied
 
     def release(self, fingerprint: str, conviction: QuarantineEntry | None = None) -> None:
@@ -121,10 +123,10 @@
             conviction: The entry, if the trial ended in one.
         """
         trial = self._trials.pop(fingerprint, None)
-        self._note_change()
         if trial is not None and trial.claimed:
             self.claims.withdraw(fingerprint)
         if self._store is None or (trial is None and conviction is None):
+            self._note_change()
             return
         self._background.start(self._unlock(trial, conviction), "quarantine: end of a trial")
 
@@ -192,6 +194,7 @@
             reply = await self._store.txn([], writes)
             if reply.is_error():
                 _log.warning("A trial's end was not stored.", reason=reply.error.message)
+        self._note_change()
         if trial is not None and trial.lease_id:
             await self._revoke(trial.lease_id)
 
