--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -12,11 +12,21 @@
     Given a site of two gateways, eight replicas and a store
     Then an unknown path gets 404, an unknown key 401, and bytes that are no HTTP close only their own connection
 
+  Scenario: what is too long is refused at once, and nothing else suffers
+    Given a site of two gateways, eight replicas and a store
+    Then a header over the limit gets 431
+    And a body over the limit gets 413, with a length or in chunks, while it is still being sent
+    And a body just within the limit reaches its replica whole
+
   Scenario: a gateway without a configuration is not ready and says that nothing ran
     Given a store without a configuration and one gateway
     Then the gateway is not ready and answers 503 with Retry-After
     And it is ready once the operator has written a configuration
 
+  Scenario: a gateway whose store has never answered says that nothing ran
+    Given one gateway whose store gives no answer
+    Then the gateway is not ready and answers 503 with Retry-After
+
   Scenario: a new configuration is in force within 2 s on every gateway
     Given a site of two gateways, eight replicas and a store
     When the operator adds a route and then takes it away
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -24,6 +24,22 @@
     When a replica starts again empty
     Then only that replica is ordered
 
+  Scenario: a release replaces each replica in turn, the new one first
+    Given a fleet like Trekvast's with its layers placed
+    When each replica in turn is replaced, the new one joining while the old one still serves
+    Then every time only the new one is ordered
+    And every time a token takes at most 1.25 times as long as before
+
+  Scenario: slow replicas hold layers of a copy while a fast one's are held by others too
+    Given a failure domain whose first layers slow replicas hold, and a fast one beside others elsewhere
+    When layers are placed until nothing changes
+    Then only the fast replica was moved
+    And a token takes at most 0.75 times as long as before
+
+  Scenario: a placement at rest is planned again only once something has changed
+    Given a fleet like Trekvast's with its layers placed
+    Then it is planned once while nothing changes, and once more for each change
+
   Scenario: placing layers is as good as an exhaustive search on small fleets
     Then on 40 small random fleets a token takes at most 1.25 times as long as with the best placement
 
@@ -39,6 +55,16 @@
     Given a fleet like Trekvast's with its layers placed
     Then a path behind each first replica starts with it and avoids the replica at fault
 
+  Scenario: a stream that moves past a lost replica keeps its other parts
+    Given a failure domain with two replicas for each range of layers
+    Then past each lost part of a path just that part's layers are read anew
+    And a part that is full for others is kept too
+
+  Scenario: new requests keep off a path that is busy reading prompts
+    Given a failure domain with two replicas for each range of layers
+    When 30 prompts are read on the path chosen first
+    Then the next path has none of its parts, and the same parts 200 ms later
+
   Scenario: work spreads over two equal copies
     Given two replicas that each hold the whole model
     When 40 requests choose their paths one after the other
@@ -58,3 +84,13 @@
     Given a fleet like Trekvast's with its layers placed, watched over time
     When four replicas of a failure domain announce that they leave
     Then their layers are ordered elsewhere at once
+
+  Scenario: few of many hosts compete for a lease that has lapsed
+    Given 76 hosts that learn of a change of the lease 50 to 300 ms later
+    When the lease lapses
+    Then one host holds it within 1 s, and at most 2 have tried
+
+  Scenario: the first in rank can't reach the store
+    Given 76 hosts that learn of a change of the lease 50 to 300 ms later
+    When the lease lapses and the first 3 in rank can't reach the store
+    Then one host holds it within 2 s, and at most 3 besides those have tried
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -28,6 +28,18 @@
       | 500    | Pimentodale-Replica-Stamp=s                                        | own failure   |
       | 503    | Pimentodale-Replica-Stamp=s                                        | false promise |
 
+  Scenario Outline: a probe tells a replica that lives from one that is gone
+    Given a replica that answers "<answer>" to a question without an attempt's id
+    Then a probe finds that it "<finding>"
+
+    Examples:
+      | answer                | finding                     |
+      | 200 report born 7     | lives since 7               |
+      | 400                   | lives                       |
+      | 503                   | lives                       |
+      | 421                   | is another replica          |
+      | none                  | does not answer             |
+
   Scenario: the settings that the platform fills in are the gateway's own
     Given the template of the gateway's settings filled with examples
     Then the settings are read, fields that are not known are passed over and a missing one is named
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -21,6 +21,11 @@
     Then no picked route has a replica that may take no work
     And every picked route tiles the layers
 
+  Scenario: a stream beyond the limits goes to a fast route with a free slot
+    Given a fast, a slow and a full route of one model whose latencies are known
+    When 40 streams beyond the limits are granted one after the other, each ending at once
+    Then at least 36 of them get the fast route and none the full one
+
   Scenario: a replica that is leaving stays so
     Given a router over 1 failure domains with 4 engines
     When one engine is marked leaving and the host list still calls it live
--- a/features/site_mirror.feature
+++ b/features/site_mirror.feature
@@ -54,3 +54,15 @@
     And the host knew of no other one when it began to watch
     When it learns of the others
     Then it no longer watches the store, and has the watcher's keys
+
+  Scenario Outline: a store that doesn't answer is asked less and less often
+    Given a failure domain of five hosts, three of which watch the store
+    And the store and the other hosts don't answer
+    When a host that <duty> follows for 10 s of its clock
+    Then it has read the store at least <least> times and at most <most> times
+    And it reads the store within <back> ms of its return
+
+    Examples:
+      | duty          | least | most | back |
+      | watches       | 14    | 28   | 850  |
+      | doesn't watch | 4     | 12   | 3400 |
--- a/features/steps/forwarding.py
+++ b/features/steps/forwarding.py
@@ -6,19 +6,22 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 from features.support.engine_fleet import replica
 
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.event_stream import EventSplitter, follows
-from pimentodale.forwarding.loads import ReplicaLoad, create_load_board
+from pimentodale.forwarding.learning import learn_refusal
+from pimentodale.forwarding.loads import KV_UNIT, ReplicaLoad, create_load_board
 from pimentodale.forwarding.plain import choose_replica
 from pimentodale.forwarding.poison import create_poison_strikes, fingerprint_of
 from pimentodale.forwarding.retry_share import create_retry_share
 from pimentodale.forwarding.route_table import RouteTable
-from pimentodale.gateway.sharing import KV_UNIT, pack_loads, unpack_loads
+from pimentodale.gateway.load_exchange import Wire, from_wire, to_wire
 from pimentodale.placement.messages import PathPart
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
+from pimentodale.site.common_cuts import watch_common_cuts
 from pimentodale.site.model import LayerRange, Repeatability, RouteRule, ServiceShare
 
 HOST = "shop.example"
@@ -163,12 +166,279 @@
     assert context.board.total("r").streams == 2
 
 
+@given("a replica that another host has told of")
+def make_told_of(context: Any) -> None:
+    context.clock = ManualClock()
+    context.beliefs = create_replica_beliefs(context.clock)
+    context.words = []
+    context.beliefs.tell = lambda incarnation, reason: context.words.append((incarnation, reason))
+    context.beliefs.doubt(("r", 1), "requests stall on it", by_peer="h2")
+
+
+@when("this host finds it silent 100 ms later")
+def find_silent(context: Any) -> None:
+    context.clock.advance(100.0)
+    context.beliefs.note_silent_probe(("r", 1), "no answer")
+
+
+@then("its own word is not told")
+def check_not_told(context: Any) -> None:
+    assert context.words == []
+    assert context.beliefs.due_probes()
+
+
+@then("it is told when the host finds the replica silent again 3 s later")
+def check_told_later(context: Any) -> None:
+    context.beliefs.mark_up(("r", 1))
+    context.clock.advance(3_000.0)
+    context.beliefs.mark_down(("r", 1), "it can't be connected to")
+    assert len(context.words) == 1
+
+
+@given("{hosts:d} hosts that tell each other of a replica that is down for {seconds:d} s")
+def make_probing_hosts(context: Any, hosts: int, seconds: int) -> None:
+    clock = ManualClock()
+    key = ("r", 1)
+    everyone = [create_replica_beliefs(clock) for _ in range(hosts)]
+    rng = random.Random(context.site.seed)
+
+    def tell_up(_incarnation: Any) -> None:
+        for other in everyone:
+            other.probe_soon(key)
+
+    for beliefs in everyone:
+        beliefs.count_hosts = lambda: hosts
+        beliefs.tell_up = tell_up
+        beliefs.rng = rng
+        beliefs.mark_down(key, "no answer")
+    context.probes = []
+    context.back_ms = []
+    while len(context.back_ms) < hosts and clock.now_ms() < 2_000.0 * seconds:
+        clock.advance(100.0)
+        for beliefs in everyone:
+            if key not in beliefs.due_probes():
+                continue
+            context.probes.append(clock.now_ms())
+            if clock.now_ms() < 1_000.0 * seconds:
+                beliefs.note_silent_probe(key, "no answer")
+            else:
+                beliefs.mark_up(key)
+                context.back_ms.append(clock.now_ms() - 1_000.0 * seconds)
+
+
+@then("the replica is probed at most {most:d} times a second")
+def check_probe_rate(context: Any, most: int) -> None:
+    # The first second has a probe of each host that found it silent by itself.
+    for second in range(1, 19):
+        count = sum(second * 1_000.0 <= at < (second + 1) * 1_000.0 for at in context.probes)
+        assert count <= most, (second, count)
+
+
+@then("all hosts give it work again within 1 s of its return")
+def check_probe_return(context: Any) -> None:
+    assert len(context.back_ms) == 80
+    assert max(context.back_ms) <= 1_000.0, max(context.back_ms)
+
+
+@given("{domains:d} failure domains of {count:d} replicas, seen from the first one")
+def make_domains_of_replicas(context: Any, domains: int, count: int) -> None:
+    context.clock = ManualClock()
+    context.beliefs = create_replica_beliefs(context.clock)
+    context.replicas = [
+        replica(f"{'abc'[domain]}{number}", "abc"[domain], "l4", LayerRange(0, 8))
+        for domain in range(domains)
+        for number in range(count)
+    ]
+    watch_common_cuts(context.beliefs, lambda: context.replicas, "a", context.clock)
+
+
+def usable(context: Any, domain: str) -> list[str]:
+    """Return the replicas of a failure domain that get work."""
+    members = [known for known in context.replicas if known.failure_domain == domain]
+    return [known.replica_id for known in members if context.beliefs.is_usable(known)]
+
+
+def named(context: Any, name: str) -> Any:
+    """Return a replica's incarnation."""
+    return incarnation_of(next(known for known in context.replicas if known.replica_id == name))
+
+
+@when("a request stalls on one replica of the second domain")
+def stall_one(context: Any) -> None:
+    context.beliefs.doubt(named(context, "b0"), "requests stall on it")
+
+
+@then("the other replicas of that domain get work")
+def check_others_work(context: Any) -> None:
+    assert len(usable(context, "b")) == 8
+
+
+@when("another replica of it can't be connected to 300 ms later")
+def lose_another(context: Any) -> None:
+    context.clock.advance(300.0)
+    context.beliefs.mark_down(named(context, "b1"), "it can't be connected to")
+
+
+@then("no replica of that domain gets work, and {count:d} are probed besides the two")
+def check_few_probed(context: Any, count: int) -> None:
+    assert usable(context, "b") == []
+    due = {key[0] for key in context.beliefs.due_probes()}
+    assert {"b0", "b1"} <= due
+    assert len(due - {"b0", "b1"}) == count, due
+    context.probed = sorted(due - {"b0", "b1"})
+
+
+@then("the replicas of the first and the third domain get work")
+def check_spared(context: Any) -> None:
+    assert len(usable(context, "a")) == len(usable(context, "c")) == 9
+
+
+@then("all of the second but the silent ones get work again once one answers")
+def check_answering(context: Any) -> None:
+    context.beliefs.note_silent_probe(named(context, "b0"), "no answer")
+    context.beliefs.mark_up(named(context, context.probed[0]))
+    assert usable(context, "b") == [f"b{number}" for number in range(2, 9)]
+
+
+def refuse(context: Any, head: str, name: str) -> None:
+    """Take a refusal that came at once."""
+    replicas = {known.replica_id: known for known in context.replicas}
+    learn_refusal(context.beliefs, replicas[head], replicas[name], has_stalled=False)
+
+
+@when(
+    "a first replica of the own domain refuses a request at once and names a replica of the second"
+)
+def refuse_once(context: Any) -> None:
+    refuse(context, "a0", "b0")
+    assert len(usable(context, "b")) == 8
+
+
+@when("it refuses another and names one more of them 50 ms later")
+def refuse_again(context: Any) -> None:
+    context.clock.advance(50.0)
+    refuse(context, "a0", "b1")
+
+
+@then("the whole second domain gets work again once one answers and 150 ms have passed")
+def check_whole_domain(context: Any) -> None:
+    context.beliefs.mark_up(named(context, context.probed[0]))
+    context.clock.advance(150.0)
+    assert len(usable(context, "b")) == 9
+
+
+@when(
+    "a replica of the own domain is named in a refusal every 50 ms for 3 s and answers each probe"
+)
+def refuse_for_a_while(context: Any) -> None:
+    context.probes = 0
+    context.worked = []
+    context.others = []
+    for _ in range(60):
+        refuse(context, "a0", "a1")
+        for key in context.beliefs.due_probes():
+            assert key == named(context, "a1")
+            context.probes += 1
+            context.beliefs.mark_up(key)
+        context.clock.advance(50.0)
+        context.worked += [name for name in usable(context, "a") if name == "a1"]
+        context.others.append(sum(len(usable(context, domain)) for domain in "abc"))
+
+
+@then("it was probed {count:d} times")
+def check_probe_count(context: Any, count: int) -> None:
+    assert context.probes == count, context.probes
+
+
+@then("it got work in none of the 150 ms after a refusal")
+def check_passed_over(context: Any) -> None:
+    assert context.worked == []
+
+
+@then("all other replicas got work all the while")
+def check_others_worked(context: Any) -> None:
+    assert set(context.others) == {26}, context.others
+
+
+@when("all replicas of the second and the third domain have fallen silent")
+def silence_two(context: Any) -> None:
+    for known in context.replicas:
+        if known.failure_domain != "a":
+            context.beliefs.mark_down(incarnation_of(known), "it can't be connected to")
+
+
+@then("each of them is probed at least once in 2.5 s")
+def check_in_turn(context: Any) -> None:
+    probed = set()
+    for _ in range(4):
+        due = context.beliefs.due_probes()
+        probed.update(due)
+        for key in due:
+            context.beliefs.note_silent_probe(key, "no answer")
+        # Silent ones hold the round up for as long as a probe may take.
+        context.clock.advance(600.0)
+    assert len(probed) == 18, len(probed)
+
+
+@when("two replicas of the second domain can't be connected to")
+def lose_two(context: Any) -> None:
+    for name in ("b0", "b1"):
+        context.beliefs.mark_down(named(context, name), "it can't be connected to")
+
+
+@when("no probe of it has an answer for 3 s")
+def leave_unanswered(context: Any) -> None:
+    context.worked = []
+    for _ in range(30):
+        for key in context.beliefs.due_probes():
+            context.beliefs.note_silent_probe(key, "no answer")
+        context.clock.advance(100.0)
+        context.worked += usable(context, "b")
+
+
+@then("no replica of that domain has got work meanwhile")
+def check_no_work(context: Any) -> None:
+    assert context.worked == [], sorted(set(context.worked))
+
+
+@then("the other {count:d} of the second domain get work")
+def check_second_work(context: Any, count: int) -> None:
+    assert len(usable(context, "b")) == count
+
+
+@when("all replicas of the third domain are suspected at once")
+def suspect_all(context: Any) -> None:
+    for known in context.replicas:
+        if known.failure_domain == "c":
+            context.beliefs.suspect(incarnation_of(known))
+
+
+@then("no more than {most:d} are probed in each round until all have been")
+def check_rounds(context: Any, most: int) -> None:
+    rounds = []
+    while due := context.beliefs.due_probes():
+        rounds.append(due)
+    assert max(len(due) for due in rounds) <= most
+    assert sum(len(due) for due in rounds) == 40
+
+
+@when("two replicas of the first domain can't be connected to")
+def lose_own(context: Any) -> None:
+    for name in ("a0", "a1"):
+        context.beliefs.mark_down(named(context, name), "it can't be connected to")
+
+
+@then("the other {count:d} of that domain get work")
+def check_own_work(context: Any, count: int) -> None:
+    assert len(usable(context, "a")) == count
+
+
 @then("the loads of 40 replicas take at most 600 bytes and decode to the same within rounding")
 def check_packed(context: Any) -> None:
     loads = {f"i-{n:010x}": ReplicaLoad(n, n // 2, n * 12_345.0) for n in range(40)}
-    packed = pack_loads(loads)
+    packed = msgspec.msgpack.encode(to_wire(loads))
     assert len(packed) <= 600, len(packed)
-    back = unpack_loads(packed, loads)
+    back = from_wire(msgspec.msgpack.decode(packed, type=Wire), loads)
     for name, load in loads.items():
         assert back[name].streams == load.streams
         assert abs(back[name].kv_in_use - load.kv_in_use) <= KV_UNIT / 2
@@ -293,3 +563,36 @@
 @then("the word is not told on")
 def check_not_told(context: Any) -> None:
     assert context.told == []
+
+
+@given("a host that hears of loads from three others in turn, in words that lapse")
+def make_listening_board(context: Any) -> None:
+    context.clock = ManualClock()
+    context.board = create_load_board(context.clock)
+
+
+@then("after each of 200 words and pauses the sum is that of the words that still hold")
+def check_sums(context: Any) -> None:
+    rng = random.Random(context.site.seed)
+    words: dict[str, tuple[float, int]] = {}
+    for _ in range(200):
+        context.clock.advance(rng.choice([0.0, 50.0, 400.0]))
+        now_ms = context.clock.now_ms()
+        word = rng.choice(["told", "foreign", "rest"])
+        streams, ttl_ms = rng.randint(0, 9), rng.choice([100.0, 600.0])
+        loads = {"r": ReplicaLoad(streams=streams)}
+        if word == "told":
+            context.board.take_told("h1", loads, ttl_ms)
+        elif word == "foreign":
+            context.board.take_foreign("h2", loads, ttl_ms)
+        elif rng.random() < 0.3:
+            context.board.drop_rest()
+            streams = 0
+        else:
+            context.board.take_rest(loads, ttl_ms)
+        words[word] = (now_ms + ttl_ms, streams)
+        for pause_ms in (0.0, 99.0, 2.0):
+            context.clock.advance(pause_ms)
+            now_ms = context.clock.now_ms()
+            expected = sum(count for until_ms, count in words.values() if until_ms >= now_ms)
+            assert context.board.total("r").streams == expected, (words, now_ms)
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import re
@@ -24,6 +25,7 @@
 STREAMS = 6
 CONFIGURATION_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
 @given("a site of two gateways, eight replicas and a store")
@@ -36,6 +38,17 @@
 def start_bare(context: Any) -> None:
     context.gateways = create_gateway_site(context.site)
     context.gateways.start_platform()
+    start_one(context)
+
+
+@given("one gateway whose store gives no answer")
+def start_without_store(context: Any) -> None:
+    context.gateways = create_gateway_site(context.site)
+    start_one(context)
+
+
+def start_one(context: Any) -> None:
+    """Start one gateway and wait until its ready address answers."""
     context.gateways.start_gateway("g1")
     ready = f"http://{context.gateways.ip('g1')}:7001/api/ready"
     wait_until(lambda: answers(ready), "the gateway answers", 20.0)
@@ -126,6 +139,56 @@
     assert site.request("g1", "/read/x", method="GET").status == 200
 
 
+@then("a header over the limit gets 431")
+def check_long_header(context: Any) -> None:
+    for size in (20_000, 300_000):
+        head = f"GET /read/x HTTP/1.1\r\nHost: lab.example\r\nX-Long: {'y' * size}\r\n\r\n".encode()
+        answer = exchange_bytes(context.gateways.ip("g1"), [head])
+        assert answer.startswith(b"HTTP/1.1 431 "), answer
+        assert b"\r\nConnection: close\r\n" in answer, answer
+    assert context.gateways.request("g1", "/read/x", method="GET").status == 200
+
+
+@then("a body over the limit gets 413, with a length or in chunks, while it is still being sent")
+def check_long_body(context: Any) -> None:
+    site = context.gateways
+    fields = [f"{name}: {value}" for name, value in site.headers().items()]
+    for framing in (f"Content-Length: {MAX_BODY_BYTES + 1}", "Transfer-Encoding: chunked"):
+        head = "\r\n".join(["POST /book/rig HTTP/1.1", *fields, framing, "", ""]).encode()
+        block = b"x" * 65_536
+        if framing.endswith("chunked"):
+            block = b"10000\r\n" + block + b"\r\n"
+        # One block is always missing, so the body never ends.
+        blocks = [head] + [block] * (MAX_BODY_BYTES // 65_536 + (framing.endswith("chunked")))
+        started_s = time.monotonic()
+        answer = exchange_bytes(site.ip("g1"), blocks)
+        assert answer.startswith(b"HTTP/1.1 413 "), answer
+        assert b'"ran":"not_run"' in answer, answer
+        assert time.monotonic() - started_s < 3.0
+    assert site.request("g1", "/read/x", method="GET").status == 200
+
+
+@then("a body just within the limit reaches its replica whole")
+def check_longest_body(context: Any) -> None:
+    body = b"z" * MAX_BODY_BYTES
+    reply = context.gateways.request("g1", "/book/rig", body=body)
+    assert reply.status == 200
+    assert reply.body == b"body of /book/rig " + body
+
+
+def exchange_bytes(ip: str, blocks: list[bytes]) -> bytes:
+    """Send blocks on a connection until the gateway closes it, and return what it sent."""
+    answer = b""
+    with socket.create_connection((ip, 7000), timeout=5.0) as stream:
+        with contextlib.suppress(OSError):
+            for block in blocks:
+                stream.sendall(block)
+        with contextlib.suppress(ConnectionResetError):
+            while piece := stream.recv(65_536):
+                answer += piece
+    return answer
+
+
 @then("the gateway is not ready and answers 503 with Retry-After")
 def check_not_ready(context: Any) -> None:
     assert not context.gateways.is_ready("g1")
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -4,7 +4,7 @@
 
 import itertools
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 from features.support.engine_fleet import (
@@ -18,7 +18,8 @@
 
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.loads import create_load_board
-from pimentodale.placement.paths import PathWish, StageLoad, find_path
+from pimentodale.placement.candidacy import create_candidacy
+from pimentodale.placement.paths import PathWish, StageLoad, find_path, read_ms
 from pimentodale.placement.planner import (
     TIGHT_WEIGHTS_FRACTION,
     Holder,
@@ -27,9 +28,15 @@
     max_layers,
     plan_placement,
 )
+from pimentodale.placement.resting import create_resting_plans
 from pimentodale.placement.settling import create_domain_history
 from pimentodale.site.model import LayerRange
 
+if TYPE_CHECKING:
+    from pimentodale.placement.messages import PathPart
+    from pimentodale.placement.paths import Path
+    from pimentodale.site.model import EngineModel
+
 
 @given("a fleet like Trekvast's with empty replicas")
 def empty_fleet(context: Any) -> None:
@@ -129,6 +136,107 @@
     assert ordered == [context.restarted.replica_id], ordered
 
 
+@when("each replica in turn is replaced, the new one joining while the old one still serves")
+def replace_each(context: Any) -> None:
+    context.replaced = []
+    for leaver in context.holders:
+        holders = [
+            Holder(item.replica_id, item.failure_domain, item.kind, item.held)
+            for item in context.holders
+        ]
+        newcomer = Holder("new", leaver.failure_domain, leaver.kind, None, is_new=True)
+        holders.append(newcomer)
+        ordered = [item.replica_id for item in plan_placement(context.engine, holders)]
+        # The old one announces that it leaves while the new one still loads, if it has been placed.
+        left = [item for item in holders if item.replica_id != leaver.replica_id]
+        ordered += [item.replica_id for item in plan_placement(context.engine, left)]
+        for item in left:
+            item.is_movable = True
+            item.is_new = False
+        place_until_stable(context.engine, left)
+        context.replaced.append((leaver, ordered, left))
+
+
+@then("every time only the new one is ordered")
+def check_takes_over(context: Any) -> None:
+    for leaver, ordered, _ in context.replaced:
+        assert ordered in ([], ["new"]), (leaver, ordered)
+
+
+@then("every time a token takes at most 1.25 times as long as before")
+def check_replaced_pace(context: Any) -> None:
+    for leaver, _, left in context.replaced:
+        domain = leaver.failure_domain
+        before, after = (
+            token_pace(context.engine, [item for item in holders if item.failure_domain == domain])
+            for holders in (context.holders, left)
+        )
+        assert after <= 1.25 * before, (leaver, before, after)
+
+
+@given(
+    "a failure domain whose first layers slow replicas hold, and a fast one beside others elsewhere"
+)
+def slow_first_layers(context: Any) -> None:
+    context.engine = create_engine()
+    ranges = [("a100", 26, 52), ("a100", 52, 78), ("l4", 0, 9), ("l4", 9, 18), ("l4", 17, 26)]
+    ranges += [("v100", first, first + 6) for first in (52, 58, 64, 70, 74)]
+    context.holders = [
+        Holder(f"{kind}-{first}", "a", kind, LayerRange(first, end)) for kind, first, end in ranges
+    ]
+    context.held_before = {item.replica_id: item.held for item in context.holders}
+    context.pace_before = token_pace(context.engine, context.holders)
+
+
+@then("only the fast replica was moved")
+def check_fast_moved(context: Any) -> None:
+    moved = [
+        item.replica_id
+        for item in context.holders
+        if item.held != context.held_before[item.replica_id]
+    ]
+    assert moved == ["a100-52"], moved
+
+
+@then("a token takes at most 0.75 times as long as before")
+def check_faster(context: Any) -> None:
+    pace = token_pace(context.engine, context.holders)
+    assert pace <= 0.75 * context.pace_before, (pace, context.pace_before)
+
+
+@then("it is planned once while nothing changes, and once more for each change")
+def check_resting(context: Any) -> None:
+    made = []
+
+    def make_plan(engine: Any, holders: Any, unsettled: Any) -> Any:
+        made.append(len(holders))
+        return plan_placement(engine, holders, unsettled)
+
+    plans = create_resting_plans(make_plan)
+
+    def plan(holders: list[Holder], unsettled: set[str]) -> Any:
+        # The placer builds its holders anew each time.
+        copies = [
+            Holder(item.replica_id, item.failure_domain, item.kind, item.held, item.is_movable)
+            for item in holders
+        ]
+        return plans.plan("lm", context.engine, copies, unsettled)
+
+    for _ in range(3):
+        assert plan(context.holders, set()) == []
+    assert len(made) == 1, made
+    plan(context.holders, {"delft-a"})
+    assert len(made) == 2, made
+    newcomer = Holder("new", "delft-a", "v100", None)
+    for _ in range(2):
+        # Its order may come to nothing, so it is given until the replica shows it.
+        assert [item.replica_id for item in plan([*context.holders, newcomer], set())] == ["new"]
+    assert len(made) == 4, made
+    newcomer.held = LayerRange(0, 5)
+    plan([*context.holders, newcomer], set())
+    assert len(made) == 5, made
+
+
 def token_pace(engine: Any, holders: list[Holder]) -> float:
     return sum(_layer_paces(engine, holders))
 
@@ -236,19 +344,97 @@
 @then("a path behind each first replica starts with it and avoids the replica at fault")
 def check_heads(context: Any) -> None:
     stages = create_trekvast_stages(context.holders)
-    heads = [stage.record for stage in stages if stage.record.held and stage.record.held.first == 0]
-    assert heads
-    for head in heads:
-        first = find_path(context.engine, stages, PathWish("a", 900.0, head=head.replica_id))
-        assert first is not None
-        faulty = first.parts[1].replica_id
-        wish = PathWish("a", 900.0, avoid={faulty}, head=head.replica_id)
-        moved = find_path(context.engine, stages, wish)
+    paths = paths_behind_each_head(context.engine, stages)
+    assert paths
+    for path in paths:
+        faulty = path.parts[1].replica_id
+        kept = tuple(part for part in path.parts if part.replica_id != faulty)
+        moved = find_path(context.engine, stages, PathWish("a", 900.0, {faulty}, kept))
         assert moved is not None
-        assert moved.parts[0].replica_id == head.replica_id
+        assert moved.parts[0] == path.parts[0]
         assert faulty not in {part.replica_id for part in moved.parts}
 
 
+def paths_behind_each_head(engine: EngineModel, stages: list[StageLoad]) -> list[Path]:
+    """Return a path behind each replica that holds the first layer."""
+    paths = []
+    for head in stages:
+        if head.record.held is None or head.record.held.first > 0:
+            continue
+        others = [stage for stage in stages if stage.record.held and stage.record.held.first > 0]
+        path = find_path(engine, [head, *others], PathWish(head.record.failure_domain, 900.0))
+        assert path is not None
+        paths.append(path)
+    return paths
+
+
+@given("a failure domain with two replicas for each range of layers")
+def make_twins(context: Any) -> None:
+    placed_fleet(context)
+    own = [
+        stage.record
+        for stage in create_trekvast_stages(context.holders)
+        if stage.record.failure_domain == "delft-a"
+    ]
+    twins = [replica(f"{r.replica_id}-twin", r.failure_domain, r.kind, r.held) for r in own]
+    context.stages = [StageLoad(record) for record in (*own, *twins)]
+    context.path = find_path(context.engine, context.stages, PathWish("delft-a", 900.0))
+    assert context.path is not None
+
+
+@then("past each lost part of a path just that part's layers are read anew")
+def check_kept_parts(context: Any) -> None:
+    for lost in context.path.parts[1:]:
+        check_move(context.engine, context.stages, context.path, lost)
+
+
+@then("a part that is full for others is kept too")
+def check_full_kept(context: Any) -> None:
+    used = {part.replica_id for part in context.path.parts}
+    stages = [
+        StageLoad(stage.record, kv_in_use=1e12) if stage.record.replica_id in used else stage
+        for stage in context.stages
+    ]
+    check_move(context.engine, stages, context.path, context.path.parts[-1])
+
+
+@when("30 prompts are read on the path chosen first")
+def read_prompts(context: Any) -> None:
+    context.clock = ManualClock()
+    context.board = create_load_board(context.clock)
+    kinds = {stage.record.replica_id: stage.record.kind for stage in context.stages}
+    for part in context.path.parts * 30:
+        work_ms = read_ms(context.engine, kinds[part.replica_id], 900.0, len(part.layers))
+        context.board.note_reading(part.replica_id, work_ms)
+
+
+@then("the next path has none of its parts, and the same parts 200 ms later")
+def check_kept_off(context: Any) -> None:
+    def choose() -> set[str]:
+        stages = [
+            StageLoad(stage.record, backlog_ms=context.board.backlog_ms(stage.record.replica_id))
+            for stage in context.stages
+        ]
+        path = find_path(context.engine, stages, PathWish("delft-a", 900.0))
+        assert path is not None
+        return {part.replica_id for part in path.parts}
+
+    first = {part.replica_id for part in context.path.parts}
+    assert not choose() & first
+    context.clock.advance(200.0)
+    assert choose() == first
+
+
+def check_move(engine: EngineModel, stages: list[StageLoad], path: Path, lost: PathPart) -> None:
+    """Check that a path past a lost part reads just that part's layers anew."""
+    kept = tuple(part for part in path.parts if part is not lost)
+    moved = find_path(engine, stages, PathWish("a", 900.0, {lost.replica_id}, kept))
+    assert moved is not None
+    new = [part for part in moved.parts if part not in kept]
+    assert sum(len(part.layers) for part in new) == len(lost.layers), (path, lost, moved)
+    assert moved.parts[0] == path.parts[0]
+
+
 @given("two replicas that each hold the whole model")
 def two_copies(context: Any) -> None:
     one_full(context)
@@ -327,3 +513,51 @@
 @then("their layers are ordered elsewhere at once")
 def check_made_up(context: Any) -> None:
     assert context.ordered
+
+
+@given("76 hosts that learn of a change of the lease 50 to 300 ms later")
+def make_candidates(context: Any) -> None:
+    rng = random.Random(context.site.seed)
+    context.clock = ManualClock()
+    context.lags_ms = [rng.uniform(50.0, 300.0) for _ in range(76)]
+    context.candidates = [
+        create_candidacy(context.clock, lambda number=number: number) for number in range(76)
+    ]
+
+
+@when("the lease lapses")
+def lapse_lease(context: Any) -> None:
+    compete(context, 0)
+
+
+@when("the lease lapses and the first {count:d} in rank can't reach the store")
+def lapse_unreachable(context: Any, count: int) -> None:
+    compete(context, count)
+
+
+def compete(context: Any, unreachable: int) -> None:
+    """Let all hosts look each 200 ms, not at the same moment, for 5 s."""
+    context.tried = set()
+    context.taken_ms = None
+    context.unreachable = set(range(unreachable))
+    for tick in range(500):
+        now_ms = context.clock.now_ms()
+        for number in range(tick % 20, 76, 20):
+            has_news = now_ms >= context.lags_ms[number]
+            taken_ms = context.taken_ms
+            is_told = taken_ms is not None and now_ms >= taken_ms + context.lags_ms[number]
+            is_held = not has_news or is_told
+            if not context.candidates[number].is_due(is_held=is_held):
+                continue
+            context.tried.add(number)
+            if taken_ms is None and number not in context.unreachable:
+                context.taken_ms = now_ms
+        context.clock.advance(10.0)
+
+
+@then("one host holds it within {time_s:d} s, and at most {most:d} have tried")
+@then("one host holds it within {time_s:d} s, and at most {most:d} besides those have tried")
+def check_competition(context: Any, time_s: int, most: int) -> None:
+    assert context.taken_ms is not None
+    assert context.taken_ms <= time_s * 1_000.0, context.taken_ms
+    assert len(context.tried - context.unreachable) <= most, context.tried
--- /dev/null
+++ b/features/steps/placement_machine.py
@@ -0,0 +1,35 @@
+"""Steps that run the placers' state machine."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest.mock import patch
+
+from behave import then, when
+from features.support.gated_machine import run_machine
+from features.support.placement_machine import PlacementMachine
+
+from pimentodale.steward.lease import HeldLease
+
+
+@when("{runs:d} runs of the placement machine are made with {rules:d} rules each")
+def run_placement_machine(context: Any, runs: int, rules: int) -> None:
+    context.machine_fault = run_machine(PlacementMachine, runs, rules)
+
+
+@then("no run of the placement machine broke a rule")
+def check_machine(context: Any) -> None:
+    if context.machine_fault is not None:
+        raise context.machine_fault
+
+
+@when("runs of the placement machine are made with orders that all bear the same fencing number")
+def run_unfenced(context: Any) -> None:
+    # A lease that counts as sure for ever is what a holder without a clock would have.
+    with patch.object(HeldLease, "is_sure_for", lambda _lease, _duration_ms: True):
+        context.machine_fault = run_machine(PlacementMachine, 60, 60)
+
+
+@then("the placement machine finds that a rule is broken")
+def check_found(context: Any) -> None:
+    assert isinstance(context.machine_fault, AssertionError), context.machine_fault
--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -5,10 +5,12 @@
 import asyncio
 import json
 import re
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from behave import given, then
+from features.support.engine_fleet import replica
 from features.support.site import http
 from tornado.httputil import HTTPHeaders
 
@@ -19,6 +21,7 @@
 from pimentodale.placement.messages import PathPart
 from pimentodale.platform import exchanges
 from pimentodale.platform.configuration import decode_configuration
+from pimentodale.platform.engines import create_platform_engines
 from pimentodale.platform.store import create_platform_store
 from pimentodale.site.model import LayerRange, Repeatability
 from pimentodale.yaml_files import parse_yaml
@@ -293,3 +296,33 @@
         assert not written.error.may_have_applied
 
     asyncio.run(run())
+
+
+@given('a replica that answers "{answer}" to a question without an attempt\'s id')
+def make_answering(context: Any, answer: str) -> None:
+    context.replica_answer = answer
+
+
+@then('a probe finds that it "{finding}"')
+def check_probe(context: Any, finding: str) -> None:
+    status, _, rest = context.replica_answer.partition(" ")
+    body = b'{"born": 7}' if rest else b""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if status != "none":
+            head = f"HTTP/1.1 {status} Status\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+        writer.close()
+
+    async def probe() -> str:
+        server = await asyncio.start_server(serve, context.site.ip(3), 9000)
+        async with server:
+            record = replica("i-1", "a", "", None)
+            record = replace(record, address=Address(context.site.ip(3), 9000))
+            found = await create_platform_engines().probe(record)
+        if found.is_ok():
+            return f"lives since {found.ok}" if found.ok else "lives"
+        return "is another replica" if "another" in found.error else "does not answer"
+
+    assert asyncio.run(probe()) == finding
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -208,6 +208,41 @@
     assert median(context.pick_us) <= limit_us, median(context.pick_us)
 
 
+@given("a fast, a slow and a full route of one model whose latencies are known")
+def create_known_routes(context: Any) -> None:
+    clock = ManualClock()
+    fleet = create_fleet(clock)
+    rates = {"fast": 300.0, "slow": 200.0, "full": 300.0}
+    engines = [make_engine(name, "d0", 0, LAYERS, rate) for name, rate in rates.items()]
+    fleet.apply_targets(Targets(engines=engines))
+    context.router = create_router(fleet, clock, "d0", context.site.seed)
+    context.router.pick_route("m", LAYERS)
+    for planned in context.router.plan_of("m"):
+        name = planned.route.hops[0].replica
+        use = context.router.started(planned.route)
+        for _ in range(9):
+            use.note_token()
+            clock.advance(80.0 if name == "slow" else 20.0)
+        if name != "full":
+            use.end(RouteOutcome.SERVED)
+    fleet.mark_busy("full")
+
+
+@when("{count:d} streams beyond the limits are granted one after the other, each ending at once")
+def grant_beyond(context: Any, count: int) -> None:
+    context.granted = []
+    for _ in range(count):
+        use = context.router.acquire_beyond("m", LAYERS)
+        context.granted.append(use.route.hops[0].replica)
+        use.end(RouteOutcome.SERVED)
+
+
+@then("at least {count:d} of them get the fast route and none the full one")
+def check_beyond(context: Any, count: int) -> None:
+    assert context.granted.count("fast") >= count, context.granted
+    assert "full" not in context.granted
+
+
 @given("a router over {domains:d} failure domains with {count:d} engines")
 def create_small_router(context: Any, domains: int, count: int) -> None:
     context.clock = ManualClock()
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 from features.support.mirror_fakes import CountingStore, FakePeers
@@ -19,9 +19,15 @@
 from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
 from pimentodale.site.view import SiteRecords, create_site_view
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 RECORDS = SiteRecords(CONFIGURATION_KEY, REPLICA_PREFIX, decode_configuration, decode_replica)
 REPLICA_KEY = REPLICA_PREFIX + "i-1"
 
+MAX_TURNS = 100_000
+"""Turns of the loop after which a host that goes on following is given up."""
+
 
 def item(key: str, revision: int, value: bytes = b"v") -> KeyValue:
     return KeyValue(key, value, revision, revision)
@@ -266,3 +272,54 @@
     assert context.watched_alone > 0
     assert context.store.batches == context.batches
     assert context.mirror.items["k"].value == b"newer"
+
+
+@given("the store and the other hosts don't answer")
+def silence_all(context: Any) -> None:
+    context.peers.answers = False
+    context.store.is_down = True
+    context.clock = ManualClock()
+    context.mirror = create_mirror(context.clock)
+    context.mirror.apply_whole(9, [item("k", 9, b"old")])
+    context.follower = create_mirror_follower(
+        context.mirror,
+        context.store,
+        context.peers,
+        context.clock,
+        random.Random(context.site.seed),
+    )
+
+
+def follow_until(context: Any, is_over: Callable[[], bool]) -> None:
+    """Follow the store until something holds; the clock moves with each pause of the host."""
+
+    async def run() -> None:
+        task = asyncio.create_task(context.follower.follow_store())
+        for _ in range(MAX_TURNS):
+            if is_over():
+                break
+            await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+@when("a host that {duty} follows for 10 s of its clock")
+def follow_down(context: Any, duty: str) -> None:
+    if duty == "watches":
+        watching = [known for known in context.peers.members if known.host in context.watchers]
+        context.peers.own = watching[0]
+    follow_until(context, lambda: context.clock.now_ms() >= 10_000.0)
+
+
+@then("it has read the store at least {least:d} times and at most {most:d} times")
+def check_few_reads(context: Any, least: int, most: int) -> None:
+    assert least <= context.store.reads <= most, context.store.reads
+
+
+@then("it reads the store within {limit_ms:d} ms of its return")
+def check_return(context: Any, limit_ms: int) -> None:
+    context.store.is_down = False
+    returned_ms = context.clock.now_ms()
+    follow_until(context, lambda: context.mirror.items["k"].value == b"from the store")
+    assert context.clock.now_ms() - returned_ms <= limit_ms
--- /dev/null
+++ b/features/steps/stream_repeats.py
@@ -0,0 +1,201 @@
+"""Steps for the replicas at which one attempt of a stream may run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, when
+from features.support.engine_fleet import create_small_engine, replica
+
+from pimentodale.addresses import Address
+from pimentodale.clock import ManualClock
+from pimentodale.forwarding.learning import learn
+from pimentodale.forwarding.messages import Refused
+from pimentodale.forwarding.stream_passing import pass_stream_on
+from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
+from pimentodale.forwarding.streams import has_ended
+from pimentodale.placement.messages import PathPart
+from pimentodale.placement.paths import Path, PathWish, StageLoad, find_path
+from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
+from pimentodale.site.model import LayerRange
+
+STALL_MS = 2_500.0
+
+
+@given("a stream whose route allows {most:d} replicas")
+def make_stream(context: Any, most: int) -> None:
+    clock = ManualClock()
+    replicas = {
+        name: replica(name, "a", "fast", LayerRange(0, 4)) for name in ("h1", "h2", "stage")
+    }
+    context.means = SimpleNamespace(
+        clock=clock,
+        stall_ms=STALL_MS,
+        beliefs=create_replica_beliefs(clock),
+        view=SimpleNamespace(replicas=replicas),
+    )
+    context.state = StreamState(None, 100.0)
+    context.most = most
+
+
+def end_send(context: Any, head: str, end: AttemptEnd, *, blames_head: bool = True) -> None:
+    """Let one send at a first replica end."""
+    known = context.means.view.replicas[head]
+    part = PathPart(head, known.address, LayerRange(0, 8))
+    context.state.path = Path((part,), 1.0)
+    context.state.blames_head = blames_head
+    learn(context.means, context.state, end)
+
+
+@when('its first replica "{first}" is silent, and then a stage behind "{second}" falls silent')
+def hang_and_stall(context: Any, first: str, second: str) -> None:
+    end_send(context, first, AttemptEnd.LOST)
+    end_send(context, second, AttemptEnd.LOST, blames_head=False)
+
+
+@when('its first replica "{first}" is silent, and then "{second}" is silent as well')
+def hang_twice(context: Any, first: str, second: str) -> None:
+    end_send(context, first, AttemptEnd.LOST)
+    end_send(context, second, AttemptEnd.LOST)
+
+
+@when('its first replica "{first}" is silent, and then "{second}" refuses it')
+def hang_and_refuse(context: Any, first: str, second: str) -> None:
+    end_send(context, first, AttemptEnd.LOST)
+    end_send(context, second, AttemptEnd.REFUSED)
+
+
+@when('"{name}" leaves a probe without an answer')
+def leave_probe(context: Any, name: str) -> None:
+    known = context.means.view.replicas[name]
+    context.means.beliefs.note_silent_probe(incarnation_of(known), "no answer")
+
+
+@when('"{name}" starts again')
+def start_again(context: Any, name: str) -> None:
+    replicas = context.means.view.replicas
+    started_ms = replicas[name].started_ms + 1
+    replicas[name] = replica(name, "a", "fast", None, started_ms=started_ms)
+
+
+def allowed_heads(context: Any) -> frozenset[str] | None:
+    """Return where the next send may go."""
+    return context.state.used_heads.allowed(
+        context.most, lambda incarnation: has_ended(context.means, incarnation)
+    )
+
+
+@then('its next send may only go to "{name}"')
+def check_only(context: Any, name: str) -> None:
+    assert allowed_heads(context) == {name}, allowed_heads(context)
+
+
+@then("its next send may go nowhere")
+def check_nowhere(context: Any) -> None:
+    assert allowed_heads(context) == frozenset(), allowed_heads(context)
+
+
+@then("its next send may go anywhere")
+def check_anywhere(context: Any) -> None:
+    assert allowed_heads(context) is None, allowed_heads(context)
+
+
+@given("two failure domains with a whole copy each")
+def make_copies(context: Any) -> None:
+    context.engine = create_small_engine()
+    context.stages = [
+        StageLoad(replica(f"{domain}{index}", domain, "fast", layers))
+        for domain in "ab"
+        for index, layers in enumerate((LayerRange(0, 4), LayerRange(4, 8)))
+    ]
+
+
+def find(context: Any, avoid: tuple[str, ...]) -> Path | None:
+    """Return the path of a request that may only begin in the second domain."""
+    wish = PathWish("a", 100.0, avoid, heads=("b0",))
+    return find_path(context.engine, context.stages, wish)
+
+
+@when("a request of the first one may only begin at the first replica of the second")
+def find_restricted(context: Any) -> None:
+    context.found = find(context, ())
+
+
+@then("its path begins there and runs every layer once")
+def check_begins(context: Any) -> None:
+    parts = context.found.parts
+    assert parts[0].replica_id == "b0"
+    bounds = [(part.layers.first, part.layers.end) for part in parts]
+    assert [first for first, _ in bounds] == [0, *(end for _, end in bounds[:-1])]
+    assert bounds[-1][1] == context.engine.layers
+
+
+@when("that replica must not be used")
+def find_avoiding(context: Any) -> None:
+    context.found = find(context, ("b0",))
+
+
+@then("there is no path")
+def check_no_path(context: Any) -> None:
+    assert context.found is None
+
+
+@given("a replica that {does} each request")
+def choose_replica(context: Any, does: str) -> None:
+    context.does = does
+
+
+async def serve_badly(does: str, reader: Any, writer: Any) -> None:
+    """Take a request and treat it as the scenario says."""
+    await reader.readuntil(b"\r\n\r\n")
+    if does == "refuses for want of room":
+        writer.write(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+        await writer.drain()
+    elif does == "keeps without an answer":
+        await reader.read()
+    else:
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.close()
+
+
+@when("a stream is sent to it, and the send is given up after {wait_ms:d} ms if it has not ended")
+def send_and_give_up(context: Any, wait_ms: int) -> None:
+    context.state = StreamState(None, 100.0)
+    asyncio.run(send_for(context, wait_ms))
+
+
+async def send_for(context: Any, wait_ms: int) -> None:
+    """Send the stream to a server of this process."""
+    server = await asyncio.start_server(
+        lambda reader, writer: serve_badly(context.does, reader, writer), "127.0.0.1", 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    if context.does.startswith("does not listen"):
+        server.close()
+        await server.wait_closed()
+    answer = SimpleNamespace(refused=Refused.NO_ROOM, faulty_address="")
+    codec = SimpleNamespace(encode_request=lambda *_: {}, decode_answer=lambda *_: answer)
+    request = SimpleNamespace(method="POST", path="/x", body=b"", attempt_id="attempt-1")
+    context.routed = SimpleNamespace(
+        exchange=SimpleNamespace(request=request),
+        workspace="w1",
+        sends=0,
+        left_ms=lambda _now_ms: 5_000.0,
+    )
+    means = SimpleNamespace(clock=ManualClock(), codec=codec)
+    path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
+    work = pass_stream_on(means, StreamPool(), context.routed, context.state, path)
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(work, wait_ms / 1_000.0)
+    server.close()
+
+
+@then("{sends:d} sends are counted and the stream {may} have run")
+def check_counted(context: Any, sends: int, may: str) -> None:
+    assert context.routed.sends == sends, context.routed.sends
+    assert context.state.may_have_run == (may == "may"), context.state.may_have_run
--- a/features/support/mirror_fakes.py
+++ b/features/support/mirror_fakes.py
@@ -37,7 +37,9 @@
     def handle(self, topic: str, handler: object) -> None:
         """Take no handler: nobody asks this host."""
 
-    async def request(self, host: str, topic: str, body: bytes, timeout_ms: float) -> Any:
+    async def request(
+        self, host: str, topic: str, body: bytes, timeout_ms: float, *, is_kept: bool = False
+    ) -> Any:
         """Answer from the copy."""
         self.asked.append(host)
         await asyncio.sleep(0.01)
@@ -55,10 +57,14 @@
         self.batches = 0
         self.quiet_batches = 0
         """Batches without changes that a watch gives before it ends."""
+        self.is_down = False
+        """Whether readings fail."""
 
     async def read(self, key: str, range_end: str) -> Any:
         """Return one key."""
         self.reads += 1
+        if self.is_down:
+            return Error(StoreFault(False, "connection refused"))
         return Ok(RangeReply(20, [KeyValue("k", b"from the store", 20, 20)]))
 
     async def watch(self, prefix: str, from_revision: int, silence_timeout_ms: float) -> Any:
--- /dev/null
+++ b/features/support/placement_machine.py
@@ -0,0 +1,318 @@
+"""Drives several hosts' placers in any order against replicas that follow the platform's protocol.
+
+Each call to the store and to a replica waits at a gate before its effect and at one after it. An order
+that was given up on its way may reach its replica at any later time, also one that has restarted since.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, Final
+
+import hypothesis.strategies as st
+from expression import Error, Ok, Result
+from hypothesis.stateful import invariant, precondition, rule
+
+from features.support.engine_fleet import create_small_engine, replica
+from features.support.gated_machine import HOSTS, GatedHost, GatedMachine, HostClock
+from features.support.memory_store import MemoryStore
+from pimentodale.placement.messages import EngineReport, OrderOutcome
+from pimentodale.placement.placer import LEASE_TTL_MS, Placer
+from pimentodale.placement.planner import Holder, find_gaps, max_layers
+from pimentodale.site.beliefs import create_replica_beliefs
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+    from pimentodale.clients.key_value import StoreFault
+    from pimentodale.site.model import LayerRange, ReplicaRecord
+
+REPLICAS: Final = 4
+KIND: Final = "fast"
+MENDING_ROUNDS: Final = 200
+ENGINE: Final = create_small_engine()
+
+
+@dataclass(slots=True, eq=False)
+class PlacingHost(GatedHost):
+    """One life of a host that may place layers."""
+
+    placer: Placer | None = None
+    task: asyncio.Task[None] | None = None
+
+
+@dataclass(slots=True)
+class Order:
+    """An order as a replica accepted it."""
+
+    fence: int
+    layers: LayerRange
+
+
+@dataclass(slots=True)
+class ReplicaModel:
+    """One replica by the platform's page on orders."""
+
+    name: str
+    started_ms: int = 1
+    fence: int = 0
+    accepted: list[Order] = field(default_factory=list)
+    """Orders that this life of it has accepted."""
+
+    held: LayerRange | None = None
+
+    def place(self, layers: LayerRange, fence: int, expected: int) -> OrderOutcome:
+        """Answer an order."""
+        if fence < self.fence:
+            return OrderOutcome.FENCED
+        self.fence = fence
+        if expected != len(self.accepted):
+            return OrderOutcome.CONFLICT
+        self.accepted.append(Order(fence, layers))
+        self.held = layers
+        return OrderOutcome.BEGUN
+
+    def restart(self) -> None:
+        """Start again under the same name, empty and without memory."""
+        self.started_ms += 1
+        self.fence = 0
+        self.accepted = []
+        self.held = None
+
+    def record(self) -> ReplicaRecord:
+        """Return what the replica says of itself."""
+        return replace(replica(self.name, "a", KIND, self.held), started_ms=self.started_ms)
+
+
+class _RenewingStore(MemoryStore):
+    """A host's way to the store that renews leases too."""
+
+    __slots__ = ("_machine",)
+
+    def __init__(
+        self, machine: PlacementMachine, gate: Callable[[str], Any], host: PlacingHost
+    ) -> None:
+        super().__init__(machine.state, gate)
+        self._machine = machine
+
+    async def keep_lease(self, lease_id: int) -> Result[float, StoreFault]:
+        """Renew a lease that has not lapsed."""
+
+        def keep_now() -> Result[float, StoreFault]:
+            state = self._machine.state
+            state.expire()
+            if lease_id not in state.leases:
+                return Ok(0.0)
+            state.leases[lease_id] = state.clock.now_ms() + LEASE_TTL_MS
+            return Ok(LEASE_TTL_MS)
+
+        return await self._through_gates(keep_now)
+
+
+class _Engines:
+    """One host's way to the replicas."""
+
+    def __init__(self, machine: PlacementMachine, host: PlacingHost) -> None:
+        self._machine = machine
+        self._host = host
+
+    async def report(self, record: ReplicaRecord) -> Result[EngineReport, str]:
+        """Ask for a report, which may be lost or come late."""
+        model = self._machine.models[record.replica_id]
+        if await self._machine.wait_at(self._host, "request") is not None:
+            return Error("no report")
+        count, held, started_ms = len(model.accepted), model.held, model.started_ms
+        if await self._machine.wait_at(self._host, "reply") is not None:
+            return Error("no report")
+        return Ok(EngineReport(False, count, 0, 0, 0.0, 1.0, 1.0, started_ms, held, stalled=()))
+
+    async def place(
+        self, record: ReplicaRecord, wanted: LayerRange, fence: int, orders_accepted: int
+    ) -> Result[OrderOutcome, str]:
+        """Give an order, which may be lost, come late, or be carried out without an answer."""
+        machine, model = self._machine, self._machine.models[record.replica_id]
+        machine.note_order(self._host, fence)
+
+        def deliver() -> OrderOutcome:
+            return model.place(wanted, fence, orders_accepted)
+
+        fault = await machine.wait_at(self._host, "request")
+        if fault is not None:
+            if fault.may_have_applied:
+                machine.late_orders.append(deliver)
+            return Error("no answer")
+        outcome = deliver()
+        if await machine.wait_at(self._host, "reply") is not None:
+            return Error("no answer")
+        return Ok(outcome)
+
+
+class _View:
+    """What one host knows of the site: a copy that may be old."""
+
+    def __init__(self, machine: PlacementMachine) -> None:
+        self._machine = machine
+        self._copied_ms = float("-inf")
+        self.changed_ms = 0.0
+        self.replicas: dict[str, ReplicaRecord] = {}
+        self.configuration = SimpleNamespace(
+            services={"lm": SimpleNamespace(name="lm", engine=ENGINE)}
+        )
+        self.mirror = SimpleNamespace(items={}, age_ms=self._age_ms)
+
+    def copy(self) -> None:
+        """Bring the copy up to date."""
+        state = self._machine.state
+        state.expire()
+        self._copied_ms = self._machine.clock.now_ms()
+        self.mirror.items = dict(state.items)
+        self.replicas = {model.name: model.record() for model in self._machine.models.values()}
+
+    def replicas_of(self, _service: str) -> list[ReplicaRecord]:
+        """Return all replicas."""
+        return list(self.replicas.values())
+
+    def _age_ms(self) -> float:
+        return self._machine.clock.now_ms() - self._copied_ms
+
+
+class PlacementMachine(GatedMachine):
+    """The rules, and what is checked after each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.models = {name: ReplicaModel(name) for name in (f"r{n}" for n in range(REPLICAS))}
+        self.late_orders: list[Callable[[], OrderOutcome]] = []
+        self.holders: dict[int, PlacingHost] = {}
+        """Who has ordered under each fencing number."""
+        self.dead_hosts: list[PlacingHost] = []
+        """Kept so that their tasks stay as they are until the end."""
+        self.hosts: list[PlacingHost] = []
+        for number in range(HOSTS):
+            self.hosts.append(self._start_host(number))
+
+    @precondition(lambda self: self.late_orders)
+    @rule(data=st.data())
+    def deliver_late(self, data: st.DataObject) -> None:
+        """Let an order that was given up reach its replica."""
+        self.late_orders.pop(data.draw(st.integers(0, len(self.late_orders) - 1)))()
+
+    @precondition(lambda self: self.state.late_effects)
+    @rule(data=st.data())
+    def take_effect_late(self, data: st.DataObject) -> None:
+        """Let a call that was given up reach the store."""
+        self.state.late_effects.pop(data.draw(st.integers(0, len(self.state.late_effects) - 1)))()
+
+    @rule(duration_ms=st.sampled_from([50.0, 250.0, 250.0, 900.0, 3_500.0]))
+    def pass_time(self, duration_ms: float) -> None:
+        """Move every clock on."""
+        self.clock.advance(duration_ms)
+
+    @rule(number=st.integers(0, HOSTS - 1))
+    def copy_store(self, number: int) -> None:
+        """Let a host learn what the store holds."""
+        self._view(self.hosts[number]).copy()
+
+    @rule(name=st.sampled_from([f"r{n}" for n in range(REPLICAS)]))
+    def restart_replica(self, name: str) -> None:
+        """Restart a replica under its name."""
+        self.models[name].restart()
+
+    @rule(number=st.integers(0, HOSTS - 1))
+    def kill(self, number: int) -> None:
+        """Kill a host where it stands and start a new one in its place."""
+        host = self.hosts[number]
+        host.crashed = True
+        self.dead_hosts.append(host)
+        self.gates = [gate for gate in self.gates if gate.host is not host]
+        self.hosts[number] = self._start_host(number)
+
+    @invariant()
+    def fences_rise_on_each_replica(self) -> None:
+        """No replica carries out an older holder's order after a newer one's."""
+        for model in self.models.values():
+            fences = [order.fence for order in model.accepted]
+            assert fences == sorted(fences), (model.name, fences)
+
+    @invariant()
+    def one_host_is_sure(self) -> None:
+        """No two hosts are sure of the lease at once."""
+        sure = [host.number for host in self.hosts if self._is_sure(host)]
+        assert len(sure) <= 1, sure
+
+    @invariant()
+    def layers_fit(self) -> None:
+        """No order asks for more layers than fit."""
+        most = max_layers(ENGINE, KIND, 1.0)
+        for model in self.models.values():
+            assert model.held is None or len(model.held) <= most, (model.name, model.held)
+
+    def note_order(self, host: PlacingHost, fence: int) -> None:
+        """Check that a fencing number is one holder's alone."""
+        known = self.holders.setdefault(fence, host)
+        assert known is host, (fence, known.number, host.number)
+
+    def teardown(self) -> None:
+        """Mend everything; then some host places all layers."""
+        try:
+            self._mend()
+            holders = [Holder(m.name, "a", KIND, m.held) for m in self.models.values()]
+            assert not find_gaps(ENGINE, holders), holders
+            self.fences_rise_on_each_replica()
+        finally:
+            self.drop_all()
+            self.loop.close()
+
+    def tasks(self) -> list[asyncio.Task[Any]]:
+        """Return the tasks of the hosts that live."""
+        return [host.task for host in self.hosts if host.task is not None]
+
+    def _start_host(self, number: int) -> PlacingHost:
+        """Start a host with an empty memory."""
+        host = PlacingHost(number)
+
+        async def gate(stage: str) -> StoreFault | None:
+            return await self.wait_at(host, stage)
+
+        clock = HostClock(self, host)
+        view: Any = _View(self)
+        view.copy()
+        host.placer = Placer(
+            f"host-{number}",
+            _RenewingStore(self, gate, host),
+            _Engines(self, host),
+            view,
+            create_replica_beliefs(clock),
+            clock,
+            random.Random(number),
+        )
+        host.task = self.loop.create_task(host.placer.run())
+        self.turn()
+        return host
+
+    def _view(self, host: PlacingHost) -> Any:
+        """Return what a host knows."""
+        assert host.placer is not None
+        return host.placer.view
+
+    def _is_sure(self, host: PlacingHost) -> bool:
+        """Whether a host holds the lease by its own clock."""
+        lease = host.placer.lease if host.placer is not None else None
+        return lease is not None and lease.is_sure_for(0.0)
+
+    def _mend(self) -> None:
+        """Wake all hosts and let everything pass for a while."""
+        for host in self.hosts:
+            host.frozen = False
+        for _ in range(MENDING_ROUNDS):
+            for host in self.hosts:
+                self._view(host).copy()
+            for _ in range(20):
+                gates = self.open_gates()
+                if not gates:
+                    break
+                self.open(gates[0], None)
+            self.clock.advance(100.0)
--- a/src/pimentodale/clock.py
+++ b/src/pimentodale/clock.py
@@ -35,6 +35,19 @@
         """
         await asyncio.sleep(max(0.0, duration_ms) / MS_PER_S)
 
+    async def wait_for(self, task: asyncio.Task[bool], timeout_ms: float) -> bool:
+        """Wait for a task, which goes on by itself after the time-out.
+
+        Args:
+            task: The task.
+            timeout_ms: How long to wait.
+
+        Returns:
+            Whether it has ended.
+        """
+        done, _ = await asyncio.wait({task}, timeout=timeout_ms / MS_PER_S)
+        return bool(done)
+
 
 class ManualClock(Clock):
     """A clock that moves only when told to, for decisions tested without waiting."""
--- /dev/null
+++ b/src/pimentodale/forwarding/client_exchange.py
@@ -0,0 +1,107 @@
+"""A client's request and the way back to the client."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from tornado.httputil import HTTPConnection
+
+    from pimentodale.forwarding.messages import ClientRequest
+
+_REASONS: Final = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class ClientGoneError(Exception):
+    """The client has closed its connection."""
+
+
+class ClientExchange:
+    """A client's request and the way back to the client."""
+
+    __slots__ = ("_connection", "is_begun", "is_ended", "is_last", "request")
+
+    def __init__(self, connection: HTTPConnection, request: ClientRequest) -> None:
+        self._connection = connection
+        self.request = request
+        self.is_begun = False
+        """Whether the answer's header has been written."""
+        self.is_ended = False
+        """Whether the answer is whole, or was broken off."""
+        self.is_last = False
+        """Whether the connection closes after this answer."""
+
+    async def answer(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Write a whole answer."""
+        fields = self._headers(headers)
+        fields["Content-Length"] = str(len(body))
+        self.is_begun = self.is_ended = True
+        await self._write(self._connection.write_headers(_start_line(status), fields, body or None))
+        self._finish()
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Write the header of an answer whose body follows in pieces."""
+        self.is_begun = True
+        await self._write(
+            self._connection.write_headers(_start_line(status), self._headers(headers))
+        )
+
+    async def write(self, piece: bytes) -> None:
+        """Write a piece of the body; waits while the client doesn't read."""
+        await self._write(self._connection.write(piece))
+
+    def end(self) -> None:
+        """End an answer that is whole."""
+        self.is_ended = True
+        self._finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that an unfinished answer doesn't look complete."""
+        self.is_ended = True
+        if isinstance(self._connection, HTTP1Connection):
+            self._connection.stream.close()
+
+    def _headers(self, headers: list[tuple[str, str]]) -> HTTPHeaders:
+        """Build the header fields."""
+        fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        if self.is_last:
+            fields["Connection"] = "close"
+        return fields
+
+    async def _write(self, written: Awaitable[None]) -> None:
+        """Wait for a write."""
+        try:
+            await written
+        except StreamClosedError:
+            self.is_ended = True
+            raise ClientGoneError from None
+
+    def _finish(self) -> None:
+        """Let the connection go on to its next request."""
+        with contextlib.suppress(StreamClosedError):
+            self._connection.finish()
+
+
+def _start_line(status: int) -> ResponseStartLine:
+    """Return the first line of an answer."""
+    return ResponseStartLine("HTTP/1.1", status, _REASONS.get(status, "Unknown"))
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.means import RoutedRequest
+from pimentodale.forwarding.client_exchange import ClientGoneError
+from pimentodale.forwarding.means import RoutedRequest, view_age_ms
 from pimentodale.forwarding.plain import serve_plain
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.route_table import choose_service
@@ -14,7 +16,7 @@
 from pimentodale.site.model import Repeatability
 
 if TYPE_CHECKING:
-    from pimentodale.forwarding.front_server import ClientExchange
+    from pimentodale.forwarding.client_exchange import ClientExchange
     from pimentodale.forwarding.means import ForwardingMeans
     from pimentodale.forwarding.stream_state import StreamPool
 
@@ -62,10 +64,30 @@
         return
     means.retries.note_request(service.name)
     routed = RoutedRequest(exchange, route, service, workspace, priority)
-    if route.repeatability is Repeatability.STREAM:
-        await serve_stream(means, pool, routed)
-    else:
-        await serve_plain(means, routed)
+    try:
+        if route.repeatability is Repeatability.STREAM:
+            await serve_stream(means, pool, routed)
+        else:
+            await serve_plain(means, routed)
+    except (asyncio.CancelledError, ClientGoneError):
+        _log_left(means, routed)
+        raise
+
+
+def _log_left(means: ForwardingMeans, routed: RoutedRequest) -> None:
+    """Write the line of a request whose client left before its answer was whole."""
+    request = routed.exchange.request
+    _log.info(
+        "A client left.",
+        request=request.attempt_id,
+        route=routed.route.name,
+        service=routed.service.name,
+        workspace=routed.workspace,
+        elapsed_ms=round(means.clock.now_ms() - request.received_ms),
+        sends=routed.history,
+        sent=routed.sends,
+        view_age_ms=view_age_ms(means),
+    )
 
 
 async def _refuse_unknown(
@@ -98,6 +120,6 @@
         code=int(code),
         name=code.name.lower(),
         configuration=configuration.version if configuration else 0,
-        view_age_ms=round(means.view.mirror.age_ms()),
+        view_age_ms=view_age_ms(means),
     )
     await refuse(exchange, code, message, retry_after_ms=retry_after_ms)
--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -15,9 +15,14 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.client_exchange import ClientExchange, ClientGoneError
+from pimentodale.forwarding.client_stream import ClientStream
+from pimentodale.forwarding.refusing import refusal_parts
+from pimentodale.logs import get_log
+from pimentodale.results import Ran, ResultCode, create_refusal
+from pimentodale.site.model import ClientLimits
 from pimentodale.tracking_server import TrackingServer
 
 if TYPE_CHECKING:
@@ -28,92 +33,15 @@
 
     from pimentodale.clock import Clock
     from pimentodale.forwarding.messages import ClientRequest, ExchangeCodec
-    from pimentodale.site.model import ClientLimits
 
-_REASONS: Final = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
+LINGER_MS: Final = 1_000.0
+"""How long the rest of a body is read and dropped after its refusal, as a connection that closes over
+unread bytes is reset and may lose the answer. Clients on the site's network send 4 MB in less."""
 
+_LONGEST_LENGTH: Final = 2**62
+"""Tornado's own limit of a body, out of reach: it would answer 400."""
 
-class ClientGoneError(Exception):
-    """The client has closed its connection."""
-
-
-class ClientExchange:
-    """A client's request and the way back to the client."""
-
-    __slots__ = ("_connection", "is_begun", "is_ended", "is_last", "request")
-
-    def __init__(self, connection: HTTPConnection, request: ClientRequest) -> None:
-        self._connection = connection
-        self.request = request
-        self.is_begun = False
-        """Whether the answer's header has been written."""
-        self.is_ended = False
-        """Whether the answer is whole, or was broken off."""
-        self.is_last = False
-        """Whether the connection closes after this answer."""
-
-    async def answer(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Write a whole answer."""
-        fields = self._headers(headers)
-        fields["Content-Length"] = str(len(body))
-        self.is_begun = self.is_ended = True
-        await self._write(self._connection.write_headers(_start_line(status), fields, body or None))
-        self._finish()
-
-    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Write the header of an answer whose body follows in pieces."""
-        self.is_begun = True
-        await self._write(
-            self._connection.write_headers(_start_line(status), self._headers(headers))
-        )
-
-    async def write(self, piece: bytes) -> None:
-        """Write a piece of the body; waits while the client doesn't read."""
-        await self._write(self._connection.write(piece))
-
-    def end(self) -> None:
-        """End an answer that is whole."""
-        self.is_ended = True
-        self._finish()
-
-    def abort(self) -> None:
-        """Close the connection, so that an unfinished answer doesn't look complete."""
-        self.is_ended = True
-        if isinstance(self._connection, HTTP1Connection):
-            self._connection.stream.close()
-
-    def _headers(self, headers: list[tuple[str, str]]) -> HTTPHeaders:
-        """Build the header fields."""
-        fields = HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
-        if self.is_last:
-            fields["Connection"] = "close"
-        return fields
-
-    async def _write(self, written: Awaitable[None]) -> None:
-        """Wait for a write."""
-        try:
-            await written
-        except StreamClosedError:
-            self.is_ended = True
-            raise ClientGoneError from None
-
-    def _finish(self) -> None:
-        """Let the connection go on to its next request."""
-        with contextlib.suppress(StreamClosedError):
-            self._connection.finish()
+_log = get_log("request")
 
 
 class FrontServer(TrackingServer):
@@ -122,18 +50,21 @@
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Take Tornado's own arguments."""
         super().initialize(*args, **kwargs)
-        self.busy_streams: WeakSet[IOStream] = WeakSet()
-        """Connections whose request has begun to arrive and has no whole answer yet."""
+        self.intake = Intake()
+        """What this server's connections share."""
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection."""
-        stream.set_nodelay(True)
-        super().handle_stream(stream, address)
+        busy = self.intake.busy_streams
+        client = ClientStream(stream.socket, lambda waiting: waiting not in busy)
+        client.set_nodelay(True)
+        super().handle_stream(client, address)
 
     def apply_limits(self, limits: ClientLimits) -> None:
         """Hold new connections to other limits."""
         self.conn_params.max_header_size = limits.max_header_bytes
-        self.conn_params.max_body_size = limits.max_body_bytes
+        self.conn_params.max_body_size = _LONGEST_LENGTH
+        self.intake.limits = limits
         # The same time-out bounds an idle connection and a slow header; the longer one holds.
         self.conn_params.header_timeout = limits.idle_timeout_ms / MS_PER_S
 
@@ -141,10 +72,22 @@
         """Stop listening and close the connections that wait for a client's next request."""
         self.stop()
         for stream in list(self.streams):
-            if stream not in self.busy_streams and not stream.writing():
+            if stream not in self.intake.busy_streams and not stream.writing():
                 stream.close()
 
 
+class Intake:
+    """What all connections of a server share."""
+
+    __slots__ = ("busy_streams", "limits")
+
+    def __init__(self) -> None:
+        self.busy_streams: WeakSet[IOStream] = WeakSet()
+        """Connections whose request has begun to arrive and has no whole answer yet."""
+        self.limits = ClientLimits()
+        """What clients may send."""
+
+
 class _Connections(HTTPServerConnectionDelegate):
     """Creates the receiver of each request."""
 
@@ -153,17 +96,18 @@
         codec: ExchangeCodec,
         clock: Clock,
         handle: Callable[[ClientExchange], Awaitable[None]],
+        intake: Intake,
     ) -> None:
         self._codec = codec
         self._clock = clock
         self._handle = handle
-        self.busy_streams: WeakSet[IOStream] = WeakSet()
+        self._intake = intake
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Receive one request."""
-        return _Receiver(request_conn, self._codec, self._clock, self._handle, self.busy_streams)
+        return _Receiver(request_conn, self._codec, self._clock, self._handle, self._intake)
 
 
 class _Receiver(HTTPMessageDelegate):
@@ -175,15 +119,17 @@
         codec: ExchangeCodec,
         clock: Clock,
         handle: Callable[[ClientExchange], Awaitable[None]],
-        busy_streams: WeakSet[IOStream],
+        intake: Intake,
     ) -> None:
         self._connection = connection
-        self._busy_streams = busy_streams
+        self._intake = intake
         self._codec = codec
         self._clock = clock
         self._handle = handle
         self._request: ClientRequest | None = None
         self._parts: list[bytes] = []
+        self._body_bytes = 0
+        self._body_ended = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -195,19 +141,27 @@
         self._request = self._codec.decode_request(start_line.method, start_line.path, headers)
         self._request.received_ms = self._clock.now_ms()
         if isinstance(self._connection, HTTP1Connection):
-            self._busy_streams.add(self._connection.stream)
+            self._intake.busy_streams.add(self._connection.stream)
+        length = headers.get("Content-Length", "")
+        if length.isdecimal() and int(length) > self._intake.limits.max_body_bytes:
+            self._start(self._refuse_body)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a part of the body."""
+        if self._task is not None:
+            return
+        self._body_bytes += len(chunk)
         self._parts.append(chunk)
+        if self._body_bytes > self._intake.limits.max_body_bytes:
+            self._start(self._refuse_body)
 
     def finish(self) -> None:
         """Start the task that answers."""
-        if self._request is None:
+        self._body_ended.set()
+        if self._request is None or self._task is not None:
             return
         self._request.body = b"".join(self._parts)
-        exchange = ClientExchange(self._connection, self._request)
-        self._task = asyncio.ensure_future(self._run(exchange))
+        self._start(self._handle)
         if isinstance(self._connection, HTTP1Connection):
             self._connection.set_close_callback(self.on_connection_close)
 
@@ -216,17 +170,49 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def _run(self, exchange: ClientExchange) -> None:
+    def _start(self, handle: Callable[[ClientExchange], Awaitable[None]]) -> None:
+        """Start the task that answers."""
+        assert self._request is not None
+        self._parts.clear()
+        exchange = ClientExchange(self._connection, self._request)
+        self._task = asyncio.ensure_future(self._run(exchange, handle))
+
+    async def _refuse_body(self, exchange: ClientExchange) -> None:
+        """Refuse a request whose body is too long, while it is still coming in."""
+        limit_bytes = self._intake.limits.max_body_bytes
+        message = f"The body is over {limit_bytes} bytes; send a smaller one."
+        refusal = create_refusal(ResultCode.BODY_TOO_LARGE, message, ran=Ran.NOT_RUN)
+        _log.info(
+            "A request's body is too long.",
+            request=exchange.request.attempt_id,
+            limit_bytes=limit_bytes,
+        )
+        status, headers, body = refusal_parts(refusal)
+        exchange.is_last = True
+        await exchange.begin(status, [*headers, ("Content-Length", str(len(body)))])
+        await exchange.write(body)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._body_ended.wait(), LINGER_MS / MS_PER_S)
+        exchange.end()
+
+    async def _run(
+        self, exchange: ClientExchange, handle: Callable[[ClientExchange], Awaitable[None]]
+    ) -> None:
         """Answer; whatever happens, the connection doesn't stay open without an answer."""
         try:
-            await self._handle(exchange)
+            await handle(exchange)
         except ClientGoneError:
             return
+        except Exception:
+            # Else it would show only once the task is collected.
+            _log.exception(
+                "A request failed within this host.", request=exchange.request.attempt_id
+            )
         finally:
             if not exchange.is_ended:
                 exchange.abort()
             if isinstance(self._connection, HTTP1Connection):
-                self._busy_streams.discard(self._connection.stream)
+                self._intake.busy_streams.discard(self._connection.stream)
 
 
 def create_front_server(
@@ -239,12 +225,7 @@
         clock: Tells the time.
         handle: Answers one request; cancelled when the client leaves.
     """
-    connections = _Connections(codec, clock, handle)
-    server = FrontServer(connections)
-    server.busy_streams = connections.busy_streams
+    intake = Intake()
+    server = FrontServer(_Connections(codec, clock, handle, intake))
+    server.intake = intake
     return server
-
-
-def _start_line(status: int) -> ResponseStartLine:
-    """Return the first line of an answer."""
-    return ResponseStartLine("HTTP/1.1", status, _REASONS.get(status, "Unknown"))
--- a/src/pimentodale/forwarding/loads.py
+++ b/src/pimentodale/forwarding/loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -13,8 +14,11 @@
     from pimentodale.clock import Clock
     from pimentodale.placement.messages import PathPart
 
-TELL_INTERVAL_MS: Final = 400.0
-"""How often hosts tell each other their loads; a stream lasts several times as long."""
+KV_UNIT: Final = 1_000.0
+"""Tokens x layers that a told load counts by."""
+
+MAX_READERS: Final = 1_000
+"""Replicas whose reading is remembered before those that are done are dropped."""
 
 TOLD_TTL_MS: Final = 1_500.0
 """How long another host's word holds."""
@@ -33,6 +37,17 @@
     """Tokens x layers of these requests."""
 
 
+@dataclass(slots=True)
+class _Told:
+    """What another host told."""
+
+    until_ms: float
+    """Until when it holds."""
+
+    loads: dict[str, ReplicaLoad]
+    """Loads by replica."""
+
+
 @dataclass(slots=True)
 class LoadBoard:
     """Loads by replica."""
@@ -41,7 +56,15 @@
     own: dict[str, ReplicaLoad] = field(default_factory=dict)
     """Work of this host."""
 
-    _told: dict[str, tuple[float, dict[str, ReplicaLoad]]] = field(default_factory=dict)
+    version: int = 0
+    """Grows with each change that may make room."""
+
+    _read_until_ms: dict[str, float] = field(default_factory=dict)
+    _told: dict[str, _Told] = field(default_factory=dict)
+    _foreign: dict[str, _Told] = field(default_factory=dict)
+    _rest: _Told | None = None
+    _others: dict[str, ReplicaLoad] | None = None
+    _others_until_ms: float = 0.0
 
     def add(self, parts: Iterable[PathPart], tokens: float) -> None:
         """Count a request that begins on a path."""
@@ -60,30 +83,110 @@
             load.kv_in_use -= tokens * len(part.layers)
             if load.streams <= 0:
                 del self.own[part.replica_id]
+        self.version += 1
+
+    def note_reading(self, replica_id: str, work_ms: float) -> None:
+        """Count a prompt that a replica has to read for a request of this host."""
+        now_ms = self.clock.now_ms()
+        until_ms = max(now_ms, self._read_until_ms.get(replica_id, 0.0))
+        self._read_until_ms[replica_id] = until_ms + work_ms
+        if len(self._read_until_ms) > MAX_READERS:
+            lasting = {key: at_ms for key, at_ms in self._read_until_ms.items() if at_ms > now_ms}
+            self._read_until_ms = lasting
+
+    def backlog_ms(self, replica_id: str) -> float:
+        """Return for how long a replica still reads prompts that this host sent it."""
+        return max(0.0, self._read_until_ms.get(replica_id, 0.0) - self.clock.now_ms())
 
     def take_told(
         self, host: str, loads: dict[str, ReplicaLoad], ttl_ms: float = TOLD_TTL_MS
     ) -> None:
-        """Take another host's loads in place of what it told before."""
-        self._told[host] = (self.clock.now_ms() + ttl_ms, loads)
+        """Take the loads of a host that tells this one, in place of what it told before."""
+        self._told[host] = _Told(self.clock.now_ms() + ttl_ms, loads)
+        self._note_change()
+
+    def take_foreign(self, host: str, loads: dict[str, ReplicaLoad], ttl_ms: float) -> None:
+        """Take the loads of another failure domain from a host of it."""
+        self._foreign[host] = _Told(self.clock.now_ms() + ttl_ms, loads)
+        self._note_change()
+
+    def take_rest(self, loads: dict[str, ReplicaLoad], ttl_ms: float) -> None:
+        """Take the loads of all hosts that this one doesn't know by themselves."""
+        self._rest = _Told(self.clock.now_ms() + ttl_ms, loads)
+        self._note_change()
+
+    def drop_rest(self) -> None:
+        """Forget the rest, as this host learns it part by part."""
+        if self._rest is not None:
+            self._rest = None
+            self._note_change()
 
     def total(self, replica_id: str) -> ReplicaLoad:
         """Return the work of all hosts at a replica."""
-        own = self.own.get(replica_id)
-        total = (
-            ReplicaLoad() if own is None else ReplicaLoad(own.streams, own.headed, own.kv_in_use)
-        )
-        now_ms = self.clock.now_ms()
-        for until_ms, loads in self._told.values():
-            told = loads.get(replica_id)
-            if told is None or until_ms < now_ms:
-                continue
-            total.streams += told.streams
-            total.headed += told.headed
-            total.kv_in_use += told.kv_in_use
+        total = ReplicaLoad()
+        _add(total, self.own.get(replica_id))
+        _add(total, self._sum_of_others().get(replica_id))
         return total
 
+    def group(self) -> dict[str, ReplicaLoad]:
+        """Return the work of this host and of those that told it theirs."""
+        return _sum([self.own, *self._current(self._told)])
+
+    def all_but(self, host: str) -> dict[str, ReplicaLoad]:
+        """Return the work of all hosts without one that told this one its own."""
+        told = self._told.get(host)
+        left_out = None if told is None else told.loads
+        return _sum(loads for loads in self._all_loads() if loads is not left_out)
+
+    def _note_change(self) -> None:
+        """Forget the sum of the others' loads."""
+        self._others = None
+        self.version += 1
+
+    def _sum_of_others(self) -> dict[str, ReplicaLoad]:
+        """Return the work of all other hosts; summed anew once a word changes or lapses."""
+        now_ms = self.clock.now_ms()
+        if self._others is None or now_ms > self._others_until_ms:
+            self._others = _sum(self._all_loads()[1:])
+            words = [*self._told.values(), *self._foreign.values()]
+            if self._rest is not None and self._rest.until_ms >= now_ms:
+                words.append(self._rest)
+            self._others_until_ms = min((word.until_ms for word in words), default=math.inf)
+        return self._others
+
+    def _all_loads(self) -> list[dict[str, ReplicaLoad]]:
+        """Return all that is known by now, this host's own first."""
+        known = [self.own, *self._current(self._told), *self._current(self._foreign)]
+        if self._rest is not None and self._rest.until_ms >= self.clock.now_ms():
+            known.append(self._rest.loads)
+        return known
+
+    def _current(self, told: dict[str, _Told]) -> list[dict[str, ReplicaLoad]]:
+        """Return the words that still hold, and forget the others."""
+        now_ms = self.clock.now_ms()
+        for host in [host for host, word in told.items() if word.until_ms < now_ms]:
+            del told[host]
+        return [word.loads for word in told.values()]
+
 
 def create_load_board(clock: Clock) -> LoadBoard:
     """Return an empty board."""
     return LoadBoard(clock)
+
+
+def _sum(parts: Iterable[dict[str, ReplicaLoad]]) -> dict[str, ReplicaLoad]:
+    """Return the sum of loads."""
+    total: dict[str, ReplicaLoad] = {}
+    for loads in parts:
+        for replica_id, load in loads.items():
+            _add(total.setdefault(replica_id, ReplicaLoad()), load)
+    return total
+
+
+def _add(total: ReplicaLoad, load: ReplicaLoad | None) -> None:
+    """Add one load to a sum."""
+    if load is None:
+        return
+    total.streams += load.streams
+    total.headed += load.headed
+    total.kv_in_use += load.kv_in_use
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
@@ -13,7 +14,7 @@
 
     from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
-    from pimentodale.forwarding.front_server import ClientExchange
+    from pimentodale.forwarding.client_exchange import ClientExchange
     from pimentodale.forwarding.loads import LoadBoard
     from pimentodale.forwarding.messages import ExchangeCodec
     from pimentodale.forwarding.poison import PoisonStrikes
@@ -23,6 +24,7 @@
     from pimentodale.results import ResultCode
     from pimentodale.site.beliefs import ReplicaBeliefs
     from pimentodale.site.model import BackendService, RouteRule
+    from pimentodale.site.paces import ReplicaPaces
     from pimentodale.site.view import SiteView
 
 _log = get_log("request")
@@ -40,6 +42,7 @@
     engines: EngineCalls
     view: SiteView
     beliefs: ReplicaBeliefs
+    paces: ReplicaPaces
     loads: LoadBoard
     retries: RetryShare
     poison: PoisonStrikes
@@ -76,6 +79,12 @@
     history: list[str] = field(default_factory=list)
     """What became of each send, for the log line."""
 
+    first_event_ms: float | None = None
+    """Time from the request to the first event of its stream."""
+
+    longest_pause_ms: float = 0.0
+    """Longest time between two events of its stream."""
+
     def left_ms(self, now_ms: float) -> float:
         """Return how long the client and the operators let it wait."""
         elapsed_ms = now_ms - self.exchange.request.received_ms
@@ -102,6 +111,14 @@
         status=status,
         elapsed_ms=round(elapsed_ms),
         sends=routed.history,
+        first_event_ms=None if routed.first_event_ms is None else round(routed.first_event_ms),
+        longest_pause_ms=round(routed.longest_pause_ms),
         configuration=version,
-        view_age_ms=round(means.view.mirror.age_ms()),
+        view_age_ms=view_age_ms(means),
     )
+
+
+def view_age_ms(means: ForwardingMeans) -> int | None:
+    """Return the age of what this host knows of the store; `None` before it has known anything."""
+    age_ms = means.view.mirror.age_ms()
+    return round(age_ms) if math.isfinite(age_ms) else None
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -64,7 +64,7 @@
     is_repeatable = routed.route.repeatability is Repeatability.IDEMPOTENT
     tried: set[str] = set()
     may_have_run = False
-    last: PlainReply | None = None
+    failure: PlainReply | None = None
     while True:
         left_ms = routed.left_ms(means.clock.now_ms())
         replica = choose_replica(means, routed.service.name, tried)
@@ -81,9 +81,9 @@
         routed.sends += 1
         if reply.result is SendResult.REFUSED:
             continue
-        last = reply
         answer = reply.answer
         if answer is not None and reply.result is SendResult.ANSWERED:
+            failure = reply
             may_repeat = is_repeatable and answer.status >= 500
             if not may_repeat or routed.sends >= routed.route.max_attempts:
                 await _pass_on(means, routed, reply)
@@ -91,8 +91,8 @@
         may_have_run = True
         if not is_repeatable:
             break
-    if last is not None and last.result is SendResult.ANSWERED:
-        await _pass_on(means, routed, last)
+    if failure is not None:
+        await _pass_on(means, routed, failure)
         return
     await _give_up(means, routed, may_have_run)
 
--- a/src/pimentodale/forwarding/refusing.py
+++ b/src/pimentodale/forwarding/refusing.py
@@ -10,7 +10,8 @@
 from pimentodale.results import Ran, ResultCode, create_refusal
 
 if TYPE_CHECKING:
-    from pimentodale.forwarding.front_server import ClientExchange
+    from pimentodale.forwarding.client_exchange import ClientExchange
+    from pimentodale.results import Refusal
 
 
 async def refuse(
@@ -39,12 +40,18 @@
         exchange.abort()
         return 0
     refusal = create_refusal(code, message, ran=ran, retry_after_ms=retry_after_ms)
+    own_status, headers, body = refusal_parts(refusal)
+    sent = status or own_status
+    await exchange.answer(sent, headers, body)
+    return sent
+
+
+def refusal_parts(refusal: Refusal) -> tuple[int, list[tuple[str, str]], bytes]:
+    """Return the status, header fields and body of a refusal."""
     headers = [("Content-Type", "application/json")]
     if refusal.retry_after_ms is not None:
         headers.append(("Retry-After", f"{refusal.retry_after_ms / MS_PER_S:.2f}"))
-    sent = status or refusal.http_status
-    await exchange.answer(sent, headers, msgspec.json.encode(refusal))
-    return sent
+    return refusal.http_status, headers, msgspec.json.encode(refusal)
 
 
 async def fail(exchange: ClientExchange, code: ResultCode, message: str) -> int:
--- a/src/pimentodale/forwarding/retry_share.py
+++ b/src/pimentodale/forwarding/retry_share.py
@@ -53,14 +53,23 @@
 
     def try_spend(self, service: str) -> bool:
         """Take one repeat out of the share; False when it is spent."""
+        if not self.has_left(service):
+            return False
+        self._current(service).repeats.append(self.clock.now_ms())
+        return True
+
+    def has_left(self, service: str, fraction: float = 1.0) -> bool:
+        """Whether some part of the share has one more repeat.
+
+        Args:
+            service: Name of the service.
+            fraction: The part of the share.
+        """
         counts = self._current(service)
         allowed = SAFETY * (
             self.ratio * len(counts.requests) + self.fixed / max(1, self.count_hosts())
         )
-        if len(counts.repeats) + 1 > allowed:
-            return False
-        counts.repeats.append(self.clock.now_ms())
-        return True
+        return len(counts.repeats) + 1 <= allowed * fraction
 
     def _current(self, service: str) -> _ServiceCounts:
         """Return a service's counts without what has left the window."""
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clock import MS_PER_S
-from pimentodale.placement.paths import PathWish, StageLoad, find_path
+from pimentodale.placement.paths import PathWish, StageLoad, find_path, read_ms
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from pimentodale.forwarding.means import ForwardingMeans
     from pimentodale.forwarding.messages import ClientRequest
+    from pimentodale.placement.messages import PathPart
     from pimentodale.placement.paths import Path
     from pimentodale.site.model import BackendService, EngineModel
 
@@ -25,6 +26,10 @@
 ROOM_POLL_MS: Final = 30.0
 """Pause between two looks for room by the request that is next in turn."""
 
+ROOM_RECHECK_MS: Final = 150.0
+"""Pause after which it looks again although no load has changed: replicas that were passed over may be
+back."""
+
 ROOM_WAIT_MS: Final = 1_300.0
 """Longest wait for room; clients leave when no event comes within 2 s."""
 
@@ -66,7 +71,11 @@
 
 
 def list_stages(
-    means: ForwardingMeans, service: BackendService, *, and_doubted: bool = False
+    means: ForwardingMeans,
+    service: BackendService,
+    *,
+    and_doubted: bool = False,
+    kept: Collection[str] = (),
 ) -> list[StageLoad]:
     """Return a service's usable replicas that hold layers.
 
@@ -74,31 +83,61 @@
         means: Shared state.
         service: The service.
         and_doubted: Whether to return all that have not left a probe without an answer.
+        kept: Ids of replicas that run the request already; they may be full for others.
     """
     stages = []
     for replica in means.view.replicas_of(service.name):
         if replica.held is None or means.beliefs.is_lost(replica):
             continue
-        if not and_doubted and not means.beliefs.is_usable(replica):
+        runs_already = replica.replica_id in kept and means.beliefs.keeps_work(replica)
+        if not and_doubted and not runs_already and not means.beliefs.is_usable(replica):
             continue
         load = means.loads.total(replica.replica_id)
-        slowness = 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
-        stages.append(StageLoad(replica, load.streams, load.headed, load.kv_in_use, slowness))
+        slowness = means.paces.slowness(replica)
+        slowness *= 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
+        backlog_ms = means.loads.backlog_ms(replica.replica_id)
+        stages.append(
+            StageLoad(replica, load.streams, load.headed, load.kv_in_use, backlog_ms, slowness)
+        )
     return stages
 
 
+def note_reading(
+    means: ForwardingMeans, service: BackendService, parts: Collection[PathPart], tokens: float
+) -> None:
+    """Count the prompt that new parts of a path have to read."""
+    if service.engine is None:
+        return
+    for part in parts:
+        replica = means.view.replicas.get(part.replica_id)
+        if replica is not None:
+            work_ms = read_ms(service.engine, replica.kind, tokens, len(part.layers))
+            means.loads.note_reading(part.replica_id, work_ms)
+
+
 def choose_path(
     means: ForwardingMeans,
     service: BackendService,
     tokens: float,
     avoid: Collection[str],
-    head: str = "",
+    kept: tuple[PathPart, ...] = (),
+    heads: Collection[str] | None = None,
 ) -> Path | None:
-    """Choose a path by the loads known now."""
+    """Choose a path by the loads known now.
+
+    Args:
+        means: Shared state.
+        service: The service.
+        tokens: Tokens that the request holds.
+        avoid: Ids of replicas that it must not use.
+        kept: Parts that run the request already.
+        heads: Ids of the replicas that may be the first; `None` for any.
+    """
     if service.engine is None:
         return None
-    wish = PathWish(means.failure_domain, tokens, avoid, head)
-    return find_path(service.engine, list_stages(means, service), wish)
+    wish = PathWish(means.failure_domain, tokens, avoid, kept, heads)
+    stages = list_stages(means, service, kept=[part.replica_id for part in kept])
+    return find_path(service.engine, stages, wish)
 
 
 async def wait_for_path(
@@ -111,6 +150,7 @@
     wait_ms: float,
     *,
     is_begun: bool = False,
+    heads: Collection[str] | None = None,
 ) -> Path | None:
     """Choose a path, waiting in turn for room where there is none.
 
@@ -123,22 +163,29 @@
         rank: Its rank; 0 goes first.
         wait_ms: Longest wait.
         is_begun: Whether its client has events already, so that it is not refused for the queue.
+        heads: Ids of the replicas that may be the first; `None` for any.
 
     Returns:
         The path; `None` if there is none in time, or if waiting has no prospect.
     """
-    path = choose_path(means, service, tokens, avoid) if not queue.waiting else None
-    if path is not None:
-        return path
+    if not queue.waiting:
+        path = choose_path(means, service, tokens, avoid, heads=heads)
+        if path is not None:
+            return path
     running = sum(load.headed for load in means.loads.own.values())
     if not is_begun and len(queue.waiting) >= max(MIN_QUEUE, running * QUEUE_FRACTION):
         return None
     end_ms = means.clock.now_ms() + wait_ms
     place = queue.enter(rank)
+    seen_version = -1
+    looked_ms = 0.0
     try:
-        while means.clock.now_ms() < end_ms:
-            if queue.waiting[0] == place:
-                path = choose_path(means, service, tokens, avoid)
+        while (now_ms := means.clock.now_ms()) < end_ms:
+            has_changed = means.loads.version != seen_version
+            if queue.waiting[0] == place and (has_changed or now_ms - looked_ms > ROOM_RECHECK_MS):
+                seen_version = means.loads.version
+                looked_ms = now_ms
+                path = choose_path(means, service, tokens, avoid, heads=heads)
                 if path is not None:
                     return path
             await means.clock.sleep_ms(ROOM_POLL_MS)
--- a/src/pimentodale/forwarding/stalls.py
+++ b/src/pimentodale/forwarding/stalls.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.forwarding.stages import choose_path
@@ -18,7 +19,7 @@
     from expression import Result
 
     from pimentodale.forwarding.means import ForwardingMeans
-    from pimentodale.placement.messages import EngineReport
+    from pimentodale.placement.messages import EngineReport, PathPart
     from pimentodale.placement.paths import Path
     from pimentodale.site.model import BackendService, ReplicaRecord
 
@@ -84,7 +85,9 @@
     tokens: float,
     avoid: Collection[str],
 ) -> StallCheck:
-    """Ask the first replica why a stream pauses, and act on it.
+    """Find out why a stream pauses, and act on it.
+
+    The first replica is asked, unless a later one is known to be down.
 
     Args:
         means: Shared state.
@@ -98,6 +101,9 @@
     head = means.view.replicas.get(path.parts[0].replica_id)
     if head is None:
         return StallCheck(Verdict.LOST, "its first replica is gone")
+    down = find_down_part(means, path)
+    if down is not None:
+        return await _move(means, service, head, path, attempt_id, tokens, str(down.address), avoid)
     report = await reports.ask(means, head)
     if report.is_error():
         means.beliefs.mark_down(incarnation_of(head), f"no report: {report.error}")
@@ -118,6 +124,41 @@
     return await _move(means, service, head, path, attempt_id, tokens, faulty, avoid)
 
 
+def find_down_part(means: ForwardingMeans, path: Path) -> PathPart | None:
+    """Return the first later part of a path whose replica counts as down or is gone."""
+    for part in path.parts[1:]:
+        replica = means.view.replicas.get(part.replica_id)
+        if replica is None or means.beliefs.is_down(replica):
+            return part
+    return None
+
+
+def _prompt_crosses(means: ForwardingMeans, path: Path, moved: Path) -> bool:
+    """Whether a new part of a moved path gets the prompt from another failure domain."""
+    for before, part in pairwise(moved.parts):
+        if part in path.parts:
+            continue
+        domains = {_domain_of(means, known.replica_id) for known in (before, part)}
+        if len(domains) > 1:
+            return True
+    return False
+
+
+def _domain_of(means: ForwardingMeans, replica_id: str) -> str:
+    """Return a replica's failure domain; empty when it is not known any more."""
+    replica = means.view.replicas.get(replica_id)
+    return "" if replica is None else replica.failure_domain
+
+
+def _may_resume(
+    means: ForwardingMeans, service: BackendService, tokens: float, avoid: Collection[str]
+) -> bool:
+    """Whether a stream can be sent anew at once."""
+    if not means.retries.has_left(service.name):
+        return False
+    return choose_path(means, service, tokens, avoid) is not None
+
+
 async def _move(
     means: ForwardingMeans,
     service: BackendService,
@@ -130,9 +171,13 @@
 ) -> StallCheck:
     """Send a stalled stream past the replica at fault."""
     lost = frozenset(part.replica_id for part in path.parts if str(part.address) == faulty)
-    moved = choose_path(means, service, tokens, {*avoid, *lost}, head.replica_id)
-    if moved is None or moved.parts[0].layers != path.parts[0].layers:
+    kept = tuple(part for part in path.parts if part.replica_id not in lost)
+    moved = choose_path(means, service, tokens, {*avoid, *lost}, kept)
+    if moved is None or moved.parts[0] != path.parts[0]:
         return StallCheck(Verdict.LOST, f"it stalls on {faulty}, no other path", None, lost)
+    if _prompt_crosses(means, path, moved) and _may_resume(means, service, tokens, {*avoid, *lost}):
+        # A new send reads the prompt in one domain, which spares the pipe between the two.
+        return StallCheck(Verdict.LOST, f"it stalls on {faulty}, moving would cross", None, lost)
     outcome = await means.engines.repath(head, attempt_id, moved.parts, means.fence())
     if outcome.is_error():
         return StallCheck(Verdict.LOST, f"it stalls on {faulty}, no answer", None, lost)
--- a/src/pimentodale/forwarding/stream_passing.py
+++ b/src/pimentodale/forwarding/stream_passing.py
@@ -12,7 +12,7 @@
     from pimentodale.clients.http_call import HttpCall
     from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
     from pimentodale.forwarding.messages import BackendAnswer
-    from pimentodale.forwarding.stream_state import StreamState
+    from pimentodale.forwarding.stream_state import StreamPool, StreamState
     from pimentodale.placement.paths import Path
 
 CONNECT_TIMEOUT_MS: Final = 400.0
@@ -20,12 +20,17 @@
 
 
 async def pass_stream_on(
-    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, path: Path
+    means: ForwardingMeans,
+    pool: StreamPool,
+    routed: RoutedRequest,
+    state: StreamState,
+    path: Path,
 ) -> AttemptEnd:
     """Send the request on a path and pass its events on.
 
     Args:
         means: Shared state.
+        pool: What streams share.
         routed: The client's request.
         state: Its stream so far.
         path: Replicas that it passes through.
@@ -43,34 +48,43 @@
     call_request = CallRequest(
         method=request.method, path=request.path, headers=headers, body=request.body
     )
-    opened = await open_call(head.address, call_request, left_ms, CONNECT_TIMEOUT_MS)
-    if opened.is_error() and not opened.error.sent:
-        return AttemptEnd.NOT_SENT
-    routed.sends += 1
-    if opened.is_error():
+    may_have_run_before = state.may_have_run
+
+    async def note_sent() -> bool:
+        # The send may be given up before there is an answer, and has been made all the same.
+        routed.sends += 1
         state.may_have_run = True
-        return AttemptEnd.BROKEN
+        return True
+
+    opened = await open_call(
+        head.address, call_request, left_ms, CONNECT_TIMEOUT_MS, before_send=note_sent
+    )
+    if opened.is_error():
+        return AttemptEnd.BROKEN if opened.error.sent else AttemptEnd.NOT_SENT
     call = opened.ok
     try:
         answer = means.codec.decode_answer(call.status, call.headers, request.attempt_id)
         if answer.refused is not None:
+            state.may_have_run = may_have_run_before
+            state.refused = answer.refused
             state.faulty_address = answer.faulty_address
             return AttemptEnd.REFUSED
-        state.may_have_run = True
         state.status = answer.status
         if not answer.is_success:
             return await _pass_failure_on(means, routed, call, answer, left_ms)
         if not exchange.is_begun:
             await exchange.begin(answer.status, answer.headers)
-        return await _pass_events_on(means, routed, state, call, left_ms)
+        return await _pass_events_on(means, pool, routed, state, path, call, left_ms)
     finally:
         call.close()
 
 
 async def _pass_events_on(
     means: ForwardingMeans,
+    pool: StreamPool,
     routed: RoutedRequest,
     state: StreamState,
+    path: Path,
     call: HttpCall,
     silence_ms: float,
 ) -> AttemptEnd:
@@ -93,6 +107,9 @@
             passed.append(event.data)
         if not passed:
             continue
+        if state.send_events == 0:
+            waited_ms = means.clock.now_ms() - state.sent_ms
+            pool.first_events.note(path.parts[0].replica_id, waited_ms)
         _note_events(means, routed, state, len(passed))
         await routed.exchange.write(b"".join(passed))
     if splitter.has_partial:
@@ -107,11 +124,14 @@
     """Count events and the time that they took."""
     now_ms = means.clock.now_ms()
     if state.events == 0:
-        means.metrics.first_event.record(now_ms - routed.exchange.request.received_ms)
+        routed.first_event_ms = now_ms - routed.exchange.request.received_ms
+        means.metrics.first_event.record(routed.first_event_ms)
     else:
-        means.metrics.between_events.record(now_ms - state.active_ms)
+        pause_ms = now_ms - state.last_event_ms
+        routed.longest_pause_ms = max(routed.longest_pause_ms, pause_ms)
+        means.metrics.between_events.record(pause_ms)
     means.metrics.events += count
-    state.active_ms = now_ms
+    state.active_ms = state.last_event_ms = now_ms
     state.events += count
     state.send_events += count
 
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -6,10 +6,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from pimentodale.forwarding.first_events import FirstEventTimes
 from pimentodale.forwarding.stages import RoomQueue
 from pimentodale.forwarding.stalls import StallReports
+from pimentodale.forwarding.used_heads import UsedHeads
 
 if TYPE_CHECKING:
+    from pimentodale.forwarding.messages import Refused
     from pimentodale.placement.paths import Path
 
 
@@ -39,6 +42,9 @@
     reports: StallReports = field(default_factory=StallReports)
     """Reports asked for lately."""
 
+    first_events: FirstEventTimes = field(default_factory=FirstEventTimes)
+    """How long streams wait for their first events now."""
+
 
 @dataclass(slots=True)
 class StreamState:
@@ -53,9 +59,21 @@
     avoid: set[str] = field(default_factory=set)
     """Ids of replicas that it must not use again."""
 
+    sent_ms: float = 0.0
+    """When it was last sent."""
+
+    used_heads: UsedHeads = field(default_factory=UsedHeads)
+    """First replicas at which it may have run."""
+
+    blames_head: bool = True
+    """Whether the first replica of the send that runs is at fault if that is lost."""
+
     active_ms: float = 0.0
     """When it was last sent, moved or heard of."""
 
+    last_event_ms: float = 0.0
+    """When the last event was passed on."""
+
     events: int = 0
     """Events passed on."""
 
@@ -74,6 +92,9 @@
     crash_suspects: set[str] = field(default_factory=set)
     """Ids of replicas that it ran at and that may have crashed."""
 
+    refused: Refused | None = None
+    """Why the last send was refused; `None` if it was not."""
+
     faulty_address: str = ""
     """Replica at fault in the last refusal."""
 
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.learning import faulty_part, learn
 from pimentodale.forwarding.means import log_end
 from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.forwarding.refusing import fail, refuse
@@ -16,38 +15,20 @@
     tokens_held,
     wait_for_path,
 )
-from pimentodale.forwarding.stalls import Verdict, check_stall
-from pimentodale.forwarding.stream_passing import pass_stream_on
 from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
+from pimentodale.forwarding.stream_watch import CHECK_INTERVAL_MS, send_watched
 from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
-    from pimentodale.forwarding.front_server import ClientExchange
+    from pimentodale.forwarding.client_exchange import ClientExchange
     from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
+    from pimentodale.site.beliefs import Incarnation
     from pimentodale.site.model import ReplicaRecord
 
-CHECK_INTERVAL_MS: Final = 100.0
-"""How often a stream is looked at."""
-
-FIRST_EVENT_PAUSE_MS: Final = 380.0
-"""Wait for the first event after which its cause is looked for."""
-
-PAUSE_MS: Final = 260.0
-"""Pause between events after which its cause is looked for; usual ones last some 50 ms."""
-
-SILENT_MS: Final = 1_300.0
-"""Pause after which a stream is resumed although its replicas answer: its connection may be dead.
-
-Clients give a stream up after a pause of 2 s.
-"""
-
 RESUME_WAIT_MS: Final = 1_200.0
 """Longest wait for a path by a stream that has begun, before its client gives it up."""
 
-NO_ROOM_PASS_OVER_MS: Final = 150.0
-"""How long a replica that had no room gets no new requests."""
-
 CRASH_CHECK_MS: Final = 800.0
 """When it is looked whether a replica has crashed: a probe has ended by then."""
 
@@ -126,15 +107,20 @@
     wait_ms = RESUME_WAIT_MS if routed.exchange.is_begun else ROOM_WAIT_MS
     if not routed.exchange.is_begun and not covers_model(means, routed.service):
         return None
+    heads = await _wait_for_heads(means, routed, state)
+    if heads is not None and not heads:
+        routed.history.append("it may have run at as many replicas as it may")
+        return None
     path = await wait_for_path(
         means,
         pool.queue,
         routed.service,
         state.tokens,
-        state.avoid,
+        state.avoid.difference(heads or ()),
         0 if routed.exchange.is_begun else routed.priority + 1,
         min(wait_ms, left_ms),
         is_begun=routed.exchange.is_begun,
+        heads=heads,
     )
     if path is None:
         return None
@@ -142,113 +128,44 @@
         routed.history.append("no retry budget")
         return None
     state.path = path
-    state.active_ms = means.clock.now_ms()
+    state.sent_ms = state.active_ms = means.clock.now_ms()
     state.send_events = 0
+    state.blames_head = True
+    state.refused = None
     state.faulty_address = ""
-    end = await _watched_send(means, pool, routed, state)
+    end = await send_watched(means, pool, routed, state)
     head = path.parts[0].replica_id
-    routed.history.append(f"{head}+{len(path.parts) - 1}: {end.value}, {state.send_events} events")
-    _learn(means, routed, state, end)
+    outcome = f"{end.value}, {state.send_events} events"
+    if state.refused is not None:
+        outcome = f"refused, {state.refused.value} at {faulty_part(state) or head}"
+    routed.history.append(f"{head}+{len(path.parts) - 1}: {outcome}")
+    learn(means, state, end)
     return end
 
 
-async def _watched_send(
-    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
-) -> AttemptEnd:
-    """Pass a stream on while looking for the cause of its pauses."""
-    path = state.path
-    if path is None:
-        return AttemptEnd.NOT_SENT
-    means.loads.add(path.parts, state.tokens)
-    pump = asyncio.ensure_future(pass_stream_on(means, routed, state, path))
-    try:
-        while True:
-            await asyncio.wait({pump}, timeout=CHECK_INTERVAL_MS / MS_PER_S)
-            if pump.done():
-                return pump.result()
-            now_ms = means.clock.now_ms()
-            if routed.left_ms(now_ms) <= 0:
-                return AttemptEnd.TIMED_OUT
-            pause_ms = now_ms - state.active_ms
-            if pause_ms < (PAUSE_MS if state.send_events else FIRST_EVENT_PAUSE_MS):
-                continue
-            if pause_ms > SILENT_MS and routed.route.is_resumable:
-                return AttemptEnd.LOST
-            if not await _keep_going(means, pool, routed, state):
-                return AttemptEnd.LOST
-    finally:
-        pump.cancel()
-        if state.path is not None:
-            means.loads.remove(state.path.parts, state.tokens)
-
+async def _wait_for_heads(
+    means: ForwardingMeans, routed: RoutedRequest, state: StreamState
+) -> frozenset[str] | None:
+    """Return the first replicas that the next send may use; `None` for any.
 
-async def _keep_going(
-    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
-) -> bool:
-    """Look for the cause of a pause; False if the stream has to go on elsewhere."""
-    path = state.path
-    if path is None:
-        return False
-    heard_ms = state.active_ms
-    request = routed.exchange.request
-    check = await check_stall(
-        means, pool.reports, routed.service, path, request.attempt_id, state.tokens, state.avoid
-    )
-    if check.verdict is Verdict.WAIT or state.active_ms > heard_ms:
-        return True
-    routed.history.append(check.reason)
-    state.avoid |= check.faulty
-    state.crash_suspects |= check.faulty
-    if check.verdict is Verdict.LOST or check.path is None:
-        return not routed.route.is_resumable
-    means.loads.remove(path.parts, state.tokens)
-    state.path = check.path
-    means.loads.add(check.path.parts, state.tokens)
-    state.active_ms = means.clock.now_ms()
-    return True
-
-
-def _learn(
-    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, end: AttemptEnd
-) -> None:
-    """Keep what a send showed of its replicas."""
-    if state.path is None or end is AttemptEnd.TIMED_OUT:
-        return
-    head = means.view.replicas.get(state.path.parts[0].replica_id)
-    if head is None:
-        return
-    incarnation = incarnation_of(head)
-    if end is AttemptEnd.NOT_SENT:
-        means.beliefs.mark_down(incarnation, "it can't be connected to")
-        state.avoid.add(head.replica_id)
-    elif end is AttemptEnd.BROKEN:
-        means.beliefs.note_result(incarnation, False)
-        means.beliefs.suspect(incarnation)
-        state.avoid.add(head.replica_id)
-    elif end is AttemptEnd.REFUSED:
-        _pass_over(means, state, head.replica_id)
-    elif end is AttemptEnd.LOST:
-        state.avoid.add(head.replica_id)
-    else:
-        means.beliefs.note_result(incarnation, True)
+    Where there are none, probes may show within a moment that one which ran the stream has ended.
+    """
+    end_ms = means.clock.now_ms() + min(CRASH_CHECK_MS, routed.left_ms(means.clock.now_ms()))
+    while True:
+        heads = state.used_heads.allowed(
+            routed.route.max_attempts, lambda incarnation: has_ended(means, incarnation)
+        )
+        if heads is None or heads or means.clock.now_ms() >= end_ms:
+            return heads
+        await means.clock.sleep_ms(CHECK_INTERVAL_MS)
 
 
-def _pass_over(means: ForwardingMeans, state: StreamState, head_id: str) -> None:
-    """Pass the replica over that a refusal names; the first one where it names none."""
-    parts = state.path.parts if state.path else ()
-    waited_ms = means.clock.now_ms() - state.active_ms
-    for part in parts:
-        named = str(part.address) == state.faulty_address
-        if not named and (state.faulty_address or part.replica_id != head_id):
-            continue
-        replica = means.view.replicas.get(part.replica_id)
-        if replica is None:
-            continue
-        state.avoid.add(part.replica_id)
-        if waited_ms >= means.stall_ms * 0.8:
-            means.beliefs.doubt(incarnation_of(replica), "requests stalled on it")
-        else:
-            means.beliefs.pass_over(incarnation_of(replica), NO_ROOM_PASS_OVER_MS)
+def has_ended(means: ForwardingMeans, incarnation: Incarnation) -> bool:
+    """Whether a replica has ended, restarted or is out of reach."""
+    replica = means.view.replicas.get(incarnation[0])
+    if replica is None or incarnation_of(replica) != incarnation:
+        return True
+    return means.beliefs.is_lost(replica)
 
 
 async def _give_up(means: ForwardingMeans, routed: RoutedRequest, state: StreamState) -> None:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -21,26 +21,35 @@
 from pimentodale.forwarding.poison import create_poison_strikes
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.retry_share import create_retry_share
+from pimentodale.forwarding.slow_paths import recheck_slow_replicas
 from pimentodale.forwarding.stream_state import StreamPool
+from pimentodale.gateway.load_exchange import create_load_exchange
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.gateway.registration import keep_registered
-from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_loads
+from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_paces
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.logs import get_log
 from pimentodale.mirror.follower import create_mirror_follower
 from pimentodale.mirror.mirror import create_mirror
+from pimentodale.peers.mesh import rank
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
-from pimentodale.placement.placer import Placer, highest_fence
+from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
 from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
+from pimentodale.site.common_cuts import watch_common_cuts
+from pimentodale.site.paces import create_replica_paces
 from pimentodale.site.view import create_site_view
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from pimentodale.addresses import Address
     from pimentodale.clients.key_value import KeyValueStore
-    from pimentodale.forwarding.front_server import ClientExchange, FrontServer
+    from pimentodale.forwarding.client_exchange import ClientExchange
+    from pimentodale.forwarding.front_server import FrontServer
     from pimentodale.forwarding.messages import ExchangeCodec
+    from pimentodale.forwarding.stalls import StallReports
     from pimentodale.gateway.settings import GatewaySettings
     from pimentodale.peers.peers import Peers
     from pimentodale.placement.messages import EngineCalls
@@ -52,8 +61,12 @@
 The balancer asks each second. Where too few hosts are ready it sends to this one all the same.
 """
 
-STOP_RESERVE_MS: Final = 400.0
-"""Time kept before the process is ended, to close connections in order."""
+STOP_RESERVE_MS: Final = 700.0
+"""Time kept before the process is ended: to close connections in order, and for the interpreter's own end,
+which is slow on a part of a core."""
+
+LAST_WORD_MS: Final = 200.0
+"""Longest part of it for clients that read slowly, and for the last word to other hosts."""
 
 BELIEF_TICK_MS: Final = 100.0
 """How often it is looked which replicas are due to be probed."""
@@ -82,6 +95,9 @@
     engines: EngineCalls
     """Reports of replicas, and orders to them."""
 
+    store_calls: Mapping[str, int] = field(default_factory=dict)
+    """Calls made to the store so far, by kind."""
+
 
 @dataclass(slots=True)
 class Gateway:
@@ -123,6 +139,7 @@
         means.beliefs,
         gateway.clock,
         gateway.rng,
+        lambda: _rank_among_hosts(peers),
     )
     server = _serve_clients(gateway, means)
     _serve_readiness(gateway, means)
@@ -135,8 +152,10 @@
         keep_registered(platform.store, gateway.clock, settings.host, settings.peer_listen),
         "registration",
     )
-    start(share_loads(means.loads, view, peers, gateway.clock), "loads")
+    exchange = create_load_exchange(means.loads, view, peers, gateway.clock, gateway.rng)
+    start(exchange.run(), "loads")
     start(_probe_replicas(means), "probes")
+    start(_recheck_paces(means, gateway.pool.reports), "paces")
     start(placer.run(), "placement")
     _log.info("The gateway listens.", host=settings.host, address=settings.client_listen)
     await _wait_for_stop()
@@ -144,6 +163,13 @@
     return 0
 
 
+def _rank_among_hosts(peers: Peers) -> int:
+    """Return how many live hosts go before this one for duties of the whole site."""
+    own = peers.own.host
+    hosts = {own, *(member.host for member in peers.live_members())}
+    return rank(LEASE_NAME, hosts).index(own)
+
+
 def _create_peers(gateway: Gateway, view: SiteView) -> Peers:
     """Return this host's membership, not running yet."""
     settings = gateway.settings
@@ -168,9 +194,13 @@
     settings, clock = gateway.settings, gateway.clock
     beliefs = create_replica_beliefs(clock)
     poison = create_poison_strikes(clock)
+    paces = create_replica_paces(clock)
     share_beliefs(beliefs, peers)
+    share_paces(paces, peers)
+    watch_common_cuts(beliefs, view.replicas.values, settings.failure_domain, clock)
     share_crashes(poison, peers)
     metrics = create_gateway_metrics()
+    metrics.store_calls = gateway.platform.store_calls
     metrics.add_gauge("requests_in_progress", lambda: len(gateway.work))
     metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue.waiting))
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
@@ -192,6 +222,7 @@
         engines=gateway.platform.engines,
         view=view,
         beliefs=beliefs,
+        paces=paces,
         loads=create_load_board(clock),
         retries=retries,
         poison=poison,
@@ -270,15 +301,22 @@
             if incarnation not in known:
                 means.beliefs.forget(incarnation)
         probes = [known[incarnation] for incarnation in due if incarnation in known]
-        reports = await asyncio.gather(*(means.engines.report(replica) for replica in probes))
-        for replica, report in zip(probes, reports, strict=True):
-            if report.is_error():
-                means.beliefs.note_silent_probe(incarnation_of(replica), report.error)
+        found = await asyncio.gather(*(means.engines.probe(replica) for replica in probes))
+        for replica, started_ms in zip(probes, found, strict=True):
+            if started_ms.is_error():
+                means.beliefs.note_silent_probe(incarnation_of(replica), started_ms.error)
                 continue
-            if report.ok.started_ms in (0, replica.started_ms):
+            if started_ms.ok in (0, replica.started_ms):
                 means.beliefs.mark_up(incarnation_of(replica))
 
 
+async def _recheck_paces(means: ForwardingMeans, reports: StallReports) -> None:
+    """Ask slow replicas whether they still are, for ever."""
+    while True:
+        await means.clock.sleep_ms(BELIEF_TICK_MS)
+        await recheck_slow_replicas(means, reports)
+
+
 async def _wait_for_stop() -> None:
     """Wait for SIGTERM or SIGINT."""
     stop = asyncio.Event()
@@ -303,7 +341,10 @@
     server.take_no_more()
     while len(gateway.work) and gateway.clock.now_ms() < end_ms:
         await gateway.clock.sleep_ms(STOP_POLL_MS)
-    await server.close_when_sent(gateway.clock, STOP_RESERVE_MS / 2)
-    await asyncio.wait_for(peers.stop(), STOP_RESERVE_MS / 2 / MS_PER_S)
+    await server.close_when_sent(gateway.clock, LAST_WORD_MS)
+    try:
+        await asyncio.wait_for(peers.stop(), LAST_WORD_MS / MS_PER_S)
+    except TimeoutError:
+        _log.warning("Some hosts were not told of the stop in time; they find it out themselves.")
     gateway.background.cancel()
     _log.info("The gateway has stopped.", requests_cut=len(gateway.work))
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -8,7 +8,7 @@
 from pimentodale.metrics import Latency, latency_families, render_metrics, result_family
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterator, Mapping
 
     from prometheus_client.metrics_core import Metric
 
@@ -18,7 +18,15 @@
 class GatewayMetrics:
     """What a gateway counts."""
 
-    __slots__ = ("_gauges", "between_events", "events", "first_event", "request", "results")
+    __slots__ = (
+        "_gauges",
+        "between_events",
+        "events",
+        "first_event",
+        "request",
+        "results",
+        "store_calls",
+    )
 
     def __init__(self) -> None:
         self.results: Counter[ResultCode] = Counter()
@@ -31,6 +39,8 @@
         """From a request to its first event."""
         self.between_events = Latency()
         """From an event to the next."""
+        self.store_calls: Mapping[str, int] = {}
+        """Calls to the store by kind."""
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def note_end(self, code: ResultCode, elapsed_ms: float) -> None:
@@ -52,6 +62,12 @@
 
         yield result_family(self.results)
         yield CounterMetricFamily("pimentodale_events", "Events passed on.", value=self.events)
+        calls = CounterMetricFamily(
+            "pimentodale_store_calls", "Calls to the store, by kind.", labels=["kind"]
+        )
+        for kind, count in sorted(self.store_calls.items()):
+            calls.add_metric([kind], count)
+        yield calls
         latencies = (
             ("request_ms", self.request),
             ("first_event_ms", self.first_event),
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -24,7 +24,14 @@
 """Topic of requests between hosts."""
 
 RETRY_MS: Final = 150.0
-"""Mean pause between readings of a store that doesn't answer; a change has 2 s to be in force."""
+"""Mean pause before the first reading of a store that doesn't answer; each further pause is twice as
+long."""
+
+MAX_WATCHER_RETRY_MS: Final = 600.0
+"""Longest such pause of a watcher, which the others learn from: a change has 2 s to be in force."""
+
+MAX_RETRY_MS: Final = 2_400.0
+"""Longest such pause of the others, who ask the watchers meanwhile."""
 
 PEER_INTERVAL_MS: Final = 250.0
 """Pause between questions to other hosts while the store doesn't answer."""
@@ -35,9 +42,15 @@
 BEHIND_MS: Final = 2_600.0
 """Age from which a mirror counts as cut off; a quiet watch renews it sooner."""
 
-GATHER_MS: Final = 80.0
+GATHER_MS: Final = 150.0
 """Pause after a change in which further ones gather, so that one call brings them all."""
 
+GATHER_PER_HOST_MS: Final = 2.0
+"""What each host of the site adds to it: changes come more often on a large one, and to more watchers."""
+
+RELAY_POLL_MS: Final = 80.0
+"""Pause between two looks for news by a host that keeps another one's question."""
+
 WATCHERS: Final = 3
 """Hosts of each failure domain that watch the store for the others."""
 
@@ -79,6 +92,9 @@
     is_connected: bool = False
     """Whether the store's last answer was a success."""
 
+    _failures: int = 0
+    """Readings without an answer since the last success."""
+
     async def follow_store(self) -> None:
         """Read everything, then watch; begin anew after each fault. Runs for ever."""
         while True:
@@ -87,8 +103,10 @@
             whole = await self.store.read("", ALL_KEYS_END)
             if whole.is_error():
                 self._note_lost(whole.error.message)
-                await self.clock.sleep_ms(RETRY_MS * self.rng.uniform(0.6, 1.4))
+                self._failures += 1
+                await self.clock.sleep_ms(self.retry_ms() * self.rng.uniform(0.6, 1.4))
                 continue
+            self._failures = 0
             self._note_regained(whole.ok.revision)
             self.mirror.apply_whole(whole.ok.revision, whole.ok.items)
             # Read once before following anyone, so that a first start needs no other host.
@@ -103,6 +121,15 @@
                 continue
             await self._ask_peer()
 
+    def retry_ms(self) -> float:
+        """Return the mean pause before a store is read again that doesn't answer."""
+        most_ms = MAX_WATCHER_RETRY_MS if self.is_watcher() else MAX_RETRY_MS
+        return min(most_ms, RETRY_MS * 2.0 ** min(self._failures - 1, 10))
+
+    def gather_ms(self) -> float:
+        """Return the pause after a change in which further ones gather."""
+        return GATHER_MS + GATHER_PER_HOST_MS * len(self.peers.live_members())
+
     def is_watcher(self) -> bool:
         """Whether this host watches the store itself."""
         own = self.peers.own
@@ -114,7 +141,7 @@
         revision = question.revision
         end_ms = self.clock.now_ms() + min(RELAY_WAIT_MS, question.wait_ms)
         while self.mirror.revision <= revision and self.clock.now_ms() < end_ms:
-            await self.clock.sleep_ms(GATHER_MS)
+            await self.clock.sleep_ms(RELAY_POLL_MS)
         return msgspec.msgpack.encode(self.mirror.changes_since(revision))
 
     def _watchers(self) -> list[str]:
@@ -145,7 +172,7 @@
             if not self.is_watcher():
                 return
             if batch.ok.puts or batch.ok.deletes:
-                await self.clock.sleep_ms(GATHER_MS)
+                await self.clock.sleep_ms(self.gather_ms())
 
     async def _ask_peer(self) -> None:
         """Ask one other host what is new."""
@@ -170,7 +197,7 @@
     async def _ask(self, host: str, wait_ms: float, timeout_ms: float) -> MirrorChanges | None:
         """Ask a host what came after this mirror's revision."""
         question = msgspec.msgpack.encode(MirrorQuestion(self.mirror.revision, wait_ms))
-        reply = await self.peers.request(host, TOPIC, question, timeout_ms)
+        reply = await self.peers.request(host, TOPIC, question, timeout_ms, is_kept=True)
         if reply.is_error():
             return None
         try:
--- a/src/pimentodale/peers/peers.py
+++ b/src/pimentodale/peers/peers.py
@@ -14,6 +14,7 @@
 from pimentodale.logs import get_log
 from pimentodale.peers.counters import PeerCounters
 from pimentodale.peers.detector import PAUSE_SLACK_MS, Detector
+from pimentodale.peers.kept_streams import KeptStreams
 from pimentodale.peers.links import NS_PER_MS, Links, address_of
 from pimentodale.peers.membership import Membership
 from pimentodale.peers.mesh import choose_watchers
@@ -38,13 +39,20 @@
     from pimentodale.addresses import Address
     from pimentodale.clock import Clock
     from pimentodale.peers.membership import EntryUpdate
+    from pimentodale.peers.messages import Message
     from pimentodale.peers.settings import PeersSettings
 
 MAX_REQUEST_BYTES: Final = 1024 * 1024
 """Largest body of a request or reply between hosts."""
 
 MAX_GREETING_STREAMS: Final = 128
-"""Connections that may be open without being a link."""
+"""Connections that may be open before they have said what they are for."""
+
+MAX_SERVED_STREAMS: Final = 512
+"""Connections with questions up to which they are kept for further ones."""
+
+KEPT_IDLE_MS: Final = 6_000.0
+"""How long a connection with questions stays open without one."""
 
 WATCHERS: Final = 2
 """Hosts of each failure domain that watch the platform for the others."""
@@ -76,9 +84,11 @@
         "_greeting",
         "_handlers",
         "_keeper",
+        "_kept",
         "_links",
         "_membership",
         "_server",
+        "_serving",
         "_settings",
         "_stop",
         "_tasks",
@@ -112,6 +122,8 @@
         self._handlers: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
         self._stop = asyncio.Event()
         self._greeting = 0
+        self._serving = 0
+        self._kept = KeptStreams()
         self._flush_timer: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
         self._membership.connect_links(self._flush_soon, self._links.has_first_hand_word)
@@ -152,6 +164,7 @@
             await self._tasks.drain(_LAST_WORD_TIMEOUT_MS)
             for link in list(self._links.by_host.values()):
                 link.stream.close()
+            self._kept.close_idle(self._clock.now_ms())
 
     def publish(
         self, topic: str, key: str, value: bytes, ttl_ms: float, *, urgent: bool = True
@@ -207,15 +220,17 @@
         return self._settings.host in choose_watchers(domain, hosts, WATCHERS)
 
     async def request(
-        self, host: str, topic: str, body: bytes, timeout_ms: float
+        self, host: str, topic: str, body: bytes, timeout_ms: float, *, is_kept: bool = False
     ) -> Result[bytes, PeerFault]:
-        """Ask another host's handler, on a connection of its own.
+        """Ask another host's handler, on a connection that carries no other question meanwhile.
 
         Args:
             host: Name of the host.
             topic: Names the handler.
             body: The question, up to `MAX_REQUEST_BYTES`.
             timeout_ms: Longest time for all of it.
+            is_kept: Whether the connection is kept for the next such question; the handler may then
+                see a question twice.
 
         Returns:
             The answer, or why there is none.
@@ -226,21 +241,45 @@
         if len(body) > MAX_REQUEST_BYTES:
             return Error(PeerFault(False, f"the request is over {MAX_REQUEST_BYTES} bytes"))
         deadline_ms = self._clock.now_ms() + timeout_ms
+        question = Request(PROTOCOL, topic, body)
         address = address_of(item.record)
+        kept = self._kept.take(address, topic) if is_kept else None
+        if kept is not None:
+            answered = await self._ask(kept, host, question, deadline_ms)
+            if answered.is_ok():
+                self._kept.put(address, topic, kept, self._clock.now_ms())
+                return answered
+            kept.close()
+            if deadline_ms <= self._clock.now_ms():
+                return answered
+            # The other side closes what is idle, so a fresh connection decides.
         self.counters.dials += 1
+        left_ms = deadline_ms - self._clock.now_ms()
         try:
-            stream = await connect(address, self._settings.listen.ip, timeout_ms, self.counters)
+            stream = await connect(address, self._settings.listen.ip, left_ms, self.counters)
         except OSError as error:
             return Error(PeerFault(False, f"no connection to {host}: {error}"))
+        answered = Error(PeerFault(True, f"the question to {host} was given up"))
         try:
-            stream.write(Request(PROTOCOL, topic, body))
+            answered = await self._ask(stream, host, question, deadline_ms)
+        finally:
+            if is_kept and answered.is_ok():
+                self._kept.put(address, topic, stream, self._clock.now_ms())
+            else:
+                stream.close()
+        return answered
+
+    async def _ask(
+        self, stream: MessageStream, host: str, question: Request, deadline_ms: float
+    ) -> Result[bytes, PeerFault]:
+        """Ask on an open connection; one without an answer must be closed."""
+        try:
+            stream.write(question)
             answer = await stream.read_within(deadline_ms - self._clock.now_ms())
         except (OSError, BadMessageError) as error:
             return Error(PeerFault(True, f"{host} gave no answer: {error}"))
-        finally:
-            stream.close()
         if not isinstance(answer, Reply) or not answer.handled:
-            return Error(PeerFault(True, f"{host} has no answer to '{topic}'"))
+            return Error(PeerFault(True, f"{host} has no answer to '{question.topic}'"))
         return Ok(answer.body)
 
     def leave(self) -> None:
@@ -267,6 +306,7 @@
 
     async def _greet(self, stream: MessageStream) -> None:
         """Read the first message and answer it, or hand the stream to a link."""
+        greeted = False
         try:
             message = await stream.read_within(_GREETING_TIMEOUT_MS)
             if getattr(message, "protocol", "") != PROTOCOL:
@@ -277,7 +317,9 @@
                 stream.write(ProbeReply(self.own))
                 stream.close_when_sent()
             elif isinstance(message, Request):
-                await self._answer(stream, message)
+                greeted = True
+                self._greeting -= 1
+                await self._answer_all(stream, message)
         except OSError:
             stream.close()
         except BadMessageError as error:
@@ -292,7 +334,21 @@
             stream.close()
             raise
         finally:
-            self._greeting -= 1
+            self._greeting -= not greeted
+
+    async def _answer_all(self, stream: MessageStream, request: Request) -> None:
+        """Answer another host's requests until it closes the connection or leaves it idle."""
+        self._serving += 1
+        try:
+            message: Message = request
+            while isinstance(message, Request):
+                await self._answer(stream, message)
+                if self._serving > MAX_SERVED_STREAMS:
+                    break
+                message = await stream.read_within(KEPT_IDLE_MS)
+        finally:
+            self._serving -= 1
+            stream.close_when_sent()
 
     async def _answer(self, stream: MessageStream, request: Request) -> None:
         """Answer another host's request."""
@@ -303,7 +359,6 @@
                 reply = Reply(True, await handler(request.body))
         finally:
             stream.write(reply)
-            stream.close_when_sent()
 
     async def _tick(self) -> None:
         """Send heartbeats and look after silent links, suspects and the mesh, for ever."""
@@ -322,6 +377,7 @@
                 expired_ms = now_ms
                 self._membership.state.expire(now_ms)
                 self._keeper.forget_gone(now_ms)
+                self._kept.close_idle(now_ms - KEPT_IDLE_MS / 2)
             self.counters.cpu_ms += (time.thread_time_ns() - started_ns) / NS_PER_MS
 
     def _beat(self, now_ms: float) -> None:
--- a/src/pimentodale/placement/messages.py
+++ b/src/pimentodale/placement/messages.py
@@ -94,6 +94,9 @@
     async def report(self, replica: ReplicaRecord) -> Result[EngineReport, str]:
         """Ask a replica for its state."""
 
+    async def probe(self, replica: ReplicaRecord) -> Result[int, str]:
+        """Ask whether a replica lives, whatever its service; return its start, 0 for unknown."""
+
     async def place(
         self, replica: ReplicaRecord, wanted: LayerRange, fence: int, orders_accepted: int
     ) -> Result[OrderOutcome, str]:
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_right
 from dataclasses import dataclass
+from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.placement.messages import PathPart
@@ -25,16 +25,25 @@
 HOP_COST_MS: Final = 0.05
 """Cost of a further replica for each token: the delay within a failure domain."""
 
-CROSSING_COST_MS: Final = 4.0
-"""Cost of a step to another failure domain within a path, for each token.
+CROSSING_DELAY_MS: Final = 0.4
+"""Time of a step to another failure domain within a path, for each token, as the users' sheets give it."""
 
-The delay is a tenth of it; the rest keeps paths within one domain, so that a cut between two domains
-meets as few streams as possible.
-"""
+CROSSING_COST_MS: Final = 4.0
+"""Cost of such a step into a part that has yet to read the prompt: ten times the delay. The prompt's
+activations pass a pipe that all requests share, some 26 ms for each, and a cut between two domains is to
+meet as few streams as possible."""
 
 ENTRY_CROSSING_COST_MS: Final = 1.0
 """Cost of a first replica in another failure domain than the request, for each token."""
 
+MOVED_TOGETHER: Final = 20.0
+"""Streams that a lost replica makes move at once, of some 90 that run on a site: new parts of their
+paths read all their tokens one stream after the other."""
+
+BACKLOG_WEIGHT: Final = 0.01
+"""Cost for each token of a ms of backlog at a part. A request waits for the longest of some seven, and a
+wait of 250 ms makes it late, which weighs as much as twice the usual time of a token."""
+
 FULL_FRACTION: Final = 0.97
 """Part of a replica's memory for requests that admission fills."""
 
@@ -55,6 +64,9 @@
     kv_in_use: float = 0.0
     """Tokens x layers of these requests."""
 
+    backlog_ms: float = 0.0
+    """For how long it is busy reading prompts."""
+
     slowness: float = 1.0
     """How many times slower than its kind it runs."""
 
@@ -72,8 +84,12 @@
     avoid: Collection[str] = ()
     """Ids of replicas that it must not use."""
 
-    head: str = ""
-    """Id of the replica that must be the first; empty for any."""
+    kept: tuple[PathPart, ...] = ()
+    """Parts that run the request already, from the first replica on, which stays; a new part has to
+    read all tokens so far."""
+
+    heads: Collection[str] | None = None
+    """Ids of the replicas that may be the first; `None` for any."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,14 +103,49 @@
     """Time of one token, by the engine's figures and the loads known."""
 
 
+@dataclass(slots=True, eq=False)
+class _Run:
+    """A range of layers that one replica may run for the request."""
+
+    stage: StageLoad
+    first: int
+    end: int
+    layer_ms: float
+    """Cost of each of its layers."""
+
+    entry_ms: float
+    """Cost of entering it."""
+
+    crossing_ms: float
+    """Cost of entering it from another failure domain."""
+
+    most_layers: float
+    """Layers that its memory has room for."""
+
+    is_kept: bool
+    """Whether it runs the request already, and then just these layers."""
+
+    may_head: bool
+    """Whether the path may begin with it."""
+
+    cost_ms: float = math.inf
+    """Cheapest way to the current boundary that ends in it; infinite while it is not entered."""
+
+    entered_at: int = 0
+    """Layer at which that way entered it."""
+
+    entered_from: str = ""
+    """Failure domain that it came from."""
+
+
 @dataclass(slots=True)
 class _Arrival:
-    """The cheapest way found to a layer in a failure domain."""
+    """The cheapest way found to a boundary that ends in some failure domain."""
 
     cost_ms: float
-    previous: tuple[int, str] | None
-    stage: StageLoad | None
-    first: int
+    run: _Run | None = None
+    entered_at: int = 0
+    entered_from: str = ""
 
 
 def find_path(engine: EngineModel, stages: Sequence[StageLoad], wish: PathWish) -> Path | None:
@@ -108,23 +159,36 @@
     Returns:
         The path, or `None` where the replicas leave a gap or lack memory.
     """
-    usable = [stage for stage in stages if stage.record.replica_id not in wish.avoid]
-    by_position = _stages_by_position(engine, usable)
-    firsts = sorted({stage.record.held.first for stage in usable if stage.record.held})
-    arrivals: dict[int, dict[str, _Arrival]] = {
-        0: {wish.failure_domain: _Arrival(0.0, None, None, 0)}
-    }
-    for position in sorted({*firsts, *by_position}):
-        here = arrivals.get(position)
-        if here is None or position >= engine.layers:
-            continue
-        for stage in by_position.get(position, ()):
-            if position == 0 and not _may_head(stage, wish):
-                continue
-            _leave(engine, stage, position, firsts, arrivals, here, wish)
+    runs = _list_runs(engine, stages, wish)
+    cuts = {0, engine.layers}
+    for run in runs:
+        cuts.update((run.first, run.end))
+    boundaries = sorted(cut for cut in cuts if cut <= engine.layers)
+    starting: dict[int, list[_Run]] = {}
+    for run in runs:
+        starting.setdefault(run.first, []).append(run)
+    arrivals = {0: {wish.failure_domain: _Arrival(0.0)}}
+    active: list[_Run] = []
+    for first, end in pairwise(boundaries):
+        active = [run for run in active if run.end > first] + starting.get(first, [])
+        _pass_through(active, first, end, arrivals)
     return _read_back(engine, arrivals)
 
 
+def read_ms(engine: EngineModel, kind: str, tokens: float, layers: int) -> float:
+    """Return how long a replica takes to read tokens through some of the layers.
+
+    Args:
+        engine: Figures of the engine.
+        kind: Accelerator of the replica.
+        tokens: Tokens to read.
+        layers: Layers that they pass through.
+    """
+    known = engine.kinds.get(kind)
+    pace = known.read_pace if known else 1.0
+    return tokens / max(1e-9, engine.read_tokens_per_ms) * pace * layers / engine.layers
+
+
 def token_ms(engine: EngineModel, stage: StageLoad) -> float:
     """Return the time of a token in all layers at a replica's pace, with one request more on it."""
     kind = engine.kinds.get(stage.record.kind)
@@ -133,71 +197,130 @@
     context_k = (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2) / 1_000
     each_ms = engine.per_sequence_ms + engine.per_context_k_ms * context_k
     # Reading the prompts of others takes turns with writing, so it counts for each token written.
-    read_ms = engine.usual_prompt_tokens / max(1e-9, engine.read_tokens_per_ms)
-    read_share_ms = read_ms / max(1.0, engine.usual_answer_tokens)
+    prompt_ms = engine.usual_prompt_tokens / max(1e-9, engine.read_tokens_per_ms)
+    read_share_ms = prompt_ms / max(1.0, engine.usual_answer_tokens)
     batch = stage.streams + 1.0
     return pace * (engine.step_ms + batch * each_ms) + read_pace * read_share_ms * batch
 
 
-def _stages_by_position(
-    engine: EngineModel, stages: Sequence[StageLoad]
-) -> dict[int, list[StageLoad]]:
-    """Return the stages that can go on from each boundary of any range."""
-    held = [(stage, stage.record.held) for stage in stages if stage.record.held]
-    boundaries = {0}
-    for _, layers in held:
-        boundaries.update((layers.first, layers.end))
-    positions: dict[int, list[StageLoad]] = {}
-    for position in boundaries:
-        if position >= engine.layers:
+def _list_runs(engine: EngineModel, stages: Sequence[StageLoad], wish: PathWish) -> list[_Run]:
+    """Return what each replica may run: its whole range, and what it runs already."""
+    runs = []
+    for stage in stages:
+        record = stage.record
+        if record.held is None or record.replica_id in wish.avoid:
+            continue
+        kind = engine.kinds.get(record.kind)
+        capacity = engine.kv_capacity(kind, len(record.held)) if kind else math.inf
+        room = capacity * FULL_FRACTION - stage.kv_in_use
+        layer_ms = token_ms(engine, stage) / engine.layers
+        runs += _kept_runs(stage, wish, layer_ms)
+        runs.append(
+            _Run(
+                stage=stage,
+                first=record.held.first,
+                end=record.held.end,
+                layer_ms=layer_ms + (_reread_ms(engine, stage, wish) if wish.kept else 0.0),
+                entry_ms=HOP_COST_MS + stage.backlog_ms * BACKLOG_WEIGHT,
+                crossing_ms=CROSSING_COST_MS,
+                most_layers=room / wish.tokens if wish.tokens > 0 else math.inf,
+                is_kept=False,
+                may_head=_may_head(stage, wish),
+            )
+        )
+    return runs
+
+
+def _kept_runs(stage: StageLoad, wish: PathWish, layer_ms: float) -> list[_Run]:
+    """Return the parts of a path that a replica runs already, as far as it still holds them."""
+    record = stage.record
+    runs: list[_Run] = []
+    for part in wish.kept:
+        if part.replica_id != record.replica_id or part.address != record.address:
+            continue
+        if record.held is None or part.layers.first < record.held.first:
+            continue
+        if part.layers.end > record.held.end:
             continue
-        positions[position] = [
-            stage for stage, layers in held if layers.first <= position < layers.end
-        ]
-    return positions
+        runs.append(
+            _Run(
+                stage=stage,
+                first=part.layers.first,
+                end=part.layers.end,
+                layer_ms=layer_ms,
+                entry_ms=HOP_COST_MS,
+                crossing_ms=CROSSING_DELAY_MS,
+                most_layers=math.inf,
+                is_kept=True,
+                may_head=_may_head(stage, wish),
+            )
+        )
+    return runs
 
 
 def _may_head(stage: StageLoad, wish: PathWish) -> bool:
     """Whether a replica may be the first of the path."""
-    if wish.head:
-        return stage.record.replica_id == wish.head
+    if wish.kept:
+        return stage.record.replica_id == wish.kept[0].replica_id
+    if wish.heads is not None and stage.record.replica_id not in wish.heads:
+        return False
     return stage.headed < stage.record.slots
 
 
-def _leave(
-    engine: EngineModel,
-    stage: StageLoad,
-    position: int,
-    firsts: list[int],
-    arrivals: dict[int, dict[str, _Arrival]],
-    here: dict[str, _Arrival],
-    wish: PathWish,
+def _pass_through(
+    active: Sequence[_Run], first: int, end: int, arrivals: dict[int, dict[str, _Arrival]]
 ) -> None:
-    """Extend the cheapest ways to `position` by a part at one replica."""
-    record = stage.record
-    if record.held is None:
+    """Extend the cheapest ways from one boundary to the next.
+
+    Args:
+        active: Runs that hold all layers between the two.
+        first: The boundary.
+        end: The next one.
+        arrivals: Cheapest ways by boundary and failure domain; receives those to `end`.
+    """
+    here = arrivals.get(first, {})
+    nearest = min(here, key=lambda domain: here[domain].cost_ms, default="")
+    count = end - first
+    there: dict[str, _Arrival] = {}
+    for run in active:
+        domain = run.stage.record.failure_domain
+        if end - run.entered_at > run.most_layers:
+            run.cost_ms = math.inf
+        if here and count <= run.most_layers and (run.may_head or first > 0):
+            _enter(run, domain, first, here, nearest)
+        if run.cost_ms == math.inf:
+            continue
+        run.cost_ms += count * run.layer_ms
+        if run.is_kept and end < run.end:
+            continue
+        best = there.get(domain)
+        if best is None or run.cost_ms < best.cost_ms:
+            there[domain] = _Arrival(run.cost_ms, run, run.entered_at, run.entered_from)
+    if there:
+        arrivals[end] = there
+
+
+def _enter(run: _Run, domain: str, position: int, here: dict[str, _Arrival], nearest: str) -> None:
+    """Enter a run at a boundary where that is cheaper than having entered it before."""
+    if run.is_kept and position != run.first:
         return
-    domain = record.failure_domain
-    step_ms = ENTRY_CROSSING_COST_MS if position == 0 else CROSSING_COST_MS
-    start = min(
-        here.items(),
-        key=lambda item: item[1].cost_ms + (0.0 if item[0] == domain else step_ms),
-    )
-    crossing_ms = 0.0 if start[0] == domain else step_ms
-    base_ms = start[1].cost_ms + crossing_ms + HOP_COST_MS
-    layer_ms = token_ms(engine, stage) / engine.layers
-    kind = engine.kinds.get(record.kind)
-    capacity = engine.kv_capacity(kind, len(record.held)) if kind else math.inf
-    room = capacity * FULL_FRACTION - stage.kv_in_use
-    ends = [first for first in firsts[bisect_right(firsts, position) :] if first < record.held.end]
-    for end in (*ends, record.held.end):
-        if wish.tokens * (end - position) > room:
-            break
-        cost_ms = base_ms + (end - position) * layer_ms
-        known = arrivals.setdefault(end, {})
-        best = known.get(domain)
-        if best is None or cost_ms < best.cost_ms:
-            known[domain] = _Arrival(cost_ms, (position, start[0]), stage, position)
+    crossing_ms = run.crossing_ms
+    if position == 0 and not run.is_kept:
+        crossing_ms = ENTRY_CROSSING_COST_MS
+    source = nearest
+    cost_ms = here[nearest].cost_ms + (0.0 if nearest == domain else crossing_ms)
+    own = here.get(domain)
+    if own is not None and own.cost_ms <= cost_ms:
+        source, cost_ms = domain, own.cost_ms
+    cost_ms += run.entry_ms
+    if cost_ms < run.cost_ms:
+        run.cost_ms, run.entered_at, run.entered_from = cost_ms, position, source
+
+
+def _reread_ms(engine: EngineModel, stage: StageLoad, wish: PathWish) -> float:
+    """Return what reading a moved request anew costs for each layer and token still to come."""
+    layer_ms = read_ms(engine, stage.record.kind, wish.tokens, 1) * stage.slowness
+    return layer_ms * MOVED_TOGETHER / max(1.0, engine.usual_answer_tokens / 2)
 
 
 def _read_back(engine: EngineModel, arrivals: dict[int, dict[str, _Arrival]]) -> Path | None:
@@ -209,11 +332,12 @@
     cost_ms = arrival.cost_ms
     end = engine.layers
     parts: list[PathPart] = []
-    while arrival.previous is not None and arrival.stage is not None:
-        record = arrival.stage.record
-        parts.append(PathPart(record.replica_id, record.address, LayerRange(arrival.first, end)))
-        end, domain = arrival.previous
-        arrival = arrivals[end][domain]
+    while arrival.run is not None:
+        record = arrival.run.stage.record
+        layers = LayerRange(arrival.entered_at, end)
+        parts.append(PathPart(record.replica_id, record.address, layers))
+        end = arrival.entered_at
+        arrival = arrivals[end][arrival.entered_from]
     parts.reverse()
     joined = _join_repeats(parts)
     return None if len(joined) > MAX_PARTS else Path(tuple(joined), cost_ms)
--- a/src/pimentodale/placement/placer.py
+++ b/src/pimentodale/placement/placer.py
@@ -7,15 +7,17 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from pimentodale.logs import get_log
+from pimentodale.placement.candidacy import Candidacy, create_candidacy
 from pimentodale.placement.messages import OrderOutcome
 from pimentodale.placement.planner import Holder, plan_placement
+from pimentodale.placement.resting import RestingPlans, create_resting_plans
 from pimentodale.placement.settling import DomainHistory, create_domain_history
 from pimentodale.site.beliefs import incarnation_of
 from pimentodale.steward.lease import LEASE_PREFIX, acquire_lease
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
@@ -44,6 +46,10 @@
 SETTLE_MS: Final = 700.0
 """Quiet time after a replica came or went before empty ones are placed for the first time."""
 
+NEWCOMER_MS: Final = 1_500.0
+"""Time after which a replica that joined is taken for an additional one; those that it may replace announce
+that they leave about a second after it registered."""
+
 ORDER_SLACK_MS: Final = 4_000.0
 """How much longer than its load an order may take before it counts as lost."""
 
@@ -75,19 +81,28 @@
     beliefs: ReplicaBeliefs
     clock: Clock
     rng: random.Random
+    read_rank: Callable[[], int] = lambda: 0
+    """Returns how many live hosts go before this one when the lease is free."""
+
     lease: HeldLease | None = None
     """The lease, while this host has it."""
 
+    candidacy: Candidacy = field(init=False)
+    """When this host competes for the lease."""
+
     history: DomainHistory = field(init=False)
     """Replicas of the failure domains as they were seen lately."""
 
+    _plans: RestingPlans = field(default_factory=lambda: create_resting_plans(plan_placement))
     _orders: dict[Incarnation, _Order] = field(default_factory=dict)
+    _first_seen_ms: dict[Incarnation, float] = field(default_factory=dict)
     _renewed_ms: float = 0.0
     _held_since_ms: float = 0.0
 
     def __post_init__(self) -> None:
         """Begin with no history."""
         self.history = create_domain_history(self.clock)
+        self.candidacy = create_candidacy(self.clock, self.read_rank)
 
     async def run(self) -> None:
         """Compete for the lease; plan while it is held. Runs for ever."""
@@ -110,8 +125,8 @@
             await lease.release()
 
     async def _compete(self) -> None:
-        """Take the lease if nobody has it."""
-        if self.view.mirror.items.get(_LEASE_KEY) is not None:
+        """Take the lease if nobody has it and it is this host's turn."""
+        if not self.candidacy.is_due(is_held=_LEASE_KEY in self.view.mirror.items):
             return
         taken = await acquire_lease(
             self.store, self.clock, LEASE_NAME, self.host, LEASE_TTL_MS, LEASE_MARGIN_MS
@@ -181,6 +196,11 @@
         holding = {item.replica_id for item in replicas if item.held is not None}
         left = {item.replica_id for item in replicas if item.is_draining}
         self.history.note(present, holding, left)
+        now_ms = self.clock.now_ms()
+        self._first_seen_ms = {
+            incarnation: self._first_seen_ms.get(incarnation, now_ms)
+            for incarnation in map(incarnation_of, replicas)
+        }
 
     def _may_order(self) -> bool:
         """Whether this host may give orders now.
@@ -220,13 +240,20 @@
                 del self._orders[incarnation_of(replica)]
                 order = None
             held = order.layers if order else replica.held
+            first_seen_ms = self._first_seen_ms.get(incarnation_of(replica), now_ms)
             holders.append(
                 Holder(
-                    replica.replica_id, replica.failure_domain, replica.kind, held, order is None
+                    replica.replica_id,
+                    replica.failure_domain,
+                    replica.kind,
+                    held,
+                    is_movable=order is None,
+                    is_new=now_ms - first_seen_ms < NEWCOMER_MS,
                 )
             )
         orders = []
-        for assignment in plan_placement(engine, holders, self.history.unsettled()):
+        unsettled = self.history.unsettled()
+        for assignment in self._plans.plan(service.name, engine, holders, unsettled):
             replica = by_id[assignment.replica_id]
             share = len(assignment.layers) / engine.layers
             until_ms = now_ms + engine.load_ms * share * 2 + ORDER_SLACK_MS
--- a/src/pimentodale/placement/planner.py
+++ b/src/pimentodale/placement/planner.py
@@ -30,7 +30,11 @@
 """Cost of a layer that nobody holds, against paces of about 1 to 20."""
 
 MOVE_GAIN: Final = GAP_PACE / 2
-"""Least gain for which a replica gives layers up: only a gap is worth it."""
+"""Least gain for which a replica gives layers up to close a gap."""
+
+SPEED_GAIN_FRACTION: Final = 0.25
+"""Part of a copy's time for a token that must be saved for a replica to be moved without a gap: its
+streams break off, and it is away for some 5 s."""
 
 
 @dataclass(slots=True)
@@ -50,7 +54,10 @@
     """Layers that it holds or has been ordered to hold."""
 
     is_movable: bool = True
-    """Whether it may be ordered; False while an order is under way."""
+    """Whether it may be ordered; False while an order is under way, and what it holds is being loaded."""
+
+    is_new: bool = False
+    """Whether it has just joined, so that whom it replaces may not be known yet."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,9 +89,11 @@
     known = [holder for holder in holders if holder.kind in engine.kinds]
     for domain in sorted({holder.failure_domain for holder in known}):
         members = [holder for holder in known if holder.failure_domain == domain]
-        assignments += _fill_empty(engine, members)
+        ordered = _fill_empty(engine, members)
         if domain not in unsettled:
-            assignments += _close_gaps(engine, members)
+            ordered += _close_gaps(engine, members)
+            ordered += _speed_up(engine, members) if not ordered else []
+        assignments += ordered
     assignments += _lend(engine, known, unsettled)
     return assignments
 
@@ -115,18 +124,30 @@
     """Give every empty replica of a failure domain its layers, the fastest first."""
     fraction = _weights_fraction(engine, members)
     assignments = []
+    settled = [holder for holder in members if holder.held is not None]
+    is_covered = not find_gaps(engine, settled)
     empty = [holder for holder in members if holder.held is None and holder.is_movable]
     empty.sort(key=lambda holder: (engine.kinds[holder.kind].pace, holder.replica_id))
     for holder in empty:
-        paces = _layer_paces(engine, members)
-        best, _ = _best_range(engine, holder.kind, paces, fraction)
+        peers = [peer for peer in settled if is_covered and peer.kind == holder.kind]
+        if len(peers) > 1 and holder.is_new:
+            # Which one it replaces is about to show.
+            continue
+        others = [other for other in members if other not in peers] if len(peers) == 1 else members
+        best, _ = _best_range(engine, holder.kind, _layer_paces(engine, others), fraction)
         if best is None:
             continue
-        holder.held = best
+        _assign(holder, best)
         assignments.append(Assignment(holder.replica_id, best))
     return assignments
 
 
+def _assign(holder: Holder, layers: LayerRange) -> None:
+    """Note that a replica is about to load a range."""
+    holder.held = layers
+    holder.is_movable = False
+
+
 def _close_gaps(engine: EngineModel, members: list[Holder]) -> list[Assignment]:
     """Close gaps of a failure domain with replicas that aren't needed where they are."""
     assignments: list[Assignment] = []
@@ -140,6 +161,26 @@
     return assignments
 
 
+def _speed_up(engine: EngineModel, members: list[Holder]) -> list[Assignment]:
+    """Move a replica whose layers others hold too to where it makes a token much faster.
+
+    A large replica that leaves has its layers taken by slow ones, which would keep them for good.
+    """
+    if find_gaps(engine, members) or not all(holder.is_movable for holder in members):
+        return []
+    paces = _layer_paces(engine, members)
+    least_gain = SPEED_GAIN_FRACTION * sum(paces)
+    # No replica gains more by a move than one more of its kind would.
+    kinds = {
+        kind
+        for kind in {holder.kind for holder in members}
+        if _best_range(engine, kind, paces, WEIGHTS_FRACTION)[1] >= least_gain
+    }
+    movers = [holder for holder in members if holder.kind in kinds]
+    move = _best_move(engine, movers, members, WEIGHTS_FRACTION, least_gain)
+    return [] if move is None else [move]
+
+
 def _lend(
     engine: EngineModel, holders: list[Holder], unsettled: Collection[str]
 ) -> list[Assignment]:
@@ -157,24 +198,38 @@
 
 
 def _best_move(
-    engine: EngineModel, movers: Sequence[Holder], members: Sequence[Holder]
+    engine: EngineModel,
+    movers: Sequence[Holder],
+    members: Sequence[Holder],
+    fraction: float = TIGHT_WEIGHTS_FRACTION,
+    least_gain: float = MOVE_GAIN,
 ) -> Assignment | None:
-    """Find the replica whose layers others hold too and that closes most of the gaps."""
+    """Find the replica whose layers others hold too and that gains the most elsewhere.
+
+    Args:
+        engine: Figures of the model.
+        movers: Replicas that may be moved.
+        members: All replicas that count.
+        fraction: Part of its memory that its new layers may take.
+        least_gain: Least gain in pace, summed over layers, that is worth a move.
+    """
     best: tuple[float, Holder, LayerRange] | None = None
     for holder in movers:
         if not holder.is_movable or holder.held is None:
             continue
         others = [other for other in members if other is not holder]
-        paces = _layer_paces(engine, others)
-        wanted, gain = _best_range(engine, holder.kind, paces, TIGHT_WEIGHTS_FRACTION)
-        stay = _gain(paces, engine.kinds[holder.kind].pace, holder.held)
-        if wanted is None or gain - stay < MOVE_GAIN:
+        wanted, gain = _best_range(engine, holder.kind, _layer_paces(engine, others), fraction)
+        # It is needed where it is until those have loaded that are to hold the same layers.
+        loaded = [other for other in others if other.is_movable]
+        pace = engine.kinds[holder.kind].pace
+        stay = _gain(_layer_paces(engine, loaded), pace, holder.held)
+        if wanted is None or gain - stay < least_gain:
             continue
         if best is None or gain - stay > best[0]:
             best = (gain - stay, holder, wanted)
     if best is None:
         return None
-    best[1].held = best[2]
+    _assign(best[1], best[2])
     return Assignment(best[1].replica_id, best[2])
 
 
@@ -191,7 +246,7 @@
             elif spare > 0 and grown.first == gap.end:
                 grown = LayerRange(max(gap.first, grown.first - spare), grown.end)
             if grown != holder.held:
-                holder.held = grown
+                _assign(holder, grown)
                 return Assignment(holder.replica_id, grown)
     return None
 
--- a/src/pimentodale/platform/configuration.py
+++ b/src/pimentodale/platform/configuration.py
@@ -79,6 +79,8 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     read_per_s: float = 1_000.0
+    # Token steps of a pass; a stream gets an event after each pass.
+    stride: int = 1
     loads_at_once: int = 0
     usual: _Usual = msgspec.field(default_factory=_Usual)
     models: list[_Model] = []
@@ -188,6 +190,7 @@
         per_sequence_ms=raw.per_seq_ms,
         per_context_k_ms=raw.context_per_k,
         read_tokens_per_ms=raw.read_per_s / 1_000.0,
+        tokens_per_event=max(1, raw.stride),
         kv_bytes_per_token=raw.kv_bytes,
         slots=raw.slots,
         usual_prompt_tokens=raw.usual.prompt,
--- a/src/pimentodale/platform/engines.py
+++ b/src/pimentodale/platform/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
@@ -17,6 +18,7 @@
 from pimentodale.platform.replicas import LayersRecord, decode_layers
 
 if TYPE_CHECKING:
+    from pimentodale.clients.http_call import CallReply
     from pimentodale.placement.messages import PathPart
     from pimentodale.site.model import LayerRange, ReplicaRecord
 
@@ -62,17 +64,15 @@
 
     async def report(self, replica: ReplicaRecord) -> Result[EngineReport, str]:
         """Ask a replica for its state."""
-        headers = {EXPECT_REPLICA: replica.replica_id}
-        request = CallRequest(method="GET", path="/api/report", headers=headers)
-        reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
+        reply = await _ask_report(replica)
         if reply.is_error():
-            return Error(reply.error.message)
-        if reply.ok.status != 200:
+            return Error(reply.error)
+        if reply.ok.status != HTTPStatus.OK:
             return Error(f"{replica.address} answered {reply.ok.status}")
-        try:
-            raw = msgspec.json.decode(reply.ok.body, type=_Report)
-        except (msgspec.MsgspecError, ValueError) as error:
-            return Error(f"the report of {replica.address} can't be read: {error}")
+        read = _read_report(replica, reply.ok.body)
+        if read.is_error():
+            return Error(read.error)
+        raw = read.ok
         return Ok(
             EngineReport(
                 is_busy=raw.busy,
@@ -88,6 +88,21 @@
             )
         )
 
+    async def probe(self, replica: ReplicaRecord) -> Result[int, str]:
+        """Ask whether a replica lives, whatever its service.
+
+        A plain service has no reports: it refuses the question for want of an attempt's id, and that
+        takes no slot, as its health check would.
+        """
+        reply = await _ask_report(replica)
+        if reply.is_error():
+            return Error(reply.error)
+        if reply.ok.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return Error(f"another replica stands at {replica.address}")
+        if reply.ok.status != HTTPStatus.OK:
+            return Ok(0)
+        return _read_report(replica, reply.ok.body).map(lambda raw: raw.born)
+
     async def place(
         self, replica: ReplicaRecord, wanted: LayerRange, fence: int, orders_accepted: int
     ) -> Result[OrderOutcome, str]:
@@ -119,6 +134,22 @@
         return Ok(outcome)
 
 
+async def _ask_report(replica: ReplicaRecord) -> Result[CallReply, str]:
+    """Ask for a report, whatever the answer's status."""
+    headers = {EXPECT_REPLICA: replica.replica_id}
+    request = CallRequest(method="GET", path="/api/report", headers=headers)
+    reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
+    return Error(reply.error.message) if reply.is_error() else Ok(reply.ok)
+
+
+def _read_report(replica: ReplicaRecord, body: bytes) -> Result[_Report, str]:
+    """Decode a report."""
+    try:
+        return Ok(msgspec.json.decode(body, type=_Report))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Error(f"the report of {replica.address} can't be read: {error}")
+
+
 def create_platform_engines() -> PlatformEngines:
     """Return the calls."""
     return PlatformEngines()
--- a/src/pimentodale/platform/main.py
+++ b/src/pimentodale/platform/main.py
@@ -48,8 +48,10 @@
     from pimentodale.site.view import SiteRecords
 
     try:
+        store = create_platform_store(parse_address(settings.store))
         platform = PlatformMeans(
-            store=create_platform_store(parse_address(settings.store)),
+            store=store,
+            store_calls=store.calls,
             records=SiteRecords(
                 CONFIGURATION_KEY, REPLICA_PREFIX, decode_configuration, decode_replica
             ),
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections import Counter
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 from urllib.parse import quote
 
@@ -99,8 +100,8 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self.calls = 0
-        """Calls made so far, watches included."""
+        self.calls: Counter[str] = Counter()
+        """Calls made so far by kind, failed ones included."""
 
     async def read(
         self, key: str, range_end: str = "", limit: int = 0, keys_only: bool = False
@@ -115,7 +116,7 @@
         after = ""
         while True:
             query = f"path_prefix={quote(key, safe='/')}&after={quote(after, safe='/')}"
-            page = await self._get(f"/api/kv-range?{query}", _Page)
+            page = await self._get("page", f"/api/kv-range?{query}", _Page)
             if page.is_error():
                 return Error(page.error)
             # Pages are no snapshot: changes are followed from the first one's revision.
@@ -139,7 +140,7 @@
             puts.append({"key": write.key, "value": value, "lease": write.lease_id})
         expected = [{"key": item.key, "revision": item.mod_revision} for item in compares]
         body = {"expected": expected, "puts": puts, "remove": removals}
-        reply = await self._call("POST", "/api/kv-txn", body)
+        reply = await self._call("transaction", "POST", "/api/kv-txn", body)
         if reply.is_error():
             return Error(reply.error)
         if reply.ok.status == OK:
@@ -154,14 +155,14 @@
 
     async def grant_lease(self, ttl_ms: float) -> Result[int, StoreFault]:
         """Create a lease; returns its id."""
-        reply = await self._call("POST", "/api/kv-lease", {"ttl_ms": int(ttl_ms)})
+        reply = await self._call("lease", "POST", "/api/kv-lease", {"ttl_ms": int(ttl_ms)})
         if reply.is_error():
             return Error(reply.error)
         return _decode(reply.ok, _Lease).map(lambda lease: lease.lease)
 
     async def keep_lease(self, lease_id: int) -> Result[float, StoreFault]:
         """Renew a lease; returns its time in ms, 0 when it has ended."""
-        reply = await self._call("POST", f"/api/kv-keep/{lease_id}", None)
+        reply = await self._call("renewal", "POST", f"/api/kv-keep/{lease_id}", None)
         if reply.is_error():
             return Error(reply.error)
         if reply.ok.status == NOT_FOUND:
@@ -170,7 +171,7 @@
 
     async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
         """End a lease and remove its keys."""
-        reply = await self._call("DELETE", f"/api/kv-lease-end/{lease_id}", None)
+        reply = await self._call("lease end", "DELETE", f"/api/kv-lease-end/{lease_id}", None)
         return reply.map(lambda _: None)
 
     async def watch(
@@ -182,7 +183,7 @@
         while True:
             query = f"path_prefix={quote(prefix, safe='/')}&after={after}&wait_ms={WATCH_WAIT_MS}"
             timeout_ms = min(silence_timeout_ms, WATCH_WAIT_MS + WATCH_SLACK_MS)
-            events = await self._get(f"/api/kv-watch?{query}", _Events, timeout_ms)
+            events = await self._get("watch", f"/api/kv-watch?{query}", _Events, timeout_ms)
             if events.is_error():
                 yield Error(events.error)
                 return
@@ -193,7 +194,7 @@
 
     async def _read_one(self, key: str) -> Result[RangeReply, StoreFault]:
         """Read one key."""
-        reply = await self._call("GET", f"/api/kv-key?key={quote(key, safe='/')}", None)
+        reply = await self._call("key", "GET", f"/api/kv-key?key={quote(key, safe='/')}", None)
         if reply.is_error():
             return Error(reply.error)
         if reply.ok.status == NOT_FOUND:
@@ -203,19 +204,19 @@
         )
 
     async def _get(
-        self, path: str, kind: type[T], timeout_ms: float = CALL_TIMEOUT_MS
+        self, call: str, path: str, kind: type[T], timeout_ms: float = CALL_TIMEOUT_MS
     ) -> Result[T, StoreFault]:
         """Make a reading call and decode its reply."""
-        reply = await self._call("GET", path, None, timeout_ms)
+        reply = await self._call(call, "GET", path, None, timeout_ms)
         if reply.is_error():
             return Error(reply.error)
         return _decode(reply.ok, kind)
 
     async def _call(
-        self, method: str, path: str, body: object, timeout_ms: float = CALL_TIMEOUT_MS
+        self, call: str, method: str, path: str, body: object, timeout_ms: float = CALL_TIMEOUT_MS
     ) -> Result[CallReply, StoreFault]:
         """Make one call on a connection of its own."""
-        self.calls += 1
+        self.calls[call] += 1
         payload = b"" if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"} if payload else {}
         request = CallRequest(method=method, path=path, headers=headers, body=payload)
--- a/src/pimentodale/routing/concurrency.py
+++ b/src/pimentodale/routing/concurrency.py
@@ -70,6 +70,12 @@
         self._starting = True
         self.in_flight = 0
 
+    @property
+    def usual_ms(self) -> float | None:
+        """Smallest latency seen lately; `None` before the first."""
+        seen = [ms for ms in (self._smallest_ms, self._earlier_smallest_ms) if ms is not None]
+        return min(seen) if seen else None
+
     def limit(self, slots: int | None = None) -> int:
         """Return the limit, capped by the backend server's slots if they are known."""
         whole = max(1, int(self._limit))
--- a/src/pimentodale/routing/router.py
+++ b/src/pimentodale/routing/router.py
@@ -27,6 +27,10 @@
 PLAN_INTERVAL_MS: Final = 200.0
 """Shortest time between two plans of a model."""
 
+_BEYOND_DRAWS: Final = 6
+"""Routes that are drawn for a stream beyond the routes' limits: nine in ten such streams see a fast one
+where a third of the fleet's rate is."""
+
 _log = get_log("routing")
 
 
@@ -115,13 +119,25 @@
     def acquire_beyond(
         self, model: str, layers: int, prompt_prefix_hash: str = ""
     ) -> RouteUse | None:
-        """Likewise, with no regard to the routes' limits, as long as engines have free slots."""
-        route = self.pick_route(model, layers, prompt_prefix_hash)
-        if route is None:
-            return None
-        if any(self._fleet.free_share(hop.replica) <= 0.0 for hop in route.hops):
-            return None
-        return self.started(route, prompt_prefix_hash)
+        """Likewise, with no regard to the routes' limits, as long as engines have free slots.
+
+        Such a stream goes before others in an engine's batch, but waits for the step under way, so
+        that fast routes are taken first.
+        """
+        best: Route | None = None
+        best_ms = 0.0
+        for _ in range(_BEYOND_DRAWS):
+            route = self.pick_route(model, layers, prompt_prefix_hash)
+            if route is None:
+                break
+            free_share = min(self._fleet.free_share(hop.replica) for hop in route.hops)
+            if free_share <= 0.0:
+                continue
+            # A full engine takes about twice as long as an empty one.
+            expected_ms = self.windows.usual_ms(route) * (2.0 - free_share)
+            if best is None or expected_ms < best_ms:
+                best, best_ms = route, expected_ms
+        return None if best is None else self.started(best, prompt_prefix_hash)
 
     def started(self, route: Route, prompt_prefix_hash: str = "") -> RouteUse:
         """Count a stream that starts on a route; it must be ended."""
--- a/src/pimentodale/routing/windows.py
+++ b/src/pimentodale/routing/windows.py
@@ -122,6 +122,12 @@
             smallest = min(smallest, self._fleet.free_share(hop.replica))
         return smallest
 
+    def usual_ms(self, route: Route) -> float:
+        """Return the latency between tokens that a route has without a queue."""
+        limit = self._limits.get(route)
+        seen_ms = None if limit is None else limit.usual_ms
+        return _USUAL_TOKEN_MS if seen_ms is None else seen_ms
+
     def use(self, route: Route) -> RouteUse:
         """Count a stream that starts on a route."""
         limit = self.limit_of(route)
--- a/src/pimentodale/site/model.py
+++ b/src/pimentodale/site/model.py
@@ -117,6 +117,9 @@
     read_tokens_per_ms: float
     """Prompt tokens read in a millisecond."""
 
+    tokens_per_event: int
+    """Tokens that an event of a stream holds: the steps of a batch between two events."""
+
     kv_bytes_per_token: float
     """Memory of one token in all layers."""
 
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -128,6 +128,17 @@
     end: int
 
 
+@dataclass(slots=True)
+class Run:
+    """One run of a request; a request that is sent again has a run of its own."""
+
+    path: list[PathStep]
+    """Replicas that it passes through."""
+
+    stalled_on: str = ""
+    """Address of the replica that it waits for; empty for none."""
+
+
 @dataclass(slots=True)
 class PlatformReplicaPart:
     """State of one running replica."""
@@ -145,8 +156,8 @@
     loses_answers: bool = False
     """Whether connections are reset once their request has run."""
 
-    running: dict[str, list[PathStep]] = field(default_factory=dict)
-    stalled: dict[str, str] = field(default_factory=dict)
+    running: dict[str, Run] = field(default_factory=dict)
+    """The latest run of each attempt."""
 
     def serves(self, step: PathStep) -> bool:
         """Whether it lives and holds a part."""
@@ -228,8 +239,18 @@
         if not await self.is_up():
             return
         part = self.part
+        if not part.settings.accelerator:
+            # A plain service knows no reports, and refuses requests without an id.
+            self.set_status(400)
+            self.set_header(NOT_RUN, "1")
+            self.finish(b"")
+            return
         layers = {"from": part.held[0], "to": part.held[1], "version": 1} if part.held else None
-        stalled = [{"id": key, "address": address} for key, address in part.stalled.items()]
+        stalled = [
+            {"id": attempt, "address": run.stalled_on}
+            for attempt, run in part.running.items()
+            if run.stalled_on
+        ]
         self.reply(
             {
                 "busy": part.is_busy,
@@ -290,7 +311,7 @@
         if find_fault(path):
             self.refuse(409, "a part is not there")
             return
-        part.running[order.id] = path
+        part.running[order.id].path = path
         self.reply({})
 
     async def _load(self, order: Order) -> None:
@@ -316,7 +337,7 @@
             return
         attempt = self.request.headers.get("Pimentodale-Attempt-Id", "")
         if not attempt or self.part.is_draining:
-            self._refuse_unrun("" if attempt else "no id")
+            self._refuse_unrun(503 if attempt else 400)
             return
         self.set_header("Pimentodale-Attempt-Id", attempt)
         self.set_header("Pimentodale-Replica-Stamp", f"stamp.{self.part.settings.replica_id}")
@@ -339,31 +360,35 @@
             self._journal("crash", attempt, "")
             await self._crash()
             return
-        part.running[attempt] = path
-        # A replica that is dead keeps its work waiting; one that lacks its part refuses at once.
-        if is_down(find_fault(path)):
-            await self._wait_for_path(attempt)
-        fault = find_fault(part.running[attempt])
-        if fault:
-            del part.running[attempt]
-            self._refuse_unrun(fault)
-            return
-        last = self.request.headers.get("Last-Event-Id", "0")
+        run = Run(path)
+        part.running[attempt] = run
         try:
-            for number in range(int(last) + 1, part.settings.events + 1):
-                if not await self._wait_for_path(attempt):
-                    self.reset_connection()
-                    return
-                steps = [f"{step.first}-{step.end}" for step in part.running[attempt]]
-                self._journal("event", attempt, f"{number} {' '.join(steps)}")
-                await self._write_event(number)
-                await asyncio.sleep(part.settings.event_ms / MS_PER_S)
-            await self.finish()
+            await self._write_events(attempt, run)
         except StreamClosedError:
             return
         finally:
-            part.running.pop(attempt, None)
-            part.stalled.pop(attempt, None)
+            if part.running.get(attempt) is run:
+                del part.running[attempt]
+
+    async def _write_events(self, attempt: str, run: Run) -> None:
+        """Write the events of one run until the last one, or until its path fails."""
+        # A replica that is dead keeps its work waiting; one that lacks its part refuses at once.
+        if is_down(find_fault(run.path)):
+            await self._wait_for_path(run)
+        fault = find_fault(run.path)
+        if fault:
+            self._refuse_unrun(503, fault)
+            return
+        last = self.request.headers.get("Last-Event-Id", "0")
+        for number in range(int(last) + 1, self.part.settings.events + 1):
+            if not await self._wait_for_path(run):
+                self.reset_connection()
+                return
+            steps = [f"{step.first}-{step.end}" for step in run.path]
+            self._journal("event", attempt, f"{number} {' '.join(steps)}")
+            await self._write_event(number)
+            await asyncio.sleep(self.part.settings.event_ms / MS_PER_S)
+        await self.finish()
 
     async def _crash(self) -> None:
         """Crash, and be back empty after a while."""
@@ -382,19 +407,19 @@
         self.write(f"id: {number}\ndata: piece {number}\n\n")
         await self.flush()
 
-    async def _wait_for_path(self, attempt: str) -> bool:
+    async def _wait_for_path(self, run: Run) -> bool:
         """Wait until all parts of the path answer; False after the stall time."""
         part = self.part
         end_ms = part.clock.now_ms() + STALL_MS
-        while (fault := find_fault(part.running[attempt])) and part.clock.now_ms() < end_ms:
-            part.stalled[attempt] = fault
+        while (fault := find_fault(run.path)) and part.clock.now_ms() < end_ms:
+            run.stalled_on = fault
             await asyncio.sleep(0.01)
-        part.stalled.pop(attempt, None)
+        run.stalled_on = ""
         return not fault and not part.outage.faults.down
 
-    def _refuse_unrun(self, fault: str) -> None:
+    def _refuse_unrun(self, status: int, fault: str = "") -> None:
         """Say that the request was not run."""
-        self.set_status(503)
+        self.set_status(status)
         self.set_header(NOT_RUN, "1")
         if fault:
             self.set_header("At-Server", fault)
