Give a stand-in engine no steps back for the time that it was idle

Cause: the loop of a batch may catch up on steps that it is late with while it is full. With one job a step it is full with every job, so it took idle time for lateness and ran up to four steps at once.

Scenario: a batch that was idle for 1 s takes a whole step for each of four jobs; it failed before.

--- a/features/engine_standin.feature
+++ b/features/engine_standin.feature
@@ -69,3 +69,8 @@
     Given a stand-in plain service
     When it is called, called with its reply lost, and called while it refuses
     Then its journal shows 2 runs with their keys and 1 refusal
+
+  Scenario: an engine that was idle takes a whole step for each token
+    Given a batch of one job a step, each of 40 ms, that has been idle for 1000 ms
+    When 4 jobs come one after the other
+    Then each takes 40 ms
--- a/features/steps/engine_standin.py
+++ b/features/steps/engine_standin.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import http.client
 import json
 import time
-from typing import Any
+from typing import Any, Final
 
 from behave import given, then, when
 from features.support.engines import (
@@ -20,10 +21,14 @@
 from features.support.site import http as call_http
 from features.support.site import read_journal, wait_until
 
+from pimentodale.clock import ManualClock
+from pimentodale.standin._batch import Batch, Job
 from pimentodale.standin.reference_text import reference_tokens
 
 _PORT = 9000
 
+JOB_TIMEOUT_S: Final = 10.0
+
 
 def _pipeline(context: Any, engines: int, layers: int, *, shared: bool) -> None:
     share = layers // engines
@@ -242,3 +247,34 @@
         return False
     connection.close()
     return True
+
+
+@given("a batch of one job a step, each of {step_ms:d} ms, that has been idle for {idle_ms:d} ms")
+def plan_batch(context: Any, step_ms: int, idle_ms: int) -> None:
+    context.clock = ManualClock()
+    context.batch = Batch(context.clock, 1, 512, lambda: float(step_ms))
+    context.idle_ms = float(idle_ms)
+
+
+@when("{count:d} jobs come one after the other")
+def submit_jobs(context: Any, count: int) -> None:
+    async def submit() -> list[float]:
+        running = asyncio.create_task(context.batch.run())
+        await asyncio.sleep(0)
+        context.clock.advance(context.idle_ms)
+        taken_ms = []
+        for _ in range(count):
+            start_ms = context.clock.now_ms()
+            done = asyncio.Event()
+            context.batch.submit(Job(0, 0, done.set))
+            await asyncio.wait_for(done.wait(), JOB_TIMEOUT_S)
+            taken_ms.append(context.clock.now_ms() - start_ms)
+        running.cancel()
+        return taken_ms
+
+    context.taken_ms = asyncio.run(submit())
+
+
+@then("each takes {time_ms:d} ms")
+def check_job_times(context: Any, time_ms: int) -> None:
+    assert context.taken_ms == [float(time_ms)] * len(context.taken_ms), context.taken_ms
--- a/src/pimentodale/standin/_batch.py
+++ b/src/pimentodale/standin/_batch.py
@@ -83,6 +83,8 @@
             if not self._jobs:
                 self._waiting.clear()
                 await self._waiting.wait()
+                # Steps that an idle loop did not run are no steps that it is late with.
+                step_end_ms = self._clock.now_ms()
             taken = self._take()
             step_ms = self._step_ms()
             earliest_ms = self._clock.now_ms() - _LATE_STEPS * step_ms
