--- a/features/admission.feature
+++ b/features/admission.feature
@@ -52,3 +52,18 @@
     When 300 callers arrive and a third of them go away at random moments
     And one more goes away in the moment in which its grant comes
     Then the room is whole again and nobody waits
+
+  Scenario: requests at once of a workspace that mostly sends none all go first
+    Given an admission with 4 places, 4 more for workspaces below their share, and a flood that has filled it for 10 s
+    When a quiet workspace sends 4 requests at once
+    Then all start at once and below their share
+    And the flood's own next request still waits
+
+  Scenario: under a flood room that happens to be free is no reason to take a slow route
+    Given an admission with 4 places, 4 more for workspaces below their share, and a flood that has filled it for 10 s
+    When the flood's queue is empty for a moment and a quiet workspace sends a request
+    Then it was asked for among the places for workspaces below their share
+
+  Scenario: a refusal for want of time says when to come back
+    When a generation is refused as its deadline passed
+    Then the refusal has a time to come back
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -26,6 +26,12 @@
     When 40 streams beyond the limits are granted one after the other, each ending at once
     Then at least 36 of them get the fast route and none the full one
 
+  Scenario: the last slots of an engine are kept for streams beyond the limits
+    Given a router with one engine of 32 slots for the whole model, whose limit does not bind
+    When streams are granted until there is no room
+    Then 31 of them run
+    And one more is granted beyond the limits
+
   Scenario: a replica that is leaving stays so
     Given a router over 1 failure domains with 4 engines
     When one engine is marked leaving and the host list still calls it live
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -11,13 +11,14 @@
 from hypothesis import settings as property_settings
 from hypothesis import strategies as st
 
-from pimentodale.admission.admission import Admission, AdmissionLimits, create_admission
+from pimentodale.admission.admission import Admission, AdmissionLimits, Permit, create_admission
 from pimentodale.admission.fair_queue import create_fair_queue
 from pimentodale.admission.rate_shares import create_rate_shares
 from pimentodale.admission.retry_budget import MIN_RETRIES, WINDOW_MS, create_retry_budget
 from pimentodale.admission.rooms import Place, Room, create_counted_room
 from pimentodale.clock import ManualClock, create_clock
-from pimentodale.results import ResultCode
+from pimentodale.pipelines.means import Progress
+from pimentodale.results import Ran, ResultCode
 from pimentodale.routing.concurrency import LimitSettings, create_concurrency_limit
 
 if TYPE_CHECKING:
@@ -396,3 +397,138 @@
     assert context.waiting == 0, context.waiting
     taken = [context.counted.acquire("") for _ in range(context.places + 1)]
     assert [place is None for place in taken] == [False] * context.places + [True], taken
+
+
+@dataclass(slots=True)
+class FloodedAdmission:
+    """An admission that one workspace has filled, on a clock that is moved by hand."""
+
+    clock: ManualClock
+    admission: Admission[Place]
+    asked: list[str]
+    """Which kind of place was asked for, in order."""
+
+    held: list[Permit[Place]]
+    """Permits of the flood that run."""
+
+    waiting: list[asyncio.Task[Any]]
+    """Requests of the flood that wait."""
+
+
+def create_flooded(places: int, beyond: int) -> FloodedAdmission:
+    clock = ManualClock()
+    counted = create_counted_room(lambda: places, lambda: beyond)
+    asked: list[str] = []
+
+    def acquire(hint: str) -> Place | None:
+        asked.append("usual")
+        return counted.acquire(hint)
+
+    def acquire_beyond(hint: str) -> Place | None:
+        asked.append("beyond")
+        return counted.acquire_beyond(hint)
+
+    room = Room(acquire, acquire_beyond, counted.give_back)
+    limits = AdmissionLimits(lambda: 10_000, lambda _: 1.0, lambda _: None)
+    admission = create_admission(clock, room, limits, create_rate_shares(clock, "h"))
+    return FloodedAdmission(clock, admission, asked, [], [])
+
+
+async def flood(flooded: FloodedAdmission, places: int, time_ms: float) -> None:
+    """Keep every place taken and a queue behind it for a time."""
+    clock = flooded.clock
+    end_ms = clock.now_ms() + time_ms
+    while clock.now_ms() < end_ms:
+        while len(flooded.waiting) < places:
+            call = flooded.admission.admit("flood", 1.0, FOREVER_MS)
+            flooded.waiting.append(asyncio.create_task(call))
+        await asyncio.sleep(0)
+        clock.advance(100.0)
+        if flooded.held:
+            flooded.held.pop(0).release()
+        await settle()
+        flooded.held += [task.result().ok for task in flooded.waiting if task.done()]
+        flooded.waiting = [task for task in flooded.waiting if not task.done()]
+
+
+async def settle() -> None:
+    """Let tasks that were woken go on."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@given(
+    "an admission with {places:d} places, {beyond:d} more for workspaces below their share, and a "
+    "flood that has filled it for {time_s:d} s"
+)
+def plan_flood(context: Any, places: int, beyond: int, time_s: int) -> None:
+    context.places = places
+    context.beyond = beyond
+    context.time_ms = time_s * 1000.0
+
+
+@when("a quiet workspace sends {count:d} requests at once")
+def send_quiet(context: Any, count: int) -> None:
+    async def run() -> None:
+        flooded = create_flooded(context.places, context.beyond)
+        await flood(flooded, context.places, context.time_ms)
+        calls = [flooded.admission.admit("quiet", 1.0, FOREVER_MS) for _ in range(count)]
+        tasks = [asyncio.create_task(call) for call in calls]
+        await settle()
+        context.started = [task.result().ok for task in tasks if task.done()]
+        late = asyncio.create_task(flooded.admission.admit("flood", 1.0, FOREVER_MS))
+        await settle()
+        context.flood_waits = not late.done()
+        for task in [*tasks, *flooded.waiting, late]:
+            task.cancel()
+
+    asyncio.run(run())
+    context.sent_count = count
+
+
+@then("all start at once and below their share")
+def check_quiet_started(context: Any) -> None:
+    assert len(context.started) == context.sent_count, len(context.started)
+    assert all(permit.below_share for permit in context.started)
+
+
+@then("the flood's own next request still waits")
+def check_flood_waits(context: Any) -> None:
+    assert context.flood_waits
+
+
+@when("the flood's queue is empty for a moment and a quiet workspace sends a request")
+def send_in_gap(context: Any) -> None:
+    async def run() -> None:
+        flooded = create_flooded(context.places, context.beyond)
+        await flood(flooded, context.places, context.time_ms)
+        for task in flooded.waiting:
+            task.cancel()
+        await settle()
+        flooded.held.pop(0).release()
+        assert flooded.admission.waiting == 0, flooded.admission.waiting
+        flooded.clock.advance(100.0)
+        flooded.asked.clear()
+        context.got = await flooded.admission.admit("quiet", 1.0, FOREVER_MS)
+        context.asked = list(flooded.asked)
+
+    asyncio.run(run())
+
+
+@then("it was asked for among the places for workspaces below their share")
+def check_asked(context: Any) -> None:
+    assert context.got.is_ok(), context.got
+    assert context.asked == ["beyond"], context.asked
+
+
+@when("a generation is refused as its deadline passed")
+def refuse_late_generation(context: Any) -> None:
+    progress = Progress.__new__(Progress)
+    progress.handed_over = False
+    context.refusal = progress.refuse_late()
+
+
+@then("the refusal has a time to come back")
+def check_come_back(context: Any) -> None:
+    assert context.refusal.retry_after_ms > 0, context.refusal
+    assert context.refusal.ran is Ran.NOT_RUN, context.refusal
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -7,6 +7,7 @@
 from statistics import median
 from typing import TYPE_CHECKING, Any, Final
 
+import msgspec
 import networkx
 from behave import given, then, when
 from hypothesis import given as property_given
@@ -243,6 +244,32 @@
     assert "full" not in context.granted
 
 
+@given("a router with one engine of {slots:d} slots for the whole model, whose limit does not bind")
+def create_single_router(context: Any, slots: int) -> None:
+    clock = ManualClock()
+    fleet = create_fleet(clock)
+    engine = msgspec.structs.replace(make_engine("e", "d0", 0, LAYERS, 10_000.0), slots=slots)
+    fleet.apply_targets(Targets(engines=[engine]))
+    context.router = create_router(fleet, clock, "d0", context.site.seed)
+
+
+@when("streams are granted until there is no room")
+def grant_all(context: Any) -> None:
+    context.count = 0
+    while context.router.acquire("m", LAYERS) is not None:
+        context.count += 1
+
+
+@then("{count:d} of them run")
+def check_granted(context: Any, count: int) -> None:
+    assert context.count == count, context.count
+
+
+@then("one more is granted beyond the limits")
+def check_one_beyond(context: Any) -> None:
+    assert context.router.acquire_beyond("m", LAYERS) is not None
+
+
 @given("a router over {domains:d} failure domains with {count:d} engines")
 def create_small_router(context: Any, domains: int, count: int) -> None:
     context.clock = ManualClock()
--- a/src/pimentodale/admission/admission.py
+++ b/src/pimentodale/admission/admission.py
@@ -27,7 +27,7 @@
 
 T = TypeVar("T")
 
-_WAIT_MARGIN: Final = 1.5
+_WAIT_MARGIN: Final = 2.0
 """Factor of an estimated wait. Under lasting overload the queue stands right at what the estimate
 allows, so without a margin each dip of the pace makes requests late that wait already."""
 
@@ -38,6 +38,10 @@
 """Part of a request's patience that is kept for serving it at most, so that a pool which is slow for
 a while still takes requests and learns when it is over."""
 
+_CONTENDED_MS: Final = 1_000.0
+"""Time after the last queue for which room counts as contended. Under overload a queue is empty for
+moments, and what room is left then is mostly on slow routes."""
+
 LONGEST_RETRY_AFTER_MS: Final = 30_000.0
 """Longest time after which a refused caller is asked to come back."""
 
@@ -117,7 +121,16 @@
 class Admission(Generic[T]):
     """Lets requests start as their room allows."""
 
-    __slots__ = ("_clock", "_in_service", "_limits", "_pace", "_queue", "_rates", "_room")
+    __slots__ = (
+        "_clock",
+        "_in_service",
+        "_limits",
+        "_pace",
+        "_queue",
+        "_queued_ms",
+        "_rates",
+        "_room",
+    )
 
     def __init__(
         self, clock: Clock, room: Room[T], limits: AdmissionLimits, rates: RateShares
@@ -128,7 +141,8 @@
         self._rates = rates
         self._queue: FairQueue[_Waiter[T]] = create_fair_queue()
         self._pace = create_drain_rate(clock)
-        self._in_service = create_in_service()
+        self._in_service = create_in_service(clock)
+        self._queued_ms = -_CONTENDED_MS
 
     @property
     def waiting(self) -> int:
@@ -183,7 +197,7 @@
             self._queue.pop(now_ms)
             self._pace.note_granted(entry.cost)
             entry.item.granted.set_result(grant)
-        self._pace.note_backlog(bool(len(self._queue)))
+        self._note_queue()
 
     def finish(self, grant: T, workspace: str, cost: float, started_ms: float) -> None:
         """Count off a request and give its grant back; `Permit.release` calls it."""
@@ -208,7 +222,7 @@
         granted = waiter.granted
         weight = self._limits.weight_of(workspace)
         entry = self._queue.push(waiter, workspace, weight, cost, latest_start_ms)
-        self._pace.note_backlog(True)
+        self._note_queue()
         try:
             await asyncio.wait({granted}, timeout=(latest_start_ms - arrived_ms) / MS_PER_S)
         except asyncio.CancelledError:
@@ -221,10 +235,17 @@
 
     def _take_now(self, workspace: str, cost: float, hint: str) -> T | None:
         """Take a grant without waiting, if nobody waits or the workspace is behind its share."""
-        if not len(self._queue):
-            grant = self._room.acquire(hint)
-            if grant is not None:
-                return grant
+        is_queue = len(self._queue) > 0
+        is_contended = is_queue or self._clock.now_ms() - self._queued_ms < _CONTENDED_MS
+        if not is_contended:
+            return self._room.acquire(hint) or self._take_beyond(workspace, cost, hint)
+        grant = self._take_beyond(workspace, cost, hint)
+        if grant is None and not is_queue:
+            return self._room.acquire(hint)
+        return grant
+
+    def _take_beyond(self, workspace: str, cost: float, hint: str) -> T | None:
+        """Take a grant past the limits, if the workspace is behind its share and none of it waits."""
         if self._queue.waiting_of(workspace):
             return None
         weight = self._limits.weight_of(workspace)
@@ -232,6 +253,13 @@
             return None
         return self._room.acquire_beyond(hint)
 
+    def _note_queue(self) -> None:
+        """Take note of whether anybody waits."""
+        is_backlogged = bool(len(self._queue))
+        if is_backlogged or self._pace.backlogged:
+            self._queued_ms = self._clock.now_ms()
+        self._pace.note_backlog(is_backlogged)
+
     def _permit(self, grant: T, workspace: str, cost: float, arrived_ms: float) -> Permit[T]:
         """Wrap a grant for a request that starts now."""
         now_ms = self._clock.now_ms()
@@ -244,7 +272,7 @@
     def _leave(self, entry: Waiting[_Waiter[T]]) -> None:
         """Take an entry out whose caller stopped waiting, even if its grant just came."""
         self._queue.cancel(entry)
-        self._pace.note_backlog(bool(len(self._queue)))
+        self._note_queue()
         if entry.item.granted.done():
             self._take_back(entry.item.granted.result())
             return
--- a/src/pimentodale/admission/estimate.py
+++ b/src/pimentodale/admission/estimate.py
@@ -47,6 +47,11 @@
         self._finished_cost = 0.0
         self._held_ms = 0.0
 
+    @property
+    def backlogged(self) -> bool:
+        """Whether anybody waits, as it was said last."""
+        return self._backlogged
+
     def note_backlog(self, backlogged: bool) -> None:
         """Say whether anybody waits from now on."""
         self._advance()
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -115,7 +115,7 @@
     if conviction is not None:
         return conviction
     if progress.remaining_ms <= 0:
-        return progress.refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline passed.")
+        return progress.refuse_late()
     if progress.failed_attempts >= MAX_ATTEMPTS:
         message = f"{MAX_ATTEMPTS} routes were tried without success; come back later."
         return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
--- a/src/pimentodale/pipelines/means.py
+++ b/src/pimentodale/pipelines/means.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from pimentodale.results import Ran, Refusal, ResultCode, create_refusal
 
@@ -23,6 +23,9 @@
     from pimentodale.routing.windows import RouteUse
     from pimentodale.tracing.tracer import Tracer
 
+LATE_RETRY_MS: Final = 1_000.0
+"""When a caller may come back after its deadline passed: the time in which load mostly moves."""
+
 
 @dataclass(slots=True)
 class PipelineMeans:
@@ -165,6 +168,11 @@
         ran = Ran.MAY_HAVE_RUN if self.handed_over else Ran.NOT_RUN
         return create_refusal(code, message, ran=ran, retry_after_ms=retry_after_ms)
 
+    def refuse_late(self) -> Refusal:
+        """Refuse for want of time."""
+        message = "The deadline passed; come back later, or allow more time."
+        return self.refuse(ResultCode.DEADLINE_EXCEEDED, message, LATE_RETRY_MS)
+
 
 def describe_route(route: Route) -> str:
     """Return a route in one line, such as `e1[0:16] e4[16:32]`."""
--- a/src/pimentodale/pipelines/suspicion.py
+++ b/src/pimentodale/pipelines/suspicion.py
@@ -115,7 +115,7 @@
         taken_elsewhere.clear()
         await trials.wait_for_change(tries)
         tries += 1
-    return Error(progress.refuse(ResultCode.DEADLINE_EXCEEDED, "The deadline passed."))
+    return Error(progress.refuse_late())
 
 
 def note_start(progress: Progress, route: Route) -> None:
--- a/src/pimentodale/routing/router.py
+++ b/src/pimentodale/routing/router.py
@@ -133,8 +133,8 @@
             free_share = min(self._fleet.free_share(hop.replica) for hop in route.hops)
             if free_share <= 0.0:
                 continue
-            # A full engine takes about twice as long as an empty one.
-            expected_ms = self.windows.usual_ms(route) * (2.0 - free_share)
+            # Such a stream waits for the step under way alone, half a step on average.
+            expected_ms = self.windows.usual_ms(route) * (1.5 - 0.5 * free_share)
             if best is None or expected_ms < best_ms:
                 best, best_ms = route, expected_ms
         return None if best is None else self.started(best, prompt_prefix_hash)
--- a/src/pimentodale/routing/windows.py
+++ b/src/pimentodale/routing/windows.py
@@ -47,6 +47,11 @@
 """Tokens over which latency is averaged, as a single token's depends on where a batch step stood."""
 
 
+_KEPT_SHARE: Final = 0.06
+"""Part of an engine's slots that is kept for workspaces below their share: one of 17 at least, as a fast
+engine that is full leaves them just the slow ones."""
+
+
 class RouteUse:
     """One stream on a route, counted until it ends."""
 
@@ -116,10 +121,13 @@
         return limit
 
     def free_share(self, route: Route) -> float:
-        """Return the free part of a route's room: of its limit, or of its fullest engine."""
+        """Return the free part of a route's room: of its limit, or of its fullest engine.
+
+        Slots that are kept for workspaces below their share count as taken.
+        """
         smallest = self.limit_of(route).free_share()
         for hop in route.hops:
-            smallest = min(smallest, self._fleet.free_share(hop.replica))
+            smallest = min(smallest, self._fleet.free_share(hop.replica) - _KEPT_SHARE)
         return smallest
 
     def usual_ms(self, route: Route) -> float:
