Take a replica that refused for full, and spread the returns of refused clients

Now the room that the host still reckoned with counts as taken for 1.5 s, so that the replica gets a request once one that is known there has ended. - all refused clients were told to come back after 1 s, so a crowd came back as one. Each now gets a turn, 1 to 5 s away, at half the pace at which streams began here in the last 3 s.

full_replicas.feature and return_slots.feature need no network; the first failed with a load that fades at once. The two lines about the end of a request share their fields now.

--- a/features/steps/stalled_streams.py
+++ b/features/steps/stalled_streams.py
@@ -13,7 +13,7 @@
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.loads import create_load_board
 from pimentodale.forwarding.stalls import StallReports, Verdict, check_stall
-from pimentodale.forwarding.stream_state import StreamPool, StreamState
+from pimentodale.forwarding.stream_state import StreamState, create_stream_pool
 from pimentodale.forwarding.stream_watch import patience_ms
 from pimentodale.placement.messages import EngineReport, OrderOutcome, PathPart
 from pimentodale.placement.paths import Path
@@ -78,7 +78,9 @@
 
 def look_in_ms(context: Any) -> float:
     """Return the pause after which the stream is looked at."""
-    return patience_ms(context.means, StreamPool(), SimpleNamespace(), context.state)
+    return patience_ms(
+        context.means, create_stream_pool(context.means.clock), SimpleNamespace(), context.state
+    )
 
 
 @then("a pause of {pause_ms:d} ms is looked into")
--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -14,9 +14,10 @@
 from pimentodale.addresses import Address
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.learning import learn
+from pimentodale.forwarding.loads import create_load_board
 from pimentodale.forwarding.messages import Refused
 from pimentodale.forwarding.stream_passing import pass_stream_on
-from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
+from pimentodale.forwarding.stream_state import AttemptEnd, StreamState, create_stream_pool
 from pimentodale.forwarding.streams import has_ended
 from pimentodale.placement.messages import PathPart
 from pimentodale.placement.paths import Path, PathWish, StageLoad, find_path
@@ -37,7 +38,9 @@
         stall_ms=STALL_MS,
         beliefs=create_replica_beliefs(clock),
         view=SimpleNamespace(replicas=replicas),
+        loads=create_load_board(clock),
     )
+    context.service = SimpleNamespace(engine=create_small_engine())
     context.state = StreamState(None, 100.0)
     context.most = most
 
@@ -48,7 +51,7 @@
     part = PathPart(head, known.address, LayerRange(0, 8))
     context.state.path = Path((part,), 1.0)
     context.state.blames_head = blames_head
-    learn(context.means, context.state, end)
+    learn(context.means, context.service, context.state, end)
 
 
 @when('its first replica "{first}" is silent, and then a stage behind "{second}" falls silent')
@@ -189,7 +192,9 @@
     )
     means = SimpleNamespace(clock=ManualClock(), codec=codec)
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
-    work = pass_stream_on(means, StreamPool(), context.routed, context.state, path)
+    work = pass_stream_on(
+        means, create_stream_pool(means.clock), context.routed, context.state, path
+    )
     with contextlib.suppress(TimeoutError):
         await asyncio.wait_for(work, wait_ms / 1_000.0)
     server.close()
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.forwarding.client_exchange import ClientGoneError
-from pimentodale.forwarding.means import RoutedRequest, view_age_ms
+from pimentodale.forwarding.means import RoutedRequest, log_left, view_age_ms
 from pimentodale.forwarding.plain import serve_plain
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.route_table import choose_service
@@ -70,26 +70,10 @@
         else:
             await serve_plain(means, routed)
     except (asyncio.CancelledError, ClientGoneError):
-        _log_left(means, routed)
+        log_left(means, routed)
         raise
 
 
-def _log_left(means: ForwardingMeans, routed: RoutedRequest) -> None:
-    """Write the line of a request whose client left before its answer was whole."""
-    request = routed.exchange.request
-    _log.info(
-        "A client left.",
-        request=request.attempt_id,
-        route=routed.route.name,
-        service=routed.service.name,
-        workspace=routed.workspace,
-        elapsed_ms=round(means.clock.now_ms() - request.received_ms),
-        sends=routed.history,
-        sent=routed.sends,
-        view_age_ms=view_age_ms(means),
-    )
-
-
 async def _refuse_unknown(
     means: ForwardingMeans, exchange: ClientExchange, code: ResultCode, message: str
 ) -> None:
--- a/src/pimentodale/forwarding/learning.py
+++ b/src/pimentodale/forwarding/learning.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.forwarding.stream_state import AttemptEnd
+from pimentodale.placement.paths import fill_capacity
 from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.means import ForwardingMeans
     from pimentodale.forwarding.stream_state import StreamState
     from pimentodale.site.beliefs import ReplicaBeliefs
-    from pimentodale.site.model import ReplicaRecord
+    from pimentodale.site.model import BackendService, ReplicaRecord
 
 NO_ROOM_PASS_OVER_MS: Final = 150.0
 """How long a replica that had no room gets no new requests."""
@@ -20,11 +21,14 @@
 """Part of the engines' patience after which a refusal means that the request stalled."""
 
 
-def learn(means: ForwardingMeans, state: StreamState, end: AttemptEnd) -> None:
+def learn(
+    means: ForwardingMeans, service: BackendService, state: StreamState, end: AttemptEnd
+) -> None:
     """Keep what a send showed of its replicas.
 
     Args:
         means: Shared state.
+        service: The service that the stream is of.
         state: The stream; its path is the one that was tried.
         end: How the send ended.
     """
@@ -49,6 +53,9 @@
             waited_ms = means.clock.now_ms() - state.active_ms
             has_stalled = waited_ms >= means.stall_ms * STALLED_FRACTION
             learn_refusal(means.beliefs, head, named, has_stalled=has_stalled)
+            if service.engine is not None and not has_stalled:
+                capacity = fill_capacity(service.engine, named)
+                means.loads.note_full(named.replica_id, capacity)
     elif end is AttemptEnd.LOST:
         state.avoid.add(head.replica_id)
         state.used_heads.note(incarnation, may_run_again=not state.blames_head)
--- a/src/pimentodale/forwarding/loads.py
+++ b/src/pimentodale/forwarding/loads.py
@@ -23,6 +23,9 @@
 TOLD_TTL_MS: Final = 1_500.0
 """How long another host's word holds."""
 
+HIDDEN_MS: Final = 1_500.0
+"""How long load counts that only a refusal showed: half the usual life of a request."""
+
 
 class ReplicaLoad(msgspec.Struct, array_like=True):
     """Work of one host at one replica."""
@@ -48,6 +51,17 @@
     """Loads by replica."""
 
 
+@dataclass(slots=True)
+class _Hidden:
+    """Load that nobody told of, which a refusal showed."""
+
+    kv: float
+    """Tokens x layers."""
+
+    until_ms: float
+    """Until when it counts."""
+
+
 @dataclass(slots=True)
 class LoadBoard:
     """Loads by replica."""
@@ -59,6 +73,7 @@
     version: int = 0
     """Grows with each change that may make room."""
 
+    _hidden: dict[str, _Hidden] = field(default_factory=dict)
     _read_until_ms: dict[str, float] = field(default_factory=dict)
     _told: dict[str, _Told] = field(default_factory=dict)
     _foreign: dict[str, _Told] = field(default_factory=dict)
@@ -98,6 +113,28 @@
         """Return for how long a replica still reads prompts that this host sent it."""
         return max(0.0, self._read_until_ms.get(replica_id, 0.0) - self.clock.now_ms())
 
+    def note_full(self, replica_id: str, capacity: float) -> None:
+        """Take a replica for full that refused a request for want of room.
+
+        What is known of its load comes late, and requests hold more or less than expected.
+
+        Args:
+            replica_id: The replica.
+            capacity: Tokens x layers up to which this host fills it.
+        """
+        kv = max(0.0, capacity - self.total(replica_id).kv_in_use)
+        self._hidden[replica_id] = _Hidden(kv, self.clock.now_ms() + HIDDEN_MS)
+
+    def hidden_kv(self, replica_id: str) -> float:
+        """Return the tokens x layers at a replica that only a refusal showed."""
+        hidden = self._hidden.get(replica_id)
+        if hidden is None:
+            return 0.0
+        if hidden.until_ms <= self.clock.now_ms():
+            del self._hidden[replica_id]
+            return 0.0
+        return hidden.kv
+
     def take_told(
         self, host: str, loads: dict[str, ReplicaLoad], ttl_ms: float = TOLD_TTL_MS
     ) -> None:
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -96,29 +96,44 @@
 
 def log_end(means: ForwardingMeans, routed: RoutedRequest, code: ResultCode, status: int) -> None:
     """Write the line that says how a request ended and what decided it."""
-    request = routed.exchange.request
-    elapsed_ms = means.clock.now_ms() - request.received_ms
-    means.metrics.note_end(code, elapsed_ms)
+    means.metrics.note_end(code, _elapsed_ms(means, routed))
     version = means.view.configuration.version if means.view.configuration else 0
     _log.info(
         "A request ended.",
-        request=request.attempt_id,
-        route=routed.route.name,
-        service=routed.service.name,
-        workspace=routed.workspace,
         code=int(code),
         name=code.name.lower(),
         status=status,
-        elapsed_ms=round(elapsed_ms),
-        sends=routed.history,
         first_event_ms=None if routed.first_event_ms is None else round(routed.first_event_ms),
         longest_pause_ms=round(routed.longest_pause_ms),
         configuration=version,
-        view_age_ms=view_age_ms(means),
+        **_logged_fields(means, routed),
     )
 
 
+def log_left(means: ForwardingMeans, routed: RoutedRequest) -> None:
+    """Write the line of a request whose client left before its answer was whole."""
+    _log.info("A client left.", sent=routed.sends, **_logged_fields(means, routed))
+
+
 def view_age_ms(means: ForwardingMeans) -> int | None:
     """Return the age of what this host knows of the store; `None` before it has known anything."""
     age_ms = means.view.mirror.age_ms()
     return round(age_ms) if math.isfinite(age_ms) else None
+
+
+def _elapsed_ms(means: ForwardingMeans, routed: RoutedRequest) -> float:
+    """Return the time since a request came."""
+    return means.clock.now_ms() - routed.exchange.request.received_ms
+
+
+def _logged_fields(means: ForwardingMeans, routed: RoutedRequest) -> dict[str, object]:
+    """Return what every line about the end of a request says."""
+    return {
+        "request": routed.exchange.request.attempt_id,
+        "route": routed.route.name,
+        "service": routed.service.name,
+        "workspace": routed.workspace,
+        "elapsed_ms": round(_elapsed_ms(means, routed)),
+        "sends": routed.history,
+        "view_age_ms": view_age_ms(means),
+    }
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -93,11 +93,12 @@
         if not and_doubted and not runs_already and not means.beliefs.is_usable(replica):
             continue
         load = means.loads.total(replica.replica_id)
+        kv_in_use = load.kv_in_use + means.loads.hidden_kv(replica.replica_id)
         slowness = means.paces.slowness(replica)
         slowness *= 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
         backlog_ms = means.loads.backlog_ms(replica.replica_id)
         stages.append(
-            StageLoad(replica, load.streams, load.headed, load.kv_in_use, backlog_ms, slowness)
+            StageLoad(replica, load.streams, load.headed, kv_in_use, backlog_ms, slowness)
         )
     return stages
 
--- a/src/pimentodale/forwarding/stream_passing.py
+++ b/src/pimentodale/forwarding/stream_passing.py
@@ -110,6 +110,7 @@
         if state.send_events == 0:
             waited_ms = means.clock.now_ms() - state.sent_ms
             pool.first_events.note(path.parts[0].replica_id, waited_ms)
+            pool.returns.note_begun()
         _note_events(means, routed, state, len(passed))
         await routed.exchange.write(b"".join(passed))
     if splitter.has_partial:
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 from pimentodale.forwarding.first_events import FirstEventTimes
+from pimentodale.forwarding.return_slots import ReturnSlots, create_return_slots
 from pimentodale.forwarding.stages import RoomQueue
 from pimentodale.forwarding.stalls import StallReports
 from pimentodale.forwarding.used_heads import UsedHeads
 
 if TYPE_CHECKING:
+    from pimentodale.clock import Clock
     from pimentodale.forwarding.messages import Refused
     from pimentodale.placement.paths import Path
 
@@ -36,6 +38,9 @@
 class StreamPool:
     """What the streams of a host share."""
 
+    returns: ReturnSlots
+    """When refused clients are told to come back."""
+
     queue: RoomQueue = field(default_factory=RoomQueue)
     """Streams that wait for room."""
 
@@ -46,6 +51,11 @@
     """How long streams wait for their first events now."""
 
 
+def create_stream_pool(clock: Clock) -> StreamPool:
+    """Return what streams share, before the first of them."""
+    return StreamPool(create_return_slots(clock))
+
+
 @dataclass(slots=True)
 class StreamState:
     """One client's stream over all its sends."""
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -35,9 +35,6 @@
 MAX_SENDS: Final = 6
 """Most sends of one attempt, refused ones included."""
 
-RETRY_AFTER_MS: Final = 1_000.0
-"""When a client may come back after a refusal for lack of room; streams last some 3 s."""
-
 
 async def serve_stream(means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest) -> None:
     """Answer a request with a stream of events."""
@@ -57,7 +54,7 @@
     while True:
         end = await _next_send(means, pool, routed, state)
         if end is None:
-            await _give_up(means, routed, state)
+            await _give_up(means, pool, routed, state)
             return
         if end in (AttemptEnd.WHOLE, AttemptEnd.PASSED_ON):
             log_end(means, routed, ResultCode.OK, state.status)
@@ -73,7 +70,7 @@
         _watch_for_crashes(means, state, fingerprint)
         is_over = state.broken_at_start >= routed.route.max_attempts
         if is_over or (state.may_have_run and not routed.route.is_resumable):
-            await _give_up(means, routed, state)
+            await _give_up(means, pool, routed, state)
             return
 
 
@@ -139,7 +136,7 @@
     if state.refused is not None:
         outcome = f"refused, {state.refused.value} at {faulty_part(state) or head}"
     routed.history.append(f"{head}+{len(path.parts) - 1}: {outcome}")
-    learn(means, state, end)
+    learn(means, routed.service, state, end)
     return end
 
 
@@ -168,7 +165,9 @@
     return means.beliefs.is_lost(replica)
 
 
-async def _give_up(means: ForwardingMeans, routed: RoutedRequest, state: StreamState) -> None:
+async def _give_up(
+    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
+) -> None:
     """End a stream that can't be sent any more."""
     exchange: ClientExchange = routed.exchange
     if state.may_have_run:
@@ -180,8 +179,9 @@
     if covers_model(means, routed.service) or engine is None:
         log_end(means, routed, ResultCode.QUEUE_FULL, 503)
         message = "All replicas are full; it has not run, come back."
+        retry_after_ms = pool.returns.take_ms()
         await refuse(
-            exchange, ResultCode.QUEUE_FULL, message, retry_after_ms=RETRY_AFTER_MS, status=503
+            exchange, ResultCode.QUEUE_FULL, message, retry_after_ms=retry_after_ms, status=503
         )
         return
     log_end(means, routed, ResultCode.NO_ROUTE, 503)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -22,7 +22,7 @@
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.retry_share import create_retry_share
 from pimentodale.forwarding.slow_paths import recheck_slow_replicas
-from pimentodale.forwarding.stream_state import StreamPool
+from pimentodale.forwarding.stream_state import StreamPool, create_stream_pool
 from pimentodale.gateway.load_exchange import create_load_exchange
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.gateway.registration import keep_registered
@@ -109,11 +109,15 @@
     background: BackgroundTasks = field(default_factory=create_background_tasks)
     rng: random.Random = field(default_factory=random.SystemRandom)
     work: WorkInProgress = field(default_factory=create_work_in_progress)
-    pool: StreamPool = field(default_factory=StreamPool)
+    pool: StreamPool = field(init=False)
     is_stopping: bool = False
     is_refusing: bool = False
     """Whether the time left is too short for a stream that begins now."""
 
+    def __post_init__(self) -> None:
+        """Begin without streams."""
+        self.pool = create_stream_pool(self.clock)
+
 
 async def run_gateway(settings: GatewaySettings, platform: PlatformMeans) -> int:
     """Run a gateway until SIGTERM.
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -203,6 +203,14 @@
     return pace * (engine.step_ms + batch * each_ms) + read_pace * read_share_ms * batch
 
 
+def fill_capacity(engine: EngineModel, record: ReplicaRecord) -> float:
+    """Return the tokens x layers of requests up to which a replica is filled; 0 for an empty one."""
+    kind = engine.kinds.get(record.kind)
+    if record.held is None or kind is None:
+        return math.inf if record.held is not None else 0.0
+    return engine.kv_capacity(kind, len(record.held)) * FULL_FRACTION
+
+
 def _list_runs(engine: EngineModel, stages: Sequence[StageLoad], wish: PathWish) -> list[_Run]:
     """Return what each replica may run: its whole range, and what it runs already."""
     runs = []
@@ -210,9 +218,7 @@
         record = stage.record
         if record.held is None or record.replica_id in wish.avoid:
             continue
-        kind = engine.kinds.get(record.kind)
-        capacity = engine.kv_capacity(kind, len(record.held)) if kind else math.inf
-        room = capacity * FULL_FRACTION - stage.kv_in_use
+        room = fill_capacity(engine, record) - stage.kv_in_use
         layer_ms = token_ms(engine, stage) / engine.layers
         runs += _kept_runs(stage, wish, layer_ms)
         runs.append(
