Hand the placement lease on when its holder stops while the store is away

The holder now tells the next host in rank the lease's id, fencing number and revision. A host that has seen a higher number doesn't take the lease over.

Besides: a host that was stopping competed for the lease that it had just given up, and could hold it until it lapsed; it no longer does. A renewal that ends after the lease was given up no longer logs that it was lost.

Three scenarios in placement.feature.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -105,3 +105,22 @@
     Given a host that places layers
     When the store refuses it for 4 s and another host takes the lease over
     Then it no longer holds the lease
+
+  Scenario: the holder of the lease stops while the store is away
+    Given a host that places layers, and two more
+    When the store answers nobody for 3 s and the holder stops
+    Then the next in rank goes on placing at once, with the same fencing number
+    And the host that stopped no longer holds the lease, and does not take it again
+    When the store answers again within the lease's time
+    Then the one that went on is sure of the lease
+
+  Scenario: the holder stops while the store answers
+    Given a host that places layers, and two more
+    When the holder stops
+    Then the lease is free in the store, and nobody was handed it
+    And the host that stopped no longer holds the lease, and does not take it again
+
+  Scenario: a lease that comes late, after another host has taken it
+    Given a host that places layers, and two more
+    When the store answers nobody for 3 s and the holder stops after another host was seen with a higher number
+    Then nobody goes on with the lease that was handed on
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -26,7 +26,7 @@
 from pimentodale.gateway.load_exchange import create_load_exchange
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.gateway.registration import keep_registered
-from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_paces
+from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_lease, share_paces
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.logs import get_log
 from pimentodale.mirror.follower import create_mirror_follower
@@ -143,8 +143,9 @@
         means.beliefs,
         gateway.clock,
         gateway.rng,
-        lambda: _rank_among_hosts(peers),
+        lambda: _rank_hosts(peers).index(settings.host),
     )
+    share_lease(placer, peers, lambda: _rank_hosts(peers))
     server = _serve_clients(gateway, means)
     _serve_readiness(gateway, means)
     await peers.listen()
@@ -167,11 +168,10 @@
     return 0
 
 
-def _rank_among_hosts(peers: Peers) -> int:
-    """Return how many live hosts go before this one for duties of the whole site."""
-    own = peers.own.host
-    hosts = {own, *(member.host for member in peers.live_members())}
-    return rank(LEASE_NAME, hosts).index(own)
+def _rank_hosts(peers: Peers) -> list[str]:
+    """Return this host and the live ones, the first in rank for duties of the whole site first."""
+    hosts = {peers.own.host, *(member.host for member in peers.live_members())}
+    return rank(LEASE_NAME, hosts)
 
 
 def _create_peers(gateway: Gateway, view: SiteView) -> Peers:
--- a/src/pimentodale/gateway/sharing.py
+++ b/src/pimentodale/gateway/sharing.py
@@ -1,4 +1,4 @@
-"""What gateways tell each other at once: replicas that are down or slow, crashes."""
+"""What gateways tell each other at once: replicas that are down or slow, crashes, a lease handed on."""
 
 from __future__ import annotations
 
@@ -9,11 +9,15 @@
 from pimentodale.forwarding.poison import STRIKE_RETENTION_MS
 from pimentodale.logs import get_log
 from pimentodale.site.paces import HOLDS_MS
+from pimentodale.steward.lease import HandedLease
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pimentodale.forwarding.poison import PoisonStrikes
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
+    from pimentodale.placement.placer import Placer
     from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
     from pimentodale.site.paces import ReplicaPaces
 
@@ -21,15 +25,20 @@
 UP_TOPIC: Final = "replica-up"
 PACE_TOPIC: Final = "replica-pace"
 CRASH_TOPIC: Final = "crash"
+LEASE_TOPIC: Final = "placement-lease"
 
 DOWN_TTL_MS: Final = 3_000.0
 """How long the word that a replica is down travels; each host probes for itself."""
 
+LEASE_HANDED_TTL_MS: Final = 3_000.0
+"""How long a handed lease travels; hosts hear of it within some 100 ms."""
+
 _log = get_log("sharing")
 
 _down = msgspec.msgpack.Decoder(tuple[str, int, str])
 _pace = msgspec.msgpack.Decoder(tuple[str, int, float])
 _crash = msgspec.msgpack.Decoder(tuple[str, str])
+_handed = msgspec.msgpack.Decoder(tuple[str, HandedLease])
 
 
 def share_beliefs(beliefs: ReplicaBeliefs, peers: Peers) -> None:
@@ -102,3 +111,33 @@
 
     strikes.tell = tell
     peers.subscribe(CRASH_TOPIC, take)
+
+
+def share_lease(placer: Placer, peers: Peers, rank_hosts: Callable[[], list[str]]) -> None:
+    """Have a host that stops hand the lease of placement to the next in rank.
+
+    Args:
+        placer: This host's placer.
+        peers: The other hosts.
+        rank_hosts: Returns the live hosts, first in rank first.
+    """
+
+    def tell(handed: HandedLease) -> None:
+        others = [host for host in rank_hosts() if host != peers.own.host]
+        if not others:
+            _log.warning("There is no host to hand the lease to.", fence=handed.fencing_number)
+            return
+        value = msgspec.msgpack.encode((others[0], handed))
+        peers.publish(LEASE_TOPIC, peers.own.host, value, LEASE_HANDED_TTL_MS)
+
+    def take(update: EntryUpdate) -> None:
+        try:
+            receiver, handed = _handed.decode(update.value)
+        except msgspec.MsgspecError as error:
+            _log.warning("A host's word can't be read.", host=update.owner, problem=str(error))
+            return
+        if receiver == peers.own.host:
+            placer.take_over(handed)
+
+    placer.hand_over = tell
+    peers.subscribe(LEASE_TOPIC, take)
--- a/src/pimentodale/placement/placer.py
+++ b/src/pimentodale/placement/placer.py
@@ -13,7 +13,7 @@
 from pimentodale.placement.resting import RestingPlans, create_resting_plans
 from pimentodale.placement.settling import DomainHistory, create_domain_history
 from pimentodale.site.beliefs import incarnation_of
-from pimentodale.steward.lease import LEASE_PREFIX, acquire_lease
+from pimentodale.steward.lease import LEASE_PREFIX, acquire_lease, take_over_lease
 
 if TYPE_CHECKING:
     import random
@@ -26,7 +26,7 @@
     from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
     from pimentodale.site.model import BackendService, EngineModel, LayerRange, ReplicaRecord
     from pimentodale.site.view import SiteView
-    from pimentodale.steward.lease import HeldLease
+    from pimentodale.steward.lease import HandedLease, HeldLease
 
 LEASE_NAME: Final = "placement"
 """Name of the lease; there is one for the whole site, as copies may borrow replicas."""
@@ -84,6 +84,9 @@
     read_rank: Callable[[], int] = lambda: 0
     """Returns how many live hosts go before this one when the lease is free."""
 
+    hand_over: Callable[[HandedLease], None] = lambda _lease: None
+    """Gives the lease to another host."""
+
     lease: HeldLease | None = None
     """The lease, while this host has it."""
 
@@ -97,6 +100,10 @@
     _orders: dict[Incarnation, _Order] = field(default_factory=dict)
     _first_seen_ms: dict[Incarnation, float] = field(default_factory=dict)
     _renewed_ms: float = 0.0
+    _handed_ms: float = float("-inf")
+    _is_released: bool = False
+    """Whether this host stops, so that it takes no lease any more."""
+
     _held_since_ms: float = 0.0
 
     def __post_init__(self) -> None:
@@ -120,13 +127,35 @@
 
     async def release(self) -> None:
         """Give the lease up, so that another host takes over at once."""
+        self._is_released = True
         lease, self.lease = self.lease, None
-        if lease is not None:
-            await lease.release()
+        if lease is None:
+            return
+        is_orphaned = self.view.mirror.age_ms() > ORPHANED_MS
+        if not is_orphaned and await lease.release():
+            return
+        # Without the store nobody can take the lease, so another host goes on with this one.
+        _log.info("The lease is handed to another host.", fence=lease.fencing_number)
+        self.hand_over(lease.hand_over())
+
+    def take_over(self, handed: HandedLease) -> None:
+        """Go on with the lease of a host that stops while the store doesn't answer."""
+        is_superseded = highest_fence(self.view) > handed.fencing_number
+        if self._is_released or self.lease is not None or is_superseded:
+            return
+        self.lease = take_over_lease(
+            self.store, self.clock, LEASE_NAME, handed, LEASE_TTL_MS, LEASE_MARGIN_MS
+        )
+        now_ms = self.clock.now_ms()
+        self._handed_ms = self._held_since_ms = now_ms
+        self._renewed_ms = now_ms - RENEW_MS
+        self._orders.clear()
+        _log.info("This host goes on with a lease.", fence=handed.fencing_number)
 
     async def _compete(self) -> None:
         """Take the lease if nobody has it and it is this host's turn."""
-        if not self.candidacy.is_due(is_held=_LEASE_KEY in self.view.mirror.items):
+        is_held = _LEASE_KEY in self.view.mirror.items
+        if self._is_released or not self.candidacy.is_due(is_held=is_held):
             return
         taken = await acquire_lease(
             self.store, self.clock, LEASE_NAME, self.host, LEASE_TTL_MS, LEASE_MARGIN_MS
@@ -147,6 +176,8 @@
         if now_ms - self._renewed_ms >= RENEW_MS:
             self._renewed_ms = now_ms
             renewed = await lease.renew()
+            if self.lease is not lease:
+                return False
             if not renewed:
                 self._lose("the store says that it has ended")
                 return False
@@ -155,7 +186,8 @@
             return False
         if self._may_order():
             return True
-        if self.clock.now_ms() - lease.sure_until_ms < MAX_ORPHANED_MS:
+        unsure_since_ms = max(lease.sure_until_ms, self._handed_ms)
+        if self.clock.now_ms() - unsure_since_ms < MAX_ORPHANED_MS:
             # Without orders it may be kept: the store is going or coming back, or another host's
             # lease shows.
             return False
--- a/src/pimentodale/steward/lease.py
+++ b/src/pimentodale/steward/lease.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+import msgspec
 from expression import Error, Ok, Result
 
 from pimentodale.clients.key_value import Compare, Put, StoreFault
@@ -19,6 +20,19 @@
 """Ends the key of a fencing number that had to be raised above the service's revision."""
 
 
+class HandedLease(msgspec.Struct, frozen=True, array_like=True):
+    """A lease that its holder gives to another host, as it stops and the service doesn't answer."""
+
+    lease_id: int
+    """The service's number of the lease."""
+
+    fencing_number: int
+    """Number that the holder's orders bore."""
+
+    taken_revision: int
+    """The service's revision at which the lease was taken."""
+
+
 class HeldLease:
     """A lease that this host holds, as far as it can know."""
 
@@ -96,10 +110,53 @@
         self.fencing_number = raised
         return True
 
-    async def release(self) -> None:
-        """Give the lease up, so that another host need not wait for it to lapse."""
+    async def release(self) -> bool:
+        """Give the lease up, so that another host need not wait for it to lapse.
+
+        Returns:
+            Whether the service has confirmed it.
+        """
+        self.sure_until_ms = float("-inf")
+        return (await self._store.revoke_lease(self.lease_id)).is_ok()
+
+    def hand_over(self) -> HandedLease:
+        """Return what another host needs to go on with the lease; this one must give no more orders."""
         self.sure_until_ms = float("-inf")
-        await self._store.revoke_lease(self.lease_id)
+        return HandedLease(self.lease_id, self.fencing_number, self._taken_revision)
+
+
+def take_over_lease(
+    store: KeyValueStore,
+    clock: Clock,
+    failure_domain: str,
+    handed: HandedLease,
+    ttl_ms: float,
+    margin_ms: float,
+) -> HeldLease:
+    """Go on with another host's lease; nothing is sure of it before it has been renewed.
+
+    Args:
+        store: The key-value service.
+        clock: Counts the lease's time.
+        failure_domain: The failure domain.
+        handed: What its holder gave.
+        ttl_ms: Time to live.
+        margin_ms: How much sooner the lease counts as over.
+
+    Returns:
+        The lease.
+    """
+    return HeldLease(
+        store,
+        clock,
+        LEASE_PREFIX + failure_domain,
+        handed.lease_id,
+        handed.taken_revision,
+        handed.fencing_number,
+        ttl_ms,
+        margin_ms,
+        float("-inf"),
+    )
 
 
 async def acquire_lease(
