--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 from features.support.layout import LAYERS, MODEL, EngineLayout, Layout, default_folder, headers_of
+from features.support.site import wait_until
 
 from pimentodale.addresses import parse_address
 from pimentodale.clients.http_call import CallRequest, open_call
@@ -161,6 +162,15 @@
     return percentile(times, 95)
 
 
+def tokens_run(context: Any) -> int:
+    """Return the tokens that the first engines of all routes have run."""
+    run = 0
+    for lines in context.layout.engine_runs().values():
+        ends = [line for line in lines if line["event"] == "end"]
+        run += sum(count for end in ends for first, _, count in end["layer_runs"] if first == 0)
+    return run
+
+
 @then("the engines' journals show at least {percent:d} in 100 of the bound in whole answers")
 def check_goodput(context: Any, percent: int) -> None:
     start_ms, end_ms = context.window_ms
@@ -169,14 +179,14 @@
     times = [token_ms for sent in whole for token_ms in sent.token_ms[:TOKENS]]
     tokens = len([token_ms for token_ms in times if start_ms <= token_ms < end_ms])
     tokens_per_s = tokens / context.time_s
-    run = 0
-    for lines in context.layout.engine_runs().values():
-        ends = [line for line in lines if line["event"] == "end"]
-        run += sum(count for end in ends for first, _, count in end["layer_runs"] if first == 0)
+    # A head writes its line once its link tells it of the end, after the caller has its answer.
+    wait_until(
+        lambda: tokens_run(context) >= len(whole) * TOKENS, "all answers are in the journals"
+    )
+    run = tokens_run(context)
     broken = len([sent for sent in context.everything if sent.broken_off])
     print(f"broken off {broken} of {len(whole) + broken}")
     print(f"whole answers {tokens_per_s:.1f} tokens/s of {context.bound_tokens_per_s}, {run} run")
-    assert run >= len(whole) * TOKENS, (run, len(whole))
     assert tokens_per_s >= context.bound_tokens_per_s * percent / 100, tokens_per_s
 
 
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 from features.support.layout import LAYERS, MODEL, TOKENS, Layout, headers_of
-from features.support.site import Reply, http
+from features.support.site import Reply, http, wait_until
 
 from pimentodale.standin.reference_text import reference_tokens
 
@@ -60,13 +60,21 @@
 
 @then("the engines' journals show each layer run once for each of {tokens:d} tokens")
 def check_layers(context: Any, tokens: int) -> None:
-    runs = [
-        run
-        for lines in context.layout.engine_runs().values()
-        for line in lines
-        if line["event"] == "end" and line["request_id"] == REQUEST_ID
-        for run in line["layer_runs"]
-    ]
+    def layer_runs() -> list[list[int]]:
+        return [
+            run
+            for lines in context.layout.engine_runs().values()
+            for line in lines
+            if line["event"] == "end" and line["request_id"] == REQUEST_ID
+            for run in line["layer_runs"]
+        ]
+
+    def have_all_ended() -> bool:
+        return sum(last - first for first, last, _ in layer_runs()) >= LAYERS
+
+    # Each engine writes its line once its link tells it of the end, after the client has its answer.
+    wait_until(have_all_ended, "every engine has written the stream's end")
+    runs = layer_runs()
     layer = 0
     for first, last, count in sorted(runs):
         assert first == layer, runs
