--- a/features/admission.feature
+++ b/features/admission.feature
@@ -53,6 +53,10 @@
     And one more goes away in the moment in which its grant comes
     Then the room is whole again and nobody waits
 
+  Scenario: running sums say the same of shares as a count of everything
+    When requests of 6 workspaces start and end in 200 random orders over up to 100 s
+    Then each answer about a share is that of a count of everything
+
   Scenario: requests at once of a workspace that mostly sends none all go first
     Given an admission with 4 places, 4 more for workspaces below their share, and a flood that has filled it for 10 s
     When a quiet workspace sends 4 requests at once
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -92,6 +92,14 @@
     And a failure domain loses a replica that the store can't tell of
     Then its layers are held in that failure domain again within 9 s
 
+  Scenario: the gateway that places layers stops while the store is down
+    Given a site of two gateways, eight replicas and a store
+    When the store is down
+    And the gateway that places layers gets SIGTERM
+    Then the other one goes on with its lease within 3 s
+    When a failure domain loses a replica that the store can't tell of
+    Then its layers are held in that failure domain again within 9 s
+
   Scenario: a request that crashes its replicas is refused after a few crashes
     Given a site of two gateways, eight replicas and a store
     When a request that crashes its first replica is sent again and again through both gateways
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
@@ -13,6 +14,7 @@
 
 from pimentodale.admission.admission import Admission, AdmissionLimits, Permit, create_admission
 from pimentodale.admission.fair_queue import create_fair_queue
+from pimentodale.admission.in_service import create_in_service
 from pimentodale.admission.rate_shares import create_rate_shares
 from pimentodale.admission.retry_budget import MIN_RETRIES, WINDOW_MS, create_retry_budget
 from pimentodale.admission.rooms import Place, Room, create_counted_room
@@ -26,6 +28,8 @@
 
 EXAMPLES: Final = {"derandomize": True, "deadline": None, "database": None}
 FOREVER_MS: Final = 1e12
+SHARE_WINDOW_MS: Final = 5_000.0
+SHARE_WEIGHTS: Final = {"a": 1.0, "b": 2.0, "c": 0.5, "d": 1.0, "e": 4.0, "f": 1.0}
 
 weights = st.lists(st.floats(0.1, 10.0), min_size=2, max_size=6)
 costs = st.lists(st.floats(1.0, 50.0), min_size=5, max_size=20)
@@ -532,3 +536,73 @@
 def check_come_back(context: Any) -> None:
     assert context.refusal.retry_after_ms > 0, context.refusal
     assert context.refusal.ran is Ran.NOT_RUN, context.refusal
+
+
+@dataclass(slots=True)
+class CountedRequest:
+    """One request as a count of everything keeps it."""
+
+    workspace: str
+    cost: float
+    started_ms: float
+    runs: bool = True
+
+
+def is_below_by_count(
+    requests: list[CountedRequest], workspace: str, cost: float, now_ms: float
+) -> tuple[float, float]:
+    """Return by how much a further request stays below the share of what runs, and of what started."""
+    recent = [(r, r.cost * math.exp((r.started_ms - now_ms) / SHARE_WINDOW_MS)) for r in requests]
+    running = [(r, r.cost) for r in requests if r.runs]
+    gaps = []
+    for counted in (running, recent):
+        names = {r.workspace for r, _ in counted} | {workspace}
+        share = SHARE_WEIGHTS[workspace] / sum(SHARE_WEIGHTS[name] for name in names)
+        own = sum(value for r, value in counted if r.workspace == workspace)
+        gaps.append(sum(value for _, value in counted) * share - own - cost)
+    return gaps[0], gaps[1]
+
+
+@when("requests of 6 workspaces start and end in {count:d} random orders over up to 100 s")
+def start_and_end(context: Any, count: int) -> None:
+    context.differences = []
+    context.asked = 0
+    action = st.tuples(
+        st.sampled_from(sorted(SHARE_WEIGHTS)),
+        st.sampled_from(["start", "start", "end", "ask"]),
+        st.floats(1.0, 50.0),
+        st.floats(0.0, 1_000.0),
+    )
+
+    @property_settings(max_examples=count, **EXAMPLES)
+    @property_given(st.lists(action, max_size=100))
+    def examine(actions: list[tuple[str, str, float, float]]) -> None:
+        clock = ManualClock()
+        sums = create_in_service(clock)
+        counted: list[CountedRequest] = []
+        for workspace, what, cost, pause_ms in actions:
+            clock.advance(pause_ms)
+            now_ms = clock.now_ms()
+            running = [r for r in counted if r.runs and r.workspace == workspace]
+            if what == "start":
+                sums.started(workspace, SHARE_WEIGHTS[workspace], cost)
+                counted.append(CountedRequest(workspace, cost, now_ms))
+            elif what == "end" and running:
+                running[0].runs = False
+                sums.ended(workspace, running[0].cost)
+            # A workspace that has started nothing for 40 s is one of the others no longer.
+            counted = [r for r in counted if r.runs or now_ms - r.started_ms < 40_000.0]
+            gaps = is_below_by_count(counted, workspace, cost, now_ms)
+            said = sums.is_below_share(workspace, SHARE_WEIGHTS[workspace], cost)
+            context.asked += 1
+            # Sums in another order differ in their last digits.
+            if min(abs(gap) for gap in gaps) > 1e-6 and said != (max(gaps) > 0.0):
+                context.differences.append((workspace, cost, gaps, said))
+
+    examine()
+
+
+@then("each answer about a share is that of a count of everything")
+def check_shares(context: Any) -> None:
+    assert context.asked > 1_000, context.asked
+    assert not context.differences, context.differences[:3]
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -279,13 +279,31 @@
     call(f"{site.store}/api/kv-txn", remove)
 
 
+@when("the gateway that places layers gets SIGTERM")
+def stop_placing_gateway(context: Any) -> None:
+    context.placing = next(
+        name for name in GATEWAYS if "places layers now" in log_of(context, name)
+    )
+    context.serving = next(name for name in GATEWAYS if name != context.placing)
+    context.site.programs[context.placing].process.send_signal(signal.SIGTERM)
+
+
+@then("the other one goes on with its lease within {time_s:d} s")
+def check_handed_over(context: Any, time_s: int) -> None:
+    def goes_on() -> bool:
+        return "This host goes on with a lease" in log_of(context, context.serving)
+
+    wait_until(goes_on, "the other gateway goes on with the lease", time_s)
+
+
 @when("a failure domain loses a replica that the store can't tell of")
 def lose_unseen(context: Any) -> None:
     _, later = path_replicas(context)
     context.lost = sorted(name for name in later if name[0] == "a")[0]
     context.gateways.fault(context.lost, down=True, down_mode="refuse")
     # Requests are what shows the loss.
-    context.streams = [context.gateways.open_stream(GATEWAYS[0]) for _ in range(4)]
+    serving = getattr(context, "serving", GATEWAYS[0])
+    context.streams = [context.gateways.open_stream(serving) for _ in range(4)]
 
 
 def is_covered(context: Any) -> bool:
@@ -426,11 +444,16 @@
 
 
 def gateway_logs(context: Any) -> str:
-    texts = [context.site.programs[name].log.read_text() for name in GATEWAYS]
+    texts = [log_of(context, name) for name in GATEWAYS]
     # Lines of the first start are passed over.
     return "".join(text.rpartition("The gateway listens.")[2] for text in texts)
 
 
+def log_of(context: Any, name: str) -> str:
+    log: str = context.site.programs[name].log.read_text()
+    return log
+
+
 @when("the store is down")
 def store_down(context: Any) -> None:
     down = {"down": True, "down_mode": "silent"}
