Keep a lasting queue short, so that a falling pace makes nobody late in it

Cause: a queue was let grow to half of what callers wait for, however long it had stood. A queue that has stood for over 1 s now takes entries up to a quarter; a burst still waits its turn.

Ruled out: looking at entries again while they wait. Their refusal would come sooner, but not at once.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -47,6 +47,17 @@
     Then every refusal for want of time came within 20 ms with a time to come back
     And at most 2 in 100 of those that waited were too late
 
+  Scenario: a lasting overload keeps a short queue, so a pace that falls makes nobody late
+    Given an admission for 10 requests at once that take 50 ms each
+    When 600 requests a second of 1000 ms patience arrive for 5 s, and take 150 ms from the 3rd on
+    Then 99 in 100 refusals came within 20 ms with a time to come back
+    And at least 90 in 100 of what the places can do was served
+
+  Scenario: a short burst waits for its turn
+    Given an admission for 10 requests at once that take 50 ms each
+    When 80 requests of 1000 ms patience arrive within 50 ms
+    Then all of them were served
+
   Scenario: no permit is lost when callers go away
     Given an admission for 3 requests at once that take 5 ms each
     When 300 callers arrive and a third of them go away at random moments
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
 EXAMPLES: Final = {"derandomize": True, "deadline": None, "database": None}
 FOREVER_MS: Final = 1e12
@@ -350,6 +351,83 @@
     assert late <= (served + late) * percent / 100, (late, served)
 
 
+@when(
+    "{rate:d} requests a second of {patience_ms:d} ms patience arrive for {time_s:d} s, "
+    "and take {slow_ms:d} ms from the {slow_s:d}rd on"
+)
+def run_falling_pace(
+    context: Any, rate: int, patience_ms: int, time_s: int, slow_ms: int, slow_s: int
+) -> None:
+    context.places_ms = context.places * time_s * 1000.0
+
+    def time_ms(elapsed_ms: float) -> float:
+        return float(slow_ms) if elapsed_ms >= slow_s * 1000.0 else context.time_ms
+
+    context.answers = asyncio.run(
+        send_evenly(context, rate * time_s, time_s * 1000.0, patience_ms, time_ms)
+    )
+
+
+@when("{count:d} requests of {patience_ms:d} ms patience arrive within {span_ms:d} ms")
+def run_burst(context: Any, count: int, patience_ms: int, span_ms: int) -> None:
+    context.answers = asyncio.run(
+        send_evenly(context, count, float(span_ms), patience_ms, lambda _: context.time_ms)
+    )
+
+
+async def send_evenly(
+    context: Any,
+    count: int,
+    span_ms: float,
+    patience_ms: int,
+    time_ms: Callable[[float], float],
+) -> list[tuple[ResultCode, float, Any]]:
+    """Send requests evenly over a time; each answer has its code, wait and time to come back.
+
+    A served one has the time that it ran in place of the latter.
+    """
+    clock = create_clock()
+    admission = create_bench(context, context.counted)
+    began_ms = clock.now_ms()
+
+    async def call(number: int) -> tuple[ResultCode, float, Any]:
+        await clock.sleep_ms(number * span_ms / count)
+        start_ms = clock.now_ms()
+        result = await admission.admit("w", 1.0, start_ms + patience_ms)
+        waited_ms = clock.now_ms() - start_ms
+        if result.is_error():
+            return result.error.code, waited_ms, result.error.retry_after_ms
+        ran_ms = time_ms(clock.now_ms() - began_ms)
+        await clock.sleep_ms(ran_ms)
+        result.ok.release()
+        return ResultCode.OK, waited_ms, ran_ms
+
+    return await asyncio.gather(*(call(number) for number in range(count)))
+
+
+@then("{percent:d} in 100 refusals came within {limit_ms:d} ms with a time to come back")
+def check_prompt_refusals(context: Any, percent: int, limit_ms: int) -> None:
+    refused = [answer for answer in context.answers if answer[0] is not ResultCode.OK]
+    late = [answer for answer in refused if answer[1] > limit_ms]
+    print(f"{len(refused)} refused, {len(late)} of them after {limit_ms} ms")
+    assert len(refused) > 500, len(refused)
+    assert len(late) <= len(refused) * (100 - percent) / 100, len(late)
+    assert all(retry_after_ms is not None for _, _, retry_after_ms in refused)
+
+
+@then("at least {percent:d} in 100 of what the places can do was served")
+def check_places_used(context: Any, percent: int) -> None:
+    served_ms = sum(ran_ms for code, _, ran_ms in context.answers if code is ResultCode.OK)
+    print(f"{served_ms / context.places_ms:.3f} of the places' time was used")
+    assert served_ms >= context.places_ms * percent / 100
+
+
+@then("all of them were served")
+def check_all_served(context: Any) -> None:
+    codes = {code for code, _, _ in context.answers}
+    assert codes == {ResultCode.OK}, codes
+
+
 @when("{count:d} callers arrive and a third of them go away at random moments")
 def run_departures(context: Any, count: int) -> None:
     rng = context.site.rng
--- a/src/pimentodale/admission/admission.py
+++ b/src/pimentodale/admission/admission.py
@@ -31,6 +31,13 @@
 """Factor of an estimated wait. Under lasting overload the queue stands right at what the estimate
 allows, so without a margin each dip of the pace makes requests late that wait already."""
 
+_LASTING_WAIT_MARGIN: Final = 4.0
+"""The same factor once a queue has stood for long. A lasting queue serves nobody sooner; a short one gives
+those in it the time to outlast a pace that falls."""
+
+_LASTING_MS: Final = 1_000.0
+"""Time after which a queue counts as lasting. A burst is over by then, and waits for its turn."""
+
 _SERVICE_MARGIN: Final = 2.0
 """Factor of the usual time to serve a request, as slow routes take longer."""
 
@@ -127,6 +134,7 @@
         "_limits",
         "_pace",
         "_queue",
+        "_queue_began_ms",
         "_queued_ms",
         "_rates",
         "_room",
@@ -143,6 +151,7 @@
         self._pace = create_drain_rate(clock)
         self._in_service = create_in_service(clock)
         self._queued_ms = -_CONTENDED_MS
+        self._queue_began_ms = 0.0
 
     @property
     def waiting(self) -> int:
@@ -257,9 +266,19 @@
         """Take note of whether anybody waits."""
         is_backlogged = bool(len(self._queue))
         if is_backlogged or self._pace.backlogged:
-            self._queued_ms = self._clock.now_ms()
+            now_ms = self._clock.now_ms()
+            if now_ms - self._queued_ms >= _CONTENDED_MS:
+                self._queue_began_ms = now_ms
+            self._queued_ms = now_ms
         self._pace.note_backlog(is_backlogged)
 
+    def _is_queue_lasting(self) -> bool:
+        """Whether there has been a queue, but for moments, for longer than a burst takes."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._queued_ms >= _CONTENDED_MS:
+            return False
+        return now_ms - self._queue_began_ms >= _LASTING_MS
+
     def _permit(self, grant: T, workspace: str, cost: float, arrived_ms: float) -> Permit[T]:
         """Wrap a grant for a request that starts now."""
         now_ms = self._clock.now_ms()
@@ -283,7 +302,8 @@
         weight = self._limits.weight_of(workspace)
         queue: FairQueue[Any] = self._queue
         pace_per_ms = self._pace.cost_per_ms()
-        wait_ms = _WAIT_MARGIN * estimate_wait_ms(queue, pace_per_ms, workspace, weight, cost)
+        wait_ms = estimate_wait_ms(queue, pace_per_ms, workspace, weight, cost)
+        wait_ms *= _LASTING_WAIT_MARGIN if self._is_queue_lasting() else _WAIT_MARGIN
         if wait_ms > patience_ms:
             return _refuse_unreachable(wait_ms, wait_ms - patience_ms)
         if not queue.has_room(workspace, self._limits.queue_requests()):
