--- a/features/placement.feature
+++ b/features/placement.feature
@@ -129,3 +129,14 @@
     Given a host that places layers, and two more
     When the store answers nobody for 3 s and the holder stops after another host was seen with a higher number
     Then nobody goes on with the lease that was handed on
+
+  Scenario Outline: a prompt is sent to another failure domain only where the pipe between them is wide
+    Given two failure domains, of which the own one runs the last layers on slow replicas
+    When the pipe between them carries <pipe> Mbit a second
+    Then a path <crosses> the border between them
+
+    Examples:
+      | pipe   | crosses         |
+      | 100000 | crosses         |
+      | 6500   | does not cross  |
+      | 2720   | does not cross  |
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
@@ -561,3 +562,38 @@
     assert context.taken_ms is not None
     assert context.taken_ms <= time_s * 1_000.0, context.taken_ms
     assert len(context.tried - context.unreachable) <= most, context.tried
+
+
+@given("two failure domains, of which the own one runs the last layers on slow replicas")
+def two_domains(context: Any) -> None:
+    engine = create_engine()
+    context.stages = [
+        StageLoad(replica("own-first", "a", "a100", LayerRange(0, 60))),
+        StageLoad(replica("own-last", "a", "l4", LayerRange(60, 80))),
+        StageLoad(replica("other-last", "b", "a100", LayerRange(60, 80))),
+    ]
+    # Memory is no matter here.
+    kinds = {name: replace(kind, memory_mb=400_000.0) for name, kind in engine.kinds.items()}
+    context.engine = replace(engine, kinds=kinds)
+
+
+@when("the pipe between them carries {pipe_mbps:d} Mbit a second")
+def set_pipe(context: Any, pipe_mbps: int) -> None:
+    context.engine = replace(context.engine, pipe_mbps=float(pipe_mbps))
+
+
+@then("a path crosses the border between them")
+def check_crosses(context: Any) -> None:
+    assert last_replica(context) == "other-last"
+
+
+@then("a path does not cross the border between them")
+def check_stays(context: Any) -> None:
+    assert last_replica(context) == "own-last"
+
+
+def last_replica(context: Any) -> str:
+    """Return where the last layers of a request of the first failure domain run."""
+    path = find_path(context.engine, context.stages, PathWish("a", 900.0))
+    assert path is not None
+    return path.parts[-1].replica_id
--- a/features/support/engine_fleet.py
+++ b/features/support/engine_fleet.py
@@ -41,6 +41,9 @@
             "v100": AcceleratorKind(14_400.0, 5.3, 7.9),
             "l4": AcceleratorKind(21_600.0, 16.0, 8.2),
         },
+        activation_bytes=59_000.0,
+        pipe_mbps=16_000.0,
+        domain_delay_ms=0.3,
     )
 
 
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -25,13 +25,12 @@
 HOP_COST_MS: Final = 0.05
 """Cost of a further replica for each token: the delay within a failure domain."""
 
-CROSSING_DELAY_MS: Final = 0.4
-"""Time of a step to another failure domain within a path, for each token, as the users' sheets give it."""
+PIPE_SHARERS: Final = 33.0
+"""Streams whose next token waits for a prompt that takes the pipe between two failure domains: a third of
+those that some 100 of a site run at once."""
 
-CROSSING_COST_MS: Final = 4.0
-"""Cost of such a step into a part that has yet to read the prompt: ten times the delay. The prompt's
-activations pass a pipe that all requests share, some 26 ms for each, and a cut between two domains is to
-meet as few streams as possible."""
+CUT_EXPOSURE_MS: Final = 0.5
+"""Cost for each token of a step between two failure domains besides: a cut between them ends the stream."""
 
 ENTRY_CROSSING_COST_MS: Final = 1.0
 """Cost of a first replica in another failure domain than the request, for each token."""
@@ -211,16 +210,28 @@
     return engine.kv_capacity(kind, len(record.held)) * FULL_FRACTION
 
 
+def crossing_cost_ms(engine: EngineModel) -> float:
+    """Return what a step to another failure domain costs for each token, where the prompt goes with it.
+
+    The pipe carries one transfer after the other, so a prompt holds up the tokens of all streams that
+    cross there.
+    """
+    transfer_ms = engine.prompt_transfer_ms(engine.usual_prompt_tokens)
+    held_up_ms = PIPE_SHARERS * transfer_ms / max(1.0, engine.usual_answer_tokens)
+    return engine.domain_delay_ms + CUT_EXPOSURE_MS + held_up_ms
+
+
 def _list_runs(engine: EngineModel, stages: Sequence[StageLoad], wish: PathWish) -> list[_Run]:
     """Return what each replica may run: its whole range, and what it runs already."""
     runs = []
+    crossing_ms = crossing_cost_ms(engine)
     for stage in stages:
         record = stage.record
         if record.held is None or record.replica_id in wish.avoid:
             continue
         room = fill_capacity(engine, record) - stage.kv_in_use
         layer_ms = token_ms(engine, stage) / engine.layers
-        runs += _kept_runs(stage, wish, layer_ms)
+        runs += _kept_runs(stage, wish, layer_ms, engine.domain_delay_ms)
         runs.append(
             _Run(
                 stage=stage,
@@ -228,7 +239,7 @@
                 end=record.held.end,
                 layer_ms=layer_ms + (_reread_ms(engine, stage, wish) if wish.kept else 0.0),
                 entry_ms=HOP_COST_MS + stage.backlog_ms * BACKLOG_WEIGHT,
-                crossing_ms=CROSSING_COST_MS,
+                crossing_ms=crossing_ms,
                 most_layers=room / wish.tokens if wish.tokens > 0 else math.inf,
                 is_kept=False,
                 may_head=_may_head(stage, wish),
@@ -237,7 +248,7 @@
     return runs
 
 
-def _kept_runs(stage: StageLoad, wish: PathWish, layer_ms: float) -> list[_Run]:
+def _kept_runs(stage: StageLoad, wish: PathWish, layer_ms: float, delay_ms: float) -> list[_Run]:
     """Return the parts of a path that a replica runs already, as far as it still holds them."""
     record = stage.record
     runs: list[_Run] = []
@@ -255,7 +266,7 @@
                 end=part.layers.end,
                 layer_ms=layer_ms,
                 entry_ms=HOP_COST_MS,
-                crossing_ms=CROSSING_DELAY_MS,
+                crossing_ms=delay_ms,
                 most_layers=math.inf,
                 is_kept=True,
                 may_head=_may_head(stage, wish),
--- a/src/pimentodale/platform/configuration.py
+++ b/src/pimentodale/platform/configuration.py
@@ -69,6 +69,10 @@
     answer: float = 200.0
 
 
+class _Delay(msgspec.Struct):
+    delay_ms: float = 0.0
+
+
 class _Engine(msgspec.Struct):
     slots: int = 1
     layers: int = 1
@@ -82,6 +86,10 @@
     # Token steps of a pass; a stream gets an event after each pass.
     stride: int = 1
     loads_at_once: int = 0
+    activation_bytes: float = 0.0
+    pipe_mbps: float = 0.0
+    # One way, between two zones.
+    delays: list[_Delay] = []
     usual: _Usual = msgspec.field(default_factory=_Usual)
     models: list[_Model] = []
     kinds: list[_Kind] = []
@@ -196,4 +204,7 @@
         usual_prompt_tokens=raw.usual.prompt,
         usual_answer_tokens=raw.usual.answer,
         kinds=kinds,
+        activation_bytes=raw.activation_bytes,
+        pipe_mbps=raw.pipe_mbps,
+        domain_delay_ms=max((item.delay_ms for item in raw.delays), default=0.0),
     )
--- a/src/pimentodale/site/model.py
+++ b/src/pimentodale/site/model.py
@@ -4,11 +4,17 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from pimentodale.addresses import Address
 
+BITS_PER_BYTE: Final = 8.0
+"""Bits in a byte."""
+
+BITS_PER_MS: Final = 1_000.0
+"""Bits that a Mbit/s carries in a ms."""
+
 
 class Repeatability(Enum):
     """How often one request may run."""
@@ -135,6 +141,21 @@
     kinds: dict[str, AcceleratorKind]
     """Accelerators by name."""
 
+    activation_bytes: float = 0.0
+    """What a replica passes on to the next one for each token."""
+
+    pipe_mbps: float = 0.0
+    """Bandwidth between two failure domains, which all requests share; 0 where it is not known."""
+
+    domain_delay_ms: float = 0.0
+    """Longest one-way delay between two failure domains."""
+
+    def prompt_transfer_ms(self, tokens: float) -> float:
+        """Return how long a prompt of some tokens takes the pipe between two failure domains."""
+        if self.pipe_mbps <= 0:
+            return 0.0
+        return tokens * self.activation_bytes * BITS_PER_BYTE / (self.pipe_mbps * BITS_PER_MS)
+
     def kv_capacity(self, kind: AcceleratorKind, layers: int) -> float:
         """Return the tokens x layers that fit beside `layers` layers of weights."""
         free_mb = kind.memory_mb - layers * self.layer_mb
