Bound what answers without end can take, and let slow streams live

Cause, answers: bodies were kept up to 64 MB each, whatever others took: 12 that never ended took 808 MB, on machines of 200 MB and more. They share 24 MB now, of which short ones need none. A request without any time limit ends after 600 s.

Cause, streams: after 1.3 s of silence a stream was taken from its replica even where it could not go on elsewhere, which cut slow ones that were sound. Only events on other streams of the same replica show a dead connection then.

Also: whether all layers are held is looked at only when there is no path at once, and replicas of which nothing is known are listed without being asked four times. Borders that a path crosses are in the log line of a request.

Scenarios of slow streams came with their code.

--- a/features/steps/stalled_streams.py
+++ b/features/steps/stalled_streams.py
@@ -14,7 +14,7 @@
 from pimentodale.forwarding.loads import create_load_board
 from pimentodale.forwarding.stalls import StallReports, Verdict, check_stall
 from pimentodale.forwarding.stream_state import StreamState, create_stream_pool
-from pimentodale.forwarding.stream_watch import patience_ms
+from pimentodale.forwarding.stream_watch import gives_up, patience_ms
 from pimentodale.placement.messages import EngineReport, OrderOutcome, PathPart
 from pimentodale.placement.paths import Path
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
@@ -111,3 +111,49 @@
     assert found.verdict is Verdict.WAIT, found
     assert context.asked == ["first"], context.asked
     assert context.moved == [], context.moved
+
+
+@given("another replica that can be the first")
+def add_head(context: Any) -> None:
+    context.means.view.replicas["spare"] = replica("spare", "a", "fast", LayerRange(0, 4))
+
+
+@when(
+    "the share of repeats is spent and no event has come from the first replica for {time_ms:d} ms"
+)
+def spend_and_fall_silent(context: Any, time_ms: int) -> None:
+    context.means.retries = SimpleNamespace(has_left=lambda *_: False)
+    fall_silent(context, time_ms)
+
+
+@when("no event has come from the first replica for {time_ms:d} ms")
+def fall_silent(context: Any, time_ms: int) -> None:
+    clock = context.means.clock
+    context.pool = create_stream_pool(clock)
+    clock.advance(1_000.0)
+    context.pool.note_heard("first", clock.now_ms())
+    context.state.active_ms = clock.now_ms()
+    clock.advance(float(time_ms))
+
+
+@when("another stream of the first replica has had an event since")
+def hear_another(context: Any) -> None:
+    context.pool.note_heard("first", context.means.clock.now_ms())
+
+
+def is_given_up(context: Any) -> bool:
+    """Tell whether the silent stream is taken from its first replica."""
+    route = SimpleNamespace(is_resumable=True)
+    service = SimpleNamespace(name="lm", engine=create_small_engine())
+    routed = SimpleNamespace(route=route, service=service)
+    return gives_up(context.means, context.pool, routed, context.state)
+
+
+@then("the stream is waited for")
+def check_waited_for(context: Any) -> None:
+    assert not is_given_up(context)
+
+
+@then("the stream is given up")
+def check_stream_given_up(context: Any) -> None:
+    assert is_given_up(context)
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -14,7 +14,8 @@
     RequestProgress,
     TokenNote,
 )
-from pimentodale.clients.http_call import CallFault, CallRequest, fetch, open_call
+from pimentodale.clients.http_call import CallFault, CallRequest, collect_body, fetch, open_call
+from pimentodale.clock import create_clock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -121,10 +122,11 @@
 class EngineStream:
     """An accepted completion; iterate `events`, and `close` it in any case."""
 
-    __slots__ = ("_call", "_rest")
+    __slots__ = ("_call", "_clock", "_rest")
 
     def __init__(self, call: HttpCall) -> None:
         self._call = call
+        self._clock = create_clock()
         self._rest = b""
 
     async def events(
@@ -133,7 +135,7 @@
         """Read the stream.
 
         Args:
-            silence_timeout_ms: Longest wait for the next bytes.
+            silence_timeout_ms: Longest wait for the next event; bytes that are none don't count.
 
         Yields:
             Tokens, then one finish; or one fault, after which nothing follows. After a silent
@@ -162,17 +164,28 @@
 
     async def _lines(self, silence_timeout_ms: float) -> AsyncIterator[Result[bytes, EngineFault]]:
         """Split the stream into the contents of its `data:` lines."""
-        async for chunk in self._call.chunks(silence_timeout_ms):
+        heard_ms = self._clock.now_ms()
+        left_ms = silence_timeout_ms
+        while True:
+            chunk = await self._call.next_chunk(left_ms)
             if chunk.is_error():
                 yield Error(_fault_of(chunk.error))
                 return
+            if chunk.ok is None:
+                return
             *lines, self._rest = (self._rest + chunk.ok).split(b"\n")
             for line in lines:
                 if line.startswith(_DATA):
                     yield Ok(line[len(_DATA) :].strip())
+                    heard_ms = self._clock.now_ms()
             if len(self._rest) > _MAX_LINE_BYTES:
                 yield Error(EngineFault("a line of the stream is too long", malformed=True))
                 return
+            left_ms = silence_timeout_ms - (self._clock.now_ms() - heard_ms)
+            if left_ms <= 0:
+                message = f"no event for {silence_timeout_ms:.0f} ms"
+                yield Error(EngineFault(message, sent=True, silent=True))
+                return
 
 
 async def open_stream(
@@ -305,16 +318,12 @@
 
 async def _read_refusal(call: HttpCall, timeout_ms: float) -> EngineFault:
     """Read why an engine did not accept; only its own word makes it 'ran nothing'."""
-    parts: list[bytes] = []
     status = call.status
-    async for chunk in call.chunks(timeout_ms):
-        if chunk.is_error():
-            call.close()
-            return _fault_of(chunk.error)
-        parts.append(chunk.ok)
-    call.close()
+    body = await collect_body(call, timeout_ms)
+    if body.is_error():
+        return _fault_of(body.error)
     try:
-        refusal = _refusal_decoder.decode(b"".join(parts)).pimentodale
+        refusal = _refusal_decoder.decode(body.ok).pimentodale
     except msgspec.DecodeError:
         return EngineFault(f"answered HTTP {status}", malformed=True)
     return EngineFault(f"answered HTTP {status}", refused=refusal, stage_lost=refusal.stage_lost)
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -31,7 +31,16 @@
 """Longest response header that is accepted."""
 
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
-"""Longest response body that is accepted."""
+"""Longest response body that is passed on chunk by chunk."""
+
+MAX_COLLECTED_BYTES: Final = 16 * 1024 * 1024
+"""Longest response body that is kept until it is whole."""
+
+MAX_ALL_COLLECTED_BYTES: Final = 24 * 1024 * 1024
+"""All such bodies together, so that servers which answer without end can't take a host's memory."""
+
+FREE_BYTES: Final = 64 * 1024
+"""Part of each body that doesn't count there: short answers pass whatever the others do."""
 
 CONNECT_TIMEOUT_MS: Final = 1000.0
 """How long a connection may take to open."""
@@ -116,19 +125,32 @@
             Each chunk as it arrives; at most one fault, after which nothing follows.
         """
         while True:
-            try:
-                # Not wait_for: it loses a cancel that comes in the same turn as a chunk.
-                async with asyncio.timeout(silence_timeout_ms / MS_PER_S):
-                    chunk = await self._response.queue.get()
-            except TimeoutError:
-                yield Error(CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms"))
+            chunk = await self.next_chunk(silence_timeout_ms)
+            if chunk.is_error():
+                yield Error(chunk.error)
                 return
-            if chunk is not None:
-                yield Ok(chunk)
-                continue
-            if not self._response.whole:
-                yield Error(CallFault(True, False, "the connection closed inside the response"))
-            return
+            if chunk.ok is None:
+                return
+            yield Ok(chunk.ok)
+
+    async def next_chunk(self, silence_timeout_ms: float) -> Result[bytes | None, CallFault]:
+        """Read one chunk of the body.
+
+        Args:
+            silence_timeout_ms: Longest wait for it.
+
+        Returns:
+            The chunk, `None` at the end of a whole body; or the fault, after which nothing follows.
+        """
+        try:
+            # Not wait_for: it loses a cancel that comes in the same turn as a chunk.
+            async with asyncio.timeout(silence_timeout_ms / MS_PER_S):
+                chunk = await self._response.queue.get()
+        except TimeoutError:
+            return Error(CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms"))
+        if chunk is None and not self._response.whole:
+            return Error(CallFault(True, False, "the connection closed inside the response"))
+        return Ok(chunk)
 
     def close(self) -> None:
         """Drop the connection."""
@@ -200,6 +222,57 @@
     return Ok(call)
 
 
+class _CollectedBytes:
+    """Counts what all bodies take that are being collected."""
+
+    __slots__ = ("_taken",)
+
+    def __init__(self) -> None:
+        self._taken = 0
+
+    def try_take(self, count: int) -> bool:
+        """Take memory for some more bytes; False if there is none left."""
+        if self._taken + count > MAX_ALL_COLLECTED_BYTES:
+            return False
+        self._taken += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        """Give memory back."""
+        self._taken -= count
+
+
+_collected_bytes = _CollectedBytes()
+"""Of all calls of this process, since they share its memory."""
+
+
+async def collect_body(call: HttpCall, silence_timeout_ms: float) -> Result[bytes, CallFault]:
+    """Read a response's body until it is whole; the call is closed in any case.
+
+    Args:
+        call: The open call.
+        silence_timeout_ms: Longest wait for a chunk.
+
+    Returns:
+        The body, or the fault; a body that is too long is one.
+    """
+    body = bytearray()
+    counted = 0
+    try:
+        async for chunk in call.chunks(silence_timeout_ms):
+            if chunk.is_error():
+                return Error(chunk.error)
+            body += chunk.ok
+            beyond = max(0, len(body) - FREE_BYTES) - counted
+            if len(body) > MAX_COLLECTED_BYTES or not _collected_bytes.try_take(beyond):
+                return Error(CallFault(True, False, f"a response of over {len(body)} bytes"))
+            counted += beyond
+    finally:
+        _collected_bytes.give_back(counted)
+        call.close()
+    return Ok(bytes(body))
+
+
 async def fetch(
     address: Address,
     request: CallRequest,
@@ -236,15 +309,10 @@
     if opened.is_error():
         return Error(opened.error)
     call = opened.ok
-    parts: list[bytes] = []
-    try:
-        async for chunk in call.chunks(timeout_ms):
-            if chunk.is_error():
-                return Error(chunk.error)
-            parts.append(chunk.ok)
-    finally:
-        call.close()
-    return Ok(CallReply(call.status, dict(call.headers.get_all()), b"".join(parts)))
+    body = await collect_body(call, timeout_ms)
+    if body.is_error():
+        return Error(body.error)
+    return Ok(CallReply(call.status, dict(call.headers.get_all()), body.ok))
 
 
 async def _may_send(stream: IOStream, before_send: Callable[[], Awaitable[bool]]) -> bool:
--- a/src/pimentodale/forwarding/loads.py
+++ b/src/pimentodale/forwarding/loads.py
@@ -9,7 +9,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from pimentodale.clock import Clock
     from pimentodale.placement.messages import PathPart
@@ -40,6 +40,9 @@
     """Tokens x layers of these requests."""
 
 
+_NO_LOAD: Final = ReplicaLoad()
+
+
 @dataclass(slots=True)
 class _Told:
     """What another host told."""
@@ -111,7 +114,8 @@
 
     def backlog_ms(self, replica_id: str) -> float:
         """Return for how long a replica still reads prompts that this host sent it."""
-        return max(0.0, self._read_until_ms.get(replica_id, 0.0) - self.clock.now_ms())
+        until_ms = self._read_until_ms.get(replica_id)
+        return 0.0 if until_ms is None else max(0.0, until_ms - self.clock.now_ms())
 
     def note_full(self, replica_id: str, capacity: float) -> None:
         """Take a replica for full that refused a request for want of room.
@@ -127,9 +131,9 @@
 
     def hidden_kv(self, replica_id: str) -> float:
         """Return the tokens x layers at a replica that only a refusal showed."""
-        hidden = self._hidden.get(replica_id)
-        if hidden is None:
+        if replica_id not in self._hidden:
             return 0.0
+        hidden = self._hidden[replica_id]
         if hidden.until_ms <= self.clock.now_ms():
             del self._hidden[replica_id]
             return 0.0
@@ -159,11 +163,27 @@
             self._note_change()
 
     def total(self, replica_id: str) -> ReplicaLoad:
-        """Return the work of all hosts at a replica."""
-        total = ReplicaLoad()
-        _add(total, self.own.get(replica_id))
-        _add(total, self._sum_of_others().get(replica_id))
-        return total
+        """Return the work of all hosts at a replica; it must not be changed."""
+        return self.total_of(replica_id, self._sum_of_others())
+
+    def totals(self) -> Callable[[str], ReplicaLoad]:
+        """Return what tells the work of all hosts at a replica, for a number of them at once."""
+        others = self._sum_of_others()
+        return lambda replica_id: self.total_of(replica_id, others)
+
+    def total_of(self, replica_id: str, others: dict[str, ReplicaLoad]) -> ReplicaLoad:
+        """Add this host's work at a replica to that of the others."""
+        own = self.own.get(replica_id)
+        known = others.get(replica_id)
+        if own is None:
+            return known or _NO_LOAD
+        if known is None:
+            return own
+        return ReplicaLoad(
+            own.streams + known.streams,
+            own.headed + known.headed,
+            own.kv_in_use + known.kv_in_use,
+        )
 
     def group(self) -> dict[str, ReplicaLoad]:
         """Return the work of this host and of those that told it theirs."""
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -32,6 +32,9 @@
 TIMEOUT_MARGIN_MS: Final = 20.0
 """How much sooner than a route's time-out a request is given up, so that its answer is in time."""
 
+LONGEST_REQUEST_MS: Final = 600_000.0
+"""Longest time for a request for which neither its client nor the operators set one."""
+
 
 @dataclass(slots=True)
 class ForwardingMeans:
@@ -88,7 +91,7 @@
     def left_ms(self, now_ms: float) -> float:
         """Return how long the client and the operators let it wait."""
         elapsed_ms = now_ms - self.exchange.request.received_ms
-        allowed_ms = self.route.timeout_ms - TIMEOUT_MARGIN_MS
+        allowed_ms = min(self.route.timeout_ms - TIMEOUT_MARGIN_MS, LONGEST_REQUEST_MS)
         if self.exchange.request.deadline_ms is not None:
             allowed_ms = min(allowed_ms, self.exchange.request.deadline_ms)
         return allowed_ms - elapsed_ms
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clients.http_call import CallRequest, open_call
+from pimentodale.clients.http_call import CallRequest, collect_body, open_call
 from pimentodale.clock import MS_PER_S
 from pimentodale.forwarding.means import log_end
 from pimentodale.forwarding.refusing import fail, refuse
@@ -161,17 +161,15 @@
         answer = means.codec.decode_answer(call.status, call.headers, request.attempt_id)
         if answer.refused is not None:
             return PlainReply(SendResult.REFUSED, answer)
-        body = bytearray()
-        async for chunk in call.chunks(left_ms):
-            if chunk.is_error():
-                return PlainReply(SendResult.BROKEN, answer)
-            body += chunk.ok
+        if not answer.is_genuine or answer.claims_not_run:
+            return PlainReply(SendResult.BROKEN, answer)
+        body = await collect_body(call, left_ms)
     finally:
         call.close()
-    is_passable = answer.is_genuine and not answer.claims_not_run
-    return PlainReply(
-        SendResult.ANSWERED if is_passable else SendResult.BROKEN, answer, bytes(body)
-    )
+    if body.is_error():
+        routed.history.append(body.error.message)
+        return PlainReply(SendResult.BROKEN, answer)
+    return PlainReply(SendResult.ANSWERED, answer, body.ok)
 
 
 def _note(
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clock import MS_PER_S
@@ -86,16 +87,20 @@
         kept: Ids of replicas that run the request already; they may be full for others.
     """
     stages = []
+    total = means.loads.totals()
     for replica in means.view.replicas_of(service.name):
-        if replica.held is None or means.beliefs.is_lost(replica):
+        if replica.held is None:
             continue
-        runs_already = replica.replica_id in kept and means.beliefs.keeps_work(replica)
-        if not and_doubted and not runs_already and not means.beliefs.is_usable(replica):
-            continue
-        load = means.loads.total(replica.replica_id)
-        kv_in_use = load.kv_in_use + means.loads.hidden_kv(replica.replica_id)
         slowness = means.paces.slowness(replica)
-        slowness *= 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
+        if means.beliefs.has_word_of(replica):
+            if means.beliefs.is_lost(replica):
+                continue
+            runs_already = replica.replica_id in kept and means.beliefs.keeps_work(replica)
+            if not and_doubted and not runs_already and not means.beliefs.is_usable(replica):
+                continue
+            slowness *= 1.0 + FAILURE_SLOWNESS * means.beliefs.failure_rate(replica)
+        load = total(replica.replica_id)
+        kv_in_use = load.kv_in_use + means.loads.hidden_kv(replica.replica_id)
         backlog_ms = means.loads.backlog_ms(replica.replica_id)
         stages.append(
             StageLoad(replica, load.streams, load.headed, kv_in_use, backlog_ms, slowness)
@@ -103,6 +108,18 @@
     return stages
 
 
+def domain_of(means: ForwardingMeans, replica_id: str) -> str:
+    """Return a replica's failure domain; empty when it is not known any more."""
+    replica = means.view.replicas.get(replica_id)
+    return "" if replica is None else replica.failure_domain
+
+
+def count_crossings(means: ForwardingMeans, path: Path) -> int:
+    """Return how many steps of a path lead to another failure domain."""
+    domains = [domain_of(means, part.replica_id) for part in path.parts]
+    return sum(before != after for before, after in pairwise(domains))
+
+
 def note_reading(
     means: ForwardingMeans, service: BackendService, parts: Collection[PathPart], tokens: float
 ) -> None:
@@ -153,7 +170,7 @@
     is_begun: bool = False,
     heads: Collection[str] | None = None,
 ) -> Path | None:
-    """Choose a path, waiting in turn for room where there is none.
+    """Choose a path, waiting in turn for room where there is none but may come to be.
 
     Args:
         means: Shared state.
@@ -173,6 +190,8 @@
         path = choose_path(means, service, tokens, avoid, heads=heads)
         if path is not None:
             return path
+    if not is_begun and not covers_model(means, service):
+        return None
     running = sum(load.headed for load in means.loads.own.values())
     if not is_begun and len(queue.waiting) >= max(MIN_QUEUE, running * QUEUE_FRACTION):
         return None
--- a/src/pimentodale/forwarding/stalls.py
+++ b/src/pimentodale/forwarding/stalls.py
@@ -8,7 +8,7 @@
 from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.stages import choose_path
+from pimentodale.forwarding.stages import choose_path, domain_of
 from pimentodale.logs import get_log
 from pimentodale.placement.messages import OrderOutcome
 from pimentodale.site.beliefs import incarnation_of
@@ -138,18 +138,11 @@
     for before, part in pairwise(moved.parts):
         if part in path.parts:
             continue
-        domains = {_domain_of(means, known.replica_id) for known in (before, part)}
-        if len(domains) > 1:
+        if domain_of(means, before.replica_id) != domain_of(means, part.replica_id):
             return True
     return False
 
 
-def _domain_of(means: ForwardingMeans, replica_id: str) -> str:
-    """Return a replica's failure domain; empty when it is not known any more."""
-    replica = means.view.replicas.get(replica_id)
-    return "" if replica is None else replica.failure_domain
-
-
 def _may_resume(
     means: ForwardingMeans, service: BackendService, tokens: float, avoid: Collection[str]
 ) -> bool:
--- a/src/pimentodale/forwarding/stream_passing.py
+++ b/src/pimentodale/forwarding/stream_passing.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clients.http_call import CallRequest, open_call
-from pimentodale.forwarding.event_stream import EventSplitter, EventTooLongError, follows
+from pimentodale.forwarding.event_stream import EventSplitter, NoEventError, follows
 from pimentodale.forwarding.stream_state import AttemptEnd
 
 if TYPE_CHECKING:
@@ -90,23 +90,26 @@
 ) -> AttemptEnd:
     """Pass whole events on until the stream ends."""
     splitter = EventSplitter()
-    async for chunk in call.chunks(silence_ms):
+    while True:
+        chunk = await call.next_chunk(silence_ms)
         if chunk.is_error():
             return AttemptEnd.BROKEN
+        if chunk.ok is None:
+            break
         try:
             events = splitter.feed(chunk.ok)
-        except EventTooLongError:
+        except NoEventError:
             return AttemptEnd.BROKEN
         passed: list[bytes] = []
         for event in events:
-            if event.event_id is not None:
-                if not follows(event.event_id, state.last_event_id):
-                    routed.history.append(f"event {event.event_id} after {state.last_event_id}")
-                    return AttemptEnd.BROKEN
-                state.last_event_id = event.event_id
+            if event.event_id is None or not follows(event.event_id, state.last_event_id):
+                routed.history.append(f"event {event.event_id} after {state.last_event_id}")
+                return AttemptEnd.BROKEN
+            state.last_event_id = event.event_id
             passed.append(event.data)
         if not passed:
             continue
+        pool.note_heard(path.parts[0].replica_id, means.clock.now_ms())
         if state.send_events == 0:
             waited_ms = means.clock.now_ms() - state.sent_ms
             pool.first_events.note(path.parts[0].replica_id, waited_ms)
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from pimentodale.forwarding.first_events import FirstEventTimes
+from pimentodale.forwarding.first_events import MAX_HEADS, FirstEventTimes
 from pimentodale.forwarding.return_slots import ReturnSlots, create_return_slots
 from pimentodale.forwarding.stages import RoomQueue
 from pimentodale.forwarding.stalls import StallReports
@@ -50,6 +50,16 @@
     first_events: FirstEventTimes = field(default_factory=FirstEventTimes)
     """How long streams wait for their first events now."""
 
+    heard_ms: dict[str, float] = field(default_factory=dict)
+    """When an event last came from each first replica, on whichever stream; the latest at the end."""
+
+    def note_heard(self, replica_id: str, now_ms: float) -> None:
+        """Take note of an event from a first replica."""
+        self.heard_ms.pop(replica_id, None)
+        self.heard_ms[replica_id] = now_ms
+        if len(self.heard_ms) > MAX_HEADS:
+            del self.heard_ms[next(iter(self.heard_ms))]
+
 
 def create_stream_pool(clock: Clock) -> StreamPool:
     """Return what streams share, before the first of them."""
--- a/src/pimentodale/forwarding/stream_watch.py
+++ b/src/pimentodale/forwarding/stream_watch.py
@@ -65,7 +65,7 @@
             pause_ms = now_ms - state.active_ms
             if pause_ms < patience_ms(means, pool, routed, state):
                 continue
-            if pause_ms > SILENT_MS and routed.route.is_resumable:
+            if pause_ms > SILENT_MS and gives_up(means, pool, routed, state):
                 state.blames_head = True
                 return AttemptEnd.LOST
             if not await _keep_going(means, pool, routed, state):
@@ -76,6 +76,30 @@
             means.loads.remove(state.path.parts, state.tokens)
 
 
+def gives_up(
+    means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
+) -> bool:
+    """Whether a silent stream is taken from a first replica that answers.
+
+    A slow one is sound, and where the stream can't go on elsewhere, taking it away would end it. Then only
+    events on other streams of that replica show that it is the connection that is dead.
+
+    Args:
+        means: Shared state.
+        pool: What streams share.
+        routed: The client's request.
+        state: Its stream.
+    """
+    if not routed.route.is_resumable or state.path is None:
+        return False
+    head_id = state.path.parts[0].replica_id
+    avoid = {*state.avoid, head_id}
+    has_share = means.retries.has_left(routed.service.name)
+    if has_share and choose_path(means, routed.service, state.tokens, avoid) is not None:
+        return True
+    return pool.heard_ms.get(head_id, 0.0) > state.active_ms + PAUSE_MS
+
+
 def patience_ms(
     means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
 ) -> float:
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -10,6 +10,7 @@
 from pimentodale.forwarding.refusing import fail, refuse
 from pimentodale.forwarding.stages import (
     ROOM_WAIT_MS,
+    count_crossings,
     covers_model,
     repair_ms,
     tokens_held,
@@ -102,8 +103,6 @@
         return None
     left_ms = routed.left_ms(means.clock.now_ms())
     wait_ms = RESUME_WAIT_MS if routed.exchange.is_begun else ROOM_WAIT_MS
-    if not routed.exchange.is_begun and not covers_model(means, routed.service):
-        return None
     heads = await _wait_for_heads(means, routed, state)
     if heads is not None and not heads:
         routed.history.append("it may have run at as many replicas as it may")
@@ -135,7 +134,9 @@
     outcome = f"{end.value}, {state.send_events} events"
     if state.refused is not None:
         outcome = f"refused, {state.refused.value} at {faulty_part(state) or head}"
-    routed.history.append(f"{head}+{len(path.parts) - 1}: {outcome}")
+    crossings = count_crossings(means, path)
+    crossed = f" over {crossings} domain borders" if crossings else ""
+    routed.history.append(f"{head}+{len(path.parts) - 1}{crossed}: {outcome}")
     learn(means, routed.service, state, end)
     return end
 
--- a/src/pimentodale/site/beliefs.py
+++ b/src/pimentodale/site/beliefs.py
@@ -94,6 +94,16 @@
     _doubted: dict[Incarnation, float] = field(default_factory=dict)
     _failures: dict[Incarnation, _Failures] = field(default_factory=dict)
 
+    def has_word_of(self, replica: ReplicaRecord) -> bool:
+        """Whether anything is held for or against a replica; of most there is nothing."""
+        incarnation = incarnation_of(replica)
+        return (
+            incarnation in self._failures
+            or incarnation in self._passed_over
+            or incarnation in self._doubted
+            or incarnation in self._down
+        )
+
     def is_usable(self, replica: ReplicaRecord) -> bool:
         """Whether new work may go to a replica."""
         return self.keeps_work(replica) and not self._lasts(self._passed_over, replica)
--- a/src/pimentodale/site/paces.py
+++ b/src/pimentodale/site/paces.py
@@ -64,7 +64,7 @@
 
     def slowness(self, replica: ReplicaRecord) -> float:
         """Return how many times slower than its kind a replica runs, 1 for most."""
-        slow = self._slow.get(incarnation_of(replica))
+        slow = self._slow.get(incarnation_of(replica)) if self._slow else None
         if slow is None or slow.until_ms < self.clock.now_ms():
             return 1.0
         return slow.pace
