Let streams wait for a path fairly by workspace, and refuse at once what can't come true

Cause: the gateway's queue was a list by rank that was polled. Only its first place looked for a path, so a large request held back small ones; it knew no workspace, so one that pressed took the places of all; who couldn't come in turn was refused after 1.3 s. The queue is built on the parts of admission/ now: fair queue, pace, estimate, shares; woken by room.

Seen failing on the way, each by its scenario: a workspace below its share refused as another filled the queue; urgent requests refused as less urgent ones filled it; entries behind a cancelled one out of sight.

--- a/src/pimentodale/admission/estimate.py
+++ b/src/pimentodale/admission/estimate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
     from pimentodale.admission.fair_queue import FairQueue
@@ -108,7 +108,7 @@
 
 
 def estimate_wait_ms(
-    queue: FairQueue[object],
+    queue: FairQueue[Any],
     pace_per_ms: float | None,
     workspace: str,
     weight: float,
--- a/src/pimentodale/admission/fair_queue.py
+++ b/src/pimentodale/admission/fair_queue.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
+from operator import itemgetter
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -146,13 +147,7 @@
             _, _, entry = self._heads[0]
             if not entry.settled and entry.deadline_ms > now_ms:
                 return entry
-            heappop(self._heads)
-            lane = self._lanes[entry.workspace]
-            lane.waiting.popleft()
-            if not entry.settled:
-                entry.settled = True
-                self._count_off(lane, entry)
-            self._offer_head(lane)
+            self._drop_head(entry)
         self._forget_if_empty()
         return None
 
@@ -166,18 +161,35 @@
             The entry, or `None` if none waits.
         """
         entry = self.peek(now_ms)
-        if entry is None:
-            return None
-        heappop(self._heads)
-        lane = self._lanes[entry.workspace]
-        lane.waiting.popleft()
+        if entry is not None:
+            self.take(entry)
+        return entry
+
+    def next_entries(self, now_ms: float, count: int) -> list[Waiting[T]]:
+        """Return the first entry of each workspace without taking it, those that are next first.
+
+        Args:
+            now_ms: Clock reading; entries whose deadline has come are left out.
+            count: Most entries to return.
+        """
+        while True:
+            heads = [entry for _, _, entry in sorted(self._heads, key=itemgetter(0, 1))]
+            dead = [entry for entry in heads if entry.settled or entry.deadline_ms <= now_ms]
+            if not dead:
+                self._forget_if_empty()
+                return heads[:count]
+            for entry in dead:
+                self._drop_head(entry)
+
+    def take(self, entry: Waiting[T]) -> None:
+        """Take an entry that `peek` or `next_entries` returned; its workspace is charged for it."""
+        lane = self._remove_head(entry)
         entry.settled = True
         self._count_off(lane, entry)
         self._virtual_time = max(self._virtual_time, lane.start_tag)
         lane.start_tag += entry.cost / lane.weight
         self._offer_head(lane)
         self._forget_if_empty()
-        return entry
 
     def cancel(self, entry: Waiting[T]) -> None:
         """Take an entry out; it may have been cancelled or popped already."""
@@ -188,6 +200,25 @@
         self._count_off(lane, entry)
         self._forget_if_empty()
 
+    def _drop_head(self, entry: Waiting[T]) -> None:
+        """Take out a workspace's first entry that was cancelled or is too late."""
+        lane = self._remove_head(entry)
+        if not entry.settled:
+            entry.settled = True
+            self._count_off(lane, entry)
+        self._offer_head(lane)
+
+    def _remove_head(self, entry: Waiting[T]) -> _Lane[T]:
+        """Take a workspace's first entry out of the heap and its lane."""
+        if self._heads[0][2] is entry:
+            heappop(self._heads)
+        else:
+            self._heads = [head for head in self._heads if head[2] is not entry]
+            heapify(self._heads)
+        lane = self._lanes[entry.workspace]
+        lane.waiting.popleft()
+        return lane
+
     def _offer_head(self, lane: _Lane[T]) -> None:
         """Enter a lane's first live entry into the heap."""
         waiting = lane.waiting
--- a/src/pimentodale/forwarding/loads.py
+++ b/src/pimentodale/forwarding/loads.py
@@ -73,9 +73,7 @@
     own: dict[str, ReplicaLoad] = field(default_factory=dict)
     """Work of this host."""
 
-    version: int = 0
-    """Grows with each change that may make room."""
-
+    _subscribers: list[Callable[[], None]] = field(default_factory=list)
     _hidden: dict[str, _Hidden] = field(default_factory=dict)
     _read_until_ms: dict[str, float] = field(default_factory=dict)
     _told: dict[str, _Told] = field(default_factory=dict)
@@ -84,6 +82,10 @@
     _others: dict[str, ReplicaLoad] | None = None
     _others_until_ms: float = 0.0
 
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Have a callback called after each change that may make room."""
+        self._subscribers.append(callback)
+
     def add(self, parts: Iterable[PathPart], tokens: float) -> None:
         """Count a request that begins on a path."""
         for index, part in enumerate(parts):
@@ -101,7 +103,7 @@
             load.kv_in_use -= tokens * len(part.layers)
             if load.streams <= 0:
                 del self.own[part.replica_id]
-        self.version += 1
+        self._tell_room()
 
     def note_reading(self, replica_id: str, work_ms: float) -> None:
         """Count a prompt that a replica has to read for a request of this host."""
@@ -198,7 +200,12 @@
     def _note_change(self) -> None:
         """Forget the sum of the others' loads."""
         self._others = None
-        self.version += 1
+        self._tell_room()
+
+    def _tell_room(self) -> None:
+        """Tell the subscribers that there may be room."""
+        for callback in self._subscribers:
+            callback()
 
     def _sum_of_others(self) -> dict[str, ReplicaLoad]:
         """Return the work of all other hosts; summed anew once a word changes or lapses."""
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
@@ -24,41 +23,9 @@
 FAILURE_SLOWNESS: Final = 4.0
 """How many times slower a replica counts whose answers all fail."""
 
-ROOM_POLL_MS: Final = 30.0
-"""Pause between two looks for room by the request that is next in turn."""
-
-ROOM_RECHECK_MS: Final = 150.0
-"""Pause after which it looks again although no load has changed: replicas that were passed over may be
-back."""
-
 ROOM_WAIT_MS: Final = 1_300.0
 """Longest wait for room; clients leave when no event comes within 2 s."""
 
-QUEUE_FRACTION: Final = 0.5
-"""Requests that may wait for each one that runs: about one second of work."""
-
-MIN_QUEUE: Final = 4
-"""Requests that may wait however few run."""
-
-
-@dataclass(slots=True)
-class RoomQueue:
-    """Requests of this host that wait for room, the most urgent first."""
-
-    waiting: list[tuple[int, int]] = field(default_factory=list)
-    """Rank and ticket of each."""
-
-    next_ticket: int = 0
-    """Ticket of the next one."""
-
-    def enter(self, rank: int) -> tuple[int, int]:
-        """Take a place."""
-        self.next_ticket += 1
-        place = (rank, self.next_ticket)
-        self.waiting.append(place)
-        self.waiting.sort()
-        return place
-
 
 def tokens_held(engine: EngineModel, request: ClientRequest) -> float:
     """Estimate the tokens that a request holds on average while it runs."""
@@ -158,62 +125,6 @@
     return find_path(service.engine, stages, wish)
 
 
-async def wait_for_path(
-    means: ForwardingMeans,
-    queue: RoomQueue,
-    service: BackendService,
-    tokens: float,
-    avoid: Collection[str],
-    rank: int,
-    wait_ms: float,
-    *,
-    is_begun: bool = False,
-    heads: Collection[str] | None = None,
-) -> Path | None:
-    """Choose a path, waiting in turn for room where there is none but may come to be.
-
-    Args:
-        means: Shared state.
-        queue: The host's queue.
-        service: The service.
-        tokens: Tokens that the request holds.
-        avoid: Ids of replicas that it must not use.
-        rank: Its rank; 0 goes first.
-        wait_ms: Longest wait.
-        is_begun: Whether its client has events already, so that it is not refused for the queue.
-        heads: Ids of the replicas that may be the first; `None` for any.
-
-    Returns:
-        The path; `None` if there is none in time, or if waiting has no prospect.
-    """
-    if not queue.waiting:
-        path = choose_path(means, service, tokens, avoid, heads=heads)
-        if path is not None:
-            return path
-    if not is_begun and not covers_model(means, service):
-        return None
-    running = sum(load.headed for load in means.loads.own.values())
-    if not is_begun and len(queue.waiting) >= max(MIN_QUEUE, running * QUEUE_FRACTION):
-        return None
-    end_ms = means.clock.now_ms() + wait_ms
-    place = queue.enter(rank)
-    seen_version = -1
-    looked_ms = 0.0
-    try:
-        while (now_ms := means.clock.now_ms()) < end_ms:
-            has_changed = means.loads.version != seen_version
-            if queue.waiting[0] == place and (has_changed or now_ms - looked_ms > ROOM_RECHECK_MS):
-                seen_version = means.loads.version
-                looked_ms = now_ms
-                path = choose_path(means, service, tokens, avoid, heads=heads)
-                if path is not None:
-                    return path
-            await means.clock.sleep_ms(ROOM_POLL_MS)
-    finally:
-        queue.waiting.remove(place)
-    return None
-
-
 def covers_model(means: ForwardingMeans, service: BackendService) -> bool:
     """Whether replicas that are not lost hold every layer, room or not."""
     if service.engine is None:
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from pimentodale.forwarding.first_events import MAX_HEADS, FirstEventTimes
+from pimentodale.forwarding.path_queue import PathQueue, create_path_queue
 from pimentodale.forwarding.return_slots import ReturnSlots, create_return_slots
-from pimentodale.forwarding.stages import RoomQueue
 from pimentodale.forwarding.stalls import StallReports
 from pimentodale.forwarding.used_heads import UsedHeads
 
@@ -41,7 +41,7 @@
     returns: ReturnSlots
     """When refused clients are told to come back."""
 
-    queue: RoomQueue = field(default_factory=RoomQueue)
+    queue: PathQueue
     """Streams that wait for room."""
 
     reports: StallReports = field(default_factory=StallReports)
@@ -63,7 +63,7 @@
 
 def create_stream_pool(clock: Clock) -> StreamPool:
     """Return what streams share, before the first of them."""
-    return StreamPool(create_return_slots(clock))
+    return StreamPool(create_return_slots(clock), create_path_queue(clock))
 
 
 @dataclass(slots=True)
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -6,15 +6,16 @@
 
 from pimentodale.forwarding.learning import faulty_part, learn
 from pimentodale.forwarding.means import log_end
+from pimentodale.forwarding.path_queue import PathSeeker
 from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.forwarding.refusing import fail, refuse
 from pimentodale.forwarding.stages import (
     ROOM_WAIT_MS,
+    choose_path,
     count_crossings,
     covers_model,
     repair_ms,
     tokens_held,
-    wait_for_path,
 )
 from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
 from pimentodale.forwarding.stream_watch import CHECK_INTERVAL_MS, send_watched
@@ -107,17 +108,8 @@
     if heads is not None and not heads:
         routed.history.append("it may have run at as many replicas as it may")
         return None
-    path = await wait_for_path(
-        means,
-        pool.queue,
-        routed.service,
-        state.tokens,
-        state.avoid.difference(heads or ()),
-        0 if routed.exchange.is_begun else routed.priority + 1,
-        min(wait_ms, left_ms),
-        is_begun=routed.exchange.is_begun,
-        heads=heads,
-    )
+    seeker = _create_seeker(means, routed, state, heads)
+    path = await pool.queue.wait(seeker, min(wait_ms, left_ms))
     if path is None:
         return None
     if routed.sends > 0 and not means.retries.try_spend(routed.service.name):
@@ -129,7 +121,7 @@
     state.blames_head = True
     state.refused = None
     state.faulty_address = ""
-    end = await send_watched(means, pool, routed, state)
+    end = await _send_counted(means, pool, routed, state, seeker)
     head = path.parts[0].replica_id
     outcome = f"{end.value}, {state.send_events} events"
     if state.refused is not None:
@@ -141,6 +133,46 @@
     return end
 
 
+def _create_seeker(
+    means: ForwardingMeans,
+    routed: RoutedRequest,
+    state: StreamState,
+    heads: frozenset[str] | None,
+) -> PathSeeker:
+    """Say what path the next send needs."""
+    service, tokens = routed.service, state.tokens
+    avoid = state.avoid.difference(heads or ())
+    engine = service.engine
+    usual = tokens if engine is None else engine.usual_prompt_tokens + engine.usual_answer_tokens
+    return PathSeeker(
+        workspace=routed.workspace or "",
+        rank=0 if routed.exchange.is_begun else routed.priority + 1,
+        tokens=tokens,
+        usual_tokens=usual,
+        is_begun=routed.exchange.is_begun,
+        find=lambda: choose_path(means, service, tokens, avoid, heads=heads),
+        may_come=lambda: covers_model(means, service),
+        reserve=lambda path: means.loads.add(path.parts, tokens),
+        give_back=lambda path: means.loads.remove(path.parts, tokens),
+    )
+
+
+async def _send_counted(
+    means: ForwardingMeans,
+    pool: StreamPool,
+    routed: RoutedRequest,
+    state: StreamState,
+    seeker: PathSeeker,
+) -> AttemptEnd:
+    """Send a stream, counted among what runs for its workspace."""
+    pool.queue.started(seeker.workspace, seeker.tokens)
+    started_ms = means.clock.now_ms()
+    try:
+        return await send_watched(means, pool, routed, state)
+    finally:
+        pool.queue.ended(seeker.workspace, seeker.tokens, means.clock.now_ms() - started_ms)
+
+
 async def _wait_for_heads(
     means: ForwardingMeans, routed: RoutedRequest, state: StreamState
 ) -> frozenset[str] | None:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -145,6 +145,7 @@
         gateway.rng,
         lambda: _rank_hosts(peers).index(settings.host),
     )
+    means.loads.subscribe(gateway.pool.queue.wake)
     share_lease(placer, peers, lambda: _rank_hosts(peers))
     server = _serve_clients(gateway, means)
     _serve_readiness(gateway, means)
@@ -206,7 +207,7 @@
     metrics = create_gateway_metrics()
     metrics.store_calls = gateway.platform.store_calls
     metrics.add_gauge("requests_in_progress", lambda: len(gateway.work))
-    metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue.waiting))
+    metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue))
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
     metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
 
