Pass events on that came together with one that doesn't follow

Cause: events of one read were written together, and the id to go on after moved with each. One that didn't follow ended the send before anything was written, so the stream went on after events that its client never got.

Two of those closed the connection; what is lost there is not counted as passed on, so these now check that the stream goes on after what its client has, which held before as well.

--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -15,10 +15,12 @@
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.learning import learn
 from pimentodale.forwarding.loads import create_load_board
+from pimentodale.forwarding.means import RoutedRequest
 from pimentodale.forwarding.messages import Refused
 from pimentodale.forwarding.stream_passing import pass_stream_on
 from pimentodale.forwarding.stream_state import AttemptEnd, StreamState, create_stream_pool
 from pimentodale.forwarding.streams import has_ended
+from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.placement.messages import PathPart
 from pimentodale.placement.paths import Path, PathWish, StageLoad, find_path
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
@@ -204,3 +206,82 @@
 def check_counted(context: Any, sends: int, may: str) -> None:
     assert context.routed.sends == sends, context.routed.sends
     assert context.state.may_have_run == (may == "may"), context.state.may_have_run
+
+
+TOGETHER = {
+    "event 9": b"id: 9\ndata: d9\n\n",
+    "an event without an id": b"data: none\n\n",
+    "half an event": b"id: 3\ndata",
+    "nothing": b"",
+}
+
+
+@given("a replica that sends events 1 and 2 together with {extra}, and then {end}")
+def choose_events(context: Any, extra: str, end: str) -> None:
+    context.body = b"id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n" + TOGETHER[extra]
+    context.is_ended = end == "ends its answer"
+
+
+@when("a stream is sent to it and passed on")
+def pass_on(context: Any) -> None:
+    context.written = []
+    context.state = StreamState(None, 100.0)
+    asyncio.run(pass_events(context))
+
+
+async def pass_events(context: Any) -> None:
+    """Pass on what a server of this process sends."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        chunk = b"%x\r\n%s\r\n" % (len(context.body), context.body)
+        header = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(header + chunk + (b"0\r\n\r\n" if context.is_ended else b""))
+        await writer.drain()
+        writer.close()
+
+    async def write(piece: bytes) -> None:
+        context.written.append(piece)
+
+    async def begin(_status: int, _headers: Any) -> None:
+        exchange.is_begun = True
+
+    def end() -> None:
+        context.written.append("ended")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    answer = SimpleNamespace(refused=None, is_success=True, status=200, headers=[])
+    codec = SimpleNamespace(encode_request=lambda *_: {}, decode_answer=lambda *_: answer)
+    request = SimpleNamespace(
+        method="POST", path="/x", body=b"", attempt_id="attempt-1", received_ms=0.0
+    )
+    exchange = SimpleNamespace(request=request, is_begun=False, begin=begin, write=write, end=end)
+    route = SimpleNamespace(timeout_ms=5_000.0)
+    routed = RoutedRequest(exchange, route, SimpleNamespace(), "w1", 1)
+    request.deadline_ms = 5_000.0
+    means = SimpleNamespace(clock=ManualClock(), codec=codec, metrics=create_gateway_metrics())
+    path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
+    pool = create_stream_pool(means.clock)
+    context.end = await asyncio.wait_for(
+        pass_stream_on(means, pool, routed, context.state, path), 5.0
+    )
+    server.close()
+
+
+@then("its client has events 1 and 2, and the stream goes on after event 2")
+def check_passed(context: Any) -> None:
+    assert context.end is AttemptEnd.BROKEN, context.end
+    assert "ended" not in context.written, context.written
+    assert b"".join(context.written) == b"id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n", context.written
+    assert context.state.last_event_id == "2", context.state.last_event_id
+    assert context.state.events == 2, context.state.events
+
+
+@then("the stream goes on after the last event that its client has")
+def check_goes_on(context: Any) -> None:
+    assert context.end is AttemptEnd.BROKEN, context.end
+    text = b"".join(context.written).decode()
+    ids = [line.removeprefix("id: ") for line in text.split("\n") if line.startswith("id: ")]
+    assert ids == ["1", "2"][: len(ids)], ids
+    assert context.state.last_event_id == (ids[-1] if ids else None), (ids, context.state)
--- a/features/stream_repeats.feature
+++ b/features/stream_repeats.feature
@@ -46,3 +46,24 @@
       | refuses for want of room          | 1     | can not |
       | resets the connection of          | 1     | may     |
       | does not listen, and never sees   | 0     | can not |
+
+  Scenario Outline: events that come together with bytes that are none are passed on before the stream goes on elsewhere
+    Given a replica that sends events 1 and 2 together with <bytes>, and then <end>
+    When a stream is sent to it and passed on
+    Then its client has events 1 and 2, and the stream goes on after event 2
+
+    Examples:
+      | bytes                   | end                    |
+      | event 9                 | ends its answer        |
+      | an event without an id  | ends its answer        |
+      | half an event           | ends its answer        |
+
+  Scenario Outline: a stream whose connection closes goes on after what its client has
+    Given a replica that sends events 1 and 2 together with <bytes>, and then closes its connection
+    When a stream is sent to it and passed on
+    Then the stream goes on after the last event that its client has
+
+    Examples:
+      | bytes          |
+      | half an event  |
+      | nothing        |
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -168,12 +168,12 @@
         left_ms = silence_timeout_ms
         while True:
             chunk = await self._call.next_chunk(left_ms)
-            if chunk.is_error():
-                yield Error(_fault_of(chunk.error))
+            if chunk is None:
                 return
-            if chunk.ok is None:
+            if isinstance(chunk, CallFault):
+                yield Error(_fault_of(chunk))
                 return
-            *lines, self._rest = (self._rest + chunk.ok).split(b"\n")
+            *lines, self._rest = (self._rest + chunk).split(b"\n")
             for line in lines:
                 if line.startswith(_DATA):
                     yield Ok(line[len(_DATA) :].strip())
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -126,14 +127,14 @@
         """
         while True:
             chunk = await self.next_chunk(silence_timeout_ms)
-            if chunk.is_error():
-                yield Error(chunk.error)
+            if chunk is None:
                 return
-            if chunk.ok is None:
+            if isinstance(chunk, CallFault):
+                yield Error(chunk)
                 return
-            yield Ok(chunk.ok)
+            yield Ok(chunk)
 
-    async def next_chunk(self, silence_timeout_ms: float) -> Result[bytes | None, CallFault]:
+    async def next_chunk(self, silence_timeout_ms: float = math.inf) -> bytes | CallFault | None:
         """Read one chunk of the body.
 
         Args:
@@ -141,16 +142,23 @@
 
         Returns:
             The chunk, `None` at the end of a whole body; or the fault, after which nothing follows.
+            No `Result`, as a stream's every event passes here.
         """
+        queue = self._response.queue
         try:
-            # Not wait_for: it loses a cancel that comes in the same turn as a chunk.
-            async with asyncio.timeout(silence_timeout_ms / MS_PER_S):
-                chunk = await self._response.queue.get()
+            if not queue.empty():
+                chunk = queue.get_nowait()
+            elif silence_timeout_ms == math.inf:
+                chunk = await queue.get()
+            else:
+                # Not wait_for: it loses a cancel that comes in the same turn as a chunk.
+                async with asyncio.timeout(silence_timeout_ms / MS_PER_S):
+                    chunk = await queue.get()
         except TimeoutError:
-            return Error(CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms"))
+            return CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms")
         if chunk is None and not self._response.whole:
-            return Error(CallFault(True, False, "the connection closed inside the response"))
-        return Ok(chunk)
+            return CallFault(True, False, "the connection closed inside the response")
+        return chunk
 
     def close(self) -> None:
         """Drop the connection."""
--- a/src/pimentodale/forwarding/stream_passing.py
+++ b/src/pimentodale/forwarding/stream_passing.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clients.http_call import CallRequest, open_call
+from pimentodale.clients.http_call import CallFault, CallRequest, open_call
 from pimentodale.forwarding.event_stream import EventSplitter, NoEventError, follows
 from pimentodale.forwarding.stream_state import AttemptEnd
 
 if TYPE_CHECKING:
     from pimentodale.clients.http_call import HttpCall
+    from pimentodale.forwarding.event_stream import StreamEvent
     from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
     from pimentodale.forwarding.messages import BackendAnswer
     from pimentodale.forwarding.stream_state import StreamPool, StreamState
@@ -74,7 +75,7 @@
             return await _pass_failure_on(means, routed, call, answer, left_ms)
         if not exchange.is_begun:
             await exchange.begin(answer.status, answer.headers)
-        return await _pass_events_on(means, pool, routed, state, path, call, left_ms)
+        return await _pass_events_on(means, pool, routed, state, path, call)
     finally:
         call.close()
 
@@ -86,42 +87,55 @@
     state: StreamState,
     path: Path,
     call: HttpCall,
-    silence_ms: float,
 ) -> AttemptEnd:
     """Pass whole events on until the stream ends."""
     splitter = EventSplitter()
     while True:
-        chunk = await call.next_chunk(silence_ms)
-        if chunk.is_error():
-            return AttemptEnd.BROKEN
-        if chunk.ok is None:
+        # The watch over the stream ends a wait that is too long.
+        chunk = await call.next_chunk()
+        if chunk is None:
             break
+        if isinstance(chunk, CallFault):
+            return AttemptEnd.BROKEN
         try:
-            events = splitter.feed(chunk.ok)
+            events = splitter.feed(chunk)
         except NoEventError:
             return AttemptEnd.BROKEN
-        passed: list[bytes] = []
-        for event in events:
-            if event.event_id is None or not follows(event.event_id, state.last_event_id):
-                routed.history.append(f"event {event.event_id} after {state.last_event_id}")
-                return AttemptEnd.BROKEN
-            state.last_event_id = event.event_id
-            passed.append(event.data)
-        if not passed:
-            continue
-        pool.note_heard(path.parts[0].replica_id, means.clock.now_ms())
-        if state.send_events == 0:
-            waited_ms = means.clock.now_ms() - state.sent_ms
-            pool.first_events.note(path.parts[0].replica_id, waited_ms)
-            pool.returns.note_begun()
-        _note_events(means, routed, state, len(passed))
-        await routed.exchange.write(b"".join(passed))
+        passed, follows_on = _take_following(routed, state, events)
+        if passed:
+            pool.note_heard(path.parts[0].replica_id, means.clock.now_ms())
+            if state.send_events == 0:
+                waited_ms = means.clock.now_ms() - state.sent_ms
+                pool.first_events.note(path.parts[0].replica_id, waited_ms)
+                pool.returns.note_begun()
+            _note_events(means, routed, state, len(passed))
+            await routed.exchange.write(b"".join(passed))
+        if not follows_on:
+            return AttemptEnd.BROKEN
     if splitter.has_partial:
         return AttemptEnd.BROKEN
     routed.exchange.end()
     return AttemptEnd.WHOLE
 
 
+def _take_following(
+    routed: RoutedRequest, state: StreamState, events: list[StreamEvent]
+) -> tuple[list[bytes], bool]:
+    """Take the events that follow those which the client has.
+
+    Returns:
+        The bytes to pass on, and whether all events followed.
+    """
+    passed: list[bytes] = []
+    for event in events:
+        if event.event_id is None or not follows(event.event_id, state.last_event_id):
+            routed.history.append(f"event {event.event_id} after {state.last_event_id}")
+            return passed, False
+        state.last_event_id = event.event_id
+        passed.append(event.data)
+    return passed, True
+
+
 def _note_events(
     means: ForwardingMeans, routed: RoutedRequest, state: StreamState, count: int
 ) -> None:
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -25,9 +25,9 @@
 HOP_COST_MS: Final = 0.05
 """Cost of a further replica for each token: the delay within a failure domain."""
 
-PIPE_SHARERS: Final = 33.0
-"""Streams whose next token waits for a prompt that takes the pipe between two failure domains: a third of
-those that some 100 of a site run at once."""
+PIPE_SHARERS: Final = 100.0
+"""Streams whose next token may wait for a prompt that takes the pipe between two failure domains: as many as
+a site of some 40 replicas runs at once."""
 
 CUT_EXPOSURE_MS: Final = 0.5
 """Cost for each token of a step between two failure domains besides: a cut between them ends the stream."""
