Look for paths of large sites in two failure domains at a time

Cause: a path was looked for among all replicas, 3.5 ms of processor at 205 of them, at each request and resume; profiles of the grown further site have it at a fifth of a gateway's work, and all hosts went to the same best domain elsewhere. On sites of more than 60 replicas the own domain and another one are searched, drawn anew each time, and all of them where these two have no path.

Ruled out: keeping a path between requests; a host of a large site sees one request a second, and loads change sooner.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -140,3 +140,13 @@
       | 100000 | crosses         |
       | 6500   | does not cross  |
       | 2720   | does not cross  |
+
+  Scenario: hosts of a large site that look elsewhere spread over all failure domains
+    Given 5 failure domains of 41 replicas each with a whole copy, the own one without room
+    When a host looks for 200 paths
+    Then each other failure domain gets at least 25 of them, and none crosses a border within its path
+
+  Scenario: a large site's only failure domain with room is found
+    Given 5 failure domains of 41 replicas each with a whole copy, of which one other has room
+    When a host looks for 50 paths
+    Then each of them lies in that failure domain
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -4,7 +4,9 @@
 
 import itertools
 import random
+from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
@@ -18,7 +20,8 @@
 )
 
 from pimentodale.clock import ManualClock
-from pimentodale.forwarding.loads import create_load_board
+from pimentodale.forwarding.loads import ReplicaLoad, create_load_board
+from pimentodale.forwarding.stages import choose_path, domain_of
 from pimentodale.placement.candidacy import create_candidacy
 from pimentodale.placement.paths import PathWish, StageLoad, find_path, read_ms
 from pimentodale.placement.planner import (
@@ -31,7 +34,9 @@
 )
 from pimentodale.placement.resting import create_resting_plans
 from pimentodale.placement.settling import create_domain_history
+from pimentodale.site.beliefs import create_replica_beliefs
 from pimentodale.site.model import LayerRange
+from pimentodale.site.paces import create_replica_paces
 
 if TYPE_CHECKING:
     from pimentodale.placement.messages import PathPart
@@ -597,3 +602,78 @@
     path = find_path(context.engine, context.stages, PathWish("a", 900.0))
     assert path is not None
     return path.parts[-1].replica_id
+
+
+@given("{count:d} failure domains of 41 replicas each with a whole copy, the own one without room")
+def large_site_full_at_home(context: Any, count: int) -> None:
+    context.means, context.service = create_large_site(count, full={"a"})
+
+
+@given(
+    "{count:d} failure domains of 41 replicas each with a whole copy, of which one other has room"
+)
+def large_site_one_free(context: Any, count: int) -> None:
+    context.means, context.service = create_large_site(count, full=set("abce"))
+
+
+def create_large_site(count: int, full: set[str]) -> tuple[Any, Any]:
+    """Return what a host of domain "a" knows of a site with some failure domains full."""
+    engine = create_engine()
+    holders = [
+        Holder(f"{domain}-{kind}-{number}", domain, kind, None)
+        for domain in "abcdefgh"[:count]
+        for kind, many in (("a100", 4), ("v100", 21), ("l4", 16))
+        for number in range(many)
+    ]
+    place_until_stable(engine, holders)
+    replicas = {
+        holder.replica_id: replica(
+            holder.replica_id, holder.failure_domain, holder.kind, holder.held
+        )
+        for holder in holders
+    }
+    clock = ManualClock()
+    loads = create_load_board(clock)
+    taken = {
+        name: ReplicaLoad(1, 0, 1e12)
+        for name, record in replicas.items()
+        if record.failure_domain in full
+    }
+    loads.take_rest(taken, 1e9)
+    means = SimpleNamespace(
+        clock=clock,
+        rng=random.Random(7),
+        beliefs=create_replica_beliefs(clock),
+        paces=create_replica_paces(clock),
+        loads=loads,
+        failure_domain="a",
+        view=SimpleNamespace(
+            replicas=replicas, replicas_of=lambda _service: list(replicas.values())
+        ),
+    )
+    return means, SimpleNamespace(name="lm", engine=engine)
+
+
+@when("a host looks for {count:d} paths")
+def look_for_paths(context: Any, count: int) -> None:
+    found = [choose_path(context.means, context.service, 900.0, ()) for _ in range(count)]
+    context.found_domains = []
+    for path in found:
+        assert path is not None
+        domains = {domain_of(context.means, part.replica_id) for part in path.parts}
+        context.found_domains.append(domains)
+
+
+@then(
+    "each other failure domain gets at least {least:d} of them, and none crosses a border within its path"
+)
+def check_spread(context: Any, least: int) -> None:
+    assert all(len(domains) == 1 for domains in context.found_domains), context.found_domains
+    counts = Counter(next(iter(domains)) for domains in context.found_domains)
+    assert set(counts) == set("bcde"), counts
+    assert min(counts.values()) >= least, counts
+
+
+@then("each of them lies in that failure domain")
+def check_only_free(context: Any) -> None:
+    assert context.found_domains == [{"d"}] * len(context.found_domains), context.found_domains
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -23,6 +23,9 @@
 FAILURE_SLOWNESS: Final = 4.0
 """How many times slower a replica counts whose answers all fail."""
 
+WHOLE_SEARCH_REPLICAS: Final = 60
+"""Replicas up to which a path is looked for among all of them; a look takes 1 ms then."""
+
 ROOM_WAIT_MS: Final = 1_300.0
 """Longest wait for room; clients leave when no event comes within 2 s."""
 
@@ -122,9 +125,25 @@
         return None
     wish = PathWish(means.failure_domain, tokens, avoid, kept, heads)
     stages = list_stages(means, service, kept=[part.replica_id for part in kept])
+    if not kept and len(stages) > WHOLE_SEARCH_REPLICAS:
+        path = find_path(service.engine, _sample_domains(means, stages), wish)
+        if path is not None:
+            return path
     return find_path(service.engine, stages, wish)
 
 
+def _sample_domains(means: ForwardingMeans, stages: list[StageLoad]) -> list[StageLoad]:
+    """Return the replicas of this host's failure domain and of another one, chosen anew each time.
+
+    Whichever hosts look elsewhere then spread over all domains in place of the best one.
+    """
+    others = sorted({stage.record.failure_domain for stage in stages} - {means.failure_domain})
+    searched = {means.failure_domain, *others[:1]}
+    if len(others) > 1:
+        searched = {means.failure_domain, means.rng.choice(others)}
+    return [stage for stage in stages if stage.record.failure_domain in searched]
+
+
 def covers_model(means: ForwardingMeans, service: BackendService) -> bool:
     """Whether replicas that are not lost hold every layer, room or not."""
     if service.engine is None:
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -47,7 +47,7 @@
 """Part of a replica's memory for requests that admission fills."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class StageLoad:
     """A replica with its load, as far as it is known."""
 
@@ -223,15 +223,20 @@
 
 def _list_runs(engine: EngineModel, stages: Sequence[StageLoad], wish: PathWish) -> list[_Run]:
     """Return what each replica may run: its whole range, and what it runs already."""
-    runs = []
+    runs: list[_Run] = []
     crossing_ms = crossing_cost_ms(engine)
+    capacities: dict[tuple[str, int], float] = {}
     for stage in stages:
         record = stage.record
         if record.held is None or record.replica_id in wish.avoid:
             continue
-        room = fill_capacity(engine, record) - stage.kv_in_use
+        size = (record.kind, record.held.end - record.held.first)
+        if size not in capacities:
+            capacities[size] = fill_capacity(engine, record)
+        room = capacities[size] - stage.kv_in_use
         layer_ms = token_ms(engine, stage) / engine.layers
-        runs += _kept_runs(stage, wish, layer_ms, engine.domain_delay_ms)
+        if wish.kept:
+            runs += _kept_runs(stage, wish, layer_ms, engine.domain_delay_ms)
         runs.append(
             _Run(
                 stage=stage,
