Answer requests that wait unread as a host closes

Cause: at a planned stop the listening socket was closed over connections that waited to be accepted, which resets them, and kept connections over requests that had come and were not read yet. Waiting connections are accepted now before the socket closes; one with unread bytes, or that had no request yet, closes after its answer.

A stop without such requests ends as soon as before.

--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -69,19 +69,29 @@
         self.conn_params.header_timeout = limits.idle_timeout_ms / MS_PER_S
 
     def take_no_more(self) -> None:
-        """Stop listening and close the connections that wait for a client's next request."""
+        """Stop listening and close the connections that wait for a client's next request.
+
+        Those on which one has come, or which had none yet, close after its answer.
+        """
         self.stop()
         for stream in list(self.streams):
-            if stream not in self.intake.busy_streams and not stream.writing():
+            had_request = stream in self.intake.used_streams
+            if had_request and not self.awaits(stream) and not stream.writing():
                 stream.close()
 
+    def awaits(self, stream: IOStream) -> bool:
+        """Whether a connection has a request that is to be answered before it closes."""
+        return stream in self.intake.busy_streams or super().awaits(stream)
+
 
 class Intake:
     """What all connections of a server share."""
 
-    __slots__ = ("busy_streams", "limits")
+    __slots__ = ("busy_streams", "limits", "used_streams")
 
     def __init__(self) -> None:
+        self.used_streams: WeakSet[IOStream] = WeakSet()
+        """Connections that have had a request."""
         self.busy_streams: WeakSet[IOStream] = WeakSet()
         """Connections whose request has begun to arrive and has no whole answer yet."""
         self.limits = ClientLimits()
@@ -142,6 +152,7 @@
         self._request.received_ms = self._clock.now_ms()
         if isinstance(self._connection, HTTP1Connection):
             self._intake.busy_streams.add(self._connection.stream)
+            self._intake.used_streams.add(self._connection.stream)
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > self._intake.limits.max_body_bytes:
             self._start(self._refuse_body)
