--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -51,8 +51,8 @@
 RELAY_POLL_MS: Final = 80.0
 """Pause between two looks for news by a host that keeps another one's question."""
 
-WATCHERS: Final = 3
-"""Hosts of each failure domain that watch the store for the others."""
+WATCHERS: Final = 2
+"""Hosts of each failure domain that watch the store for the others: one may be lost."""
 
 RELAY_WAIT_MS: Final = 600.0
 """How long a watcher keeps a quiet question of another host; its end shows that both live."""
