--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -48,7 +48,7 @@
 async def answer(context: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Answer one connection, for ever where its path says so."""
     request = await reader.readuntil(b"\r\n\r\n")
-    with contextlib.suppress(OSError):
+    with contextlib.suppress(OSError, asyncio.CancelledError):
         if request.startswith(b"GET /short"):
             writer.write(SHORT)
             await writer.drain()
@@ -205,7 +205,7 @@
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(CHUNKED)
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
             for _ in range(int(10.0 / context.pause_s)):
                 writer.write(b"4\r\n: c\n\r\n")
                 await writer.drain()
