Log sends without a whole answer, crashes held against requests, and replicas that start again

Now a fingerprint joins the sends of one request over clients' attempts and hosts, each strike says what it counts, and a gauge shows how many requests are convicted. No decision is changed.

--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -113,6 +114,29 @@
     )
 
 
+def log_broken_send(
+    means: ForwardingMeans, routed: RoutedRequest, replicas: list[str], end: str
+) -> None:
+    """Write the line of a send that brought no whole answer.
+
+    Args:
+        means: Shared state.
+        routed: The request.
+        replicas: Ids of the replicas that it passed through, in order.
+        end: How the send ended.
+    """
+    request = routed.exchange.request
+    _log.info(
+        "A send brought no whole answer.",
+        request=request.attempt_id,
+        fingerprint=fingerprint_of(request.path, routed.workspace, request.body),
+        replicas=replicas,
+        end=end,
+        sends=routed.sends,
+        view_age_ms=view_age_ms(means),
+    )
+
+
 def log_left(means: ForwardingMeans, routed: RoutedRequest) -> None:
     """Write the line of a request whose client left before its answer was whole."""
     _log.info("A client left.", sent=routed.sends, **_logged_fields(means, routed))
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -9,7 +9,7 @@
 
 from pimentodale.clients.http_call import CallRequest, collect_body, open_call
 from pimentodale.clock import MS_PER_S
-from pimentodale.forwarding.means import log_end
+from pimentodale.forwarding.means import log_broken_send, log_end
 from pimentodale.forwarding.refusing import fail, refuse
 from pimentodale.forwarding.stream_passing import CONNECT_TIMEOUT_MS
 from pimentodale.placement.messages import PathPart
@@ -178,6 +178,8 @@
     """Keep what a send showed of its replica."""
     status = "" if reply.answer is None else f" {reply.answer.status}"
     routed.history.append(f"{replica.replica_id}: {reply.result.value}{status}")
+    if reply.result is not SendResult.ANSWERED:
+        log_broken_send(means, routed, [replica.replica_id], reply.result.value)
     incarnation = incarnation_of(replica)
     if reply.result is SendResult.NOT_SENT:
         means.beliefs.mark_down(incarnation, "it can't be connected to")
--- a/src/pimentodale/forwarding/poison.py
+++ b/src/pimentodale/forwarding/poison.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.logs import get_log
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -20,6 +22,8 @@
 MAX_REQUESTS: Final = 5_000
 """Requests that are remembered; the oldest go first."""
 
+_log = get_log("poison")
+
 
 @dataclass(slots=True)
 class PoisonStrikes:
@@ -41,10 +45,23 @@
         """
         if fingerprint not in self._crashes and len(self._crashes) >= MAX_REQUESTS:
             del self._crashes[next(iter(self._crashes))]
-        self._crashes.setdefault(fingerprint, {})[crash] = self.clock.now_ms()
+        crashes = self._crashes.setdefault(fingerprint, {})
+        if crash not in crashes:
+            _log.info(
+                "A crash is held against a request.",
+                fingerprint=fingerprint,
+                crash=crash,
+                crashes=len(crashes) + 1,
+                told_by_peer=by_peer,
+            )
+        crashes[crash] = self.clock.now_ms()
         if not by_peer:
             self.tell(fingerprint, crash)
 
+    def count_convicted(self) -> int:
+        """Return how many requests are to be refused."""
+        return sum(1 for fingerprint in self._crashes if self.is_convicted(fingerprint))
+
     def is_convicted(self, fingerprint: str) -> bool:
         """Whether a request is to be refused."""
         crashes = self._crashes.get(fingerprint)
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.forwarding.learning import faulty_part, learn
-from pimentodale.forwarding.means import log_end
+from pimentodale.forwarding.means import log_broken_send, log_end
 from pimentodale.forwarding.path_queue import PathSeeker
 from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.forwarding.refusing import fail, refuse
@@ -129,6 +129,8 @@
     crossings = count_crossings(means, path)
     crossed = f" over {crossings} domain borders" if crossings else ""
     routed.history.append(f"{head}+{len(path.parts) - 1}{crossed}: {outcome}")
+    if end not in (AttemptEnd.WHOLE, AttemptEnd.PASSED_ON):
+        log_broken_send(means, routed, [part.replica_id for part in path.parts], end.value)
     learn(means, routed.service, state, end)
     return end
 
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -218,6 +218,7 @@
     metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue))
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
     metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
+    metrics.add_gauge("convicted_requests", poison.count_convicted)
 
     def count_hosts() -> int:
         return max(len(peers.live_members()), len(view.peer_addresses))
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -143,6 +143,14 @@
                 failure_domain=decoded.ok.failure_domain,
                 revision=item.mod_revision,
             )
+        elif known.started_ms != decoded.ok.started_ms:
+            _log.info(
+                "A replica has started again.",
+                replica=replica_id,
+                started_ms=decoded.ok.started_ms,
+                before_ms=known.started_ms,
+                revision=item.mod_revision,
+            )
 
     def _lose(self, replica_id: str) -> None:
         """Drop a replica whose record is gone, or keep it a while after an outage."""
