Show with stand-ins that requests which crash their replicas are sent on

The stand-in replica gains requests under which it falls silent and ones that crash the last part of their path.

--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -18,6 +18,7 @@
 from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.clock import MS_PER_S, create_clock
 from pimentodale.standin.http_parts import (
+    DownMode,
     Journal,
     Listener,
     Outage,
@@ -34,7 +35,13 @@
 """How often a replica looks whether its record is what it should be."""
 
 POISON: Final = b"poison"
-"""Body of a request that crashes its first replica."""
+"""Body of a request that crashes its first replica: connections are reset and refused."""
+
+SILENT_POISON: Final = b"silent poison"
+"""Body of a request under which its first replica falls silent."""
+
+LAST_PART_POISON: Final = b"last part poison"
+"""Body of a request that crashes the last replica of its path."""
 
 CRASHED_MS: Final = 1_000.0
 """How long a crashed replica is away."""
@@ -135,6 +142,9 @@
     path: list[PathStep]
     """Replicas that it passes through."""
 
+    crashes_last: bool = False
+    """Whether it crashes the last of them."""
+
     stalled_on: str = ""
     """Address of the replica that it waits for; empty for none."""
 
@@ -171,6 +181,14 @@
         self.started_ms = int(self.clock.wall_ms())
         self.outage.faults = Outage()
 
+    async def crash(self, down_mode: DownMode) -> None:
+        """Crash, and be back empty after a while."""
+        self.outage.faults = Outage(down=True, down_mode=down_mode)
+        await self.outage.apply()
+        await asyncio.sleep(CRASHED_MS / MS_PER_S)
+        self.restart()
+        await self.outage.apply()
+
     def record(self) -> dict[str, Any]:
         """Return what it says of itself in the store."""
         record: dict[str, Any] = {
@@ -311,7 +329,9 @@
         if find_fault(path):
             self.refuse(409, "a part is not there")
             return
-        part.running[order.id].path = path
+        run = part.running[order.id]
+        run.path = path
+        crash_last(run, order.id)
         self.reply({})
 
     async def _load(self, order: Order) -> None:
@@ -347,6 +367,8 @@
             return
         headers = msgspec.json.encode(dict(self.request.headers)).decode()
         self._journal("run", attempt, f"{self.request.uri} {headers}")
+        if await self._crashes(attempt):
+            return
         await asyncio.sleep(self.part.settings.work_ms / MS_PER_S)
         if self.part.loses_answers:
             self.reset_connection()
@@ -356,12 +378,11 @@
     async def _stream(self, attempt: str, path: list[PathStep]) -> None:
         """Write the events of a stream; each needs every part of the path."""
         part = self.part
-        if self.request.body == POISON:
-            self._journal("crash", attempt, "")
-            await self._crash()
+        if await self._crashes(attempt):
             return
-        run = Run(path)
+        run = Run(path, self.request.body == LAST_PART_POISON)
         part.running[attempt] = run
+        crash_last(run, attempt)
         try:
             await self._write_events(attempt, run)
         except StreamClosedError:
@@ -390,15 +411,18 @@
             await asyncio.sleep(self.part.settings.event_ms / MS_PER_S)
         await self.finish()
 
-    async def _crash(self) -> None:
-        """Crash, and be back empty after a while."""
-        part = self.part
-        self.reset_connection()
-        part.outage.faults = Outage(down=True, down_mode="refuse")
-        await part.outage.apply()
-        await asyncio.sleep(CRASHED_MS / MS_PER_S)
-        part.restart()
-        await part.outage.apply()
+    async def _crashes(self, attempt: str) -> bool:
+        """Crash if the request brings that about."""
+        if self.request.body not in (POISON, SILENT_POISON):
+            return False
+        is_silent = self.request.body == SILENT_POISON
+        self._journal("crash", attempt, "")
+        spawn(self.part.crash("silent" if is_silent else "refuse"), "crash")
+        if is_silent:
+            await self.closed.wait()
+        else:
+            self.reset_connection()
+        return True
 
     async def _write_event(self, number: int) -> None:
         """Write one event."""
@@ -458,6 +482,14 @@
         self.reply({})
 
 
+def crash_last(run: Run, attempt: str) -> None:
+    """Crash the last replica of a run's path if the request brings that about."""
+    last = _replicas.get(run.path[-1].address)
+    if run.crashes_last and last is not None and not last.outage.faults.down:
+        last.journal.write(RunEntry("crash", last.settings.replica_id, attempt))
+        spawn(last.crash("refuse"), "crash")
+
+
 def parse_path(text: str) -> list[PathStep]:
     """Read a path."""
     steps = []
