Keep crashes that may convict a request in the store, and let a whole run clear it

What callers saw: a request that had crashed its replicas was sent on once both gateways had started anew, one after the other (16 replicas ended in 8 sendings).

Cause: crashes were held in the hosts' memory and told between hosts alone. A host that starts anew knows nothing, and what it is told comes from hosts that may have started anew themselves; failure domains that are cut off from each other each counted for themselves. The class: a belief that must outlive its holders was kept nowhere that does.

What is known of one request is now an entry that merges into the same in any order (quarantine/crashes). It travels between peers as before, and is written to the store from the second crash on, one key a host, so that writers never meet; each host's copy of the store brings it to all others, those that start later included. A single crash stays between peers: each request that runs at a replica which ends has one, and a write each would be most of the store's. The writer is the entry host's, made to serve both. A request that ran to its end elsewhere is cleared, on all hosts: crashes that befall an innocent one by turns added up before. Crashes of replicas that had run a request for a while count from the fifth on.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -36,3 +36,38 @@
     And all gateways are killed and started
     And a request that crashes its first replica, with a reset is sent 4 times through both gateways
     Then at most 3 replicas have crashed and the request is refused from then on
+
+  Scenario: a request that crashed three replicas is refused on every host
+    Given two hosts that tell each other of crashes
+    When a request is running at three crashes, seen by either host
+    Then both hosts refuse it
+    And a request that was running at two of them is still served
+
+  Scenario: one crash that two hosts saw counts once
+    Given two hosts that tell each other of crashes
+    When both hosts see the same crash three times
+    Then neither refuses the request
+
+  # Guards against convictions of innocent requests by crashes that befell them one after the other.
+  Scenario: a request that has run to its end since is not refused for earlier crashes
+    Given two hosts that tell each other of crashes
+    When a request is running at two crashes, runs to its end at one host, and at two more crashes
+    Then neither refuses the request
+
+  # Guards against convictions of streams that have run on for a while at each replica that ended.
+  Scenario: a request that had run on for a while at crashes is refused only after five of them
+    Given two hosts that tell each other of crashes
+    When a request had run on for a while at 4 crashes
+    Then neither refuses the request
+    When a request had run on for a while at 5 crashes
+    Then both hosts refuse it
+
+  # Guards against each failure domain of a site counting for itself while they can't reach each other.
+  Scenario: hosts that reach just the store count together
+    Given two hosts that reach the store and not each other
+    When a request is running at two crashes seen by the first host, and at one seen by the second
+    Then both hosts refuse it
+
+  # Guards against entries that depend on the order in which hosts hear of them.
+  Scenario: what hosts know of a request merges into the same whatever the order
+    Then entries that are offered in any order, and more than once, come to the same
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -28,17 +28,6 @@
     When each gets 50 requests and wants to repeat without end for 30 s
     Then in no 10 s the service gets more repeats than the bound allows
 
-  Scenario: a request that crashed three replicas is refused on every host
-    Given two hosts that tell each other of crashes
-    When a request is running at three crashes, seen by either host
-    Then both hosts refuse it
-    And a request that was running at two of them is still served
-
-  Scenario: one crash that two hosts saw counts once
-    Given two hosts that tell each other of crashes
-    When both hosts see the same crash three times
-    Then neither refuses the request
-
   Scenario: another host's loads count until they are out of date
     Given a host that was told of 5 requests at a replica and has 2 of its own
     Then the replica counts 7 requests at once and 2 after 2 s
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -2,14 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 import http.client
+import random
 import time
+from types import SimpleNamespace
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 from features.support.gateway_site import GATEWAYS
+from features.support.memory_store import MemoryState, MemoryStore
 from features.support.site import wait_until
 
+from pimentodale.clock import ManualClock, create_clock
+from pimentodale.quarantine.crash_sharing import share_crashes, take_crashes
+from pimentodale.quarantine.crashes import (
+    CRASH_RETENTION_MS,
+    CrashEntry,
+    create_crash_record,
+    fingerprint_of,
+)
+from pimentodale.quarantine.store_writer import create_store_writer
+
 CRASHES = {
     "its first replica, with a reset": ("/lm/stream", b"poison"),
     "its first replica, which falls silent": ("/lm/stream", b"silent poison"),
@@ -98,3 +112,110 @@
                 f"{name} serves {path}",
                 8.0,
             )
+
+
+POISON = fingerprint_of("/p", "w", b"poison")
+INNOCENT = fingerprint_of("/p", "w", b"innocent")
+
+
+@given("two hosts that tell each other of crashes")
+def make_records(context: Any) -> None:
+    clock = ManualClock(1_000.0)
+    first, second = context.records = [create_crash_record(clock), create_crash_record(clock)]
+    first.subscribe(lambda entry: second.offer(entry, "first"))
+    second.subscribe(lambda entry: first.offer(entry, "second"))
+
+
+@when("a request is running at three crashes, seen by either host")
+def crash_three(context: Any) -> None:
+    for number in range(3):
+        host = context.records[number % 2]
+        host.strike(POISON, f"replica-{number}", is_fresh=True)
+        if number < 2:
+            host.strike(INNOCENT, f"replica-{number}", is_fresh=True)
+
+
+@when("both hosts see the same crash three times")
+def crash_same(context: Any) -> None:
+    for _ in range(3):
+        for host in context.records:
+            host.strike(POISON, "replica-0", is_fresh=True)
+
+
+@when("a request is running at two crashes, runs to its end at one host, and at two more crashes")
+def crash_and_clear(context: Any) -> None:
+    for number in range(4):
+        if number == 2:
+            context.records[0].clear(POISON)
+        context.records[1].strike(POISON, f"replica-{number}", is_fresh=True)
+
+
+@when("a request had run on for a while at {count:d} crashes")
+def crash_late(context: Any, count: int) -> None:
+    for number in range(count):
+        context.records[number % 2].strike(POISON, f"replica-{number}", is_fresh=False)
+
+
+@given("two hosts that reach the store and not each other")
+def make_apart(context: Any) -> None:
+    context.records = [create_crash_record(create_clock()) for _ in range(2)]
+
+
+@when("a request is running at two crashes seen by the first host, and at one seen by the second")
+def crash_apart(context: Any) -> None:
+    asyncio.run(share_through_store(context.records))
+
+
+async def share_through_store(records: list[Any]) -> None:
+    """Let hosts write what they add, and read it as their copy of the store shows it."""
+    state = MemoryState(create_clock())
+    peers = SimpleNamespace(publish=lambda *_, **__: None, subscribe=lambda *_: None)
+    tasks = []
+    for number, record in enumerate(records):
+        writer = create_store_writer(create_clock(), MemoryStore(state), CRASH_RETENTION_MS)
+        tasks.append(asyncio.create_task(writer.run()))
+        share_crashes(record, peers, writer.put, f"host-{number}")
+    records[0].strike(POISON, "replica-0", is_fresh=True)
+    records[0].strike(POISON, "replica-1", is_fresh=True)
+    records[1].strike(POISON, "replica-2", is_fresh=True)
+    for _ in range(2):
+        await asyncio.sleep(0.1)
+        for record in records:
+            for item in list(state.items.values()):
+                take_crashes(record, item.value, item.key)
+    for task in tasks:
+        task.cancel()
+
+
+@then("both hosts refuse it")
+def check_refused(context: Any) -> None:
+    assert all(host.is_convicted(POISON) for host in context.records)
+
+
+@then("a request that was running at two of them is still served")
+def check_innocent(context: Any) -> None:
+    assert not any(host.is_convicted(INNOCENT) for host in context.records)
+
+
+@then("neither refuses the request")
+def check_not_refused(context: Any) -> None:
+    assert not any(host.is_convicted(POISON) for host in context.records)
+
+
+@then("entries that are offered in any order, and more than once, come to the same")
+def check_merges(context: Any) -> None:
+    rng = random.Random(context.site.seed)
+    for _ in range(200):
+        names = [f"replica-{number}" for number in range(6)]
+        entries = [
+            CrashEntry(POISON, *(rng.sample(names, rng.randrange(4)) for _ in range(3)))
+            for _ in range(4)
+        ]
+        found = []
+        for _ in range(3):
+            record = create_crash_record(ManualClock(1_000.0))
+            for entry in rng.sample(entries * 2, len(entries) * 2):
+                record.offer(entry, "a host")
+            merged = record.find(POISON)
+            found.append([set(part) for part in (merged.fresh, merged.late, merged.cleared)])
+        assert found[0] == found[1] == found[2], entries
--- a/features/steps/forwarding.py
+++ b/features/steps/forwarding.py
@@ -15,7 +15,6 @@
 from pimentodale.forwarding.learning import learn_refusal
 from pimentodale.forwarding.loads import KV_UNIT, ReplicaLoad, create_load_board
 from pimentodale.forwarding.plain import choose_replica
-from pimentodale.forwarding.poison import create_poison_strikes, fingerprint_of
 from pimentodale.forwarding.retry_share import create_retry_share
 from pimentodale.forwarding.route_table import RouteTable
 from pimentodale.gateway.load_exchange import Wire, from_wire, to_wire
@@ -107,48 +106,6 @@
         assert count <= 0.2 * 120 + 196, count
 
 
-@given("two hosts that tell each other of crashes")
-def make_strikes(context: Any) -> None:
-    clock = ManualClock(1_000.0)
-    context.strikes = [create_poison_strikes(clock), create_poison_strikes(clock)]
-    first, second = context.strikes
-    first.tell = lambda request, crash: second.strike(request, crash, by_peer=True)
-    second.tell = lambda request, crash: first.strike(request, crash, by_peer=True)
-    context.poison = fingerprint_of("/p", "w", b"poison")
-    context.innocent = fingerprint_of("/p", "w", b"innocent")
-
-
-@when("a request is running at three crashes, seen by either host")
-def crash_three(context: Any) -> None:
-    for number in range(3):
-        host = context.strikes[number % 2]
-        host.strike(context.poison, f"replica-{number}")
-        if number < 2:
-            host.strike(context.innocent, f"replica-{number}")
-
-
-@then("both hosts refuse it")
-def check_refused(context: Any) -> None:
-    assert all(host.is_convicted(context.poison) for host in context.strikes)
-
-
-@then("a request that was running at two of them is still served")
-def check_innocent(context: Any) -> None:
-    assert not any(host.is_convicted(context.innocent) for host in context.strikes)
-
-
-@when("both hosts see the same crash three times")
-def crash_same(context: Any) -> None:
-    for _ in range(3):
-        for host in context.strikes:
-            host.strike(context.poison, "replica-0")
-
-
-@then("neither refuses the request")
-def check_not_refused(context: Any) -> None:
-    assert not any(host.is_convicted(context.poison) for host in context.strikes)
-
-
 @given("a host that was told of 5 requests at a replica and has 2 of its own")
 def make_board(context: Any) -> None:
     context.clock = ManualClock()
--- a/features/support/generation_hosts.py
+++ b/features/support/generation_hosts.py
@@ -21,7 +21,9 @@
 from pimentodale.quarantine.claims import pack_claim, unpack_claim
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.quarantine import create_quarantine
-from pimentodale.quarantine.sharing import EntryWriter, follow_entries
+from pimentodale.quarantine.register import STRIKE_RETENTION_MS
+from pimentodale.quarantine.sharing import follow_entries, share_entries
+from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.routing.fleet import create_fleet
 from pimentodale.routing.router import create_router
 from pimentodale.tracing.traceparent import create_trace
@@ -62,8 +64,8 @@
     def follow_store(self, store: KeyValueStore) -> None:
         """Write entries to the service and take in those of others."""
         register = self.quarantine.register
-        writer = EntryWriter(self.clock, store)
-        register.subscribe(writer.put)
+        writer = create_store_writer(self.clock, store, STRIKE_RETENTION_MS)
+        share_entries(register, writer)
         self.background.start(writer.run(), "entry writer")
         self.background.start(
             follow_entries(register, self.clock, store, lambda: True), "entry follower"
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -86,7 +86,8 @@
         for element in feature.get("elements", []):
             if element.get("type") != "scenario":
                 continue
-            label = f"{feature['name']}: {element['name']}"
+            # behave ends the name of an outline's row with a blank.
+            label = f"{feature['name']}: {element['name']}".strip()
             (passed if element.get("status") == "passed" else failed).append(label)
     return status == 0
 
--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -17,8 +17,9 @@
 from pimentodale.peers.settings import PeersSettings
 from pimentodale.quarantine.claims import CLAIM_RETENTION_MS, pack_claim, unpack_claim
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
-from pimentodale.quarantine.register import CONVICTION_RETENTION_MS
-from pimentodale.quarantine.sharing import EntryWriter, follow_entries
+from pimentodale.quarantine.register import CONVICTION_RETENTION_MS, STRIKE_RETENTION_MS
+from pimentodale.quarantine.sharing import follow_entries, share_entries
+from pimentodale.quarantine.store_writer import create_store_writer
 
 if TYPE_CHECKING:
     import random
@@ -117,7 +118,7 @@
 ) -> None:
     """Have quarantine entries and claims on trials spread through peers and the service."""
     register = quarantine.register
-    writer = EntryWriter(clock, store)
+    writer = create_store_writer(clock, store, STRIKE_RETENTION_MS)
 
     def tell_entry(entry: QuarantineEntry) -> None:
         peers.publish(
@@ -137,7 +138,7 @@
         if claim is not None:
             quarantine.trials.claims.offer(claim)
 
-    register.subscribe(writer.put)
+    share_entries(register, writer)
     register.subscribe(tell_entry)
     quarantine.trials.claims.connect(tell_claim)
     peers.subscribe(QUARANTINE_TOPIC, take_entry)
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.logs import get_log
+from pimentodale.quarantine.crashes import fingerprint_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,10 +18,10 @@
     from pimentodale.forwarding.client_exchange import ClientExchange
     from pimentodale.forwarding.loads import LoadBoard
     from pimentodale.forwarding.messages import ExchangeCodec
-    from pimentodale.forwarding.poison import PoisonStrikes
     from pimentodale.forwarding.retry_share import RetryShare
     from pimentodale.gateway.metrics import GatewayMetrics
     from pimentodale.placement.messages import EngineCalls
+    from pimentodale.quarantine.crashes import CrashRecord
     from pimentodale.results import ResultCode
     from pimentodale.site.beliefs import ReplicaBeliefs
     from pimentodale.site.model import BackendService, RouteRule
@@ -49,7 +49,7 @@
     paces: ReplicaPaces
     loads: LoadBoard
     retries: RetryShare
-    poison: PoisonStrikes
+    crashes: CrashRecord
     metrics: GatewayMetrics
     failure_domain: str
     stall_ms: float
@@ -89,6 +89,14 @@
     longest_pause_ms: float = 0.0
     """Longest time between two events of its stream."""
 
+    fingerprint: str = field(init=False)
+    """What stays the same when its client sends it again."""
+
+    def __post_init__(self) -> None:
+        """Take the fingerprint."""
+        request = self.exchange.request
+        self.fingerprint = fingerprint_of(request.path, self.workspace, request.body)
+
     def left_ms(self, now_ms: float) -> float:
         """Return how long the client and the operators let it wait."""
         elapsed_ms = now_ms - self.exchange.request.received_ms
@@ -125,11 +133,10 @@
         replicas: Ids of the replicas that it passed through, in order.
         end: How the send ended.
     """
-    request = routed.exchange.request
     _log.info(
         "A send brought no whole answer.",
-        request=request.attempt_id,
-        fingerprint=fingerprint_of(request.path, routed.workspace, request.body),
+        request=routed.exchange.request.attempt_id,
+        fingerprint=routed.fingerprint,
         replicas=replicas,
         end=end,
         sends=routed.sends,
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -7,7 +7,6 @@
 from pimentodale.forwarding.learning import faulty_part, learn
 from pimentodale.forwarding.means import log_broken_send, log_end
 from pimentodale.forwarding.path_queue import PathSeeker
-from pimentodale.forwarding.poison import fingerprint_of
 from pimentodale.forwarding.refusing import fail, refuse
 from pimentodale.forwarding.stages import (
     ROOM_WAIT_MS,
@@ -46,8 +45,8 @@
         log_end(means, routed, ResultCode.UNKNOWN_MODEL, 502)
         await fail(routed.exchange, ResultCode.UNKNOWN_MODEL, "The service runs no engine.")
         return
-    fingerprint = fingerprint_of(request.path, routed.workspace, request.body)
-    if means.poison.is_convicted(fingerprint):
+    fingerprint = routed.fingerprint
+    if means.crashes.is_convicted(fingerprint):
         log_end(means, routed, ResultCode.QUARANTINED, 502)
         message = "This request crashed the replicas that ran it."
         await fail(routed.exchange, ResultCode.QUARANTINED, message)
@@ -93,7 +92,8 @@
     await means.clock.sleep_ms(CRASH_CHECK_MS)
     known = means.view.replicas.get(replica.replica_id)
     if known is None or known.started_ms != replica.started_ms or means.beliefs.is_lost(known):
-        means.poison.strike(fingerprint, f"{replica.replica_id}/{replica.started_ms}")
+        crash = f"{replica.replica_id}/{replica.started_ms}"
+        means.crashes.strike(fingerprint, crash, is_fresh=True)
 
 
 async def _next_send(
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -20,7 +20,6 @@
 from pimentodale.forwarding.front_server import create_front_server
 from pimentodale.forwarding.loads import create_load_board
 from pimentodale.forwarding.means import ForwardingMeans
-from pimentodale.forwarding.poison import create_poison_strikes
 from pimentodale.forwarding.refusing import refuse
 from pimentodale.forwarding.retry_share import create_retry_share
 from pimentodale.forwarding.slow_paths import recheck_slow_replicas
@@ -28,7 +27,12 @@
 from pimentodale.gateway.load_exchange import create_load_exchange
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.gateway.registration import keep_registered
-from pimentodale.gateway.sharing import share_beliefs, share_crashes, share_lease, share_paces
+from pimentodale.gateway.sharing import (
+    follow_stored_crashes,
+    share_beliefs,
+    share_lease,
+    share_paces,
+)
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.logs import get_log
 from pimentodale.mirror.follower import create_mirror_follower
@@ -37,6 +41,9 @@
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
 from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
+from pimentodale.quarantine.crash_sharing import share_crashes
+from pimentodale.quarantine.crashes import CRASH_RETENTION_MS, create_crash_record
+from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.common_cuts import watch_common_cuts
@@ -206,19 +213,22 @@
     """Join the slices that requests work with."""
     settings, clock = gateway.settings, gateway.clock
     beliefs = create_replica_beliefs(clock)
-    poison = create_poison_strikes(clock)
+    record = create_crash_record(clock)
     paces = create_replica_paces(clock)
     share_beliefs(beliefs, peers)
     share_paces(paces, peers)
     watch_common_cuts(beliefs, view.replicas.values, settings.failure_domain, clock)
-    share_crashes(poison, peers)
+    writer = create_store_writer(clock, gateway.platform.store, CRASH_RETENTION_MS)
+    gateway.background.start(writer.run(), "crash writer")
+    share_crashes(record, peers, writer.put, settings.host)
+    follow_stored_crashes(record, view.mirror)
     metrics = create_gateway_metrics()
     metrics.store_calls = gateway.platform.store_calls
     metrics.add_gauge("requests_in_progress", lambda: len(gateway.work))
     metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue))
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
     metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
-    metrics.add_gauge("convicted_requests", poison.count_convicted)
+    metrics.add_gauge("convicted_requests", record.count_convicted)
 
     def count_hosts() -> int:
         return max(len(peers.live_members()), len(view.peer_addresses))
@@ -239,7 +249,7 @@
         paces=paces,
         loads=create_load_board(clock),
         retries=retries,
-        poison=poison,
+        crashes=record,
         metrics=metrics,
         failure_domain=settings.failure_domain,
         stall_ms=settings.stall_ms,
--- a/src/pimentodale/gateway/sharing.py
+++ b/src/pimentodale/gateway/sharing.py
@@ -6,25 +6,25 @@
 
 import msgspec
 
-from pimentodale.forwarding.poison import STRIKE_RETENTION_MS
 from pimentodale.logs import get_log
+from pimentodale.quarantine.crash_sharing import CRASH_PREFIX, take_crashes
 from pimentodale.site.paces import HOLDS_MS
 from pimentodale.steward.lease import HandedLease
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from pimentodale.forwarding.poison import PoisonStrikes
+    from pimentodale.mirror.mirror import Mirror
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
     from pimentodale.placement.placer import Placer
+    from pimentodale.quarantine.crashes import CrashRecord
     from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
     from pimentodale.site.paces import ReplicaPaces
 
 DOWN_TOPIC: Final = "replica-down"
 UP_TOPIC: Final = "replica-up"
 PACE_TOPIC: Final = "replica-pace"
-CRASH_TOPIC: Final = "crash"
 LEASE_TOPIC: Final = "placement-lease"
 
 DOWN_TTL_MS: Final = 3_000.0
@@ -37,7 +37,6 @@
 
 _down = msgspec.msgpack.Decoder(tuple[str, int, str])
 _pace = msgspec.msgpack.Decoder(tuple[str, int, float])
-_crash = msgspec.msgpack.Decoder(tuple[str, str])
 _handed = msgspec.msgpack.Decoder(tuple[str, HandedLease])
 
 
@@ -94,23 +93,16 @@
     peers.subscribe(PACE_TOPIC, take)
 
 
-def share_crashes(strikes: PoisonStrikes, peers: Peers) -> None:
-    """Have hosts tell each other which requests ran when a replica crashed."""
+def follow_stored_crashes(record: CrashRecord, mirror: Mirror) -> None:
+    """Have a host learn from the store of crashes that no peer has told it of."""
 
-    def tell(fingerprint: str, crash: str) -> None:
-        value = msgspec.msgpack.encode((fingerprint, crash))
-        peers.publish(CRASH_TOPIC, f"{fingerprint}/{crash}"[:120], value, STRIKE_RETENTION_MS)
+    def take(keys: set[str]) -> None:
+        for key in keys:
+            item = mirror.items.get(key) if key.startswith(CRASH_PREFIX) else None
+            if item is not None:
+                take_crashes(record, item.value, key)
 
-    def take(update: EntryUpdate) -> None:
-        try:
-            fingerprint, crash = _crash.decode(update.value)
-        except msgspec.MsgspecError as error:
-            _log.warning("A host's word can't be read.", host=update.owner, problem=str(error))
-            return
-        strikes.strike(fingerprint, crash, by_peer=True)
-
-    strikes.tell = tell
-    peers.subscribe(CRASH_TOPIC, take)
+    mirror.subscribe(take)
 
 
 def share_lease(placer: Placer, peers: Peers, rank_hosts: Callable[[], list[str]]) -> None:
--- a/src/pimentodale/quarantine/sharing.py
+++ b/src/pimentodale/quarantine/sharing.py
@@ -6,13 +6,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clients.key_value import Put, prefix_end
+from pimentodale.clients.key_value import prefix_end
 from pimentodale.logs import get_log
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
-from pimentodale.quarantine.register import STRIKE_RETENTION_MS
 from pimentodale.quarantine.trials import CONVICTED_PREFIX
 
 if TYPE_CHECKING:
@@ -22,6 +20,7 @@
     from pimentodale.clock import Clock
     from pimentodale.quarantine.entries import QuarantineEntry
     from pimentodale.quarantine.register import QuarantineRegister
+    from pimentodale.quarantine.store_writer import StoreWriter
 
 STRUCK_PREFIX: Final = "pimentodale/quarantine/struck/"
 """Key prefix of entries with strikes."""
@@ -29,61 +28,19 @@
 _QUARANTINE_PREFIX: Final = "pimentodale/quarantine/"
 _WATCH_SILENCE_MS: Final = 30_000.0
 _RETRY_MS: Final = 1_000.0
-_LINGER_MS: Final = 20.0
-_MAX_WRITES: Final = 64
-"""Entries in one transaction."""
 
 _log = get_log("quarantine")
 
 
-class EntryWriter:
-    """Writes this host's changes to the service, many in one transaction."""
-
-    __slots__ = ("_changed", "_clock", "_pending", "_store")
-
-    def __init__(self, clock: Clock, store: KeyValueStore) -> None:
-        self._clock = clock
-        self._store = store
-        self._pending: dict[str, QuarantineEntry] = {}
-        self._changed = asyncio.Event()
-
-    def put(self, entry: QuarantineEntry) -> None:
-        """Queue an entry; a later one of the same request replaces it."""
-        self._pending[entry.fingerprint] = entry
-        self._changed.set()
-
-    async def run(self) -> None:
-        """Write for ever; what fails is written again with the next."""
-        while True:
-            await self._changed.wait()
-            self._changed.clear()
-            await self._clock.sleep_ms(_LINGER_MS)
-            batch = dict(list(self._pending.items())[:_MAX_WRITES])
-            if batch and not await self._write(list(batch.values())):
-                await self._clock.sleep_ms(_RETRY_MS)
-            else:
-                for fingerprint, entry in batch.items():
-                    if self._pending.get(fingerprint) is entry:
-                        del self._pending[fingerprint]
-            if self._pending:
-                self._changed.set()
-
-    async def _write(self, entries: Sequence[QuarantineEntry]) -> bool:
-        """Write entries under one lease; returns whether the service took them."""
-        lease = await self._store.grant_lease(STRIKE_RETENTION_MS)
-        if lease.is_error():
-            return False
+def share_entries(register: QuarantineRegister, writer: StoreWriter) -> None:
+    """Have each entry that this host changes written to the service."""
+
+    def put(entry: QuarantineEntry) -> None:
         # A conviction is written by the end of its trial too; this covers those without one.
-        puts = [
-            Put(
-                (CONVICTED_PREFIX if entry.convicted else STRUCK_PREFIX) + entry.fingerprint,
-                pack_entry(entry),
-                lease.ok,
-            )
-            for entry in entries
-        ]
-        reply = await self._store.txn([], puts)
-        return reply.is_ok()
+        prefix = CONVICTED_PREFIX if entry.convicted else STRUCK_PREFIX
+        writer.put(prefix + entry.fingerprint, pack_entry(entry))
+
+    register.subscribe(put)
 
 
 async def follow_entries(
