Follow every send that brings no whole answer, and look before each repeat

What callers saw: a request under which replicas fell silent was never refused (32 replicas ended in 8 sendings), nor one whose caller left early (10 in 7); one that reset its connections ended four replicas in place of three.

Cause: a crash was held against a request only where the connection to the first replica of a stream broke, by a look 800 ms later, and nobody waited for that. A send that ended by silence, by a move, by a refusal after a stall or by a caller that left leaves no broken connection; later parts of a path never counted; and the repeats of the same attempt went out before the verdict. The class: one symptom of a fault taken for the fault, and acting before what was done is known.

forwarding/crash_watch follows each send that brought no whole answer, whatever its end: all replicas of its path that lived before are looked at for 6 s, by what is known anyway (probes, the store's records, starts anew), and the first that has ended is held against the request, one a send. Only a first replica that may have fallen silent unnoticed is probed for it, once a second at most. A request that one more crash would convict waits for the verdict on its sends before it goes out again, 1.5 s at most; it is looked at again once it has waited for a path, and before it is moved past a lost part, as a move would end the next one.

Ruled out: counting only sends that broke before an event would miss streams that end their replica with the first token; counting silence itself would convict requests at slow replicas.

--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -12,17 +12,19 @@
 from features.support.engine_fleet import create_small_engine, replica
 
 from pimentodale.addresses import Address
+from pimentodale.background import create_background_tasks
 from pimentodale.clock import ManualClock
+from pimentodale.forwarding.crash_watch import create_crash_watch
 from pimentodale.forwarding.learning import learn
 from pimentodale.forwarding.loads import create_load_board
 from pimentodale.forwarding.means import RoutedRequest
 from pimentodale.forwarding.messages import Refused
 from pimentodale.forwarding.stream_passing import pass_stream_on
 from pimentodale.forwarding.stream_state import AttemptEnd, StreamState, create_stream_pool
-from pimentodale.forwarding.streams import has_ended
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.placement.messages import PathPart
 from pimentodale.placement.paths import Path, PathWish, StageLoad, find_path
+from pimentodale.quarantine.crashes import create_crash_record
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.model import LayerRange
 
@@ -42,6 +44,13 @@
         view=SimpleNamespace(replicas=replicas),
         loads=create_load_board(clock),
     )
+    context.means.crashes = create_crash_watch(
+        clock,
+        create_crash_record(clock),
+        context.means.view,
+        context.means.beliefs,
+        create_background_tasks(),
+    )
     context.service = SimpleNamespace(engine=create_small_engine())
     context.state = StreamState(None, 100.0)
     context.most = most
@@ -89,9 +98,7 @@
 
 def allowed_heads(context: Any) -> frozenset[str] | None:
     """Return where the next send may go."""
-    return context.state.used_heads.allowed(
-        context.most, lambda incarnation: has_ended(context.means, incarnation)
-    )
+    return context.state.used_heads.allowed(context.most, context.means.crashes.has_ended)
 
 
 @then('its next send may only go to "{name}"')
--- /dev/null
+++ b/src/pimentodale/forwarding/crash_watch.py
@@ -0,0 +1,136 @@
+"""Finds out whether replicas ended under a request, and holds that against it.
+
+How a send ends says little: connections are reset by sound replicas too, a replica that has crashed may just
+be silent, and a first replica may give up on a later one that did. So every send that brings no whole answer
+is followed by a look at all the replicas that it passed through.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.site.beliefs import incarnation_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from pimentodale.background import BackgroundTasks
+    from pimentodale.clock import Clock
+    from pimentodale.quarantine.crashes import CrashRecord
+    from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
+    from pimentodale.site.view import SiteView
+
+LOOK_INTERVAL_MS: Final = 50.0
+"""Pause between two looks at the replicas of a send while requests may wait for its verdict."""
+
+LATE_LOOK_INTERVAL_MS: Final = 500.0
+"""The same afterwards."""
+
+VERDICT_MS: Final = 1_500.0
+"""Longest wait of a request for the verdict on its last send, where one more crash convicts it: a silent
+replica is known to be lost after two probes of 0.5 s."""
+
+LOOK_MS: Final = 6_000.0
+"""How long after a send its replicas are looked at: the record of one that crashed lapses after three
+heartbeats of 1.2 s, and one that starts anew is back within seconds."""
+
+PROVING_EVENTS: Final = 3
+"""Events of one send after which its replicas have more than begun to run the request."""
+
+
+@dataclass(slots=True)
+class CrashWatch:
+    """Sends whose replicas are looked at."""
+
+    clock: Clock
+    record: CrashRecord
+    """What is held against requests."""
+
+    view: SiteView
+    beliefs: ReplicaBeliefs
+    background: BackgroundTasks
+    _pending: Counter[str] = field(default_factory=Counter)
+    """Sends without a verdict, by fingerprint of the request."""
+
+    def list_living(self, replica_ids: Iterable[str]) -> list[Incarnation]:
+        """Return the replicas that live as far as is known; call it as a request is sent to them."""
+        known = (self.view.replicas.get(replica_id) for replica_id in replica_ids)
+        living = [incarnation_of(replica) for replica in known if replica is not None]
+        return [incarnation for incarnation in living if not self.has_ended(incarnation)]
+
+    def has_ended(self, incarnation: Incarnation) -> bool:
+        """Whether a replica has ended, restarted or is out of reach."""
+        replica = self.view.replicas.get(incarnation[0])
+        if replica is None or incarnation_of(replica) != incarnation:
+            return True
+        return self.beliefs.is_lost(replica)
+
+    def follow(self, fingerprint: str, ran_at: Sequence[Incarnation], *, is_fresh: bool) -> None:
+        """Look in the background whether a send that brought no whole answer ended a replica.
+
+        Args:
+            fingerprint: The request.
+            ran_at: Replicas that it passed through and that lived before.
+            is_fresh: Whether they had only begun to run it.
+        """
+        if not ran_at:
+            return
+        # A first replica that has fallen silent is found out by nobody else where the caller leaves.
+        self.beliefs.suspect_unless_heard(ran_at[0])
+        self._pending[fingerprint] += 1
+        work = self._look(fingerprint, ran_at, is_fresh=is_fresh)
+        self.background.start(work, "crash watch")
+
+    async def is_refused(self, fingerprint: str) -> bool:
+        """Whether a request must not be sent, once the verdicts that may decide it are known."""
+        end_ms = self.clock.now_ms() + VERDICT_MS
+        while self._awaits_verdict(fingerprint) and self.clock.now_ms() < end_ms:
+            await self.clock.sleep_ms(LOOK_INTERVAL_MS)
+        return self.record.is_convicted(fingerprint)
+
+    def _awaits_verdict(self, fingerprint: str) -> bool:
+        """Whether the sends without a verdict may convict a request."""
+        pending = self._pending.get(fingerprint, 0)
+        return pending > 0 and self.record.may_convict(fingerprint, pending)
+
+    async def _look(
+        self, fingerprint: str, ran_at: Sequence[Incarnation], *, is_fresh: bool
+    ) -> None:
+        """Look until a replica has ended or it is too late to tell; one crash counts for a send."""
+        started_ms = self.clock.now_ms()
+        is_pending = True
+        try:
+            while True:
+                ended = next((each for each in ran_at if self.has_ended(each)), None)
+                if ended is not None:
+                    self.record.strike(fingerprint, f"{ended[0]}/{ended[1]}", is_fresh=is_fresh)
+                    return
+                waited_ms = self.clock.now_ms() - started_ms
+                if is_pending and waited_ms >= VERDICT_MS:
+                    is_pending = False
+                    self._settle(fingerprint)
+                if waited_ms >= LOOK_MS:
+                    return
+                await self.clock.sleep_ms(LOOK_INTERVAL_MS if is_pending else LATE_LOOK_INTERVAL_MS)
+        finally:
+            if is_pending:
+                self._settle(fingerprint)
+
+    def _settle(self, fingerprint: str) -> None:
+        """Count a send off that has its verdict."""
+        self._pending[fingerprint] -= 1
+        if self._pending[fingerprint] <= 0:
+            del self._pending[fingerprint]
+
+
+def create_crash_watch(
+    clock: Clock,
+    record: CrashRecord,
+    view: SiteView,
+    beliefs: ReplicaBeliefs,
+    background: BackgroundTasks,
+) -> CrashWatch:
+    """Return a watch over no sends yet."""
+    return CrashWatch(clock, record, view, beliefs, background)
--- a/src/pimentodale/forwarding/learning.py
+++ b/src/pimentodale/forwarding/learning.py
@@ -51,9 +51,9 @@
         if named is not None:
             state.avoid.add(named.replica_id)
             waited_ms = means.clock.now_ms() - state.active_ms
-            has_stalled = waited_ms >= means.stall_ms * STALLED_FRACTION
-            learn_refusal(means.beliefs, head, named, has_stalled=has_stalled)
-            if service.engine is not None and not has_stalled:
+            is_stall = has_stalled(means, waited_ms)
+            learn_refusal(means.beliefs, head, named, has_stalled=is_stall)
+            if service.engine is not None and not is_stall:
                 capacity = fill_capacity(service.engine, named)
                 means.loads.note_full(named.replica_id, capacity)
     elif end is AttemptEnd.LOST:
@@ -63,6 +63,11 @@
         means.beliefs.note_result(incarnation, True)
 
 
+def has_stalled(means: ForwardingMeans, waited_ms: float) -> bool:
+    """Whether a refusal after some wait means that the request stalled on a replica of its path."""
+    return waited_ms >= means.stall_ms * STALLED_FRACTION
+
+
 def learn_refusal(
     beliefs: ReplicaBeliefs, head: ReplicaRecord, named: ReplicaRecord, *, has_stalled: bool
 ) -> None:
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -16,12 +16,12 @@
     from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.forwarding.client_exchange import ClientExchange
+    from pimentodale.forwarding.crash_watch import CrashWatch
     from pimentodale.forwarding.loads import LoadBoard
     from pimentodale.forwarding.messages import ExchangeCodec
     from pimentodale.forwarding.retry_share import RetryShare
     from pimentodale.gateway.metrics import GatewayMetrics
     from pimentodale.placement.messages import EngineCalls
-    from pimentodale.quarantine.crashes import CrashRecord
     from pimentodale.results import ResultCode
     from pimentodale.site.beliefs import ReplicaBeliefs
     from pimentodale.site.model import BackendService, RouteRule
@@ -49,7 +49,7 @@
     paces: ReplicaPaces
     loads: LoadBoard
     retries: RetryShare
-    crashes: CrashRecord
+    crashes: CrashWatch
     metrics: GatewayMetrics
     failure_domain: str
     stall_ms: float
--- a/src/pimentodale/forwarding/refusing.py
+++ b/src/pimentodale/forwarding/refusing.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.means import log_end
 from pimentodale.results import Ran, ResultCode, create_refusal
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.client_exchange import ClientExchange
+    from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
     from pimentodale.results import Refusal
 
 
@@ -54,6 +56,13 @@
     return refusal.http_status, headers, msgspec.json.encode(refusal)
 
 
+async def refuse_convicted(means: ForwardingMeans, routed: RoutedRequest) -> None:
+    """Answer a request that crashes its replicas: coming back unchanged can't help."""
+    log_end(means, routed, ResultCode.QUARANTINED, 502)
+    message = "This request crashed the replicas that ran it; change it before sending it."
+    await fail(routed.exchange, ResultCode.QUARANTINED, message)
+
+
 async def fail(exchange: ClientExchange, code: ResultCode, message: str) -> int:
     """Answer that a request failed and may have run."""
     status = 504 if code is ResultCode.DEADLINE_EXCEEDED else 502
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -16,6 +16,7 @@
     from pimentodale.clock import Clock
     from pimentodale.forwarding.messages import Refused
     from pimentodale.placement.paths import Path
+    from pimentodale.site.beliefs import Incarnation
 
 
 class AttemptEnd(Enum):
@@ -109,8 +110,8 @@
     broken_at_start: int = 0
     """Sends that broke off before an event: the request itself may crash its replicas."""
 
-    crash_suspects: set[str] = field(default_factory=set)
-    """Ids of replicas that it ran at and that may have crashed."""
+    ran_at: list[Incarnation] = field(default_factory=list)
+    """Replicas that the send that runs has passed through, and that lived before."""
 
     refused: Refused | None = None
     """Why the last send was refused; `None` if it was not."""
--- a/src/pimentodale/forwarding/stream_watch.py
+++ b/src/pimentodale/forwarding/stream_watch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.crash_watch import PROVING_EVENTS
 from pimentodale.forwarding.slow_paths import CrawlWatch, search_slow_replicas
 from pimentodale.forwarding.stages import choose_path, note_reading
 from pimentodale.forwarding.stalls import Verdict, check_stall, find_down_part
@@ -143,6 +144,9 @@
     path = state.path
     if path is None:
         return False
+    if means.crashes.record.is_convicted(routed.fingerprint):
+        # A move would have it crash yet another replica.
+        return False
     heard_ms = state.active_ms
     request = routed.exchange.request
     check = await check_stall(
@@ -160,13 +164,15 @@
     routed.history.append(check.reason)
     state.avoid |= check.faulty
     state.blames_head = not check.faulty or path.parts[0].replica_id in check.faulty
-    state.crash_suspects |= check.faulty
     if check.verdict is Verdict.LOST or check.path is None:
         return not routed.route.is_resumable
     means.loads.remove(path.parts, state.tokens)
     state.path = check.path
     means.loads.add(check.path.parts, state.tokens)
     new_parts = [part for part in check.path.parts if part not in path.parts]
+    is_fresh = state.send_events < PROVING_EVENTS
+    means.crashes.follow(routed.fingerprint, state.ran_at, is_fresh=is_fresh)
+    state.ran_at = means.crashes.list_living(part.replica_id for part in check.path.parts)
     note_reading(means, routed.service, new_parts, state.tokens)
     state.active_ms = means.clock.now_ms()
     return True
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.learning import faulty_part, learn
+from pimentodale.forwarding.crash_watch import PROVING_EVENTS
+from pimentodale.forwarding.learning import faulty_part, has_stalled, learn
 from pimentodale.forwarding.means import log_broken_send, log_end
 from pimentodale.forwarding.path_queue import PathSeeker
-from pimentodale.forwarding.refusing import fail, refuse
+from pimentodale.forwarding.refusing import fail, refuse, refuse_convicted
 from pimentodale.forwarding.stages import (
     ROOM_WAIT_MS,
     choose_path,
@@ -17,21 +18,18 @@
     tokens_held,
 )
 from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
-from pimentodale.forwarding.stream_watch import CHECK_INTERVAL_MS, send_watched
+from pimentodale.forwarding.stream_watch import CHECK_INTERVAL_MS, PAUSE_MS, send_watched
 from pimentodale.results import ResultCode
-from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.client_exchange import ClientExchange
     from pimentodale.forwarding.means import ForwardingMeans, RoutedRequest
-    from pimentodale.site.beliefs import Incarnation
-    from pimentodale.site.model import ReplicaRecord
 
 RESUME_WAIT_MS: Final = 1_200.0
 """Longest wait for a path by a stream that has begun, before its client gives it up."""
 
-CRASH_CHECK_MS: Final = 800.0
-"""When it is looked whether a replica has crashed: a probe has ended by then."""
+ENDED_WAIT_MS: Final = 800.0
+"""Longest wait until it shows that a replica has ended that ran a stream: a probe has ended by then."""
 
 MAX_SENDS: Final = 6
 """Most sends of one attempt, refused ones included."""
@@ -45,14 +43,11 @@
         log_end(means, routed, ResultCode.UNKNOWN_MODEL, 502)
         await fail(routed.exchange, ResultCode.UNKNOWN_MODEL, "The service runs no engine.")
         return
-    fingerprint = routed.fingerprint
-    if means.crashes.is_convicted(fingerprint):
-        log_end(means, routed, ResultCode.QUARANTINED, 502)
-        message = "This request crashed the replicas that ran it."
-        await fail(routed.exchange, ResultCode.QUARANTINED, message)
-        return
     state = StreamState(request.last_event_id, tokens_held(engine, request))
     while True:
+        if await means.crashes.is_refused(routed.fingerprint):
+            await refuse_convicted(means, routed)
+            return
         end = await _next_send(means, pool, routed, state)
         if end is None:
             await _give_up(means, pool, routed, state)
@@ -65,37 +60,14 @@
             message = "The time was over before the answer was whole."
             await fail(routed.exchange, ResultCode.DEADLINE_EXCEEDED, message)
             return
-        if end is AttemptEnd.BROKEN and state.path is not None:
-            state.crash_suspects.add(state.path.parts[0].replica_id)
+        if end is AttemptEnd.BROKEN:
             state.broken_at_start += state.send_events == 0
-        _watch_for_crashes(means, state, fingerprint)
         is_over = state.broken_at_start >= routed.route.max_attempts
         if is_over or (state.may_have_run and not routed.route.is_resumable):
             await _give_up(means, pool, routed, state)
             return
 
 
-def _watch_for_crashes(means: ForwardingMeans, state: StreamState, fingerprint: str) -> None:
-    """Hold crashes against a request once probes have told them from lost connections."""
-    for replica_id in state.crash_suspects:
-        replica = means.view.replicas.get(replica_id)
-        if replica is not None:
-            work = _strike_if_crashed(means, fingerprint, replica)
-            means.background.start(work, "crash check")
-    state.crash_suspects.clear()
-
-
-async def _strike_if_crashed(
-    means: ForwardingMeans, fingerprint: str, replica: ReplicaRecord
-) -> None:
-    """Hold a replica's crash against a request, if it is down or has started anew."""
-    await means.clock.sleep_ms(CRASH_CHECK_MS)
-    known = means.view.replicas.get(replica.replica_id)
-    if known is None or known.started_ms != replica.started_ms or means.beliefs.is_lost(known):
-        crash = f"{replica.replica_id}/{replica.started_ms}"
-        means.crashes.strike(fingerprint, crash, is_fresh=True)
-
-
 async def _next_send(
     means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
 ) -> AttemptEnd | None:
@@ -112,10 +84,14 @@
     path = await pool.queue.wait(seeker, min(wait_ms, left_ms))
     if path is None:
         return None
+    if means.crashes.record.is_convicted(routed.fingerprint):
+        routed.history.append("convicted while it waited")
+        return None
     if routed.sends > 0 and not means.retries.try_spend(routed.service.name):
         routed.history.append("no retry budget")
         return None
     state.path = path
+    state.ran_at = means.crashes.list_living(part.replica_id for part in path.parts)
     state.sent_ms = state.active_ms = means.clock.now_ms()
     state.send_events = 0
     state.blames_head = True
@@ -135,6 +111,15 @@
     return end
 
 
+def _is_sound_end(
+    means: ForwardingMeans, state: StreamState, end: AttemptEnd | None, waited_ms: float
+) -> bool:
+    """Whether a send ended while its replicas answered: for want of room, of time or of a caller."""
+    if end is AttemptEnd.REFUSED:
+        return not has_stalled(means, waited_ms)
+    return end in (None, AttemptEnd.TIMED_OUT) and state.send_events > 0 and waited_ms < PAUSE_MS
+
+
 def _create_seeker(
     means: ForwardingMeans,
     routed: RoutedRequest,
@@ -169,10 +154,34 @@
     """Send a stream, counted among what runs for its workspace."""
     pool.queue.started(seeker.workspace, seeker.tokens)
     started_ms = means.clock.now_ms()
+    end: AttemptEnd | None = None
     try:
-        return await send_watched(means, pool, routed, state)
+        end = await send_watched(means, pool, routed, state)
+        return end
     finally:
         pool.queue.ended(seeker.workspace, seeker.tokens, means.clock.now_ms() - started_ms)
+        _judge_send(means, routed, state, end)
+
+
+def _judge_send(
+    means: ForwardingMeans, routed: RoutedRequest, state: StreamState, end: AttemptEnd | None
+) -> None:
+    """Clear a request that ran to its end, or follow the replicas of a send that did not.
+
+    Args:
+        means: Shared state.
+        routed: The request.
+        state: Its stream.
+        end: How the send ended; `None` where the caller has left.
+    """
+    if end in (AttemptEnd.WHOLE, AttemptEnd.PASSED_ON):
+        means.crashes.record.clear(routed.fingerprint)
+        return
+    waited_ms = means.clock.now_ms() - state.active_ms
+    if end is AttemptEnd.NOT_SENT or _is_sound_end(means, state, end, waited_ms):
+        return
+    is_fresh = state.send_events < PROVING_EVENTS
+    means.crashes.follow(routed.fingerprint, state.ran_at, is_fresh=is_fresh)
 
 
 async def _wait_for_heads(
@@ -182,29 +191,22 @@
 
     Where there are none, probes may show within a moment that one which ran the stream has ended.
     """
-    end_ms = means.clock.now_ms() + min(CRASH_CHECK_MS, routed.left_ms(means.clock.now_ms()))
+    end_ms = means.clock.now_ms() + min(ENDED_WAIT_MS, routed.left_ms(means.clock.now_ms()))
     while True:
-        heads = state.used_heads.allowed(
-            routed.route.max_attempts, lambda incarnation: has_ended(means, incarnation)
-        )
+        heads = state.used_heads.allowed(routed.route.max_attempts, means.crashes.has_ended)
         if heads is None or heads or means.clock.now_ms() >= end_ms:
             return heads
         await means.clock.sleep_ms(CHECK_INTERVAL_MS)
 
 
-def has_ended(means: ForwardingMeans, incarnation: Incarnation) -> bool:
-    """Whether a replica has ended, restarted or is out of reach."""
-    replica = means.view.replicas.get(incarnation[0])
-    if replica is None or incarnation_of(replica) != incarnation:
-        return True
-    return means.beliefs.is_lost(replica)
-
-
 async def _give_up(
     means: ForwardingMeans, pool: StreamPool, routed: RoutedRequest, state: StreamState
 ) -> None:
     """End a stream that can't be sent any more."""
     exchange: ClientExchange = routed.exchange
+    if means.crashes.record.is_convicted(routed.fingerprint):
+        await refuse_convicted(means, routed)
+        return
     if state.may_have_run:
         log_end(means, routed, ResultCode.BACKEND_SERVER_LOST, 0 if exchange.is_begun else 502)
         message = "The stream broke off and could not be resumed."
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -16,6 +16,7 @@
 from pimentodale.addresses import parse_address
 from pimentodale.background import BackgroundTasks, create_background_tasks
 from pimentodale.clock import MS_PER_S, Clock, create_clock
+from pimentodale.forwarding.crash_watch import create_crash_watch
 from pimentodale.forwarding.forwarder import forward
 from pimentodale.forwarding.front_server import create_front_server
 from pimentodale.forwarding.loads import create_load_board
@@ -249,7 +250,7 @@
         paces=paces,
         loads=create_load_board(clock),
         retries=retries,
-        crashes=record,
+        crashes=create_crash_watch(clock, record, view, beliefs, gateway.background),
         metrics=metrics,
         failure_domain=settings.failure_domain,
         stall_ms=settings.stall_ms,
