Hold crashes against plain requests too

What callers saw: a request to a plain service that crashes the replica which runs it was never refused, whether the replica resets its connections or falls silent (16 replicas ended in 8 sendings each).

Cause: forwarding/plain knew no convictions at all; they were built into streams. Plain requests go through the same record and crash watch now: looked at as they come and before each repeat, followed where the connection broke or nothing came back, cleared by a whole answer.

--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -10,7 +10,7 @@
 from pimentodale.clients.http_call import CallRequest, collect_body, open_call
 from pimentodale.clock import MS_PER_S
 from pimentodale.forwarding.means import log_broken_send, log_end
-from pimentodale.forwarding.refusing import fail, refuse
+from pimentodale.forwarding.refusing import fail, refuse, refuse_convicted
 from pimentodale.forwarding.stream_passing import CONNECT_TIMEOUT_MS
 from pimentodale.placement.messages import PathPart
 from pimentodale.results import ResultCode
@@ -66,6 +66,9 @@
     may_have_run = False
     failure: PlainReply | None = None
     while True:
+        if await means.crashes.is_refused(routed.fingerprint):
+            await refuse_convicted(means, routed)
+            return
         left_ms = routed.left_ms(means.clock.now_ms())
         replica = choose_replica(means, routed.service.name, tried)
         if left_ms <= 0 or replica is None or routed.sends >= routed.route.max_attempts:
@@ -74,7 +77,7 @@
             routed.history.append("no retry budget")
             break
         tried.add(replica.replica_id)
-        reply = await _send(means, routed, replica, left_ms, is_repeatable)
+        reply = await _send_judged(means, routed, replica, left_ms, is_repeatable)
         _note(means, routed, replica, reply)
         if reply.result is SendResult.NOT_SENT:
             continue
@@ -119,6 +122,26 @@
     return None if best is None else best[1]
 
 
+async def _send_judged(
+    means: ForwardingMeans,
+    routed: RoutedRequest,
+    replica: ReplicaRecord,
+    left_ms: float,
+    is_repeatable: bool,
+) -> PlainReply:
+    """Send a request, and hold it against the request if its replica ends meanwhile."""
+    ran_at = means.crashes.list_living([replica.replica_id])
+    reply: PlainReply | None = None
+    try:
+        reply = await _send(means, routed, replica, left_ms, is_repeatable)
+        return reply
+    finally:
+        if reply is not None and reply.result is SendResult.ANSWERED:
+            means.crashes.record.clear(routed.fingerprint)
+        elif reply is None or reply.result in (SendResult.BROKEN, SendResult.SILENT):
+            means.crashes.follow(routed.fingerprint, ran_at, is_fresh=True)
+
+
 async def _send(
     means: ForwardingMeans,
     routed: RoutedRequest,
