Let a refused request run once more after a while, at one host of the site

Cause, read in the code and weighed before any caller saw it: a request of which many run at once is at each crash of a site. If all replicas of a service lose power together it has three crashes and nowhere to run well since, and would have been refused until its record lapsed.

A refused request may run on trial 30 s and 120 s after the last crash held against it. Each trial is a key of the store that is created only if absent, so one host takes it; without the store there is none. Run to its end it is cleared everywhere. One that does harm costs two more replicas at most in all; three retries after the third crash are what the users' rule bears.

Weighed: forgetting convictions after some seconds (each host would let it through by itself); trials after 10 s (the first one came within the standing scenarios of eight sendings, 4 replicas ended in place of 3).

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -71,3 +71,17 @@
   # Guards against entries that depend on the order in which hosts hear of them.
   Scenario: what hosts know of a request merges into the same whatever the order
     Then entries that are offered in any order, and more than once, come to the same
+
+  # Guards against innocent requests that stay refused: one that runs everywhere is at every crash of a site.
+  Scenario: a refused request runs once on trial, and is served by all once that has ended well
+    Given a site of two gateways, eight replicas and a store
+    When a request that crashes a plain replica, with a reset is sent 4 times through both gateways
+    Then at most 3 replicas have crashed and the request is refused from then on
+    When nothing crashes the replicas any more
+    Then the request is served through both gateways within 34 s
+
+  # Guards against trials that hosts take each for itself: together they would end many more replicas.
+  Scenario: a request that does harm gets two trials on the whole site
+    Given 6 hosts, one of which can't reach the store, that refuse a request
+    When it comes to each of them every second for 300 s and crashes a replica on each trial
+    Then it has run on trial twice, first 30 s after its last crash
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -10,10 +10,11 @@
 from typing import Any
 
 from behave import given, then, when
-from features.support.gateway_site import GATEWAYS
+from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
 from features.support.memory_store import MemoryState, MemoryStore
 from features.support.site import wait_until
 
+from pimentodale.clients.key_value import StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.quarantine.crash_sharing import share_crashes, take_crashes
 from pimentodale.quarantine.crashes import (
@@ -22,6 +23,7 @@
     create_crash_record,
     fingerprint_of,
 )
+from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.quarantine.store_writer import create_store_writer
 
 CRASHES = {
@@ -114,6 +116,24 @@
             )
 
 
+@when("nothing crashes the replicas any more")
+def cure(context: Any) -> None:
+    for name in (*ENGINE_REPLICAS, *PLAIN_REPLICAS):
+        context.gateways.admin(name, "cure")
+
+
+@then("the request is served through both gateways within {bound_s:d} s")
+def check_cleared(context: Any, bound_s: int) -> None:
+    end_s = time.monotonic() + bound_s
+
+    def is_served_now(name: str) -> bool:
+        return bool(context.gateways.request(name, "/read/poison", body=b"poison").status == 200)
+
+    for name in GATEWAYS:
+        left_s = end_s - time.monotonic()
+        wait_until(lambda name=name: is_served_now(name), f"{name} serves it", left_s)
+
+
 POISON = fingerprint_of("/p", "w", b"poison")
 INNOCENT = fingerprint_of("/p", "w", b"innocent")
 
@@ -187,6 +207,55 @@
         task.cancel()
 
 
+@given("{count:d} hosts, one of which can't reach the store, that refuse a request")
+def make_refusing(context: Any, count: int) -> None:
+    context.clock = ManualClock(1_000.0)
+    state = MemoryState(context.clock)
+
+    async def closed(_stage: str) -> StoreFault:
+        return StoreFault(False, "out of reach")
+
+    context.records = [create_crash_record(context.clock) for _ in range(count)]
+    context.retrials = []
+    for number, record in enumerate(context.records):
+        store = MemoryStore(state, closed) if number == 0 else MemoryStore(state)
+        context.retrials.append(create_retrials(f"g{number}", context.clock, record, store))
+    crash_everywhere(context, 3)
+
+
+def crash_everywhere(context: Any, count: int) -> None:
+    """Have every host know of further crashes."""
+    for record in context.records:
+        for _ in range(count):
+            crash = f"replica-{len(record.find(POISON).fresh) if record.find(POISON) else 0}"
+            record.strike(POISON, crash, is_fresh=True)
+
+
+@when(
+    "it comes to each of them every second for {length_s:d} s and crashes a replica on each trial"
+)
+def send_for_long(context: Any, length_s: int) -> None:
+    context.trials_s = []
+    asyncio.run(ask_for_trials(context, length_s))
+
+
+async def ask_for_trials(context: Any, length_s: int) -> None:
+    """Ask each second at all hosts at once."""
+    for second in range(length_s):
+        taken = await asyncio.gather(*(each.take(POISON) for each in context.retrials))
+        for _ in range(sum(taken)):
+            context.trials_s.append(second)
+            crash_everywhere(context, 1)
+        context.clock.advance(1_000.0)
+
+
+@then("it has run on trial twice, first 30 s after its last crash")
+def check_trials(context: Any) -> None:
+    assert len(context.trials_s) == 2, context.trials_s
+    assert context.trials_s[0] == 30, context.trials_s
+    assert context.trials_s[1] - context.trials_s[0] >= 120, context.trials_s
+
+
 @then("both hosts refuse it")
 def check_refused(context: Any) -> None:
     assert all(host.is_convicted(POISON) for host in context.records)
--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, when
 from features.support.engine_fleet import create_small_engine, replica
+from features.support.memory_store import MemoryState, MemoryStore
 
 from pimentodale.addresses import Address
 from pimentodale.background import create_background_tasks
@@ -25,6 +26,7 @@
 from pimentodale.placement.messages import PathPart
 from pimentodale.placement.paths import Path, PathWish, StageLoad, find_path
 from pimentodale.quarantine.crashes import create_crash_record
+from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.model import LayerRange
 
@@ -44,12 +46,14 @@
         view=SimpleNamespace(replicas=replicas),
         loads=create_load_board(clock),
     )
+    record = create_crash_record(clock)
     context.means.crashes = create_crash_watch(
         clock,
-        create_crash_record(clock),
+        record,
         context.means.view,
         context.means.beliefs,
         create_background_tasks(),
+        create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
     )
     context.service = SimpleNamespace(engine=create_small_engine())
     context.state = StreamState(None, 100.0)
--- a/src/pimentodale/forwarding/crash_watch.py
+++ b/src/pimentodale/forwarding/crash_watch.py
@@ -18,7 +18,9 @@
 
     from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
+    from pimentodale.forwarding.means import RoutedRequest
     from pimentodale.quarantine.crashes import CrashRecord
+    from pimentodale.quarantine.retrials import Retrials
     from pimentodale.site.beliefs import Incarnation, ReplicaBeliefs
     from pimentodale.site.view import SiteView
 
@@ -51,6 +53,9 @@
     view: SiteView
     beliefs: ReplicaBeliefs
     background: BackgroundTasks
+    retrials: Retrials
+    """Lets refused requests run once more."""
+
     _pending: Counter[str] = field(default_factory=Counter)
     """Sends without a verdict, by fingerprint of the request."""
 
@@ -83,12 +88,22 @@
         work = self._look(fingerprint, ran_at, is_fresh=is_fresh)
         self.background.start(work, "crash watch")
 
-    async def is_refused(self, fingerprint: str) -> bool:
-        """Whether a request must not be sent, once the verdicts that may decide it are known."""
+    async def is_refused(self, routed: RoutedRequest) -> bool:
+        """Whether a request must not be sent, once the verdicts that may decide it are known.
+
+        Args:
+            routed: The request; one that was refused before may be put on trial.
+        """
+        fingerprint = routed.fingerprint
         end_ms = self.clock.now_ms() + VERDICT_MS
         while self._awaits_verdict(fingerprint) and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(LOOK_INTERVAL_MS)
-        return self.record.is_convicted(fingerprint)
+        if not self.record.is_convicted(fingerprint):
+            return False
+        if routed.sends == 0 and not routed.is_on_trial:
+            routed.is_on_trial = await self.retrials.take(fingerprint)
+            return not routed.is_on_trial
+        return True
 
     def _awaits_verdict(self, fingerprint: str) -> bool:
         """Whether the sends without a verdict may convict a request."""
@@ -131,6 +146,7 @@
     view: SiteView,
     beliefs: ReplicaBeliefs,
     background: BackgroundTasks,
+    retrials: Retrials,
 ) -> CrashWatch:
     """Return a watch over no sends yet."""
-    return CrashWatch(clock, record, view, beliefs, background)
+    return CrashWatch(clock, record, view, beliefs, background, retrials)
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -89,6 +89,9 @@
     longest_pause_ms: float = 0.0
     """Longest time between two events of its stream."""
 
+    is_on_trial: bool = False
+    """Whether it was refused for crashes and may run once more."""
+
     fingerprint: str = field(init=False)
     """What stays the same when its client sends it again."""
 
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -66,7 +66,7 @@
     may_have_run = False
     failure: PlainReply | None = None
     while True:
-        if await means.crashes.is_refused(routed.fingerprint):
+        if await means.crashes.is_refused(routed):
             await refuse_convicted(means, routed)
             return
         left_ms = routed.left_ms(means.clock.now_ms())
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -45,7 +45,7 @@
         return
     state = StreamState(request.last_event_id, tokens_held(engine, request))
     while True:
-        if await means.crashes.is_refused(routed.fingerprint):
+        if await means.crashes.is_refused(routed):
             await refuse_convicted(means, routed)
             return
         end = await _next_send(means, pool, routed, state)
@@ -84,7 +84,7 @@
     path = await pool.queue.wait(seeker, min(wait_ms, left_ms))
     if path is None:
         return None
-    if means.crashes.record.is_convicted(routed.fingerprint):
+    if means.crashes.record.is_convicted(routed.fingerprint) and not routed.is_on_trial:
         routed.history.append("convicted while it waited")
         return None
     if routed.sends > 0 and not means.retries.try_spend(routed.service.name):
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -44,6 +44,7 @@
 from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
 from pimentodale.quarantine.crash_sharing import share_crashes
 from pimentodale.quarantine.crashes import CRASH_RETENTION_MS, create_crash_record
+from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.results import ResultCode
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
@@ -223,6 +224,7 @@
     gateway.background.start(writer.run(), "crash writer")
     share_crashes(record, peers, writer.put, settings.host)
     follow_stored_crashes(record, view.mirror)
+    retrials = create_retrials(settings.host, clock, record, gateway.platform.store)
     metrics = create_gateway_metrics()
     metrics.store_calls = gateway.platform.store_calls
     metrics.add_gauge("requests_in_progress", lambda: len(gateway.work))
@@ -250,7 +252,7 @@
         paces=paces,
         loads=create_load_board(clock),
         retries=retries,
-        crashes=create_crash_watch(clock, record, view, beliefs, gateway.background),
+        crashes=create_crash_watch(clock, record, view, beliefs, gateway.background, retrials),
         metrics=metrics,
         failure_domain=settings.failure_domain,
         stall_ms=settings.stall_ms,
--- a/src/pimentodale/quarantine/crashes.py
+++ b/src/pimentodale/quarantine/crashes.py
@@ -101,6 +101,12 @@
             return further >= CONVICTING_CRASHES
         return not entry.is_convicted and len(entry.open_crashes) + further >= CONVICTING_CRASHES
 
+    def quiet_ms(self, fingerprint: str) -> float:
+        """Return how long nothing new has been heard of a request; 0 when nothing is known of it."""
+        if self.find(fingerprint) is None:
+            return 0.0
+        return self._clock.now_ms() - self._expire_ms[fingerprint] + CRASH_RETENTION_MS
+
     def count_convicted(self) -> int:
         """Return how many requests are refused."""
         return sum(1 for fingerprint in list(self._entries) if self.is_convicted(fingerprint))
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -166,6 +166,9 @@
     loses_answers: bool = False
     """Whether connections are reset once their request has run."""
 
+    is_cured: bool = False
+    """Whether no request crashes it any more."""
+
     running: dict[str, Run] = field(default_factory=dict)
     """The latest run of each attempt."""
 
@@ -413,7 +416,7 @@
 
     async def _crashes(self, attempt: str) -> bool:
         """Crash if the request brings that about."""
-        if self.request.body not in (POISON, SILENT_POISON):
+        if self.part.is_cured or self.request.body not in (POISON, SILENT_POISON):
             return False
         is_silent = self.request.body == SILENT_POISON
         self._journal("crash", attempt, "")
@@ -473,6 +476,15 @@
         self.reply({})
 
 
+class CureHandler(ReplicaHandler):
+    """`/admin/cure`: from now on no request crashes the replica."""
+
+    def post(self) -> None:
+        """Be cured."""
+        self.part.is_cured = True
+        self.reply({})
+
+
 class RestartHandler(ReplicaHandler):
     """`/admin/restart`: the replica starts again under its id, empty."""
 
@@ -534,6 +546,7 @@
     spawn(part.register(), "registration")
     admin: dict[str, type[PartHandler]] = {
         "/admin/drain": DrainHandler,
+        "/admin/cure": CureHandler,
         "/admin/lose-answers": LoseAnswersHandler,
         "/admin/restart": RestartHandler,
     }
