Refuse calls that crash the replicas of a plain service on the entry host too

services/crash_guard holds it against a call if the replica that gave no whole answer takes no connection any more, at once or 0.3 s later, in the same record, with the same sharing and the same trials as the gateway's. Keyed calls ask it before they go out, so that an outcome in the ledger is still replayed. Not covered: a service that takes connections and answers nothing; it has no health path that would tell it from a slow one.

--- a/features/services.feature
+++ b/features/services.feature
@@ -23,3 +23,9 @@
     When the plain service gets a POST to "/elsewhere" without a key through entry host 1
     Then the plain service answer is "unknown_operation" with ran "not_run"
     And the plain service ran 0 calls
+
+  # Guards against calls that crash one replica after the other: each sending crashed as many as it was tried on.
+  Scenario: a repeatable call that crashes the replicas of its service is refused after three crashes
+    When a status read that crashes its replica is sent 6 times, each time through the next entry host
+    Then at most 3 replicas ran it, and its last answer is "quarantined"
+    And a status read that crashes nothing is served
--- a/features/steps/services.py
+++ b/features/steps/services.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from behave import then, when
 from features.support.layout import headers_of
-from features.support.resends import SERVICES, set_service_fault
-from features.support.site import http
+from features.support.resends import ENTRIES, SERVICES, set_service_fault
+from features.support.site import http, wait_until
 
 
 @when(
@@ -32,6 +33,40 @@
         set_service_fault(context.layout, number, "reply_lost", 1000)
 
 
+@when(
+    "a status read that crashes its replica is sent {times:d} times, each time through the next "
+    "entry host"
+)
+def read_and_crash(context: Any, times: int) -> None:
+    context.replies = []
+    for number in range(times):
+        wait_until(lambda number=number: reads_status(context, number), "it is served", 10.0)
+        url = context.layout.entry_url(number % ENTRIES, "/services/rigs/status/poison")
+        context.replies.append(http(url, headers=headers_of("lab")))
+        # A caller that comes again once the replicas are back.
+        time.sleep(1.2)
+
+
+def reads_status(context: Any, number: int) -> bool:
+    """Whether an entry host serves a read that crashes nothing."""
+    url = context.layout.entry_url(number % ENTRIES, "/services/rigs/status/rig-1")
+    return bool(http(url, headers=headers_of("lab")).status == 200)
+
+
+@then('at most {most:d} replicas ran it, and its last answer is "{name}"')
+def check_crashes(context: Any, most: int, name: str) -> None:
+    runs = [run for run in context.layout.service_runs() if "poison" in run["path"]]
+    names = [reply.json()["name"] for reply in context.replies]
+    assert runs, "it never ran"
+    assert len(runs) <= most, (len(runs), names)
+    assert names[-1] == name, names
+
+
+@then("a status read that crashes nothing is served")
+def check_innocent_read(context: Any) -> None:
+    wait_until(lambda: reads_status(context, 0), "it is served", 5.0)
+
+
 @then("every plain service answer is {status:d}")
 def check_statuses(context: Any, status: int) -> None:
     assert {reply.status for reply in context.replies} == {status}, context.replies
--- a/features/support/generation_hosts.py
+++ b/features/support/generation_hosts.py
@@ -19,6 +19,7 @@
 from pimentodale.pipelines.generate import PipelineMeans, generate
 from pimentodale.pipelines.messages import Finished, Generation
 from pimentodale.quarantine.claims import pack_claim, unpack_claim
+from pimentodale.quarantine.crashes import create_crash_record
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.quarantine import create_quarantine
 from pimentodale.quarantine.register import STRIKE_RETENTION_MS
@@ -68,7 +69,10 @@
         share_entries(register, writer)
         self.background.start(writer.run(), "entry writer")
         self.background.start(
-            follow_entries(register, self.clock, store, lambda: True), "entry follower"
+            follow_entries(
+                register, create_crash_record(self.clock), self.clock, store, lambda: True
+            ),
+            "entry follower",
         )
 
 
--- a/features/support/layout.py
+++ b/features/support/layout.py
@@ -244,6 +244,7 @@
             "listen": self.service_address(number),
             "failure_domain": FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
             "journal": str(self.journal(name)),
+            "crash_mark": "poison",
         }
         path = self.site.write(f"{name}.yaml", {"parts": [part]})
         self.site.start(name, "pimentodale-standin", str(path))
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -38,9 +38,12 @@
 from pimentodale.logs import get_log
 from pimentodale.metrics import create_metrics
 from pimentodale.pipelines.generate import PipelineMeans
+from pimentodale.quarantine.crashes import create_crash_record
 from pimentodale.quarantine.quarantine import create_quarantine
+from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.results import Refusal, ResultCode, create_refusal
 from pimentodale.services.caller import create_service_caller
+from pimentodale.services.crash_guard import create_crash_guard
 from pimentodale.tracing.tracer import create_tracer
 
 if TYPE_CHECKING:
@@ -55,6 +58,7 @@
     from pimentodale.configuration.follower import Follower
     from pimentodale.entry.settings import EntrySettings
     from pimentodale.peers.peers import Peers
+    from pimentodale.quarantine.crashes import CrashRecord
     from pimentodale.routing.fleet import Fleet
     from pimentodale.services.messages import ServiceReplica
     from pimentodale.tracking_server import TrackingServer
@@ -130,7 +134,8 @@
         settings, host.clock, host.rng, follower.current, create_sign_publisher(peers)
     )
     follow_signs(peers, routing.fleet)
-    context = _create_context(host, store, follower, routing)
+    crashes = create_crash_record(host.clock)
+    context = _create_context(host, store, follower, routing, crashes)
     handlers = _create_operator_handlers(context, follower, peers, routing.fleet)
     server = create_server(create_application(context, handlers))
     server.add_sockets(sockets)
@@ -138,7 +143,7 @@
     context.pipelines.quarantine = quarantine
     show_peers(peers, context.metrics)
     share_configuration(follower, peers, host.clock, host.rng, host.background)
-    share_quarantine(quarantine, peers, store, host.clock, host.background)
+    share_quarantine(quarantine, crashes, peers, store, host.clock, host.background)
     share_demand(routing.gate.rates, peers, host.clock, host.background)
     await peers.listen()
     host.background.start(peers.run(), "peers")
@@ -186,7 +191,11 @@
 
 
 def _create_context(
-    host: EntryHost, store: KeyValueStore, follower: Follower, routing: RoutingParts
+    host: EntryHost,
+    store: KeyValueStore,
+    follower: Follower,
+    routing: RoutingParts,
+    crashes: CrashRecord,
 ) -> CallerContext:
     """Join the slices that callers' handlers work with."""
     settings, fleet, budget = host.settings, routing.fleet, routing.budget
@@ -214,6 +223,8 @@
             fleet.mark_down(replica.name, SERVICE_PAUSE_MS)
 
     pick = create_replica_picker(fleet, settings.failure_domain, host.rng)
+    retrials = create_retrials(settings.host, host.clock, crashes, store)
+    guard = create_crash_guard(crashes, retrials, host.clock, host.background)
     return CallerContext(
         clock=host.clock,
         tracer=tracer,
@@ -224,7 +235,7 @@
         gate=routing.gate,
         ledger=ledger,
         call_service=create_service_caller(
-            ledger, pick, host.clock, budget.try_spend, note_service
+            ledger, pick, host.clock, budget.try_spend, note_service, guard
         ),
         background=host.work_background,
         unready=lambda: host.unready(follower.current()),
--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -16,6 +16,7 @@
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
 from pimentodale.quarantine.claims import CLAIM_RETENTION_MS, pack_claim, unpack_claim
+from pimentodale.quarantine.crash_sharing import share_crashes
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.register import CONVICTION_RETENTION_MS, STRIKE_RETENTION_MS
 from pimentodale.quarantine.sharing import follow_entries, share_entries
@@ -34,6 +35,7 @@
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
     from pimentodale.quarantine.claims import TrialClaim
+    from pimentodale.quarantine.crashes import CrashRecord
     from pimentodale.quarantine.entries import QuarantineEntry
     from pimentodale.quarantine.quarantine import Quarantine
     from pimentodale.routing.fleet import Fleet
@@ -111,6 +113,7 @@
 
 def share_quarantine(
     quarantine: Quarantine,
+    crashes: CrashRecord,
     peers: Peers,
     store: KeyValueStore,
     clock: Clock,
@@ -139,10 +142,11 @@
             quarantine.trials.claims.offer(claim)
 
     share_entries(register, writer)
+    share_crashes(crashes, peers, writer.put, peers.own.host)
     register.subscribe(tell_entry)
     quarantine.trials.claims.connect(tell_claim)
     peers.subscribe(QUARANTINE_TOPIC, take_entry)
     peers.subscribe(TRIAL_TOPIC, take_claim)
     background.start(writer.run(), "quarantine writer")
-    followed = follow_entries(register, clock, store, peers.is_watcher)
+    followed = follow_entries(register, crashes, clock, store, peers.is_watcher)
     background.start(followed, "quarantine follower")
--- a/src/pimentodale/quarantine/sharing.py
+++ b/src/pimentodale/quarantine/sharing.py
@@ -10,6 +10,7 @@
 
 from pimentodale.clients.key_value import prefix_end
 from pimentodale.logs import get_log
+from pimentodale.quarantine.crash_sharing import CRASH_PREFIX, take_crashes
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.trials import CONVICTED_PREFIX
 
@@ -18,6 +19,7 @@
 
     from pimentodale.clients.key_value import KeyValue, KeyValueStore
     from pimentodale.clock import Clock
+    from pimentodale.quarantine.crashes import CrashRecord
     from pimentodale.quarantine.entries import QuarantineEntry
     from pimentodale.quarantine.register import QuarantineRegister
     from pimentodale.quarantine.store_writer import StoreWriter
@@ -45,6 +47,7 @@
 
 async def follow_entries(
     register: QuarantineRegister,
+    crashes: CrashRecord,
     clock: Clock,
     store: KeyValueStore,
     is_watcher: Callable[[], bool],
@@ -52,7 +55,8 @@
     """Take in the service's entries for ever: all at the start, then changes at watchers.
 
     Args:
-        register: Where they go.
+        register: Where those of generations go.
+        crashes: Where those of calls go.
         clock: Tells the time.
         store: The key-value service.
         is_watcher: Whether this host watches the service for its failure domain.
@@ -60,35 +64,42 @@
     revision = 0
     while True:
         if revision == 0:
-            revision = await _read_all(register, store)
+            revision = await _read_all(register, crashes, store)
         if revision and is_watcher():
-            revision = await _watch(register, store, revision)
+            revision = await _watch(register, crashes, store, revision)
         await clock.sleep_ms(_RETRY_MS)
 
 
-async def _read_all(register: QuarantineRegister, store: KeyValueStore) -> int:
+async def _read_all(
+    register: QuarantineRegister, crashes: CrashRecord, store: KeyValueStore
+) -> int:
     """Take in every entry; returns the revision read, 0 when there was no answer."""
     reply = await store.read(_QUARANTINE_PREFIX, prefix_end(_QUARANTINE_PREFIX))
     if reply.is_error():
         return 0
-    _take(register, reply.ok.items)
+    _take(register, crashes, reply.ok.items)
     return reply.ok.revision
 
 
-async def _watch(register: QuarantineRegister, store: KeyValueStore, revision: int) -> int:
+async def _watch(
+    register: QuarantineRegister, crashes: CrashRecord, store: KeyValueStore, revision: int
+) -> int:
     """Take in changes until the watch ends; returns the revision reached, 0 to read anew."""
     async for batch in store.watch(_QUARANTINE_PREFIX, revision + 1, _WATCH_SILENCE_MS):
         if batch.is_error():
             _log.info("The watch on quarantine ended.", reason=batch.error.message)
             return 0
-        _take(register, batch.ok.puts)
+        _take(register, crashes, batch.ok.puts)
         revision = max(revision, batch.ok.revision)
     return 0
 
 
-def _take(register: QuarantineRegister, items: Sequence[KeyValue]) -> None:
+def _take(register: QuarantineRegister, crashes: CrashRecord, items: Sequence[KeyValue]) -> None:
     """Offer the entries among stored keys."""
     for item in items:
+        if item.key.startswith(CRASH_PREFIX):
+            take_crashes(crashes, item.value, item.key)
+            continue
         if not item.key.startswith((STRUCK_PREFIX, CONVICTED_PREFIX)):
             continue
         entry = unpack_entry(item.value)
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -11,6 +11,7 @@
 from pimentodale.ledger.records import ClaimRequest, Outcome, digest_request
 from pimentodale.ledger.run_once import WorkFault, run_once
 from pimentodale.results import Ran, ResultCode, create_refusal
+from pimentodale.services.crash_guard import CONVICTED
 from pimentodale.services.messages import ServiceCall, ServiceReply
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     from pimentodale.ledger.interface import Ledger
     from pimentodale.ledger.run_once import LastLook
     from pimentodale.results import Refusal
+    from pimentodale.services.crash_guard import CrashGuard
     from pimentodale.services.messages import ServiceReplica
 
     PickReplica = Callable[[str, frozenset[str]], ServiceReplica | None]
@@ -60,7 +62,7 @@
 class ServiceCaller:
     """Calls of plain services from one host; build it with `create_service_caller`."""
 
-    __slots__ = ("_clock", "_ledger", "_pick", "_report", "_spend_retry")
+    __slots__ = ("_clock", "_guard", "_ledger", "_pick", "_report", "_spend_retry")
 
     def __init__(
         self,
@@ -69,7 +71,9 @@
         clock: Clock,
         spend_retry: Callable[[], bool],
         report: Callable[[ServiceReplica, bool], None],
+        guard: CrashGuard,
     ) -> None:
+        self._guard = guard
         self._ledger = ledger
         self._pick = pick
         self._clock = clock
@@ -143,6 +147,8 @@
             allowed = await before_send()
             return allowed
 
+        if not await self._guard.admits(call):
+            return Error(_not_sent(ResultCode.QUARANTINED, CONVICTED, None))
         excluded: set[str] = set()
         for _ in range(MAX_TRIES):
             left_ms = call.deadline_ms - self._clock.now_ms()
@@ -155,8 +161,10 @@
             reply = await fetch(replica.address, _request(call), left_ms, before_byte)
             self._report(replica, reply.is_ok())
             if reply.is_ok():
+                self._guard.note_whole(call)
                 return Ok(_to_outcome(reply.ok))
             if allowed:
+                await self._guard.note_broken(call, replica)
                 return Error(_lost(reply.error, sent=reply.error.sent))
             if forbidden():
                 break
@@ -167,6 +175,8 @@
 
     async def _call_repeatable(self, call: ServiceCall) -> Result[ServiceReply, Refusal]:
         """Try replicas until one answers, within the deadline and the retry budget."""
+        if not await self._guard.admits(call):
+            return Error(create_refusal(ResultCode.QUARANTINED, CONVICTED))
         excluded: set[str] = set()
         last: WorkFault | None = None
         busy: CallReply | None = None
@@ -180,6 +190,9 @@
             if replica is None:
                 last = last or _no_replica(call, excluded)
                 break
+            if sent and not self._guard.may_repeat(call):
+                refusal = create_refusal(ResultCode.QUARANTINED, CONVICTED, ran=Ran.MAY_HAVE_RUN)
+                return Error(refusal)
             if number and not self._spend_retry():
                 break
             excluded.add(replica.name)
@@ -187,9 +200,12 @@
             self._report(replica, reply.is_ok())
             if reply.is_error():
                 sent = sent or reply.error.sent
+                if reply.error.sent:
+                    await self._guard.note_broken(call, replica)
                 last = _lost(reply.error, sent=reply.error.sent)
                 continue
             if reply.ok.status != BUSY_STATUS:
+                self._guard.note_whole(call)
                 return Ok(_to_reply(_to_outcome(reply.ok)))
             busy = reply.ok
         if busy is not None:
@@ -215,6 +231,7 @@
     clock: Clock,
     spend_retry: Callable[[], bool],
     report: Callable[[ServiceReplica, bool], None],
+    guard: CrashGuard,
 ) -> CallService:
     """Build the function that calls plain services.
 
@@ -225,11 +242,12 @@
         clock: Time.
         spend_retry: Takes one retry from the budget; False when it is spent.
         report: Told after each try whether the replica gave a whole answer.
+        guard: Refuses calls that crash replicas.
 
     Returns:
         The function: call and "is the caller gone" in, reply or refusal out.
     """
-    return ServiceCaller(ledger, pick, clock, spend_retry, report).call
+    return ServiceCaller(ledger, pick, clock, spend_retry, report, guard).call
 
 
 def _request(call: ServiceCall) -> CallRequest:
--- a/src/pimentodale/standin/service.py
+++ b/src/pimentodale/standin/service.py
@@ -27,6 +27,9 @@
 _SLOW_FACTOR: Final = 20.0
 _ECHO_CHARS: Final = 2000
 
+CRASHED_MS: Final = 1_000.0
+"""How long a crashed service is away."""
+
 
 class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """A plain service's settings."""
@@ -58,6 +61,9 @@
     fault_calls: int = 1_000_000
     """How many calls the fault meets."""
 
+    crash_mark: str = ""
+    """Text in a call's path that crashes the service as the call runs; empty for none."""
+
 
 class ServiceFaultOrder(msgspec.Struct, forbid_unknown_fields=True):
     """Body of `POST /admin/faults`."""
@@ -113,6 +119,15 @@
         elif was_down and order.fault != "down":
             self.listen(handler)
 
+    async def crash(self, application: Any) -> None:
+        """Take no connections for a while."""
+        if self.server is None:
+            return
+        self.server.stop()
+        self.server = None
+        await self.clock.sleep_ms(CRASHED_MS)
+        self.listen(application)
+
     def listen(self, application: Any) -> None:
         """Open the port."""
         address = parse_address(self.settings.listen)
@@ -168,6 +183,10 @@
             body_sha256=hashlib.sha256(self.request.body).hexdigest(),
         )
         service.journal.write(run)
+        if service.settings.crash_mark and service.settings.crash_mark in path:
+            connection.stream.close()
+            await service.crash(self.application)
+            return
         if fault == "reply_lost":
             connection.stream.close()
             return
