Take a replica's own word that it leaves, in any of its answers

What callers and replicas see: a replica that leaves says so in all its answers (Server-Leaving), and gateways sent on to it for as long as the store's record said that it serves.

Cause: the gateway knew of leaving from the store's record alone, while the entry host had leaving/servers, 'by any sign from anywhere'. That package now serves both: the header of any answer (a success, a failure, a refusal, a report, an order) names the incarnation that was asked; hosts tell each other; the view shows such a replica as draining, so that first sends, repeats, paths and placement all go by it. It holds for that incarnation, whatever older records say. A 421 speaks of whatever stands at the address now and is passed over.

--- /dev/null
+++ b/features/steps/replica_signs.py
@@ -0,0 +1,179 @@
+"""Steps for what replicas say of themselves in their answers."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import time
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, when
+from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
+from features.support.site import wait_until
+from tornado.httputil import HTTPHeaders
+
+from pimentodale.clients.key_value import KeyValue
+from pimentodale.clock import ManualClock
+from pimentodale.forwarding.learning import learn_answer
+from pimentodale.leaving.servers import create_leaving_servers
+from pimentodale.mirror.mirror import create_mirror
+from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from pimentodale.platform.exchanges import decode_answer
+from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
+from pimentodale.site.beliefs import create_replica_beliefs
+from pimentodale.site.view import SiteRecords, create_site_view
+
+PATHS = {"a plain replica": "/read/x", "the first replica of streams": "/lm/stream"}
+SENDERS = 4
+"""Requests at once, so that several replicas get some."""
+
+
+def send(context: Any, gateway: str) -> Any:
+    """Send one request of the scenario's kind."""
+    return context.gateways.request(gateway, context.path)
+
+
+@when("the store is {state}, and {what} says in its answers that it leaves")
+def announce(context: Any, state: str, what: str) -> None:
+    site = context.gateways
+    context.path = PATHS[what]
+    if state == "down":
+        site.store_fault(down=True, down_mode="silent")
+    replicas = ENGINE_REPLICAS if context.path.startswith("/lm/") else PLAIN_REPLICAS
+    for name in GATEWAYS:
+        send(context, name)
+    served = [entry["replica"] for entry in arrivals(context)]
+    context.announcer = next(name for name in replicas if f"i-{name}" in served)
+    site.admin(context.announcer, "announce")
+
+
+@when("requests are sent until one of its answers is passed on")
+def send_until_announced(context: Any) -> None:
+    def is_announced() -> bool:
+        replies = [send(context, name) for name in GATEWAYS]
+        return any(reply.headers.get("Server-Leaving") == "1" for reply in replies)
+
+    wait_until(is_announced, "an answer that announces it is passed on", 10.0)
+    context.passed_s = time.monotonic()
+
+
+@then("no request reaches it from 2 s to 4 s after that, and all are served")
+def check_none_reaches(context: Any) -> None:
+    while time.monotonic() < context.passed_s + 2.0:
+        assert all(send(context, name).status == 200 for name in GATEWAYS)
+    before = count_arrivals(context)
+    while time.monotonic() < context.passed_s + 4.0:
+        assert all(send(context, name).status == 200 for name in GATEWAYS)
+    assert count_arrivals(context) == before, (before, count_arrivals(context))
+
+
+def arrivals(context: Any) -> list[dict[str, Any]]:
+    """Return what ran at replicas: plain requests, and the first event of each stream's run."""
+    site = context.gateways
+    events = [entry for entry in site.journal("event") if entry["detail"].startswith("1 ")]
+    return list(site.journal("run")) + events
+
+
+def count_arrivals(context: Any) -> int:
+    return sum(entry["replica"] == f"i-{context.announcer}" for entry in arrivals(context))
+
+
+@when("it starts anew")
+def start_anew(context: Any) -> None:
+    context.gateways.admin(context.announcer, "restart")
+    context.before = count_arrivals(context)
+
+
+@then("requests reach it again within {bound_s:d} s")
+def check_reaches(context: Any, bound_s: int) -> None:
+    def reaches() -> bool:
+        for name in GATEWAYS:
+            assert send(context, name).status == 200
+        return count_arrivals(context) > context.before
+
+    wait_until(reaches, "requests reach it", bound_s)
+
+
+@given("a replica that the host knows")
+def make_host(context: Any) -> None:
+    clock = ManualClock(1_000.0)
+    view = create_site_view(
+        SiteRecords(CONFIGURATION_KEY, REPLICA_PREFIX, decode_configuration, decode_replica),
+        create_mirror(clock),
+        clock,
+    )
+    view.leaving = create_leaving_servers(clock, lambda *_: None, view.note_leaving_changed)
+    context.means = SimpleNamespace(clock=clock, view=view, beliefs=create_replica_beliefs(clock))
+    context.revision = 0
+    register(context, 1)
+
+
+def register(context: Any, born: int) -> None:
+    """Have the store show a replica's record."""
+    context.revision += 1
+    record = {
+        "service": "plain",
+        "address": "127.0.0.1:8000",
+        "zone": "a",
+        "state": "ready",
+        "born": born,
+    }
+    item = KeyValue("servers/r1", json.dumps(record).encode(), 1, context.revision)
+    context.means.view.mirror.apply_changes(context.revision, [item], [])
+
+
+def has_work(context: Any) -> bool:
+    """Whether the replica may be given new requests."""
+    return bool(context.means.view.replicas_of("plain"))
+
+
+@when("an answer with status {status:d} of {whose} replica says that it leaves")
+def take_answer(context: Any, status: int, whose: str) -> None:
+    del whose
+    headers = HTTPHeaders({"Server-Leaving": "1", "Pimentodale-Attempt-Id": "attempt-1"})
+    if status in (421, 503):
+        headers["Pimentodale-Not-Executed"] = "1"
+    replica = context.means.view.replicas["r1"]
+    learn_answer(context.means, replica, decode_answer(status, headers, "attempt-1"))
+
+
+@then("the replica {gets} work")
+def check_work(context: Any, gets: str) -> None:
+    assert has_work(context) == (gets == "gets"), gets
+
+
+@when("signs and records of two incarnations come in any order from several hosts")
+def mix_signs(context: Any) -> None:
+    context.outcomes = []
+    steps = ["record 1", "sign 1", "record 1 again", "record 2", "sign 2"]
+    for order in itertools.permutations(steps):
+        make_host(context)
+        said, newest = set(), 1
+        for step in order:
+            kind, born = step.split()[:2]
+            if kind == "record":
+                # The store never shows an older incarnation after a newer one.
+                newest = max(newest, int(born))
+                register(context, newest)
+            elif int(born) in (newest, newest + 1):
+                said.add(int(born))
+                word = create_leaving_word("r1", born)
+                context.means.view.leaving.take_word(word)
+        context.outcomes.append((order, has_work(context), newest not in said))
+
+
+def create_leaving_word(replica: str, born: str) -> bytes:
+    """Return another host's sign as it travels."""
+    told: list[bytes] = []
+    other = create_leaving_servers(
+        ManualClock(1_000.0), lambda _key, value, _ttl_ms: told.append(value), lambda _: None
+    )
+    other.note_report(replica, born, leaving=True)
+    return told[0]
+
+
+@then("it has no work while the newest incarnation known has said that it leaves, and gets it else")
+def check_outcomes(context: Any) -> None:
+    for order, got, wanted in context.outcomes:
+        assert got == wanted, order
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -23,7 +23,6 @@
 from pimentodale.entry.demand import share_demand
 from pimentodale.entry.membership import (
     create_entry_peers,
-    create_sign_publisher,
     follow_signs,
     share_configuration,
     share_quarantine,
@@ -33,6 +32,7 @@
 from pimentodale.entry.services import create_replica_picker
 from pimentodale.entry.status import StatusHandler, create_status_reader
 from pimentodale.leaving.planned_stop import PlannedStop, StopSteps, create_planned_stop
+from pimentodale.leaving.servers import create_sign_publisher
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.ledger.key_ledger import create_key_ledger
 from pimentodale.logs import get_log
--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -67,15 +67,6 @@
     return create_peers(own, clock, list_peers)
 
 
-def create_sign_publisher(peers: Peers) -> Callable[[str, bytes, float], None]:
-    """Return a closure that tells all hosts that a backend server is leaving."""
-
-    def publish(key: str, value: bytes, ttl_ms: float) -> None:
-        peers.publish(LEAVING_TOPIC, key, value, ttl_ms)
-
-    return publish
-
-
 def follow_signs(peers: Peers, fleet: Fleet) -> None:
     """Have the fleet take other hosts' signs that backend servers are leaving."""
     peers.subscribe(LEAVING_TOPIC, lambda update: fleet.take_sign(update.value))
--- a/src/pimentodale/forwarding/learning.py
+++ b/src/pimentodale/forwarding/learning.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.forwarding.messages import Refused
 from pimentodale.forwarding.stream_state import AttemptEnd
 from pimentodale.placement.paths import fill_capacity
 from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.means import ForwardingMeans
+    from pimentodale.forwarding.messages import BackendAnswer
     from pimentodale.forwarding.stream_state import StreamState
     from pimentodale.site.beliefs import ReplicaBeliefs
     from pimentodale.site.model import BackendService, ReplicaRecord
@@ -68,6 +70,21 @@
     return waited_ms >= means.stall_ms * STALLED_FRACTION
 
 
+def learn_answer(means: ForwardingMeans, replica: ReplicaRecord, answer: BackendAnswer) -> None:
+    """Keep what the header of an answer says of the replica that gave it.
+
+    Args:
+        means: Shared state.
+        replica: The replica that was asked.
+        answer: What came from its address.
+    """
+    if answer.refused is Refused.WRONG_REPLICA:
+        # Another replica has the address now, and speaks for itself.
+        return
+    if answer.is_leaving:
+        means.view.note_leaving(replica)
+
+
 def learn_refusal(
     beliefs: ReplicaBeliefs, head: ReplicaRecord, named: ReplicaRecord, *, has_stalled: bool
 ) -> None:
--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -94,6 +94,9 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     """Headers that are passed on."""
 
+    is_leaving: bool = False
+    """Whether the replica says that it leaves."""
+
     @property
     def is_success(self) -> bool:
         """Whether it is a success that may be passed on."""
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -9,6 +9,7 @@
 
 from pimentodale.clients.http_call import CallRequest, collect_body, open_call
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.learning import learn_answer
 from pimentodale.forwarding.means import log_broken_send, log_end
 from pimentodale.forwarding.refusing import fail, refuse, refuse_convicted
 from pimentodale.forwarding.stream_passing import CONNECT_TIMEOUT_MS
@@ -182,6 +183,7 @@
     call = opened.ok
     try:
         answer = means.codec.decode_answer(call.status, call.headers, request.attempt_id)
+        learn_answer(means, replica, answer)
         if answer.refused is not None:
             return PlainReply(SendResult.REFUSED, answer)
         if not answer.is_genuine or answer.claims_not_run:
--- a/src/pimentodale/forwarding/stream_passing.py
+++ b/src/pimentodale/forwarding/stream_passing.py
@@ -6,6 +6,7 @@
 
 from pimentodale.clients.http_call import CallFault, CallRequest, open_call
 from pimentodale.forwarding.event_stream import EventSplitter, NoEventError, follows
+from pimentodale.forwarding.learning import learn_answer
 from pimentodale.forwarding.stream_state import AttemptEnd
 
 if TYPE_CHECKING:
@@ -65,6 +66,9 @@
     call = opened.ok
     try:
         answer = means.codec.decode_answer(call.status, call.headers, request.attempt_id)
+        replica = means.view.replicas.get(head.replica_id)
+        if replica is not None:
+            learn_answer(means, replica, answer)
         if answer.refused is not None:
             state.may_have_run = may_have_run_before
             state.refused = answer.refused
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -34,6 +34,8 @@
     share_lease,
     share_paces,
 )
+from pimentodale.leaving.servers import TOPIC as LEAVING_TOPIC
+from pimentodale.leaving.servers import create_leaving_servers, create_sign_publisher
 from pimentodale.leaving.work_in_progress import WorkInProgress, create_work_in_progress
 from pimentodale.logs import get_log
 from pimentodale.mirror.follower import create_mirror_follower
@@ -150,6 +152,11 @@
     mirror = create_mirror(gateway.clock)
     view = create_site_view(platform.records, mirror, gateway.clock)
     peers = _create_peers(gateway, view)
+    leaving = view.leaving = create_leaving_servers(
+        gateway.clock, create_sign_publisher(peers), view.note_leaving_changed
+    )
+    peers.subscribe(LEAVING_TOPIC, lambda update: leaving.take_word(update.value))
+    platform.engines.tell_leaving(view.note_leaving)
     means = _create_means(gateway, view, peers)
     follower = create_mirror_follower(mirror, platform.store, peers, gateway.clock, gateway.rng)
     placer = Placer(
--- a/src/pimentodale/leaving/servers.py
+++ b/src/pimentodale/leaving/servers.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable, Collection
 
     from pimentodale.clock import Clock
+    from pimentodale.peers.peers import Peers
 
 TOPIC: Final = "leaving"
 """Topic under which hosts tell each other."""
@@ -209,6 +210,15 @@
         return server
 
 
+def create_sign_publisher(peers: Peers) -> Callable[[str, bytes, float], None]:
+    """Return a closure that tells all hosts that a backend server is leaving."""
+
+    def publish(key: str, value: bytes, ttl_ms: float) -> None:
+        peers.publish(TOPIC, key, value, ttl_ms)
+
+    return publish
+
+
 def create_leaving_servers(
     clock: Clock,
     publish: Callable[[str, bytes, float], None],
--- a/src/pimentodale/placement/messages.py
+++ b/src/pimentodale/placement/messages.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from expression import Result
 
     from pimentodale.addresses import Address
@@ -91,6 +93,9 @@
 class EngineCalls(Protocol):
     """Reports and orders; an error says in words why there is no answer."""
 
+    def tell_leaving(self, callback: Callable[[ReplicaRecord], None]) -> None:
+        """Have a callback called with each replica whose answer says that it leaves."""
+
     async def report(self, replica: ReplicaRecord) -> Result[EngineReport, str]:
         """Ask a replica for its state."""
 
--- a/src/pimentodale/platform/engines.py
+++ b/src/pimentodale/platform/engines.py
@@ -16,8 +16,11 @@
     StalledRequest,
 )
 from pimentodale.platform.replicas import LayersRecord, decode_layers
+from pimentodale.platform.signs import LEAVING, says_leaving
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pimentodale.clients.http_call import CallReply
     from pimentodale.placement.messages import PathPart
     from pimentodale.site.model import LayerRange, ReplicaRecord
@@ -58,13 +61,19 @@
     stalled: list[_Stalled] = []
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class PlatformEngines:
     """Implements `EngineCalls` over HTTP."""
 
+    _note_leaving: Callable[[ReplicaRecord], None] = lambda _replica: None
+
+    def tell_leaving(self, callback: Callable[[ReplicaRecord], None]) -> None:
+        """Have a callback called with each replica whose answer says that it leaves."""
+        self._note_leaving = callback
+
     async def report(self, replica: ReplicaRecord) -> Result[EngineReport, str]:
         """Ask a replica for its state."""
-        reply = await _ask_report(replica)
+        reply = await self._ask_report(replica)
         if reply.is_error():
             return Error(reply.error)
         if reply.ok.status != HTTPStatus.OK:
@@ -94,7 +103,7 @@
         A plain service has no reports: it refuses the question for want of an attempt's id, and that
         takes no slot, as its health check would.
         """
-        reply = await _ask_report(replica)
+        reply = await self._ask_report(replica)
         if reply.is_error():
             return Error(reply.error)
         if reply.ok.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -128,18 +137,28 @@
         reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
         if reply.is_error():
             return Error(reply.error.message)
+        self._note_signs(replica, reply.ok)
         outcome = _OUTCOMES.get(reply.ok.status)
         if outcome is None:
             return Error(f"{replica.address} answered {reply.ok.status}: {reply.ok.body[:200]!r}")
         return Ok(outcome)
 
-
-async def _ask_report(replica: ReplicaRecord) -> Result[CallReply, str]:
-    """Ask for a report, whatever the answer's status."""
-    headers = {EXPECT_REPLICA: replica.replica_id}
-    request = CallRequest(method="GET", path="/api/report", headers=headers)
-    reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
-    return Error(reply.error.message) if reply.is_error() else Ok(reply.ok)
+    async def _ask_report(self, replica: ReplicaRecord) -> Result[CallReply, str]:
+        """Ask for a report, whatever the answer's status."""
+        headers = {EXPECT_REPLICA: replica.replica_id}
+        request = CallRequest(method="GET", path="/api/report", headers=headers)
+        reply = await fetch(replica.address, request, CALL_TIMEOUT_MS)
+        if reply.is_error():
+            return Error(reply.error.message)
+        self._note_signs(replica, reply.ok)
+        return Ok(reply.ok)
+
+    def _note_signs(self, replica: ReplicaRecord, reply: CallReply) -> None:
+        """Take a replica's word that it leaves, unless another one has its address."""
+        if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        if says_leaving(reply.headers.get(LEAVING)):
+            self._note_leaving(replica)
 
 
 def _read_report(replica: ReplicaRecord, body: bytes) -> Result[_Report, str]:
--- a/src/pimentodale/platform/exchanges.py
+++ b/src/pimentodale/platform/exchanges.py
@@ -6,6 +6,7 @@
 
 from pimentodale.forwarding.messages import BackendAnswer, ClientRequest, Refused
 from pimentodale.platform.engines import EXPECT_REPLICA, format_path
+from pimentodale.platform.signs import LEAVING, says_leaving
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -135,6 +136,7 @@
         is_foreign=echoed is not None and echoed != attempt_id,
         is_encoded="Content-Encoding" in headers,
         claims_not_run=status in _REFUSALS,
+        is_leaving=says_leaving(headers.get(LEAVING)),
         headers=[
             (name, value) for name, value in headers.get_all() if name not in _CONNECTION_HEADERS
         ],
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.addresses import BadAddressError, parse_address
@@ -16,6 +16,7 @@
 
     from pimentodale.addresses import Address
     from pimentodale.clock import Clock
+    from pimentodale.leaving.servers import LeavingServers
     from pimentodale.mirror.mirror import Mirror
     from pimentodale.site.model import ReplicaRecord, SiteConfiguration
 
@@ -70,6 +71,9 @@
     changed_ms: float = 0.0
     """When replicas last came, went or changed."""
 
+    leaving: LeavingServers | None = None
+    """Signs of leaving beyond the records: from answers, and from other hosts."""
+
     _subscribers: list[Callable[[], None]] = field(default_factory=list)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -85,6 +89,17 @@
             if replica.service == service and not replica.is_draining
         ]
 
+    def note_leaving(self, replica: ReplicaRecord) -> None:
+        """Take a replica's own word that it leaves."""
+        if self.leaving is not None:
+            self.leaving.note_report(replica.replica_id, _boot_id(replica), leaving=True)
+
+    def note_leaving_changed(self, replica_id: str) -> None:
+        """Take the record anew of a replica that signs speak of otherwise than before."""
+        key = self.records.replica_prefix + replica_id
+        if replica_id in self.replicas and key in self.mirror.items:
+            self.take({key})
+
     def take(self, keys: set[str]) -> None:
         """Decode what changed in the mirror."""
         for key in keys:
@@ -134,24 +149,32 @@
             return
         self.missing_since_outage.pop(replica_id, None)
         known = self.replicas.get(replica_id)
-        self.replicas[replica_id] = decoded.ok
-        if known is None or known.is_draining != decoded.ok.is_draining:
+        record = self.replicas[replica_id] = self._join_signs(decoded.ok)
+        if known is None or known.is_draining != record.is_draining:
             _log.info(
                 "A replica is registered.",
                 replica=replica_id,
-                draining=decoded.ok.is_draining,
-                failure_domain=decoded.ok.failure_domain,
+                draining=record.is_draining,
+                failure_domain=record.failure_domain,
                 revision=item.mod_revision,
             )
-        elif known.started_ms != decoded.ok.started_ms:
+        elif known.started_ms != record.started_ms:
             _log.info(
                 "A replica has started again.",
                 replica=replica_id,
-                started_ms=decoded.ok.started_ms,
+                started_ms=record.started_ms,
                 before_ms=known.started_ms,
                 revision=item.mod_revision,
             )
 
+    def _join_signs(self, record: ReplicaRecord) -> ReplicaRecord:
+        """Return a record as draining if the replica has said otherwise that it leaves."""
+        if self.leaving is None:
+            return record
+        self.leaving.note_report(record.replica_id, _boot_id(record), leaving=False)
+        is_draining = record.is_draining or self.leaving.is_leaving(record.replica_id)
+        return replace(record, is_draining=is_draining)
+
     def _lose(self, replica_id: str) -> None:
         """Drop a replica whose record is gone, or keep it a while after an outage."""
         now_ms = self.clock.now_ms()
@@ -186,6 +209,11 @@
             _log.warning("A host's record can't be used.", key=key, reason=str(error))
 
 
+def _boot_id(replica: ReplicaRecord) -> str:
+    """Return what names a replica's start in signs; empty where it is not known."""
+    return str(replica.started_ms) if replica.started_ms else ""
+
+
 def create_site_view(records: SiteRecords, mirror: Mirror, clock: Clock) -> SiteView:
     """Return a view that follows a mirror."""
     view = SiteView(records, mirror, clock)
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -166,6 +166,12 @@
     loses_answers: bool = False
     """Whether connections are reset once their request has run."""
 
+    is_announcing: bool = False
+    """Whether its answers say that it leaves, while its record does not."""
+
+    turned_away_s: str = ""
+    """Value of `Retry-After` with which it turns requests away; empty while it does not."""
+
     is_cured: bool = False
     """Whether no request crashes it any more."""
 
@@ -182,6 +188,8 @@
         self.held = None
         self.orders = self.highest_fence = 0
         self.started_ms = int(self.clock.wall_ms())
+        self.is_announcing = False
+        self.turned_away_s = ""
         self.outage.faults = Outage()
 
     async def crash(self, down_mode: DownMode) -> None:
@@ -238,6 +246,8 @@
     def initialize(self, part: PlatformReplicaPart) -> None:
         """Take the part."""
         self.part = part
+        if part.is_announcing:
+            self.set_header("Server-Leaving", "1")
 
     async def is_up(self) -> bool:
         """Meet the outage, and a request for another replica."""
@@ -362,6 +372,11 @@
         if not attempt or self.part.is_draining:
             self._refuse_unrun(503 if attempt else 400)
             return
+        if self.part.turned_away_s:
+            self._journal("turned away", attempt, "")
+            self.set_header("Retry-After", self.part.turned_away_s)
+            self._refuse_unrun(503)
+            return
         self.set_header("Pimentodale-Attempt-Id", attempt)
         self.set_header("Pimentodale-Replica-Stamp", f"stamp.{self.part.settings.replica_id}")
         hops = self.request.headers.get("Pimentodale-Hop-Count")
@@ -476,6 +491,33 @@
         self.reply({})
 
 
+class AnnounceHandler(ReplicaHandler):
+    """`/admin/announce`: its answers say that it leaves; its record does not, and it serves on."""
+
+    def post(self) -> None:
+        """Announce it."""
+        self.part.is_announcing = True
+        self.reply({})
+
+
+class TurnAway(msgspec.Struct):
+    """Body of `/admin/turn-away`."""
+
+    retry_after: str
+    """Value of the header, as it is sent; empty to take requests again."""
+
+
+class TurnAwayHandler(ReplicaHandler):
+    """`/admin/turn-away`: requests get 503 with `Retry-After`."""
+
+    def post(self) -> None:
+        """Turn requests away from now on."""
+        order = self.read(TurnAway)
+        if order is not None:
+            self.part.turned_away_s = order.retry_after
+            self.reply({})
+
+
 class CureHandler(ReplicaHandler):
     """`/admin/cure`: from now on no request crashes the replica."""
 
@@ -546,6 +588,8 @@
     spawn(part.register(), "registration")
     admin: dict[str, type[PartHandler]] = {
         "/admin/drain": DrainHandler,
+        "/admin/announce": AnnounceHandler,
+        "/admin/turn-away": TurnAwayHandler,
         "/admin/cure": CureHandler,
         "/admin/lose-answers": LoseAnswersHandler,
         "/admin/restart": RestartHandler,
