Send a replica nothing for as long as it asks with Retry-After

What replicas saw: one that turned requests away with 503 and Retry-After got the next ones 250 ms later. Clients waited for room that could not come, or were told 0.5 s.

admission/hold_offs keeps by incarnation until when a replica wants nothing from this host; other hosts are not told, as it spoke to one machine and may mean its own load from there. Such a replica is left out of first sends, repeats, paths and probes; a probe counts as a request here. The first request after the time goes alone, for 2 s at most, so that no crowd meets a replica that is still full. Where all have asked, clients are refused at once with the soonest time, spread over a quarter of it. Seconds, whole or fractional, and HTTP dates are read; negative values and text that is neither are logged once each and ignored; an hour is the most that is believed.

--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -41,3 +41,48 @@
     Given a replica that the host knows
     When signs and records of two incarnations come in any order from several hosts
     Then it has no work while the newest incarnation known has said that it leaves, and gets it else
+
+  # Guards against requests to a replica that has said for how long it wants none.
+  Scenario Outline: <what> that turns requests away for 5 s get at most two in that time from each gateway
+    Given a site of two gateways, eight replicas and a store
+    When <what> turn requests away for 5 s, and requests are sent through both gateways meanwhile
+    Then each of them got at most two requests from each gateway
+    And clients that were refused were told at once to come back once the 5 s are over
+    And requests are served again within 3 s
+
+    Examples:
+      | what                         |
+      | all plain replicas           |
+      | all engine replicas          |
+
+  # Guards against requests that are refused though other replicas take them.
+  Scenario: other replicas take the work of one that turns requests away
+    Given a site of two gateways, eight replicas and a store
+    When one plain replica turns requests away for 5 s, and requests are sent through both gateways meanwhile
+    Then each of them got at most two requests from each gateway
+    And all the requests were served
+
+  # Guards against a crowd of requests at the moment at which a replica takes some again.
+  Scenario: the first request after the time goes alone
+    Given a replica that has asked for nothing for 5 s
+    Then no request may go to it for 5 s
+    And then one may go, and no other before that has been taken or 2 s are over
+    When it asks for 3 s more in answer to the first
+    Then no request may go to it for 3 s
+
+  # Guards against values of Retry-After that stop a host or a replica for good.
+  Scenario Outline: a Retry-After of "<value>" asks for <asked>
+    Then a 503 with Retry-After "<value>" asks for <asked>
+
+    Examples:
+      | value                         | asked         |
+      | 5                             | 5000 ms       |
+      | 0.25                          | 250 ms        |
+      | 0                             | 0 ms          |
+      | Thu, 01 Jan 1970 00:00:00 GMT | 0 ms          |
+      | -1                            | nothing       |
+      | nan                           | nothing       |
+      | inf                           | nothing       |
+      | soon                          | nothing       |
+      | 5, 6                          | nothing       |
+      | 1e9                           | 3600000 ms at most |
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -10,9 +10,11 @@
 
 from behave import given, then, when
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
+from features.support.site import http as call
 from features.support.site import wait_until
 from tornado.httputil import HTTPHeaders
 
+from pimentodale.admission.hold_offs import create_hold_offs
 from pimentodale.clients.key_value import KeyValue
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.learning import learn_answer
@@ -177,3 +179,105 @@
 def check_outcomes(context: Any) -> None:
     for order, got, wanted in context.outcomes:
         assert got == wanted, order
+
+
+TURNED_AWAY = {
+    "all plain replicas": ("/read/x", PLAIN_REPLICAS),
+    "all engine replicas": ("/lm/stream", ENGINE_REPLICAS),
+    "one plain replica": ("/read/x", PLAIN_REPLICAS[:1]),
+}
+
+
+@when("{what} turn requests away for 5 s, and requests are sent through both gateways meanwhile")
+@when("{what} turns requests away for 5 s, and requests are sent through both gateways meanwhile")
+def turn_away(context: Any, what: str) -> None:
+    site = context.gateways
+    context.path, context.turning = TURNED_AWAY[what]
+    for name in context.turning:
+        order = {"retry_after": "5"}
+        call(f"http://{site.ip(name)}:8001/admin/turn-away", order)
+    end_s = time.monotonic() + 4.0
+    context.replies = []
+    while time.monotonic() < end_s:
+        for name in GATEWAYS:
+            started_s = time.monotonic()
+            reply = send(context, name)
+            context.replies.append((started_s, time.monotonic() - started_s, reply))
+    for name in context.turning:
+        call(f"http://{site.ip(name)}:8001/admin/turn-away", {"retry_after": ""})
+    context.mended_s = time.monotonic()
+
+
+@then("each of them got at most two requests from each gateway")
+def check_turned_away(context: Any) -> None:
+    got = [entry["replica"] for entry in context.gateways.journal("turned away")]
+    assert got, "none was turned away"
+    for name in context.turning:
+        assert got.count(f"i-{name}") <= 2 * len(GATEWAYS), (name, len(got))
+
+
+@then("clients that were refused were told at once to come back once the 5 s are over")
+def check_told(context: Any) -> None:
+    refused = [entry for entry in context.replies if entry[2].status == 503]
+    assert len(refused) > 20, len(refused)
+    first_s = context.replies[0][0]
+    # The first ones find out which replicas take nothing; those after them are told at once.
+    for started_s, took_s, reply in refused[10:]:
+        assert took_s < 0.25, took_s
+        left_s = first_s + 5.0 - started_s
+        assert reply.json()["ran"] == "not_run", reply
+        assert left_s - 0.5 <= float(reply.headers["Retry-After"]) <= 5.0 * 1.25 + 0.1, reply
+
+
+@then("requests are served again within {bound_s:d} s")
+def check_served_again(context: Any, bound_s: int) -> None:
+    for name in GATEWAYS:
+        wait_until(lambda name=name: send(context, name).status == 200, "served", bound_s)
+
+
+@then("all the requests were served")
+def check_all_served(context: Any) -> None:
+    statuses = [reply.status for _, _, reply in context.replies]
+    assert set(statuses) == {200}, statuses
+
+
+@given("a replica that has asked for nothing for 5 s")
+def make_hold(context: Any) -> None:
+    context.clock = ManualClock(1_000.0)
+    context.holds = create_hold_offs(context.clock)
+    context.holds.hold("r1", 5_000.0)
+
+
+@then("no request may go to it for {length_s:d} s")
+def check_held(context: Any, length_s: int) -> None:
+    for _ in range(length_s * 10):
+        assert not context.holds.allows("r1")
+        context.clock.advance(100.0)
+
+
+@then("then one may go, and no other before that has been taken or 2 s are over")
+def check_alone(context: Any) -> None:
+    holds = context.holds
+    assert holds.allows("r1")
+    holds.note_sent("r1")
+    assert not holds.allows("r1")
+    context.clock.advance(2_000.0)
+    assert holds.allows("r1")
+    holds.note_sent("r1")
+    assert not holds.allows("r1")
+
+
+@when("it asks for 3 s more in answer to the first")
+def ask_again(context: Any) -> None:
+    context.holds.hold("r1", 3_000.0)
+
+
+@then('a 503 with Retry-After "{value}" asks for {asked}')
+def check_parsed(context: Any, value: str, asked: str) -> None:
+    answer = decode_answer(503, HTTPHeaders({"Retry-After": value}), "attempt-1")
+    if asked == "nothing":
+        assert answer.hold_off_ms is None, answer
+        return
+    holds = create_hold_offs(ManualClock(1_000.0))
+    holds.hold("r1", answer.hold_off_ms)
+    assert holds.left_ms("r1") == float(asked.split()[0]), holds.left_ms("r1")
--- a/src/pimentodale/forwarding/learning.py
+++ b/src/pimentodale/forwarding/learning.py
@@ -83,6 +83,11 @@
         return
     if answer.is_leaving:
         means.view.note_leaving(replica)
+    incarnation = incarnation_of(replica)
+    if answer.hold_off_ms is not None:
+        means.beliefs.hold_offs.hold(incarnation, answer.hold_off_ms)
+    else:
+        means.beliefs.hold_offs.note_taken(incarnation)
 
 
 def learn_refusal(
--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -97,6 +97,9 @@
     is_leaving: bool = False
     """Whether the replica says that it leaves."""
 
+    hold_off_ms: float | None = None
+    """How long the replica wants nothing more from this host; `None` where it doesn't say."""
+
     @property
     def is_success(self) -> bool:
         """Whether it is a success that may be passed on."""
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -12,6 +12,7 @@
 from pimentodale.forwarding.learning import learn_answer
 from pimentodale.forwarding.means import log_broken_send, log_end
 from pimentodale.forwarding.refusing import fail, refuse, refuse_convicted
+from pimentodale.forwarding.stages import HELD_SPREAD, held_back_ms
 from pimentodale.forwarding.stream_passing import CONNECT_TIMEOUT_MS
 from pimentodale.placement.messages import PathPart
 from pimentodale.results import ResultCode
@@ -132,6 +133,7 @@
 ) -> PlainReply:
     """Send a request, and hold it against the request if its replica ends meanwhile."""
     ran_at = means.crashes.list_living([replica.replica_id])
+    means.beliefs.hold_offs.note_sent(incarnation_of(replica))
     reply: PlainReply | None = None
     try:
         reply = await _send(means, routed, replica, left_ms, is_repeatable)
@@ -235,4 +237,7 @@
     code = ResultCode.BACKEND_SERVER_UNREACHABLE
     log_end(means, routed, code, 503)
     message = "No replica takes requests now; it has not run, come back."
-    await refuse(exchange, code, message, retry_after_ms=RETRY_AFTER_MS)
+    held_ms = held_back_ms(means, routed.service.name)
+    # Clients that come back to replicas that were held back come one by one over some time.
+    retry_after_ms = max(RETRY_AFTER_MS, held_ms * means.rng.uniform(1.0, HELD_SPREAD))
+    await refuse(exchange, code, message, retry_after_ms=retry_after_ms)
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clock import MS_PER_S
 from pimentodale.placement.paths import PathWish, StageLoad, find_path, read_ms
+from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -30,6 +32,10 @@
 """Longest wait for room; clients leave when no event comes within 2 s."""
 
 
+HELD_SPREAD: Final = 1.25
+"""Factor up to which clients are told to come back later than replicas take requests again."""
+
+
 def tokens_held(engine: EngineModel, request: ClientRequest) -> float:
     """Estimate the tokens that a request holds on average while it runs."""
     answer = engine.usual_answer_tokens
@@ -144,13 +150,32 @@
     return [stage for stage in stages if stage.record.failure_domain in searched]
 
 
-def covers_model(means: ForwardingMeans, service: BackendService) -> bool:
-    """Whether replicas that are not lost hold every layer, room or not."""
+def held_back_ms(means: ForwardingMeans, service: str) -> float:
+    """Return how long all replicas of a service want nothing from this host; 0 if one takes requests."""
+    replicas = map(incarnation_of, means.view.replicas_of(service))
+    return means.beliefs.hold_offs.soonest_ms(replicas)
+
+
+def covers_model(
+    means: ForwardingMeans, service: BackendService, held_within_ms: float = math.inf
+) -> bool:
+    """Whether replicas that are not lost hold every layer, room or not.
+
+    Args:
+        means: Shared state.
+        service: The service.
+        held_within_ms: Longest time for which replicas may want nothing from this host.
+    """
     if service.engine is None:
         return False
     covered = 0
     stages = list_stages(means, service, and_doubted=True)
-    ranges = sorted((held.first, held.end) for stage in stages if (held := stage.record.held))
+    left_ms = means.beliefs.hold_offs.left_ms
+    ranges = sorted(
+        (held.first, held.end)
+        for stage in stages
+        if (held := stage.record.held) and left_ms(incarnation_of(stage.record)) <= held_within_ms
+    )
     for first, end in ranges:
         if first > covered:
             return False
@@ -158,6 +183,14 @@
     return covered >= service.engine.layers
 
 
+def held_model_ms(means: ForwardingMeans, service: BackendService) -> float:
+    """Return how long some layers are held by replicas alone that want nothing from this host."""
+    left_ms = means.beliefs.hold_offs.left_ms
+    times_ms = {left_ms(incarnation_of(each)) for each in means.view.replicas_of(service.name)}
+    covering = (time_ms for time_ms in sorted(times_ms) if covers_model(means, service, time_ms))
+    return next(covering, 0.0)
+
+
 def repair_ms(engine: EngineModel) -> float:
     """Estimate how long lost layers take to be loaded elsewhere."""
     return MS_PER_S + engine.load_ms * 0.1
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -10,16 +10,19 @@
 from pimentodale.forwarding.path_queue import PathSeeker
 from pimentodale.forwarding.refusing import fail, refuse, refuse_convicted
 from pimentodale.forwarding.stages import (
+    HELD_SPREAD,
     ROOM_WAIT_MS,
     choose_path,
     count_crossings,
     covers_model,
+    held_model_ms,
     repair_ms,
     tokens_held,
 )
 from pimentodale.forwarding.stream_state import AttemptEnd, StreamPool, StreamState
 from pimentodale.forwarding.stream_watch import CHECK_INTERVAL_MS, PAUSE_MS, send_watched
 from pimentodale.results import ResultCode
+from pimentodale.site.beliefs import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.client_exchange import ClientExchange
@@ -28,6 +31,10 @@
 RESUME_WAIT_MS: Final = 1_200.0
 """Longest wait for a path by a stream that has begun, before its client gives it up."""
 
+HELD_WAIT_MS: Final = 300.0
+"""Longest wait for replicas that want nothing from this host: the first request afterwards goes alone, so
+that most who wait would be refused all the same."""
+
 ENDED_WAIT_MS: Final = 800.0
 """Longest wait until it shows that a replica has ended that ran a stream: a probe has ended by then."""
 
@@ -91,6 +98,9 @@
         routed.history.append("no retry budget")
         return None
     state.path = path
+    head_record = means.view.replicas.get(path.parts[0].replica_id)
+    if head_record is not None:
+        means.beliefs.hold_offs.note_sent(incarnation_of(head_record))
     state.ran_at = means.crashes.list_living(part.replica_id for part in path.parts)
     state.sent_ms = state.active_ms = means.clock.now_ms()
     state.send_events = 0
@@ -138,7 +148,7 @@
         usual_tokens=usual,
         is_begun=routed.exchange.is_begun,
         find=lambda: choose_path(means, service, tokens, avoid, heads=heads),
-        may_come=lambda: covers_model(means, service),
+        may_come=lambda: covers_model(means, service, held_within_ms=HELD_WAIT_MS),
         reserve=lambda path: means.loads.add(path.parts, tokens),
         give_back=lambda path: means.loads.remove(path.parts, tokens),
     )
@@ -216,7 +226,8 @@
     if covers_model(means, routed.service) or engine is None:
         log_end(means, routed, ResultCode.QUEUE_FULL, 503)
         message = "All replicas are full; it has not run, come back."
-        retry_after_ms = pool.returns.take_ms()
+        held_ms = held_model_ms(means, routed.service) * means.rng.uniform(1.0, HELD_SPREAD)
+        retry_after_ms = max(pool.returns.take_ms(), held_ms)
         await refuse(
             exchange, ResultCode.QUEUE_FULL, message, retry_after_ms=retry_after_ms, status=503
         )
--- a/src/pimentodale/platform/exchanges.py
+++ b/src/pimentodale/platform/exchanges.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.clients.retry_after import RETRY_AFTER, read_retry_after_ms
 from pimentodale.forwarding.messages import BackendAnswer, ClientRequest, Refused
 from pimentodale.platform.engines import EXPECT_REPLICA, format_path
 from pimentodale.platform.signs import LEAVING, says_leaving
@@ -137,6 +138,7 @@
         is_encoded="Content-Encoding" in headers,
         claims_not_run=status in _REFUSALS,
         is_leaving=says_leaving(headers.get(LEAVING)),
+        hold_off_ms=read_retry_after_ms(headers.get(RETRY_AFTER)) if status == 503 else None,
         headers=[
             (name, value) for name, value in headers.get_all() if name not in _CONNECTION_HEADERS
         ],
--- a/src/pimentodale/site/beliefs.py
+++ b/src/pimentodale/site/beliefs.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.admission.hold_offs import HoldOffs, create_hold_offs
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -86,6 +87,9 @@
 
     rng: random.Random = field(default_factory=random.SystemRandom)
 
+    hold_offs: HoldOffs[Incarnation] = field(init=False)
+    """Replicas that want nothing from this host for a while."""
+
     _down: dict[Incarnation, _Down] = field(default_factory=dict)
     _suspects: set[Incarnation] = field(default_factory=set)
     _passed_over: dict[Incarnation, float] = field(default_factory=dict)
@@ -94,6 +98,10 @@
     _doubted: dict[Incarnation, float] = field(default_factory=dict)
     _failures: dict[Incarnation, _Failures] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Begin with no replica that wants nothing."""
+        self.hold_offs = create_hold_offs(self.clock)
+
     def has_word_of(self, replica: ReplicaRecord) -> bool:
         """Whether anything is held for or against a replica; of most there is nothing."""
         incarnation = incarnation_of(replica)
@@ -102,10 +110,13 @@
             or incarnation in self._passed_over
             or incarnation in self._doubted
             or incarnation in self._down
+            or incarnation in self.hold_offs
         )
 
     def is_usable(self, replica: ReplicaRecord) -> bool:
         """Whether new work may go to a replica."""
+        if not self.hold_offs.allows(incarnation_of(replica)):
+            return False
         return self.keeps_work(replica) and not self._lasts(self._passed_over, replica)
 
     def keeps_work(self, replica: ReplicaRecord) -> bool:
@@ -122,8 +133,11 @@
         return down is not None and down.failed_probes > 0
 
     def suspect(self, incarnation: Incarnation) -> None:
-        """Have a replica probed; it keeps its work until it leaves that without an answer."""
-        if incarnation not in self._down:
+        """Have a replica probed; it keeps its work until it leaves that without an answer.
+
+        One that wants nothing for a while is left alone: it gets no work meanwhile anyway.
+        """
+        if incarnation not in self._down and self.hold_offs.left_ms(incarnation) <= 0.0:
             self._suspects.add(incarnation)
 
     def suspect_unless_heard(self, incarnation: Incarnation) -> None:
@@ -238,6 +252,7 @@
         self._heard_ms.pop(incarnation, None)
         self._answered_ms.pop(incarnation, None)
         self._failures.pop(incarnation, None)
+        self.hold_offs.forget(incarnation)
 
     def note_result(self, incarnation: Incarnation, whole: bool) -> None:
         """Count an answer of a replica."""
