Have the soak send crashing requests, and replicas that announce leaving or turn requests away

What replicas meet is drawn apart from the rest, so that earlier seeds keep the faults that they drew.

--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -10,7 +10,6 @@
 
 from behave import given, then, when
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
-from features.support.site import http as call
 from features.support.site import wait_until
 from tornado.httputil import HTTPHeaders
 
@@ -194,8 +193,7 @@
     site = context.gateways
     context.path, context.turning = TURNED_AWAY[what]
     for name in context.turning:
-        order = {"retry_after": "5"}
-        call(f"http://{site.ip(name)}:8001/admin/turn-away", order)
+        site.turn_away(name, "5")
     end_s = time.monotonic() + 4.0
     context.replies = []
     while time.monotonic() < end_s:
@@ -204,7 +202,7 @@
             reply = send(context, name)
             context.replies.append((started_s, time.monotonic() - started_s, reply))
     for name in context.turning:
-        call(f"http://{site.ip(name)}:8001/admin/turn-away", {"retry_after": ""})
+        site.turn_away(name, "")
     context.mended_s = time.monotonic()
 
 
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -242,6 +242,11 @@
         """Bring something about at a replica."""
         call(f"http://{self.ip(name)}:8001/admin/{what}", {})
 
+    def turn_away(self, name: str, retry_after: str) -> None:
+        """Have a replica turn requests away with `Retry-After`; an empty value ends that."""
+        url = f"http://{self.ip(name)}:8001/admin/turn-away"
+        call(url, {"retry_after": retry_after})
+
     def journal(self, what: str) -> list[dict[str, Any]]:
         """Return what replicas did, of one sort."""
         entries = read_journal(self.site.folder / "journal")
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import random
 import shutil
 import signal
@@ -40,6 +41,9 @@
 LAST_S: Final = (0.3, 3.0)
 """How long a fault lasts."""
 
+MAX_CRASHES: Final = 6
+"""Replicas that may end under one request: three, and three further sendings that the users' rule bears."""
+
 
 @dataclass(slots=True)
 class SoakResult:
@@ -60,6 +64,9 @@
     site: GatewaySite
     result: SoakResult
     rng: random.Random
+    replica_rng: random.Random
+    """Draws what replicas say and meet, apart from the rest, so that seeds keep what they drew."""
+
     stop: threading.Event = field(default_factory=threading.Event)
     lock: threading.Lock = field(default_factory=threading.Lock)
     bookings: dict[str, int] = field(default_factory=dict)
@@ -77,7 +84,7 @@
         gateways.start_gateway("g1")
         gateways.start_gateway("g2", store=f"{site.ip(2)}:9002")
         gateways.wait_serving()
-        run = _Run(gateways, result, random.Random(seed))
+        run = _Run(gateways, result, random.Random(seed), random.Random(-seed - 1))
         clients = [
             threading.Thread(target=work, args=(run, name))
             for name in GATEWAYS
@@ -148,6 +155,12 @@
         _take_store,
         _change_configuration,
     ]
+    replica_acts: list[Callable[[_Run], Callable[[], None]]] = [
+        _announce_leaving,
+        _turn_away,
+        _send_poison,
+        _rest,
+    ]
     mends: list[tuple[float, Callable[[], None]]] = []
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -158,6 +171,9 @@
         act = run.rng.choice(acts)
         run.result.counts[act.__name__.strip("_")] += 1
         mends.append((time.monotonic() + run.rng.uniform(*LAST_S), act(run)))
+        act = run.replica_rng.choice(replica_acts)
+        run.result.counts[act.__name__.strip("_")] += 1
+        mends.append((time.monotonic() + run.replica_rng.uniform(*LAST_S), act(run)))
     for _, mend in mends:
         mend()
 
@@ -212,6 +228,38 @@
     return mend
 
 
+def _announce_leaving(run: _Run) -> Callable[[], None]:
+    """Have a replica say in its answers alone that it leaves; it starts again."""
+    name = run.replica_rng.choice((*ENGINE_REPLICAS, *PLAIN_REPLICAS))
+    run.site.admin(name, "announce")
+    return lambda: run.site.admin(name, "restart")
+
+
+def _turn_away(run: _Run) -> Callable[[], None]:
+    """Have a replica turn requests away, and say for how long."""
+    name = run.replica_rng.choice((*ENGINE_REPLICAS, *PLAIN_REPLICAS))
+    run.site.turn_away(name, "0.8")
+    return lambda: run.site.turn_away(name, "")
+
+
+def _send_poison(run: _Run) -> Callable[[], None]:
+    """Send a request that crashes its first replica."""
+    gateway = run.replica_rng.choice(GATEWAYS)
+
+    def send() -> None:
+        # Whatever breaks the connection is no answer.
+        with contextlib.suppress(Exception):
+            run.site.request(gateway, "/lm/stream", body=b"poison")
+
+    threading.Thread(target=send, daemon=True).start()
+    return lambda: None
+
+
+def _rest(_run: _Run) -> Callable[[], None]:
+    """Bring nothing about."""
+    return lambda: None
+
+
 def _take_store(run: _Run) -> Callable[[], None]:
     """Take the store away."""
     run.site.store_fault(down=True, down_mode=run.rng.choice(("reset", "silent")))
@@ -232,6 +280,8 @@
     """Mend everything, and wait until both gateways serve and hold the newest configuration."""
     for name in (*ENGINE_REPLICAS, *PLAIN_REPLICAS, "store"):
         run.site.link_fault(name)
+    for name in (*ENGINE_REPLICAS, *PLAIN_REPLICAS):
+        run.site.turn_away(name, "")
     run.site.store_fault()
     run.site.configure([{"path_prefix": "/last/", "kind": "idempotent", "service": "plain"}])
     for name in GATEWAYS:
@@ -271,6 +321,9 @@
             run.result.broken.append(f"booking {attempt} ran and was answered {status}")
         if status == 200 and not runs[attempt]:
             run.result.broken.append(f"booking {attempt} was answered 200 and never ran")
+    crashes = len(run.site.journal("crash"))
+    if crashes > MAX_CRASHES:
+        run.result.broken.append(f"{crashes} replicas ended under one request")
     for event in run.site.journal("event"):
         _check_layers(run, event)
     for order in run.site.journal("place"):
