Have the entry host leave service replicas alone for as long as they ask

The entry host's calls of services go by admission/hold_offs now, too, and by the one reader of Retry-After, in clients/. Engines of the entry host give no Retry-After in the protocol as it stands.

--- a/features/services.feature
+++ b/features/services.feature
@@ -29,3 +29,9 @@
     When a status read that crashes its replica is sent 6 times, each time through the next entry host
     Then at most 3 replicas ran it, and its last answer is "quarantined"
     And a status read that crashes nothing is served
+
+  # Guards against calls of replicas that have said for how long they want none.
+  Scenario: replicas that turn calls away for 5 s get at most two in that time
+    When all replicas of the plain service turn calls away for 5 s, and its status is read 30 times
+    Then each replica turned at most two calls away
+    And the later reads were refused at once, to come back within 5 s
--- a/features/steps/services.py
+++ b/features/steps/services.py
@@ -8,7 +8,7 @@
 from behave import then, when
 from features.support.layout import headers_of
 from features.support.resends import ENTRIES, SERVICES, set_service_fault
-from features.support.site import http, wait_until
+from features.support.site import http, read_journal, wait_until
 
 
 @when(
@@ -67,6 +67,33 @@
     wait_until(lambda: reads_status(context, 0), "it is served", 5.0)
 
 
+@when(
+    "all replicas of the plain service turn calls away for 5 s, and its status is read "
+    "{times:d} times"
+)
+def read_turned_away(context: Any, times: int) -> None:
+    for number in range(SERVICES):
+        order = {"fault": "refuse", "retry_after": "5"}
+        http(f"http://{context.layout.service_address(number)}/admin/faults", order)
+    url = context.layout.entry_url(0, "/services/rigs/status/rig-1")
+    context.replies = [http(url, headers=headers_of("lab")) for _ in range(times)]
+
+
+@then("each replica turned at most two calls away")
+def check_turned_away(context: Any) -> None:
+    for number in range(SERVICES):
+        lines = read_journal(context.layout.journal(f"rigs-{number}"))
+        refused = [line for line in lines if line["event"] == "service_refused"]
+        assert 1 <= len(refused) <= 2, (number, len(refused))
+
+
+@then("the later reads were refused at once, to come back within {bound_s:d} s")
+def check_told(context: Any, bound_s: int) -> None:
+    for reply in context.replies[3:]:
+        assert reply.status == 503, reply
+        assert 0.0 < reply.json()["retry_after_ms"] <= bound_s * 1_000.0, reply
+
+
 @then("every plain service answer is {status:d}")
 def check_statuses(context: Any, status: int) -> None:
     assert {reply.status for reply in context.replies} == {status}, context.replies
--- a/src/pimentodale/admission/hold_offs.py
+++ b/src/pimentodale/admission/hold_offs.py
@@ -73,6 +73,10 @@
         hold = self._holds.get(key)
         return hold is None or self._clock.now_ms() >= max(hold.until_ms, hold.alone_until_ms)
 
+    def held(self) -> frozenset[_Key]:
+        """Return the servers to which no request may go now."""
+        return frozenset(key for key in self._holds if not self.allows(key))
+
     def note_sent(self, key: _Key) -> None:
         """Note that a request goes to a server; the first one after the time goes alone."""
         hold = self._holds.get(key)
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -7,7 +7,9 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.admission.hold_offs import HoldOffs, create_hold_offs
 from pimentodale.clients.http_call import CallFault, CallReply, CallRequest, fetch
+from pimentodale.clients.retry_after import RETRY_AFTER, read_retry_after_ms
 from pimentodale.ledger.records import ClaimRequest, Outcome, digest_request
 from pimentodale.ledger.run_once import WorkFault, run_once
 from pimentodale.results import Ran, ResultCode, create_refusal
@@ -62,7 +64,7 @@
 class ServiceCaller:
     """Calls of plain services from one host; build it with `create_service_caller`."""
 
-    __slots__ = ("_clock", "_guard", "_ledger", "_pick", "_report", "_spend_retry")
+    __slots__ = ("_clock", "_guard", "_holds", "_ledger", "_pick", "_report", "_spend_retry")
 
     def __init__(
         self,
@@ -74,6 +76,7 @@
         guard: CrashGuard,
     ) -> None:
         self._guard = guard
+        self._holds: HoldOffs[str] = create_hold_offs(clock)
         self._ledger = ledger
         self._pick = pick
         self._clock = clock
@@ -154,12 +157,12 @@
             left_ms = call.deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return Error(_deadline_passed())
-            replica = self._pick(call.service.name, frozenset(excluded))
+            replica = self._pick(call.service.name, self._holds.held() | excluded)
             if replica is None:
-                return Error(_no_replica(call, excluded))
+                return Error(self._no_replica(call, excluded))
             excluded.add(replica.name)
             reply = await fetch(replica.address, _request(call), left_ms, before_byte)
-            self._report(replica, reply.is_ok())
+            self._note_reply(replica, reply)
             if reply.is_ok():
                 self._guard.note_whole(call)
                 return Ok(_to_outcome(reply.ok))
@@ -186,9 +189,9 @@
             if left_ms <= 0:
                 last = _deadline_passed()
                 break
-            replica = self._pick(call.service.name, frozenset(excluded))
+            replica = self._pick(call.service.name, self._holds.held() | excluded)
             if replica is None:
-                last = last or _no_replica(call, excluded)
+                last = last or self._no_replica(call, excluded)
                 break
             if sent and not self._guard.may_repeat(call):
                 refusal = create_refusal(ResultCode.QUARANTINED, CONVICTED, ran=Ran.MAY_HAVE_RUN)
@@ -196,8 +199,9 @@
             if number and not self._spend_retry():
                 break
             excluded.add(replica.name)
+            self._holds.note_sent(replica.name)
             reply = await fetch(replica.address, _request(call), self._try_ms(left_ms))
-            self._report(replica, reply.is_ok())
+            self._note_reply(replica, reply)
             if reply.is_error():
                 sent = sent or reply.error.sent
                 if reply.error.sent:
@@ -210,7 +214,7 @@
             busy = reply.ok
         if busy is not None:
             return Ok(_to_reply(_to_outcome(busy)))
-        fault = last or _no_replica(call, excluded)
+        fault = last or self._no_replica(call, excluded)
         return Error(
             create_refusal(
                 fault.code,
@@ -220,6 +224,31 @@
             )
         )
 
+    def _note_reply(self, replica: ServiceReplica, reply: Result[CallReply, CallFault]) -> None:
+        """Keep what a try showed of its replica."""
+        self._report(replica, reply.is_ok())
+        if reply.is_error():
+            return
+        value = reply.ok.headers.get(RETRY_AFTER)
+        hold_ms = read_retry_after_ms(value) if reply.ok.status == BUSY_STATUS else None
+        if hold_ms is None:
+            self._holds.note_taken(replica.name)
+        else:
+            self._holds.hold(replica.name, hold_ms)
+
+    def _no_replica(self, call: ServiceCall, excluded: set[str]) -> WorkFault:
+        """Return the fault of a service without a replica to try."""
+        name = call.service.name
+        held = self._holds.held()
+        if held and self._pick(name, frozenset()) is not None:
+            message = f"The replicas of service '{name}' want no calls for a while."
+            retry_after_ms = max(1.0, self._holds.soonest_ms(held))
+            return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message, retry_after_ms)
+        if excluded:
+            message = f"No replica of service '{name}' took the connection."
+            return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message)
+        return _not_sent(ResultCode.NO_ROUTE, f"Service '{name}' has no live replica now.")
+
     def _try_ms(self, left_ms: float) -> float:
         """Return the time for one try, which leaves as much for another after it."""
         return left_ms if left_ms / 2 < MIN_TRY_MS else left_ms / 2
@@ -288,15 +317,6 @@
     return _not_sent(ResultCode.DEADLINE_EXCEEDED, message, None)
 
 
-def _no_replica(call: ServiceCall, excluded: set[str]) -> WorkFault:
-    """Return the fault of a service without a replica to try."""
-    name = call.service.name
-    if excluded:
-        message = f"No replica of service '{name}' took the connection."
-        return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message)
-    return _not_sent(ResultCode.NO_ROUTE, f"Service '{name}' has no live replica now.")
-
-
 def _lost(fault: CallFault, *, sent: bool) -> WorkFault:
     """Return the fault of a call that a replica did not answer whole."""
     code = ResultCode.BACKEND_SERVER_LOST if sent else ResultCode.BACKEND_SERVER_UNREACHABLE
--- a/src/pimentodale/standin/service.py
+++ b/src/pimentodale/standin/service.py
@@ -74,6 +74,9 @@
     calls: int = 1_000_000
     """How many calls it meets."""
 
+    retry_after: str = ""
+    """`Retry-After` of refusals; empty for none."""
+
 
 class ServiceReply(msgspec.Struct):
     """Answer of every call."""
@@ -89,7 +92,17 @@
 class PlainService:
     """State of one plain service."""
 
-    __slots__ = ("clock", "fault", "fault_calls", "journal", "runs", "server", "settings", "silent")
+    __slots__ = (
+        "clock",
+        "fault",
+        "fault_calls",
+        "journal",
+        "retry_after",
+        "runs",
+        "server",
+        "settings",
+        "silent",
+    )
 
     def __init__(self, settings: Settings, clock: Clock, journal: Journal) -> None:
         self.settings = settings
@@ -97,6 +110,7 @@
         self.journal = journal
         self.fault: ServiceFault = settings.fault
         self.fault_calls = settings.fault_calls
+        self.retry_after = ""
         self.runs = 0
         self.server: HTTPServer | None = None
         self.silent: set[IOStream] = set()
@@ -113,6 +127,7 @@
         was_down = self.fault == "down"
         self.fault = order.fault
         self.fault_calls = order.calls
+        self.retry_after = order.retry_after
         if order.fault == "down" and self.server is not None:
             self.server.stop()
             self.server = None
@@ -166,6 +181,8 @@
             )
             service.journal.write(refused)
             self.set_status(503)
+            if service.retry_after:
+                self.set_header("Retry-After", service.retry_after)
             self.finish()
             return
         factor = _SLOW_FACTOR if fault == "slow" else 1.0
