Don't hold up new requests for verdicts on slow ones of their kind

Found while reading the diff: many clients' requests may be alike, and replicas that are slow or lose answers leave many of them without one. One that comes anew waits only where a crash is held against it already; a client's own repeat waits as before.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -85,3 +85,9 @@
     Given 6 hosts, one of which can't reach the store, that refuse a request
     When it comes to each of them every second for 300 s and crashes a replica on each trial
     Then it has run on trial twice, first 30 s after its last crash
+
+  # Guards against innocent requests that wait for verdicts on slow ones of their kind.
+  Scenario: a request is not held up by sends of the same kind that brought no answer while no replica has ended
+    Given 5 sends of a request without an answer, and replicas that live
+    Then the same request may be sent at once by another client
+    And a client whose own send brought no answer waits for the verdict before a repeat
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -10,12 +10,15 @@
 from typing import Any
 
 from behave import given, then, when
+from features.support.engine_fleet import replica
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
 from features.support.memory_store import MemoryState, MemoryStore
 from features.support.site import wait_until
 
+from pimentodale.background import create_background_tasks
 from pimentodale.clients.key_value import StoreFault
 from pimentodale.clock import ManualClock, create_clock
+from pimentodale.forwarding.crash_watch import create_crash_watch
 from pimentodale.quarantine.crash_sharing import share_crashes, take_crashes
 from pimentodale.quarantine.crashes import (
     CRASH_RETENTION_MS,
@@ -25,6 +28,7 @@
 )
 from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.quarantine.store_writer import create_store_writer
+from pimentodale.site.beliefs import create_replica_beliefs
 
 CRASHES = {
     "its first replica, with a reset": ("/lm/stream", b"poison"),
@@ -288,3 +292,46 @@
             merged = record.find(POISON)
             found.append([set(part) for part in (merged.fresh, merged.late, merged.cleared)])
         assert found[0] == found[1] == found[2], entries
+
+
+@given("{count:d} sends of a request without an answer, and replicas that live")
+def make_slow_sends(context: Any, count: int) -> None:
+    context.count = count
+
+
+@then("the same request may be sent at once by another client")
+def check_not_held_up(context: Any) -> None:
+    refused, took_s = asyncio.run(ask_beside_slow(context.count, sends=0))
+    assert not refused
+    assert took_s < 0.3, took_s
+
+
+@then("a client whose own send brought no answer waits for the verdict before a repeat")
+def check_waits(context: Any) -> None:
+    refused, took_s = asyncio.run(ask_beside_slow(context.count, sends=1))
+    assert not refused
+    assert took_s > 1.0, took_s
+
+
+async def ask_beside_slow(count: int, sends: int) -> tuple[bool, float]:
+    """Ask whether a request is refused beside sends without a verdict; return how long that took, too."""
+    clock = create_clock()
+    record = create_crash_record(clock)
+    replicas = {name: replica(name, "a", "fast", None) for name in "abcde"}
+    background = create_background_tasks()
+    watch = create_crash_watch(
+        clock,
+        record,
+        SimpleNamespace(replicas=replicas),
+        create_replica_beliefs(clock),
+        background,
+        create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
+    )
+    for name in list(replicas)[:count]:
+        watch.follow(POISON, watch.list_living([name]), is_fresh=True)
+    routed = SimpleNamespace(fingerprint=POISON, sends=sends, is_on_trial=False)
+    started_s = time.monotonic()
+    refused = await watch.is_refused(routed)
+    took_s = time.monotonic() - started_s
+    background.cancel()
+    return refused, took_s
--- a/src/pimentodale/forwarding/crash_watch.py
+++ b/src/pimentodale/forwarding/crash_watch.py
@@ -96,7 +96,7 @@
         """
         fingerprint = routed.fingerprint
         end_ms = self.clock.now_ms() + VERDICT_MS
-        while self._awaits_verdict(fingerprint) and self.clock.now_ms() < end_ms:
+        while self._awaits_verdict(routed) and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(LOOK_INTERVAL_MS)
         if not self.record.is_convicted(fingerprint):
             return False
@@ -105,10 +105,16 @@
             return not routed.is_on_trial
         return True
 
-    def _awaits_verdict(self, fingerprint: str) -> bool:
-        """Whether the sends without a verdict may convict a request."""
-        pending = self._pending.get(fingerprint, 0)
-        return pending > 0 and self.record.may_convict(fingerprint, pending)
+    def _awaits_verdict(self, routed: RoutedRequest) -> bool:
+        """Whether the sends without a verdict may convict a request.
+
+        Many requests may be alike, and slow replicas leave many of them without an answer. So one that
+        comes anew waits only if a crash is held against it already.
+        """
+        pending = self._pending.get(routed.fingerprint, 0)
+        if pending == 0 or not self.record.may_convict(routed.fingerprint, pending):
+            return False
+        return routed.sends > 0 or self.record.has_open_crash(routed.fingerprint)
 
     async def _look(
         self, fingerprint: str, ran_at: Sequence[Incarnation], *, is_fresh: bool
--- a/src/pimentodale/quarantine/crashes.py
+++ b/src/pimentodale/quarantine/crashes.py
@@ -94,6 +94,11 @@
         entry = self.find(fingerprint)
         return entry is not None and entry.is_convicted
 
+    def has_open_crash(self, fingerprint: str) -> bool:
+        """Whether a crash counts against a request."""
+        entry = self.find(fingerprint)
+        return entry is not None and bool(entry.open_crashes)
+
     def may_convict(self, fingerprint: str, further: int) -> bool:
         """Whether some further crashes would have a request refused that is not refused yet."""
         entry = self.find(fingerprint)
