--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -86,3 +86,8 @@
       | soon                          | nothing       |
       | 5, 6                          | nothing       |
       | 1e9                           | 3600000 ms at most |
+
+  # Guards against clients that come back before any replica takes requests, as one that is down has not asked for time.
+  Scenario: clients are told when the first living replica takes requests again
+    Given a host that knows a replica that wants nothing for 5 s, one for 3 s and one that is down
+    Then clients of their service are told to come back after 3 s
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from behave import given, then, when
+from features.support.engine_fleet import replica
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
 from features.support.site import wait_until
 from tornado.httputil import HTTPHeaders
@@ -17,12 +18,13 @@
 from pimentodale.clients.key_value import KeyValue
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.learning import learn_answer
+from pimentodale.forwarding.stages import held_back_ms
 from pimentodale.leaving.servers import create_leaving_servers
 from pimentodale.mirror.mirror import create_mirror
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from pimentodale.platform.exchanges import decode_answer
 from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
-from pimentodale.site.beliefs import create_replica_beliefs
+from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.view import SiteRecords, create_site_view
 
 PATHS = {"a plain replica": "/read/x", "the first replica of streams": "/lm/stream"}
@@ -279,3 +281,19 @@
     holds = create_hold_offs(ManualClock(1_000.0))
     holds.hold("r1", answer.hold_off_ms)
     assert holds.left_ms("r1") == float(asked.split()[0]), holds.left_ms("r1")
+
+
+@given("a host that knows a replica that wants nothing for 5 s, one for 3 s and one that is down")
+def make_mixed(context: Any) -> None:
+    beliefs = create_replica_beliefs(ManualClock(1_000.0))
+    replicas = [replica(name, "a", "", None) for name in ("five", "three", "down")]
+    beliefs.hold_offs.hold(incarnation_of(replicas[0]), 5_000.0)
+    beliefs.hold_offs.hold(incarnation_of(replicas[1]), 3_000.0)
+    beliefs.mark_down(incarnation_of(replicas[2]), "it can't be connected to")
+    view = SimpleNamespace(replicas_of=lambda _service: replicas)
+    context.means = SimpleNamespace(beliefs=beliefs, view=view)
+
+
+@then("clients of their service are told to come back after 3 s")
+def check_soonest(context: Any) -> None:
+    assert held_back_ms(context.means, "plain") == 3_000.0
--- a/src/pimentodale/forwarding/stages.py
+++ b/src/pimentodale/forwarding/stages.py
@@ -151,9 +151,9 @@
 
 
 def held_back_ms(means: ForwardingMeans, service: str) -> float:
-    """Return how long all replicas of a service want nothing from this host; 0 if one takes requests."""
-    replicas = map(incarnation_of, means.view.replicas_of(service))
-    return means.beliefs.hold_offs.soonest_ms(replicas)
+    """Return how long all replicas of a service that live want nothing from this host; else 0."""
+    replicas = [each for each in means.view.replicas_of(service) if means.beliefs.keeps_work(each)]
+    return means.beliefs.hold_offs.soonest_ms(map(incarnation_of, replicas))
 
 
 def covers_model(
