--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -203,7 +203,8 @@
         sends=0,
         left_ms=lambda _now_ms: 5_000.0,
     )
-    means = SimpleNamespace(clock=ManualClock(), codec=codec)
+    view = SimpleNamespace(replicas={})
+    means = SimpleNamespace(clock=ManualClock(), codec=codec, view=view)
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
     work = pass_stream_on(
         means, create_stream_pool(means.clock), context.routed, context.state, path
@@ -271,7 +272,12 @@
     route = SimpleNamespace(timeout_ms=5_000.0)
     routed = RoutedRequest(exchange, route, SimpleNamespace(), "w1", 1)
     request.deadline_ms = 5_000.0
-    means = SimpleNamespace(clock=ManualClock(), codec=codec, metrics=create_gateway_metrics())
+    means = SimpleNamespace(
+        clock=ManualClock(),
+        codec=codec,
+        metrics=create_gateway_metrics(),
+        view=SimpleNamespace(replicas={}),
+    )
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
     pool = create_stream_pool(means.clock)
     context.end = await asyncio.wait_for(
