Leave a refused request its trial where it has run nowhere

Three ways were read in the code and made to fail by the new outline: the answer of the store to the trial's transaction is lost, so that the host is told at its next try that somebody else has taken it; the replica can't be connected to within 400 ms; a replica turns the request away. In each the trial was spent, though the request had run nowhere, and the next one comes 90 s later.

A trial's key now carries a mark of the process, by which it knows its own. A request on trial may be sent until it may have run somewhere, and gives the trial back if it has not. The long scenario now has the replicas turn the trial away at first, and still has to end within 34 s.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -78,7 +78,7 @@
     When a request that crashes a plain replica, with a reset is sent 4 times through both gateways
     Then at most 3 replicas have crashed and the request is refused from then on
     When nothing crashes the replicas any more
-    Then the request is served through both gateways within 34 s
+    Then the request is served through both gateways within 34 s, though the replicas turn it away on trial at first
 
   # Guards against trials that hosts take each for itself: together they would end many more replicas.
   Scenario: a request that does harm gets two trials on the whole site
@@ -86,6 +86,18 @@
     When it comes to each of them every second for 300 s and crashes a replica on each trial
     Then it has run on trial twice, first 30 s after its last crash
 
+  # Guards against trials that are used up though the request has run nowhere.
+  Scenario Outline: a trial on which <what> leaves the request another
+    Given a host that refuses a request whose trial is due
+    When <what>
+    Then the request may run once on trial
+
+    Examples:
+      | what                                      |
+      | the store's answer is lost                |
+      | no replica can be reached                 |
+      | all replicas turn the request away        |
+
   # Guards against innocent requests that wait for verdicts on slow ones of their kind.
   Scenario: a request is not held up by sends of the same kind that brought no answer while no replica has ended
     Given 5 sends of a request without an answer, and replicas that live
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -126,13 +126,27 @@
         context.gateways.admin(name, "cure")
 
 
-@then("the request is served through both gateways within {bound_s:d} s")
+@then(
+    "the request is served through both gateways within {bound_s:d} s, though the replicas turn it "
+    "away on trial at first"
+)
 def check_cleared(context: Any, bound_s: int) -> None:
     end_s = time.monotonic() + bound_s
+    site = context.gateways
+    for name in PLAIN_REPLICAS:
+        site.turn_away(name, "0")
 
     def is_served_now(name: str) -> bool:
-        return bool(context.gateways.request(name, "/read/poison", body=b"poison").status == 200)
+        reply = site.request(name, "/read/poison", body=b"poison")
+        return bool(reply.status == 200)
 
+    def is_turned_away() -> bool:
+        assert not is_served_now(GATEWAYS[0])
+        return bool(site.journal("turned away"))
+
+    wait_until(is_turned_away, "it is turned away on trial", bound_s)
+    for name in PLAIN_REPLICAS:
+        site.turn_away(name, "")
     for name in GATEWAYS:
         left_s = end_s - time.monotonic()
         wait_until(lambda name=name: is_served_now(name), f"{name} serves it", left_s)
@@ -294,6 +308,87 @@
         assert found[0] == found[1] == found[2], entries
 
 
+@given("a host that refuses a request whose trial is due")
+def make_due(context: Any) -> None:
+    context.clock = ManualClock(1_000.0)
+    context.replies, context.lost = 0, 0
+    context.records = [create_crash_record(context.clock)]
+    crash_everywhere(context, 3)
+    context.clock.advance(30_000.0)
+
+    async def gate(stage: str) -> StoreFault | None:
+        if stage == "request":
+            return None
+        context.replies += 1
+        return StoreFault(True, "the answer is lost") if context.replies == context.lost else None
+
+    store = MemoryStore(MemoryState(context.clock), gate)
+    record = context.records[0]
+    context.watch = create_crash_watch(
+        context.clock,
+        record,
+        SimpleNamespace(replicas={}),
+        create_replica_beliefs(context.clock),
+        create_background_tasks(),
+        create_retrials("g1", context.clock, record, store),
+    )
+
+
+def create_routed() -> Any:
+    """Return the request as it comes anew."""
+    return SimpleNamespace(fingerprint=POISON, sends=0, is_on_trial=False, may_have_run=False)
+
+
+@when("the store's answer is lost")
+def lose_answer(context: Any) -> None:
+    # The lease's answer comes, that of the transaction does not.
+    context.lost = 2
+    assert asyncio.run(context.watch.is_refused(create_routed()))
+    context.clock.advance(1_000.0)
+
+
+@when("no replica can be reached")
+def reach_none(context: Any) -> None:
+    asyncio.run(try_in_vain(context, sends=0))
+
+
+@when("all replicas turn the request away")
+def turn_all_away(context: Any) -> None:
+    asyncio.run(try_in_vain(context, sends=1))
+
+
+async def note_ended(context: Any, routed: Any) -> None:
+    """Let a request end, and what follows from that."""
+    context.watch.note_ended(routed)
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def try_in_vain(context: Any, sends: int) -> None:
+    """Have a request on trial end before it has run anywhere."""
+    routed = create_routed()
+    for _ in range(3):
+        assert not await context.watch.is_refused(routed)
+        routed.sends += sends
+    await note_ended(context, routed)
+
+
+@then("the request may run once on trial")
+def check_on_trial(context: Any) -> None:
+    asyncio.run(run_on_trial(context))
+
+
+async def run_on_trial(context: Any) -> None:
+    """Run the request on trial; it is refused while that lasts, and afterwards."""
+    routed = create_routed()
+    assert not await context.watch.is_refused(routed)
+    routed.sends, routed.may_have_run = 1, True
+    assert await context.watch.is_refused(routed)
+    assert await context.watch.is_refused(create_routed())
+    await note_ended(context, routed)
+    assert await context.watch.is_refused(create_routed())
+
+
 @given("{count:d} sends of a request without an answer, and replicas that live")
 def make_slow_sends(context: Any, count: int) -> None:
     context.count = count
@@ -329,7 +424,8 @@
     )
     for name in list(replicas)[:count]:
         watch.follow(POISON, watch.list_living([name]), is_fresh=True)
-    routed = SimpleNamespace(fingerprint=POISON, sends=sends, is_on_trial=False)
+    routed = create_routed()
+    routed.sends = sends
     started_s = time.monotonic()
     refused = await watch.is_refused(routed)
     took_s = time.monotonic() - started_s
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -72,6 +72,8 @@
     except (asyncio.CancelledError, ClientGoneError):
         log_left(means, routed)
         raise
+    finally:
+        means.crashes.note_ended(routed)
 
 
 async def _refuse_unknown(
--- a/src/pimentodale/quarantine/retrials.py
+++ b/src/pimentodale/quarantine/retrials.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clients.key_value import Compare, Put
+from pimentodale.clients.key_value import Compare, Delete, Put
 from pimentodale.logs import get_log
 from pimentodale.quarantine.crashes import CRASH_RETENTION_MS, MAX_REQUESTS
 
@@ -33,10 +34,10 @@
 class Retrials:
     """Trials as one host takes them."""
 
-    __slots__ = ("_ask_after_ms", "_clock", "_host", "_record", "_store", "_taken")
+    __slots__ = ("_ask_after_ms", "_clock", "_mark", "_record", "_store", "_taken")
 
     def __init__(self, host: str, clock: Clock, record: CrashRecord, store: KeyValueStore) -> None:
-        self._host = host
+        self._mark = f"{host}/{secrets.token_hex(8)}".encode()
         self._clock = clock
         self._record = record
         self._store = store
@@ -61,14 +62,27 @@
             _log.info("A refused request runs on trial.", fingerprint=fingerprint, trial=due)
         return is_taken
 
+    async def give_back(self, fingerprint: str) -> None:
+        """Leave the trial that was taken last to whoever asks next: the request has run nowhere."""
+        trial = self._taken.get(fingerprint, 0)
+        if trial == 0:
+            return
+        # If this is lost the key stays, and the trial to this host alone.
+        await self._store.txn([], [Delete(f"{RETRIAL_PREFIX}{fingerprint}/{trial}")])
+        self._note_taken(fingerprint, trial - 1)
+        _log.info("A trial is given back.", fingerprint=fingerprint, trial=trial)
+
     async def _create(self, key: str) -> bool | None:
         """Create a trial's key; False if another host has, `None` without an answer."""
         lease = await self._store.grant_lease(CRASH_RETENTION_MS)
         if lease.is_error():
             return None
-        put = Put(key, self._host.encode(), lease.ok)
+        put = Put(key, self._mark, lease.ok)
         reply = await self._store.txn([Compare(key, 0)], [put])
-        return None if reply.is_error() else reply.ok.succeeded
+        if reply.is_error():
+            return None
+        # The answer to an earlier try of this host may have been lost.
+        return reply.ok.succeeded or any(item.value == self._mark for item in reply.ok.items)
 
     def _note_taken(self, fingerprint: str, trials: int) -> None:
         """Remember how many trials of a request are taken, within the bound."""
