--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -42,6 +42,15 @@
     When signs and records of two incarnations come in any order from several hosts
     Then it has no work while the newest incarnation known has said that it leaves, and gets it else
 
+  # Guards against work for a leaving replica whose record lapsed as the store was away.
+  Scenario: a sign of leaving counts for a replica that is kept though its record has lapsed
+    Given a replica that the host knows
+    When its record lapses in an outage of the store
+    And an answer with status 200 of the replica says that it leaves
+    Then the replica has no work
+    When the replica registers again
+    Then the replica has no work
+
   # Guards against requests to a replica that has said for how long it wants none.
   Scenario Outline: <what> that turns requests away for 5 s get at most two in that time from each gateway
     Given a site of two gateways, eight replicas and a store
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -131,6 +131,19 @@
     return bool(context.means.view.replicas_of("plain"))
 
 
+@when("its record lapses in an outage of the store")
+def lapse(context: Any) -> None:
+    context.revision += 1
+    mirror = context.means.view.mirror
+    mirror.outage_ended_ms = context.means.clock.now_ms()
+    mirror.apply_changes(context.revision, [], ["servers/r1"])
+
+
+@when("the replica registers again")
+def register_again(context: Any) -> None:
+    register(context, 1)
+
+
 @when("an answer with status {status:d} of {whose} replica says that it leaves")
 def take_answer(context: Any, status: int, whose: str) -> None:
     del whose
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -96,9 +96,17 @@
 
     def note_leaving_changed(self, replica_id: str) -> None:
         """Take the record anew of a replica that signs speak of otherwise than before."""
+        known = self.replicas.get(replica_id)
+        if known is None:
+            return
         key = self.records.replica_prefix + replica_id
-        if replica_id in self.replicas and key in self.mirror.items:
+        if key in self.mirror.items:
             self.take({key})
+            return
+        # Its record has lapsed and it is kept for now; a new record will speak for itself.
+        self.replicas[replica_id] = self._join_signs(known)
+        self.changed_ms = self.clock.now_ms()
+        self._tell_subscribers()
 
     def take(self, keys: set[str]) -> None:
         """Decode what changed in the mirror."""
@@ -109,6 +117,10 @@
                 self._take_replica(key)
             elif key.startswith(HOST_PREFIX):
                 self._take_host(key)
+        self._tell_subscribers()
+
+    def _tell_subscribers(self) -> None:
+        """Call everyone who follows this view."""
         for callback in self._subscribers:
             callback()
 
