Count signs of leaving by their source, and answers with Retry-After

Metrics showed neither, so operators could only find them in the log. pimentodale_leaving_signs by kind (report, refusal, host list, peer) and pimentodale_hold_offs of a gateway; the scenarios on both read them at both gateways.

--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -7,6 +7,7 @@
     When the store is <store>, and <what> says in its answers that it leaves
     And requests are sent until one of its answers is passed on
     Then no request reaches it from 2 s to 4 s after that, and all are served
+    And both gateways count leaving_signs
 
     Examples:
       | what                          | store  |
@@ -58,6 +59,7 @@
     Then each of them got at most two requests from each gateway
     And clients that were refused were told at once to come back once the 5 s are over
     And requests are served again within 3 s
+    And both gateways count hold_offs
 
     Examples:
       | what                         |
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from features.support.engine_fleet import replica
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
-from features.support.site import wait_until
+from features.support.site import http, wait_until
 from tornado.httputil import HTTPHeaders
 
 from pimentodale.admission.hold_offs import create_hold_offs
@@ -71,6 +71,15 @@
     assert count_arrivals(context) == before, (before, count_arrivals(context))
 
 
+@then("both gateways count {what}")
+def check_counted(context: Any, what: str) -> None:
+    for name in GATEWAYS:
+        text = http(f"http://{context.gateways.ip(name)}:7001/metrics").body.decode()
+        lines = [line for line in text.splitlines() if line.startswith(f"pimentodale_{what}_total")]
+        assert lines, text
+        assert all(float(line.split()[-1]) > 0 for line in lines), lines
+
+
 def arrivals(context: Any) -> list[dict[str, Any]]:
     """Return what ran at replicas: plain requests, and the first event of each stream's run."""
     site = context.gateways
--- a/src/pimentodale/admission/hold_offs.py
+++ b/src/pimentodale/admission/hold_offs.py
@@ -41,11 +41,13 @@
 class HoldOffs(Generic[_Key]):
     """Times until which servers want nothing from this host; each spoke to this host alone."""
 
-    __slots__ = ("_clock", "_holds")
+    __slots__ = ("_clock", "_holds", "asked")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._holds: OrderedDict[_Key, _Hold] = OrderedDict()
+        self.asked = 0
+        """Answers so far that asked for no requests for a while."""
 
     def __contains__(self, key: _Key) -> bool:
         """Return whether a server has asked, and not taken a request since."""
@@ -58,6 +60,7 @@
             key: The server.
             duration_ms: How long it asked for.
         """
+        self.asked += 1
         held_ms = min(duration_ms, MAX_HOLD_MS)
         until_ms = self._clock.now_ms() + held_ms
         known = self._holds.pop(key, None)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -158,6 +158,7 @@
     peers.subscribe(LEAVING_TOPIC, lambda update: leaving.take_word(update.value))
     platform.engines.tell_leaving(view.note_leaving)
     means = _create_means(gateway, view, peers)
+    means.metrics.leaving_signs = leaving.signs
     follower = create_mirror_follower(mirror, platform.store, peers, gateway.clock, gateway.rng)
     placer = Placer(
         settings.host,
@@ -234,6 +235,7 @@
     retrials = create_retrials(settings.host, clock, record, gateway.platform.store)
     metrics = create_gateway_metrics()
     metrics.store_calls = gateway.platform.store_calls
+    metrics.count_hold_offs = lambda: beliefs.hold_offs.asked
     metrics.add_gauge("requests_in_progress", lambda: len(gateway.work))
     metrics.add_gauge("requests_waiting", lambda: len(gateway.pool.queue))
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -21,8 +21,10 @@
     __slots__ = (
         "_gauges",
         "between_events",
+        "count_hold_offs",
         "events",
         "first_event",
+        "leaving_signs",
         "request",
         "results",
         "store_calls",
@@ -41,6 +43,10 @@
         """From an event to the next."""
         self.store_calls: Mapping[str, int] = {}
         """Calls to the store by kind."""
+        self.leaving_signs: Mapping[str, int] = {}
+        """Signs that replicas leave, by where they came from."""
+        self.count_hold_offs: Callable[[], int] = lambda: 0
+        """Returns how many answers asked for no requests for a while."""
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def note_end(self, code: ResultCode, elapsed_ms: float) -> None:
@@ -62,12 +68,17 @@
 
         yield result_family(self.results)
         yield CounterMetricFamily("pimentodale_events", "Events passed on.", value=self.events)
-        calls = CounterMetricFamily(
-            "pimentodale_store_calls", "Calls to the store, by kind.", labels=["kind"]
+        counted = (
+            ("pimentodale_store_calls", "Calls to the store, by kind.", self.store_calls),
+            ("pimentodale_leaving_signs", "Signs of leaving, by their source.", self.leaving_signs),
         )
-        for kind, count in sorted(self.store_calls.items()):
-            calls.add_metric([kind], count)
-        yield calls
+        for name, text, counts in counted:
+            family = CounterMetricFamily(name, text, labels=["kind"])
+            for kind, count in sorted(counts.items()):
+                family.add_metric([kind], count)
+            yield family
+        text = "Answers with Retry-After."
+        yield CounterMetricFamily("pimentodale_hold_offs", text, value=self.count_hold_offs())
         latencies = (
             ("request_ms", self.request),
             ("first_event_ms", self.first_event),
--- a/src/pimentodale/leaving/servers.py
+++ b/src/pimentodale/leaving/servers.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -77,7 +77,7 @@
 class LeavingServers:
     """Signs by backend server."""
 
-    __slots__ = ("_blocked", "_clock", "_on_change", "_publish", "_servers")
+    __slots__ = ("_blocked", "_clock", "_on_change", "_publish", "_servers", "signs")
 
     def __init__(
         self,
@@ -90,6 +90,8 @@
         self._on_change = on_change
         self._servers: OrderedDict[str, _Server] = OrderedDict()
         self._blocked: set[str] = set()
+        self.signs: Counter[str] = Counter()
+        """Signs of leaving taken so far, by where they came from."""
 
     def is_leaving(self, replica: str) -> bool:
         """Whether a backend server may be given no new work."""
@@ -112,12 +114,14 @@
             server.boot_id = boot_id
             server.boot_seen_ms = self._clock.now_ms()
         if leaving:
+            self.signs["report"] += 1
             self._take_own_sign(replica, server, boot_id)
         self._update(replica, server)
 
     def note_refusal(self, replica: str) -> None:
         """Take a backend server's refusal of work because it is leaving."""
         server = self._touch(replica)
+        self.signs["refusal"] += 1
         self._take_own_sign(replica, server, server.boot_id)
         self._update(replica, server)
 
@@ -130,6 +134,7 @@
         now_ms = self._clock.now_ms()
         for replica in leaving:
             server = self._touch(replica)
+            self.signs["host list"] += 1
             settled = server.boot_id and now_ms - server.boot_seen_ms > SIGN_LAG_MS
             self._take_own_sign(replica, server, server.boot_id if settled else "")
             self._update(replica, server)
@@ -148,6 +153,7 @@
             )
             return
         server = self._touch(word.replica)
+        self.signs["peer"] += 1
         if word.boot_id:
             self._add_boot(server, word.boot_id)
         else:
