Let an entry host's first call after a replica's Retry-After go alone, if it may not repeat too

Only calls that may repeat were noted as the first one after the time, so calls that may not all went at once: 4 of 4 reached the replica, and 1 does now.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -103,3 +103,27 @@
     Given 5 sends of a request without an answer, and replicas that live
     Then the same request may be sent at once by another client
     And a client whose own send brought no answer waits for the verdict before a repeat
+
+  # Guards against calls that pass for harmless as a busy replica has turned them away.
+  Scenario: a call that a replica turns away stays held for its crashes
+    Given an entry host whose services answer
+      | service | answer   |
+      | rigs    | 503 Busy |
+    And a call of rigs has crashed 2 replicas
+    When each service is called once
+    And a call of rigs has crashed 1 replicas
+    Then a call of rigs is refused as "quarantined"
+
+  # Guards against trials on an entry host that are used up though the call has run nowhere.
+  Scenario Outline: an entry host's call on trial that finds <what> leaves the call another
+    Given an entry host whose services answer
+      | service | answer |
+      | rigs    | 200 OK |
+    And a call of rigs has crashed 3 replicas
+    When 30000 ms pass, and a call of rigs finds <what>
+    Then a call of rigs is served
+
+    Examples:
+      | what           |
+      | no replica     |
+      | a busy replica |
--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -102,3 +102,21 @@
   Scenario: clients are told when the first living replica takes requests again
     Given a host that knows a replica that wants nothing for 5 s, one for 3 s and one that is down
     Then clients of their service are told to come back after 3 s
+
+  # Guards against a crowd of calls that may not repeat when a replica takes some again.
+  Scenario: on an entry host the first call after the time goes alone
+    Given an entry host whose services answer
+      | service | answer                   |
+      | rigs    | 503 Busy; Retry-After: 5 |
+    When each service is called once
+    And 5000 ms pass, and 4 calls that may not repeat come at once
+    Then one of them reaches the replica, and the others are refused as not run
+
+  # Guards against callers that come back too soon, as another service takes calls before theirs.
+  Scenario: callers of an entry host are told when their own service takes calls again
+    Given an entry host whose services answer
+      | service | answer                   |
+      | rigs    | 503 Busy; Retry-After: 5 |
+      | notes   | 503 Busy; Retry-After: 1 |
+    When each service is called once
+    Then a call of rigs is refused, to come back in 5000 ms
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -161,6 +161,7 @@
             if replica is None:
                 return Error(self._no_replica(call, excluded))
             excluded.add(replica.name)
+            self._holds.note_sent(replica.name)
             reply = await fetch(replica.address, _request(call), left_ms, before_byte)
             self._note_reply(replica, reply)
             if reply.is_ok():
