Tell callers of an entry host when their own service takes calls again

The soonest end was taken over the replicas of all services that want no calls: a caller of one that asked for 5 s was told to come back after the 1 s that another service asked for, in vain. The scenario failed before (1000 ms told) and holds (5000 ms).

--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -243,13 +243,19 @@
         held = self._holds.held()
         if held and self._pick(name, frozenset()) is not None:
             message = f"The replicas of service '{name}' want no calls for a while."
-            retry_after_ms = max(1.0, self._holds.soonest_ms(held))
+            own = (each for each in held if self._is_live(name, each, held))
+            retry_after_ms = max(1.0, self._holds.soonest_ms(own))
             return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message, retry_after_ms)
         if excluded:
             message = f"No replica of service '{name}' took the connection."
             return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message)
         return _not_sent(ResultCode.NO_ROUTE, f"Service '{name}' has no live replica now.")
 
+    def _is_live(self, service: str, replica: str, held: frozenset[str]) -> bool:
+        """Whether a replica that is held is a live one of a service."""
+        picked = self._pick(service, held - {replica})
+        return picked is not None and picked.name == replica
+
     def _try_ms(self, left_ms: float) -> float:
         """Return the time for one try, which leaves as much for another after it."""
         return left_ms if left_ms / 2 < MIN_TRY_MS else left_ms / 2
