Keep crashes held against a call that may not repeat when a replica turns it away

A replica's 503 counted as a whole answer of a call that may not repeat and cleared it of its crashes. So a call that crashes its replicas was never refused as long as a busy replica turned it away now and then. Calls that may repeat were not cleared. The scenario failed before and holds.

--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -165,7 +165,8 @@
             reply = await fetch(replica.address, _request(call), left_ms, before_byte)
             self._note_reply(replica, reply)
             if reply.is_ok():
-                self._guard.note_whole(call)
+                if reply.ok.status != BUSY_STATUS:
+                    self._guard.note_whole(call)
                 return Ok(_to_outcome(reply.ok))
             if allowed:
                 await self._guard.note_broken(call, replica)
