Leave a call its trial on an entry host where it has run nowhere

The cause of the gateway's lost trials, looked for on the entry host: a call on trial that found no replica, or one that turned it away, had used its trial up, and the next comes 90 s later. It is given back now.

--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -136,13 +136,28 @@
     async def _send_once(
         self, call: ServiceCall, before_send: BeforeSend, forbidden: Callable[[], bool]
     ) -> Result[Outcome, WorkFault]:
-        """Send the call to the first replica that takes a connection, and to no other after a byte.
+        """Make a call once, unless it crashes replicas.
 
         Args:
             call: The call; its deadline bounds everything.
             before_send: Allows the first byte.
             forbidden: Tells whether `before_send` has forbidden the call for good.
         """
+        if not await self._guard.admits(call):
+            return Error(_not_sent(ResultCode.QUARANTINED, CONVICTED, None))
+        try:
+            ended = await self._send_to_first(call, before_send, forbidden)
+            has_run = ended.error.sent if ended.is_error() else ended.ok.status != BUSY_STATUS
+            if not has_run:
+                await self._guard.note_not_run(call)
+            return ended
+        finally:
+            self._guard.note_over(call)
+
+    async def _send_to_first(
+        self, call: ServiceCall, before_send: BeforeSend, forbidden: Callable[[], bool]
+    ) -> Result[Outcome, WorkFault]:
+        """Send a call to the first replica that takes a connection, and to no other after a byte."""
         allowed = False
 
         async def before_byte() -> bool:
@@ -150,8 +165,6 @@
             allowed = await before_send()
             return allowed
 
-        if not await self._guard.admits(call):
-            return Error(_not_sent(ResultCode.QUARANTINED, CONVICTED, None))
         excluded: set[str] = set()
         for _ in range(MAX_TRIES):
             left_ms = call.deadline_ms - self._clock.now_ms()
@@ -179,9 +192,16 @@
         return Error(_not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message))
 
     async def _call_repeatable(self, call: ServiceCall) -> Result[ServiceReply, Refusal]:
-        """Try replicas until one answers, within the deadline and the retry budget."""
+        """Make a call that may repeat, unless it crashes replicas."""
         if not await self._guard.admits(call):
             return Error(create_refusal(ResultCode.QUARANTINED, CONVICTED))
+        try:
+            return await self._try_replicas(call)
+        finally:
+            self._guard.note_over(call)
+
+    async def _try_replicas(self, call: ServiceCall) -> Result[ServiceReply, Refusal]:
+        """Try replicas until one answers, within the deadline and the retry budget."""
         excluded: set[str] = set()
         last: WorkFault | None = None
         busy: CallReply | None = None
@@ -214,6 +234,8 @@
                 self._guard.note_whole(call)
                 return Ok(_to_reply(_to_outcome(reply.ok)))
             busy = reply.ok
+        if not sent:
+            await self._guard.note_not_run(call)
         if busy is not None:
             return Ok(_to_reply(_to_outcome(busy)))
         fault = last or self._no_replica(call, excluded)
--- a/src/pimentodale/services/crash_guard.py
+++ b/src/pimentodale/services/crash_guard.py
@@ -32,7 +32,7 @@
 class CrashGuard:
     """Crashes of services' replicas as one host sees them."""
 
-    __slots__ = ("_background", "_clock", "_record", "_retrials")
+    __slots__ = ("_background", "_clock", "_on_trial", "_record", "_retrials")
 
     def __init__(
         self, record: CrashRecord, retrials: Retrials, clock: Clock, background: BackgroundTasks
@@ -41,13 +41,27 @@
         self._retrials = retrials
         self._clock = clock
         self._background = background
+        self._on_trial: set[str] = set()
 
     async def admits(self, call: ServiceCall) -> bool:
         """Whether a call that comes may run; one that was refused before may be put on trial."""
         fingerprint = _fingerprint(call)
         if not self._record.is_convicted(fingerprint):
             return True
-        return await self._retrials.take(fingerprint)
+        if not await self._retrials.take(fingerprint):
+            return False
+        self._on_trial.add(fingerprint)
+        return True
+
+    async def note_not_run(self, call: ServiceCall) -> None:
+        """Note that a call has run nowhere: its trial is left to whoever asks next."""
+        fingerprint = _fingerprint(call)
+        if fingerprint in self._on_trial:
+            await self._retrials.give_back(fingerprint)
+
+    def note_over(self, call: ServiceCall) -> None:
+        """Note that a call that was admitted is over, whatever became of it."""
+        self._on_trial.discard(_fingerprint(call))
 
     def may_repeat(self, call: ServiceCall) -> bool:
         """Whether a call may run once more."""
