Play replicas that all leave in turn under load while the store is down

Twelve clients send without a pause through two gateways; both plain replicas say in their answers that they leave, 4 s apart, with the store silent; afterwards requests are refused at once as not run, and served again within 6 s of a new start with the store back.

--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -43,6 +43,15 @@
     When signs and records of two incarnations come in any order from several hosts
     Then it has no work while the newest incarnation known has said that it leaves, and gets it else
 
+  # Guards against work for leaving replicas under full load, and against clients that wait where all have left.
+  Scenario: all replicas of a service leave one after the other under load while the store is down
+    Given a site of two gateways, eight replicas and a store
+    When 12 clients send requests without a pause while the store is down and the plain replicas say in turn that they leave
+    Then no request reaches a replica later than 2 s after its answer was passed on
+    And requests are refused at once as not run once all have left
+    When the plain replicas start anew and the store is back
+    Then requests are served again within 6 s
+
   # Guards against work for a leaving replica whose record lapsed as the store was away.
   Scenario: a sign of leaving counts for a replica that is kept though its record has lapsed
     Given a replica that the host knows
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import threading
 import time
 from types import SimpleNamespace
 from typing import Any
@@ -32,6 +33,10 @@
 """Requests at once, so that several replicas get some."""
 
 
+LEAVE_APART_S = 4.0
+"""Time between two replicas that leave."""
+
+
 def send(context: Any, gateway: str) -> Any:
     """Send one request of the scenario's kind."""
     return context.gateways.request(gateway, context.path)
@@ -80,6 +85,71 @@
         assert all(float(line.split()[-1]) > 0 for line in lines), lines
 
 
+@when(
+    "{count:d} clients send requests without a pause while the store is down and the plain replicas "
+    "say in turn that they leave"
+)
+def leave_in_turn(context: Any, count: int) -> None:
+    site = context.gateways
+    context.path = PATHS["a plain replica"]
+    site.store_fault(down=True, down_mode="silent")
+    context.left_s, context.last_s, context.refused = {}, {}, []
+    is_over = threading.Event()
+
+    def send_on(number: int) -> None:
+        name = GATEWAYS[number % 2]
+        for request in itertools.count():
+            if is_over.is_set():
+                return
+            attempt = f"attempt-{number}-{request}"
+            headers = site.headers() | {"Pimentodale-Attempt-Id": attempt}
+            reply = site.request(name, context.path, headers=headers)
+            now_s = time.monotonic()
+            if reply.status != 200:
+                context.refused.append((now_s, reply))
+                continue
+            stamp = reply.headers["Pimentodale-Replica-Stamp"]
+            context.last_s[stamp] = now_s
+            if reply.headers.get("Server-Leaving") == "1":
+                context.left_s.setdefault(stamp, now_s)
+
+    clients = [threading.Thread(target=send_on, args=(each,)) for each in range(count)]
+    for client in clients:
+        client.start()
+    for name in PLAIN_REPLICAS:
+        site.admin(name, "announce")
+        time.sleep(LEAVE_APART_S)
+    time.sleep(LEAVE_APART_S)
+    is_over.set()
+    for client in clients:
+        client.join()
+
+
+@then("no request reaches a replica later than 2 s after its answer was passed on")
+def check_none_late(context: Any) -> None:
+    assert len(context.left_s) == len(PLAIN_REPLICAS), context.left_s
+    for stamp, left_s in context.left_s.items():
+        assert context.last_s[stamp] <= left_s + 2.0, (stamp, left_s, context.last_s)
+
+
+@then("requests are refused at once as not run once all have left")
+def check_refused_at_once(context: Any) -> None:
+    all_left_s = max(context.left_s.values()) + 2.0
+    refused = [reply for at_s, reply in context.refused if at_s > all_left_s]
+    assert len(refused) > 20, len(refused)
+    for reply in refused:
+        assert reply.status == 503, reply
+        assert reply.json()["ran"] == "not_run", reply
+        assert float(reply.headers["Retry-After"]) > 0.0, reply
+
+
+@when("the plain replicas start anew and the store is back")
+def start_all_anew(context: Any) -> None:
+    for name in PLAIN_REPLICAS:
+        context.gateways.admin(name, "restart")
+    context.gateways.store_fault(down=False)
+
+
 def arrivals(context: Any) -> list[dict[str, Any]]:
     """Return what ran at replicas: plain requests, and the first event of each stream's run."""
     site = context.gateways
