--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -129,3 +129,12 @@
       | notes   | 503 Busy; Retry-After: 1 |
     When each service is called once
     Then a call of rigs is refused, to come back in 5000 ms
+
+  # Guards against callers that are told to come back at once as replicas of another service want no calls.
+  Scenario: callers of an entry host whose replica is gone are not told of another service's replicas
+    Given an entry host whose services answer
+      | service | answer                   |
+      | notes   | 503 Busy; Retry-After: 5 |
+    When each service is called once
+    And the replica of rigs takes no connection
+    Then a call of rigs is refused, to come back in 2000 ms
--- a/features/steps/service_calls.py
+++ b/features/steps/service_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
@@ -110,6 +111,14 @@
         context.host.run(context.host.send(service))
 
 
+@when("the replica of rigs takes no connection")
+def stop_replica(context: Any) -> None:
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        port = unused.getsockname()[1]
+    context.host.replicas["rigs"] = ServiceReplica("rigs-1", Address("127.0.0.1", port))
+
+
 @when("{ms:d} ms pass, and {count:d} calls that may not repeat come at once")
 def call_together(context: Any, ms: int, count: int) -> None:
     context.host.clock.advance(float(ms))
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -264,9 +264,10 @@
         """Return the fault of a service without a replica to try."""
         name = call.service.name
         held = self._holds.held()
-        if held and self._pick(name, frozenset()) is not None:
+        barred = held | excluded
+        own = [each for each in held if self._pick(name, barred - {each}) is not None]
+        if own:
             message = f"The replicas of service '{name}' want no calls for a while."
-            own = (each for each in held if self._is_live(name, each, held))
             retry_after_ms = max(1.0, self._holds.soonest_ms(own))
             return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message, retry_after_ms)
         if excluded:
@@ -274,11 +275,6 @@
             return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message)
         return _not_sent(ResultCode.NO_ROUTE, f"Service '{name}' has no live replica now.")
 
-    def _is_live(self, service: str, replica: str, held: frozenset[str]) -> bool:
-        """Whether a replica that is held is a live one of a service."""
-        picked = self._pick(service, held - {replica})
-        return picked is not None and picked.name == replica
-
     def _try_ms(self, left_ms: float) -> float:
         """Return the time for one try, which leaves as much for another after it."""
         return left_ms if left_ms / 2 < MIN_TRY_MS else left_ms / 2
