--- a/features/services.feature
+++ b/features/services.feature
@@ -25,11 +25,16 @@
     And the plain service ran 0 calls
 
   # Guards against calls that crash one replica after the other: each sending crashed as many as it was tried on.
-  Scenario: a repeatable call that crashes the replicas of its service is refused after three crashes
-    When a status read that crashes its replica is sent 6 times, each time through the next entry host
+  Scenario Outline: a repeatable call that crashes the replicas of its service <how> is refused after three crashes
+    When a status read that crashes its replica <how> is sent 6 times, each time through the next entry host
     Then at most 3 replicas ran it, and its last answer is "quarantined"
     And a status read that crashes nothing is served
 
+    Examples:
+      | how           |
+      | with a reset  |
+      | into silence  |
+
   # Guards against calls of replicas that have said for how long they want none.
   Scenario: replicas that turn calls away for 5 s get at most two in that time
     When all replicas of the plain service turn calls away for 5 s, and its status is read 30 times
--- a/features/steps/services.py
+++ b/features/steps/services.py
@@ -33,15 +33,19 @@
         set_service_fault(context.layout, number, "reply_lost", 1000)
 
 
+POISON_PATHS = {"with a reset": "status/poison", "into silence": "status/silent-poison"}
+"""Path of a read by how it crashes its replica."""
+
+
 @when(
-    "a status read that crashes its replica is sent {times:d} times, each time through the next "
-    "entry host"
+    "a status read that crashes its replica {how} is sent {times:d} times, each time through the "
+    "next entry host"
 )
-def read_and_crash(context: Any, times: int) -> None:
+def read_and_crash(context: Any, how: str, times: int) -> None:
     context.replies = []
     for number in range(times):
         wait_until(lambda number=number: reads_status(context, number), "it is served", 10.0)
-        url = context.layout.entry_url(number % ENTRIES, "/services/rigs/status/poison")
+        url = context.layout.entry_url(number % ENTRIES, f"/services/rigs/{POISON_PATHS[how]}")
         context.replies.append(http(url, headers=headers_of("lab")))
         # A caller that comes again once the replicas are back.
         time.sleep(1.2)
--- a/src/pimentodale/standin/service.py
+++ b/src/pimentodale/standin/service.py
@@ -31,6 +31,13 @@
 """How long a crashed service is away."""
 
 
+SILENT_MS: Final = 4_000.0
+"""How long a crashed service is silent, if it crashes that way."""
+
+SILENT_MARK: Final = "silent"
+"""Text in a call's path beside the crash mark with which the service crashes silently."""
+
+
 class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """A plain service's settings."""
 
@@ -96,6 +103,7 @@
         "clock",
         "fault",
         "fault_calls",
+        "is_silent",
         "journal",
         "retry_after",
         "runs",
@@ -114,6 +122,7 @@
         self.runs = 0
         self.server: HTTPServer | None = None
         self.silent: set[IOStream] = set()
+        self.is_silent = False
 
     def take_fault(self) -> ServiceFault:
         """Return the fault that meets the next call, and count it."""
@@ -134,6 +143,12 @@
         elif was_down and order.fault != "down":
             self.listen(handler)
 
+    async def crash_silently(self) -> None:
+        """Take connections and answer nothing for a while."""
+        self.is_silent = True
+        await self.clock.sleep_ms(SILENT_MS)
+        self.is_silent = False
+
     async def crash(self, application: Any) -> None:
         """Take no connections for a while."""
         if self.server is None:
@@ -159,6 +174,11 @@
         """Take the service."""
         self.service = service
 
+    async def prepare(self) -> None:
+        """Leave every request without an answer that comes after a silent crash."""
+        if self.service.is_silent:
+            await asyncio.Event().wait()
+
     async def _run(self) -> None:
         """Run a call."""
         service = self.service
@@ -201,6 +221,9 @@
         )
         service.journal.write(run)
         if service.settings.crash_mark and service.settings.crash_mark in path:
+            if SILENT_MARK in path:
+                await service.crash_silently()
+                await asyncio.Event().wait()
             connection.stream.close()
             await service.crash(self.application)
             return
