Give back only trials on which a refused request has reached no replica

The users' rule counts the retries that reach replicas after the third crash, whether they run or not, and allows three. A trial is given back now only if nothing was sent, on both interfaces; two scenarios say that one that is turned away is used up, in place of the rows that asked for the opposite.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -78,7 +78,7 @@
     When a request that crashes a plain replica, with a reset is sent 4 times through both gateways
     Then at most 3 replicas have crashed and the request is refused from then on
     When nothing crashes the replicas any more
-    Then the request is served through both gateways within 34 s, though the replicas turn it away on trial at first
+    Then the request is served through both gateways within 34 s
 
   # Guards against trials that hosts take each for itself: together they would end many more replicas.
   Scenario: a request that does harm gets two trials on the whole site
@@ -86,7 +86,7 @@
     When it comes to each of them every second for 300 s and crashes a replica on each trial
     Then it has run on trial twice, first 30 s after its last crash
 
-  # Guards against trials that are used up though the request has run nowhere.
+  # Guards against trials that are used up though the request has reached no replica.
   Scenario Outline: a trial on which <what> leaves the request another
     Given a host that refuses a request whose trial is due
     When <what>
@@ -96,7 +96,12 @@
       | what                                      |
       | the store's answer is lost                |
       | no replica can be reached                 |
-      | all replicas turn the request away        |
+
+  # Guards against refused requests that reach replicas again and again as long as those turn them away.
+  Scenario: a trial on which a replica turns the request away is used up
+    Given a host that refuses a request whose trial is due
+    When a replica turns the request away
+    Then the request is refused
 
   # Guards against innocent requests that wait for verdicts on slow ones of their kind.
   Scenario: a request is not held up by sends of the same kind that brought no answer while no replica has ended
@@ -114,16 +119,20 @@
     And a call of rigs has crashed 1 replicas
     Then a call of rigs is refused as "quarantined"
 
-  # Guards against trials on an entry host that are used up though the call has run nowhere.
-  Scenario Outline: an entry host's call on trial that finds <what> leaves the call another
+  # Guards against trials on an entry host that are used up though the call has reached no replica.
+  Scenario: an entry host's call on trial that finds no replica leaves the call another
     Given an entry host whose services answer
       | service | answer |
       | rigs    | 200 OK |
     And a call of rigs has crashed 3 replicas
-    When 30000 ms pass, and a call of rigs finds <what>
+    When 30000 ms pass, and a call of rigs finds no replica
     Then a call of rigs is served
 
-    Examples:
-      | what           |
-      | no replica     |
-      | a busy replica |
+  # Guards against refused calls that reach replicas again and again as long as those turn them away.
+  Scenario: an entry host's call on trial that a replica turns away has used it up
+    Given an entry host whose services answer
+      | service | answer |
+      | rigs    | 200 OK |
+    And a call of rigs has crashed 3 replicas
+    When 30000 ms pass, and a call of rigs finds a busy replica
+    Then a call of rigs is refused as "quarantined"
--- a/src/pimentodale/forwarding/crash_watch.py
+++ b/src/pimentodale/forwarding/crash_watch.py
@@ -100,15 +100,16 @@
             await self.clock.sleep_ms(LOOK_INTERVAL_MS)
         if not self.record.is_convicted(fingerprint):
             return False
-        if routed.is_on_trial:
-            return routed.may_have_run
-        if routed.sends == 0:
+        if routed.sends == 0 and not routed.is_on_trial:
             routed.is_on_trial = await self.retrials.take(fingerprint)
-        return not routed.is_on_trial
+        return routed.sends > 0 or not routed.is_on_trial
 
     def note_ended(self, routed: RoutedRequest) -> None:
-        """Note that a request has its answer; one that has not run gives its trial back."""
-        if routed.is_on_trial and not routed.may_have_run:
+        """Note that a request has its answer; one that has reached no replica gives its trial back.
+
+        Operators count what reaches replicas, whether those turn it away or run it.
+        """
+        if routed.is_on_trial and routed.sends == 0:
             self.background.start(self.retrials.give_back(routed.fingerprint), "trial given back")
 
     def _awaits_verdict(self, routed: RoutedRequest) -> bool:
--- a/src/pimentodale/forwarding/means.py
+++ b/src/pimentodale/forwarding/means.py
@@ -92,9 +92,6 @@
     is_on_trial: bool = False
     """Whether it was refused for crashes and may run once more."""
 
-    may_have_run: bool = False
-    """Whether a replica may have begun to run it."""
-
     fingerprint: str = field(init=False)
     """What stays the same when its client sends it again."""
 
--- a/src/pimentodale/forwarding/plain.py
+++ b/src/pimentodale/forwarding/plain.py
@@ -65,6 +65,7 @@
     """Answer a request from a replica of a plain service."""
     is_repeatable = routed.route.repeatability is Repeatability.IDEMPOTENT
     tried: set[str] = set()
+    may_have_run = False
     failure: PlainReply | None = None
     while True:
         if await means.crashes.is_refused(routed):
@@ -92,12 +93,13 @@
             if not may_repeat or routed.sends >= routed.route.max_attempts:
                 await _pass_on(means, routed, reply)
                 return
+        may_have_run = True
         if not is_repeatable:
             break
     if failure is not None:
         await _pass_on(means, routed, failure)
         return
-    await _give_up(means, routed)
+    await _give_up(means, routed, may_have_run)
 
 
 def choose_replica(means: ForwardingMeans, service: str, tried: set[str]) -> ReplicaRecord | None:
@@ -137,8 +139,6 @@
         reply = await _send(means, routed, replica, left_ms, is_repeatable)
         return reply
     finally:
-        if reply is None or reply.result not in (SendResult.NOT_SENT, SendResult.REFUSED):
-            routed.may_have_run = True
         if reply is not None and reply.result is SendResult.ANSWERED:
             means.crashes.record.clear(routed.fingerprint)
         elif reply is None or reply.result in (SendResult.BROKEN, SendResult.SILENT):
@@ -225,11 +225,11 @@
     await routed.exchange.answer(answer.status, answer.headers, reply.body)
 
 
-async def _give_up(means: ForwardingMeans, routed: RoutedRequest) -> None:
+async def _give_up(means: ForwardingMeans, routed: RoutedRequest, may_have_run: bool) -> None:
     """Answer a request that no replica answered."""
     exchange = routed.exchange
     is_late = routed.left_ms(means.clock.now_ms()) <= 0
-    if routed.may_have_run:
+    if may_have_run:
         code = ResultCode.DEADLINE_EXCEEDED if is_late else ResultCode.BACKEND_SERVER_LOST
         log_end(means, routed, code, 504 if is_late else 502)
         await fail(exchange, code, "No replica gave a whole answer; it may have run.")
--- a/src/pimentodale/forwarding/stream_passing.py
+++ b/src/pimentodale/forwarding/stream_passing.py
@@ -50,12 +50,12 @@
     call_request = CallRequest(
         method=request.method, path=request.path, headers=headers, body=request.body
     )
-    may_have_run_before = routed.may_have_run
+    may_have_run_before = state.may_have_run
 
     async def note_sent() -> bool:
         # The send may be given up before there is an answer, and has been made all the same.
         routed.sends += 1
-        routed.may_have_run = True
+        state.may_have_run = True
         return True
 
     opened = await open_call(
@@ -70,7 +70,7 @@
         if replica is not None:
             learn_answer(means, replica, answer)
         if answer.refused is not None:
-            routed.may_have_run = may_have_run_before
+            state.may_have_run = may_have_run_before
             state.refused = answer.refused
             state.faulty_address = answer.faulty_address
             return AttemptEnd.REFUSED
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -101,6 +101,9 @@
     send_events: int = 0
     """Events passed on in the send that runs."""
 
+    may_have_run: bool = False
+    """Whether a replica may have begun to run it."""
+
     path: Path | None = None
     """The path of the send that runs."""
 
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -70,7 +70,7 @@
         if end is AttemptEnd.BROKEN:
             state.broken_at_start += state.send_events == 0
         is_over = state.broken_at_start >= routed.route.max_attempts
-        if is_over or (routed.may_have_run and not routed.route.is_resumable):
+        if is_over or (state.may_have_run and not routed.route.is_resumable):
             await _give_up(means, pool, routed, state)
             return
 
@@ -214,11 +214,11 @@
 ) -> None:
     """End a stream that can't be sent any more."""
     exchange: ClientExchange = routed.exchange
-    is_tried_in_vain = routed.is_on_trial and not routed.may_have_run
+    is_tried_in_vain = routed.is_on_trial and routed.sends == 0
     if means.crashes.record.is_convicted(routed.fingerprint) and not is_tried_in_vain:
         await refuse_convicted(means, routed)
         return
-    if routed.may_have_run:
+    if state.may_have_run:
         log_end(means, routed, ResultCode.BACKEND_SERVER_LOST, 0 if exchange.is_begun else 502)
         message = "The stream broke off and could not be resumed."
         await fail(exchange, ResultCode.BACKEND_SERVER_LOST, message)
--- a/src/pimentodale/quarantine/retrials.py
+++ b/src/pimentodale/quarantine/retrials.py
@@ -63,7 +63,7 @@
         return is_taken
 
     async def give_back(self, fingerprint: str) -> None:
-        """Leave the trial that was taken last to whoever asks next: the request has run nowhere."""
+        """Leave the trial that was taken last to whoever asks next: the request has reached no replica."""
         trial = self._taken.get(fingerprint, 0)
         if trial == 0:
             return
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -147,9 +147,8 @@
             return Error(_not_sent(ResultCode.QUARANTINED, CONVICTED, None))
         try:
             ended = await self._send_to_first(call, before_send, forbidden)
-            has_run = ended.error.sent if ended.is_error() else ended.ok.status != BUSY_STATUS
-            if not has_run:
-                await self._guard.note_not_run(call)
+            if ended.is_error() and not ended.error.sent:
+                await self._guard.note_not_sent(call)
             return ended
         finally:
             self._guard.note_over(call)
@@ -234,10 +233,10 @@
                 self._guard.note_whole(call)
                 return Ok(_to_reply(_to_outcome(reply.ok)))
             busy = reply.ok
-        if not sent:
-            await self._guard.note_not_run(call)
         if busy is not None:
             return Ok(_to_reply(_to_outcome(busy)))
+        if not sent:
+            await self._guard.note_not_sent(call)
         fault = last or self._no_replica(call, excluded)
         return Error(
             create_refusal(
--- a/src/pimentodale/services/crash_guard.py
+++ b/src/pimentodale/services/crash_guard.py
@@ -53,8 +53,8 @@
         self._on_trial.add(fingerprint)
         return True
 
-    async def note_not_run(self, call: ServiceCall) -> None:
-        """Note that a call has run nowhere: its trial is left to whoever asks next."""
+    async def note_not_sent(self, call: ServiceCall) -> None:
+        """Note that a call has reached no replica: its trial is left to whoever asks next."""
         fingerprint = _fingerprint(call)
         if fingerprint in self._on_trial:
             await self._retrials.give_back(fingerprint)
