Hold no replica that takes its record back against a request

A record of a replica that crashed lapses after two heartbeats of 1.2 s at the soonest, so one that is gone within 1.5 s after the send was taken back, and its replica left as planned. A replica that has started anew, that leaves probes without an answer, or whose record lapses later counts as before.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -70,7 +70,8 @@
 
     Examples:
       | ends                                            | times |
-      | goes without a word                             | 1     |
+      | lapses after 2 s                                | 1     |
+      | takes its record back                           | 0     |
       | starts anew without a word                      | 1     |
       | announces that it leaves and goes               | 0     |
       | announces that it leaves and starts anew        | 0     |
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -347,9 +347,13 @@
         put_replica(context, "draining", 1)
     elif ends.startswith("says"):
         context.view.note_leaving(context.view.replicas["r1"])
-    put_replica(context, "ready" if ends.endswith("anew") else "", 2)
-    watch.follow(POISON, ran_at, is_fresh=True)
-    await asyncio.sleep(0.2)
+    if ends.startswith("lapses"):
+        watch.follow(POISON, ran_at, is_fresh=True)
+        await asyncio.sleep(2.0)
+    put_replica(context, "ready" if "anew" in ends else "", 2)
+    if not ends.startswith("lapses"):
+        watch.follow(POISON, ran_at, is_fresh=True)
+    await asyncio.sleep(0.7)
     background.cancel()
 
 
--- a/src/pimentodale/forwarding/crash_watch.py
+++ b/src/pimentodale/forwarding/crash_watch.py
@@ -38,6 +38,10 @@
 """How long after a send its replicas are looked at: the record of one that crashed lapses after three
 heartbeats of 1.2 s, and one that starts anew is back within seconds."""
 
+TAKEN_BACK_MS: Final = 1_500.0
+"""Time after a send within which a record that goes was taken back by its replica, which then left as planned:
+that of one that crashed lapses after two heartbeats at the soonest."""
+
 PROVING_EVENTS: Final = 3
 """Events of one send after which its replicas have more than begun to run the request."""
 
@@ -72,10 +76,6 @@
             return True
         return self.beliefs.is_lost(replica)
 
-    def _has_crashed(self, incarnation: Incarnation) -> bool:
-        """Whether a replica has ended without having announced that it leaves."""
-        return self.has_ended(incarnation) and not self.view.leaves_as_announced(incarnation)
-
     def follow(self, fingerprint: str, ran_at: Sequence[Incarnation], *, is_fresh: bool) -> None:
         """Look in the background whether a send that brought no whole answer ended a replica.
 
@@ -132,14 +132,15 @@
     ) -> None:
         """Look until a replica has ended or it is too late to tell; one crash counts for a send."""
         started_ms = self.clock.now_ms()
+        left: set[Incarnation] = set()
         is_pending = True
         try:
             while True:
-                ended = next((each for each in ran_at if self._has_crashed(each)), None)
+                waited_ms = self.clock.now_ms() - started_ms
+                ended = self._find_crashed(ran_at, left, waited_ms)
                 if ended is not None:
                     self.record.strike(fingerprint, f"{ended[0]}/{ended[1]}", is_fresh=is_fresh)
                     return
-                waited_ms = self.clock.now_ms() - started_ms
                 if is_pending and waited_ms >= VERDICT_MS:
                     is_pending = False
                     self._settle(fingerprint)
@@ -150,6 +151,19 @@
             if is_pending:
                 self._settle(fingerprint)
 
+    def _find_crashed(
+        self, ran_at: Sequence[Incarnation], left: set[Incarnation], waited_ms: float
+    ) -> Incarnation | None:
+        """Return the first replica that has crashed; note in `left` those that left as planned."""
+        for incarnation in ran_at:
+            if incarnation in left or not self.has_ended(incarnation):
+                continue
+            is_taken_back = incarnation[0] not in self.view.replicas and waited_ms < TAKEN_BACK_MS
+            if not is_taken_back and not self.view.leaves_as_announced(incarnation):
+                return incarnation
+            left.add(incarnation)
+        return None
+
     def _settle(self, fingerprint: str) -> None:
         """Count a send off that has its verdict."""
         self._pending[fingerprint] -= 1
