Share the places of a full queue equally, and count room on its way as in use

Cause: after a stop of the host all streams that ran end at once, before any other has started. The bound on waiting streams and the pace come from the number that run, which is 0 for a moment, so streams of workspaces far below their share were refused that would have been served. And a loud workspace whose requests came all at once held half of the places; of the rest each workspace got what the ones before it had left, the last ones nothing.

Room that has been freed or granted counts as in use until those that wait have been given it. A workspace may hold as many places as any other; in a full queue the newest request of the one that holds most gives way, and is refused as not run. Both interfaces use the same queue; the entry host's admission had the second cause too.

Ruled out: the estimate of the wait alone.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -58,6 +58,13 @@
     When 80 requests of 1000 ms patience arrive within 50 ms
     Then all of them were served
 
+  # Guards against workspaces that are refused as others have all the places in the queue.
+  Scenario: the places of a full queue are shared equally
+    Given an admission for 1 requests at once that take 5 ms each
+    When one workspace sends 20 requests at once and then 5 others send 4 each, with 12 places to wait
+    Then 2 requests of each of the others were served, and 13 in all
+    And those that were refused are told that the queue is full
+
   Scenario: no permit is lost when callers go away
     Given an admission for 3 requests at once that take 5 ms each
     When 300 callers arrive and a third of them go away at random moments
--- a/features/path_queue.feature
+++ b/features/path_queue.feature
@@ -8,6 +8,19 @@
     And 99 in 100 refusals come within 50 ms
     And at least 90 in 100 of the room was used
 
+  # Guards against quiet workspaces that are refused for room that has come free all at once.
+  Scenario Outline: one workspace at ten times its share while the host stands still for <still_ms> ms
+    Given room for 20 streams of the usual size, each of which runs for 200 ms
+    When the host stands still for <still_ms> ms each second
+    And "lab" and "desk" send 12 streams a second each and "bulk" 276 a second for 4 s
+    Then no stream of "lab" and "desk" is refused, and 95 in 100 of them wait for at most <most_ms> ms
+    And 99 in 100 refusals come within 50 ms
+
+    Examples:
+      | still_ms | most_ms |
+      | 200      | 450     |
+      | 350      | 600     |
+
   Scenario: one huge stream before many small ones
     Given room for 20 streams of the usual size, each of which runs for 200 ms
     When a stream of 15 times the usual size comes, then 60 small ones a second for 2 s
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -351,6 +351,43 @@
     assert late <= (served + late) * percent / 100, (late, served)
 
 
+@when(
+    "one workspace sends {flood:d} requests at once and then {others:d} others send {each:d} each, "
+    "with {places:d} places to wait"
+)
+def crowd_queue(context: Any, flood: int, others: int, each: int, places: int) -> None:
+    senders = ["flood"] * flood + [f"w{n}" for n in range(others) for _ in range(each)]
+    context.limits = AdmissionLimits(lambda: places, lambda _: 1.0, lambda _: None)
+
+    async def call(admission: Admission[Place], sender: str) -> tuple[str, ResultCode]:
+        result = await admission.admit(sender, 1.0, create_clock().now_ms() + 10_000.0)
+        if result.is_error():
+            return sender, result.error.code
+        await asyncio.sleep(context.time_ms / 1000.0)
+        result.ok.release()
+        return sender, ResultCode.OK
+
+    async def run() -> list[tuple[str, ResultCode]]:
+        admission = create_bench(context, context.counted)
+        return await asyncio.gather(*(call(admission, sender) for sender in senders))
+
+    context.answers = asyncio.run(run())
+
+
+@then("{each:d} requests of each of the others were served, and {whole:d} in all")
+def check_shared(context: Any, each: int, whole: int) -> None:
+    served = [sender for sender, code in context.answers if code is ResultCode.OK]
+    assert len(served) == whole, served
+    others = {sender for sender, _ in context.answers} - {"flood"}
+    assert [served.count(sender) for sender in others] == [each] * len(others), served
+
+
+@then("those that were refused are told that the queue is full")
+def check_full(context: Any) -> None:
+    refused = {code for _, code in context.answers if code is not ResultCode.OK}
+    assert refused == {ResultCode.QUEUE_FULL}, refused
+
+
 @when(
     "{rate:d} requests a second of {patience_ms:d} ms patience arrive for {time_s:d} s, "
     "and take {slow_ms:d} ms from the {slow_s:d}rd on"
--- a/features/steps/path_queue.py
+++ b/features/steps/path_queue.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
@@ -47,6 +48,8 @@
     run_ms: float
     taken_tokens: float = 0.0
     used_token_ms: float = 0.0
+    still_ms: float = 0.0
+    """Time for which the process stands still each second."""
     queue: PathQueue = field(default_factory=lambda: create_path_queue(create_clock()))
     outcomes: list[Outcome] = field(default_factory=list)
 
@@ -92,6 +95,12 @@
             self.give_back(tokens)
         return outcome
 
+    async def stand_still(self, time_s: float) -> None:
+        """Hold up the process now and then, as a stop of its host does."""
+        for _ in range(int(time_s) - 1):
+            await asyncio.sleep(1.0)
+            time.sleep(self.still_ms / 1000.0)  # noqa: ASYNC251 -- nothing may go on meanwhile.
+
     async def flow(self, rate: float, time_s: float, send: Callable[[], Any]) -> None:
         """Send streams at an even pace and wait for their ends."""
         clock = create_clock()
@@ -113,6 +122,11 @@
     context.bench = Bench(count * USUAL_TOKENS, float(taken_ms))
 
 
+@when("the host stands still for {still_ms:d} ms each second")
+def stand_still(context: Any, still_ms: int) -> None:
+    context.bench.still_ms = float(still_ms)
+
+
 @when(
     '"{one}" and "{other}" send {few:d} streams a second each and "{loud}" {many:d} a second for '
     "{time_s:d} s"
@@ -128,6 +142,7 @@
             bench.flow(few, time_s, lambda: bench.send(one)),
             bench.flow(few, time_s, lambda: bench.send(other)),
             bench.flow(many, time_s, lambda: bench.send(loud)),
+            bench.stand_still(time_s),
         )
 
     asyncio.run(run())
--- a/src/pimentodale/admission/admission.py
+++ b/src/pimentodale/admission/admission.py
@@ -206,6 +206,7 @@
             self._queue.pop(now_ms)
             self._pace.note_granted(entry.cost)
             entry.item.granted.set_result(grant)
+        self._pace.note_handed_out()
         self._note_queue()
 
     def finish(self, grant: T, workspace: str, cost: float, started_ms: float) -> None:
@@ -237,9 +238,13 @@
         except asyncio.CancelledError:
             self._leave(entry)
             raise
+        if granted.cancelled():
+            # It has given way to a request of another workspace.
+            return Error(_refuse_full(workspace, self._clock.now_ms() - arrived_ms))
         if not granted.done():
             self._leave(entry)
             return Error(_refuse_late())
+        self._pace.note_taken_up()
         return Ok(self._permit(granted.result(), workspace, cost, arrived_ms))
 
     def _take_now(self, workspace: str, cost: float, hint: str) -> T | None:
@@ -292,7 +297,10 @@
         """Take an entry out whose caller stopped waiting, even if its grant just came."""
         self._queue.cancel(entry)
         self._note_queue()
+        if entry.item.granted.cancelled():
+            return
         if entry.item.granted.done():
+            self._pace.note_taken_up()
             self._take_back(entry.item.granted.result())
             return
         entry.item.granted.cancel()
@@ -306,8 +314,12 @@
         wait_ms *= _LASTING_WAIT_MARGIN if self._is_queue_lasting() else _WAIT_MARGIN
         if wait_ms > patience_ms:
             return _refuse_unreachable(wait_ms, wait_ms - patience_ms)
-        if not queue.has_room(workspace, self._limits.queue_requests()):
+        if queue.has_room(workspace, self._limits.queue_requests()):
+            return None
+        given_way = self._queue.give_way(workspace, weight, lambda _: True)
+        if given_way is None:
             return _refuse_full(workspace, wait_ms)
+        given_way.item.granted.cancel()
         return None
 
 
--- a/src/pimentodale/admission/estimate.py
+++ b/src/pimentodale/admission/estimate.py
@@ -32,6 +32,8 @@
         "_busy_ms",
         "_clock",
         "_finished_cost",
+        "_freed",
+        "_granted",
         "_granted_cost",
         "_held_ms",
         "_running",
@@ -44,6 +46,8 @@
         self._busy_ms = 0.0
         self._backlogged = False
         self._running = 0
+        self._granted = 0
+        self._freed = 0
         self._finished_cost = 0.0
         self._held_ms = 0.0
 
@@ -52,15 +56,34 @@
         """Whether anybody waits, as it was said last."""
         return self._backlogged
 
+    @property
+    def in_use(self) -> int:
+        """Requests that run, and room on its way from some that ended to those that wait.
+
+        After a stop of the host all that ran may end at once, before any other has started.
+        """
+        return self._running + self._granted + self._freed
+
     def note_backlog(self, backlogged: bool) -> None:
         """Say whether anybody waits from now on."""
         self._advance()
         self._backlogged = backlogged
+        if not backlogged:
+            self._freed = 0
 
     def note_granted(self, cost: float) -> None:
-        """Count cost that left the queue to be served."""
+        """Count cost that left the queue to be served; `note_taken_up` must follow."""
         self._advance()
         self._granted_cost += cost
+        self._granted += 1
+
+    def note_taken_up(self) -> None:
+        """Count off a granted request that starts now, or that left without its grant."""
+        self._granted -= 1
+
+    def note_handed_out(self) -> None:
+        """Say that those who wait have been given all the room that they fit into."""
+        self._freed = 0
 
     def note_started(self) -> None:
         """Count a request that starts, whether it waited or not."""
@@ -74,6 +97,8 @@
             held_ms: How long it ran.
         """
         self._running -= 1
+        if self._backlogged:
+            self._freed += 1
         kept = math.exp(-held_ms / _WINDOW_MS / max(1, self._running + 1))
         self._finished_cost = self._finished_cost * kept + cost
         self._held_ms = self._held_ms * kept + held_ms
@@ -88,7 +113,7 @@
         """Return the pace, or `None` if there is nothing to tell it from yet."""
         self._advance()
         if self._held_ms > 0.0:
-            prior_per_ms = self._running * self._finished_cost / self._held_ms
+            prior_per_ms = self.in_use * self._finished_cost / self._held_ms
             granted_cost = self._granted_cost + prior_per_ms * _PRIOR_MS
             return granted_cost / (self._busy_ms + _PRIOR_MS)
         if self._busy_ms < _MIN_BUSY_MS:
--- a/src/pimentodale/admission/fair_queue.py
+++ b/src/pimentodale/admission/fair_queue.py
@@ -12,7 +12,10 @@
 from heapq import heapify, heappop, heappush
 from itertools import count
 from operator import itemgetter
-from typing import Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 T = TypeVar("T")
 
@@ -92,13 +95,46 @@
         """Tell whether a workspace may add an entry.
 
         A workspace may hold as many entries as there are places left, so that some always are left
-        for the others, however many one of them sends.
+        for the others, however many one of them sends; and while there are places, as many as another
+        one holds. `give_way` makes room in a full queue.
 
         Args:
             workspace: The workspace.
             capacity: Entries that the queue may hold.
         """
-        return self.waiting_of(workspace) < capacity - self._size
+        places = capacity - self._size
+        own = self.waiting_of(workspace)
+        if own < places or places <= 0:
+            return own < places
+        return any(lane.size > own for lane in self._lanes.values())
+
+    def give_way(
+        self, workspace: str, weight: float, may_leave: Callable[[T], bool]
+    ) -> Waiting[T] | None:
+        """Take out an entry of the workspace with the most for its weight, to make room for another.
+
+        Args:
+            workspace: Whose new entry needs a place.
+            weight: The workspace's weight.
+            may_leave: Whether an entry may be taken out.
+
+        Returns:
+            The newest such entry, taken out; `None` if no workspace would still have as much for its
+            weight as this one with its new entry.
+        """
+        lanes = (lane for lane in self._lanes.values() if lane.size)
+        longest = max(lanes, key=lambda lane: lane.size / lane.weight, default=None)
+        if longest is None:
+            return None
+        own = (self.waiting_of(workspace) + 1) / weight
+        if (longest.size - 1) / longest.weight < own:
+            return None
+        for entry in reversed(longest.waiting):
+            if entry.settled or not may_leave(entry.item):
+                continue
+            self.cancel(entry)
+            return entry
+        return None
 
     def push(
         self, item: T, workspace: str, weight: float, cost: float, deadline_ms: float
--- a/src/pimentodale/forwarding/path_queue.py
+++ b/src/pimentodale/forwarding/path_queue.py
@@ -89,7 +89,9 @@
     """One stream in the queue."""
 
     seeker: PathSeeker
-    granted: asyncio.Future[Path]
+    granted: asyncio.Future[Path | None]
+    """Its path; `None` once it has given way to a stream of another workspace."""
+
     entered_ms: float
 
 
@@ -101,7 +103,6 @@
     _by_rank: dict[int, FairQueue[_Waiter]] = field(default_factory=dict)
     _in_service: InService = field(init=False)
     _pace: DrainRate = field(init=False)
-    _running: int = 0
     _served_ms: float = 0.0
     _timer: asyncio.TimerHandle | None = None
 
@@ -140,10 +141,12 @@
         finally:
             queue.cancel(entry)
             self._pace.note_backlog(bool(len(self)))
-            if waiter.granted.done():
+            path = waiter.granted.result() if waiter.granted.done() else None
+            if path is not None:
                 # The caller counts the stream itself, in the same turn.
-                seeker.give_back(waiter.granted.result())
-        return waiter.granted.result() if waiter.granted.done() else None
+                self._pace.note_taken_up()
+                seeker.give_back(path)
+        return path
 
     def wake(self, pause_ms: float = 0.0) -> None:
         """Look for paths soon; call it when room may have appeared."""
@@ -160,6 +163,10 @@
 
     def serve(self) -> None:
         """Give paths to those that are next."""
+        self._give_out()
+        self._pace.note_handed_out()
+
+    def _give_out(self) -> None:
         now_ms = self._served_ms = self.clock.now_ms()
         looks = MAX_LOOKS
         for rank in sorted(self._by_rank):
@@ -176,7 +183,6 @@
 
     def started(self, workspace: str, tokens: float) -> None:
         """Count a stream that is sent."""
-        self._running += 1
         self._in_service.started(workspace, 1.0, tokens)
         self._pace.note_started()
 
@@ -188,7 +194,6 @@
             tokens: Tokens that it held.
             held_ms: How long it ran.
         """
-        self._running -= 1
         self._in_service.ended(workspace, tokens)
         self._pace.note_finished(tokens, held_ms)
 
@@ -211,9 +216,25 @@
             return False
         queue = self._by_rank.get(seeker.rank) or create_fair_queue()
         ahead = [other for rank, other in self._by_rank.items() if rank < seeker.rank]
-        capacity = max(MIN_QUEUE, int(self._running * QUEUE_FRACTION))
-        if not queue.has_room(seeker.lane, capacity - sum(len(other) for other in ahead)):
+        if not self._comes_in_time(queue, ahead, seeker, wait_ms):
+            return False
+        capacity = max(MIN_QUEUE, int(self._pace.in_use * QUEUE_FRACTION))
+        if queue.has_room(seeker.lane, capacity - sum(len(other) for other in ahead)):
+            return True
+        waiting = queue.give_way(seeker.lane, 1.0, lambda waiter: not waiter.seeker.is_begun)
+        if waiting is None:
             return False
+        waiting.item.granted.set_result(None)
+        return True
+
+    def _comes_in_time(
+        self,
+        queue: FairQueue[_Waiter],
+        ahead: list[FairQueue[_Waiter]],
+        seeker: PathSeeker,
+        wait_ms: float,
+    ) -> bool:
+        """Whether the pace of the queue promises a stream's turn in time."""
         pace_per_ms = self._pace.cost_per_ms()
         if pace_per_ms is None:
             return True
