--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -75,6 +75,19 @@
       | all plain replicas           |
       | all engine replicas          |
 
+  # Guards against a crowd of requests at replicas that want none, or at the end of their time.
+  Scenario Outline: <what> that turn requests away for <hold_s> s hold under far more load than they serve
+    Given a site of two gateways, eight replicas and a store
+    When <what> turn requests away for <hold_s> s, and 24 clients send requests without a pause for <span_s> s
+    Then no replica got more than two requests of a gateway from 0.5 s after an answer to the end of the time
+    And all were refused as not run, with a time to come back
+
+    Examples:
+      | what                | hold_s | span_s |
+      | all plain replicas  | 1      | 5      |
+      | all engine replicas | 5      | 8      |
+      | all engine replicas | 30     | 5      |
+
   # Guards against requests that are refused though other replicas take them.
   Scenario: other replicas take the work of one that turns requests away
     Given a site of two gateways, eight replicas and a store
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 from features.support.engine_fleet import replica
@@ -28,6 +28,9 @@
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.view import SiteRecords, create_site_view
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PATHS = {"a plain replica": "/read/x", "the first replica of streams": "/lm/stream"}
 SENDERS = 4
 """Requests at once, so that several replicas get some."""
@@ -92,32 +95,53 @@
     context.path = PATHS["a plain replica"]
     site.store_fault(down=True, down_mode="silent")
     context.left_s, context.last_s, context.refused = {}, {}, []
+
+    def take(_attempt: str, reply: Any) -> None:
+        now_s = time.monotonic()
+        if reply.status != 200:
+            context.refused.append((now_s, reply))
+            return
+        stamp = reply.headers["Pimentodale-Replica-Stamp"]
+        context.last_s[stamp] = now_s
+        if reply.headers.get("Server-Leaving") == "1":
+            context.left_s.setdefault(stamp, now_s)
+
+    def announce_in_turn() -> None:
+        for name in PLAIN_REPLICAS:
+            site.admin(name, "announce")
+            time.sleep(LEAVE_APART_S)
+        time.sleep(LEAVE_APART_S)
+
+    send_without_pause(context, count, take, announce_in_turn)
+
+
+def send_without_pause(
+    context: Any, count: int, take: Callable[[str, Any], None], meanwhile: Callable[[], None]
+) -> None:
+    """Have clients send requests through both gateways for as long as something else runs.
+
+    Args:
+        context: Holds the site and the path.
+        count: Clients; every other one uses the same gateway.
+        take: Called with the id of each attempt and its reply.
+        meanwhile: Runs beside them.
+    """
+    site = context.gateways
     is_over = threading.Event()
 
     def send_on(number: int) -> None:
-        name = GATEWAYS[number % 2]
+        name = GATEWAYS[number % len(GATEWAYS)]
         for request in itertools.count():
             if is_over.is_set():
                 return
-            attempt = f"attempt-{number}-{request}"
+            attempt = f"attempt-{name}-{number}-{request}"
             headers = site.headers() | {"Pimentodale-Attempt-Id": attempt}
-            reply = site.request(name, context.path, headers=headers)
-            now_s = time.monotonic()
-            if reply.status != 200:
-                context.refused.append((now_s, reply))
-                continue
-            stamp = reply.headers["Pimentodale-Replica-Stamp"]
-            context.last_s[stamp] = now_s
-            if reply.headers.get("Server-Leaving") == "1":
-                context.left_s.setdefault(stamp, now_s)
+            take(attempt, site.request(name, context.path, headers=headers))
 
     clients = [threading.Thread(target=send_on, args=(each,)) for each in range(count)]
     for client in clients:
         client.start()
-    for name in PLAIN_REPLICAS:
-        site.admin(name, "announce")
-        time.sleep(LEAVE_APART_S)
-    time.sleep(LEAVE_APART_S)
+    meanwhile()
     is_over.set()
     for client in clients:
         client.join()
@@ -300,6 +324,49 @@
     context.mended_s = time.monotonic()
 
 
+@when(
+    "{what} turn requests away for {hold_s:d} s, and {count:d} clients send requests without a "
+    "pause for {span_s:d} s"
+)
+def turn_crowd_away(context: Any, what: str, hold_s: int, count: int, span_s: int) -> None:
+    context.path, context.turning = TURNED_AWAY[what]
+    context.hold_ms = hold_s * 1000.0
+    context.refused = []
+    for name in context.turning:
+        context.gateways.turn_away(name, str(hold_s))
+    send_without_pause(
+        context,
+        count,
+        lambda _attempt, reply: context.refused.append(reply),
+        lambda: time.sleep(span_s),
+    )
+
+
+@then(
+    "no replica got more than two requests of a gateway from 0.5 s after an answer to the end of "
+    "the time"
+)
+def check_held_off(context: Any) -> None:
+    arrived_ms: dict[tuple[str, str], list[float]] = {}
+    for entry in context.gateways.journal("turned away"):
+        gateway = entry["attempt"].split("-")[1]
+        arrived_ms.setdefault((entry["replica"], gateway), []).append(entry["at_ms"])
+    assert {gateway for _, gateway in arrived_ms} == set(GATEWAYS), arrived_ms.keys()
+    for key, times_ms in arrived_ms.items():
+        for at_ms in times_ms:
+            late = [ms for ms in times_ms if at_ms + 500.0 < ms < at_ms + context.hold_ms]
+            assert len(late) <= 2, (key, at_ms, late)
+
+
+@then("all were refused as not run, with a time to come back")
+def check_all_refused(context: Any) -> None:
+    assert len(context.refused) > 100, len(context.refused)
+    for reply in context.refused:
+        assert reply.status == 503, reply
+        assert reply.json()["ran"] == "not_run", reply
+        assert 0.0 < float(reply.headers["Retry-After"]) * 1000.0 <= context.hold_ms * 1.25 + 100.0
+
+
 @then("each of them got at most two requests from each gateway")
 def check_turned_away(context: Any) -> None:
     got = [entry["replica"] for entry in context.gateways.journal("turned away")]
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -112,6 +112,8 @@
     replica: str
     attempt: str
     detail: str = ""
+    at_ms: float = 0.0
+    """Clock reading at which it was written."""
 
 
 class Order(msgspec.Struct):
@@ -470,7 +472,8 @@
     def _journal(self, what: str, attempt: str, detail: str) -> None:
         """Record what ran."""
         part = self.part
-        part.journal.write(RunEntry(what, part.settings.replica_id, attempt, detail))
+        at_ms = part.clock.now_ms()
+        part.journal.write(RunEntry(what, part.settings.replica_id, attempt, detail, at_ms))
 
 
 class DrainHandler(ReplicaHandler):
