Give engines of an entry host no streams for the time that they ask for

An engine whose slots are taken may now say with its 429 for how long it wants nothing. It is left out of routes for that time, the first stream after it goes alone, other engines take the work, and where all have asked callers are refused at once with the soonest time.

A first form of the scenario kept the loop from turning, as refusals come without a wait; its clients now pause for 1 ms.

Ruled out: the pause of busy engines (100 ms) for the whole time, as it only lowers their share of the choice. Not done: requests that wait in the queue already as the last engine asks for time wait on until it ends or their deadline.

--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -151,3 +151,19 @@
     When each service is called once
     And the replica of rigs takes no connection
     Then a call of rigs is refused, to come back in 2000 ms
+
+  # Guards against streams for engines of an entry host that have said for how long they want none.
+  Scenario: engines of an entry host that turn streams away get none until their time is over
+    Given an entry host over 2 stand-in engines that each hold all layers
+    When the engines turn streams away for 3 s, and 4 clients send streams without a pause for 2 s
+    Then none of them turned away a stream later than 0.5 s after its first answer
+    And callers were refused as not run, to come back once the 3 s are over
+    When the engines take streams again, and the time is over
+    Then streams come whole through both again within 3 s
+
+  # Guards against streams that are refused though another engine takes them.
+  Scenario: another engine takes the streams of one that turns them away
+    Given an entry host over 2 stand-in engines that each hold all layers
+    When one of the engines turns streams away for 3 s, and 4 clients send streams without a pause for 2 s
+    Then none of them turned away a stream later than 0.5 s after its first answer
+    And all the streams came whole
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import json
 import threading
@@ -11,7 +12,14 @@
 
 from behave import given, then, when
 from features.support.engine_fleet import replica
+from features.support.engines import (
+    EngineSpec,
+    engine_journal,
+    set_engine_fault,
+    start_engines,
+)
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
+from features.support.generation_hosts import create_host, run_generation
 from features.support.site import http, wait_until
 from tornado.httputil import HTTPHeaders
 
@@ -25,6 +33,7 @@
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from pimentodale.platform.exchanges import decode_answer
 from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
+from pimentodale.results import Ran
 from pimentodale.site.beliefs import create_replica_beliefs, incarnation_of
 from pimentodale.site.view import SiteRecords, create_site_view
 
@@ -32,9 +41,7 @@
     from collections.abc import Callable
 
 PATHS = {"a plain replica": "/read/x", "the first replica of streams": "/lm/stream"}
-SENDERS = 4
-"""Requests at once, so that several replicas get some."""
-
+ENGINE_LAYERS = 12
 
 LEAVE_APART_S = 4.0
 """Time between two replicas that leave."""
@@ -471,3 +478,100 @@
 @then("clients of their service are told to come back after 3 s")
 def check_soonest(context: Any) -> None:
     assert held_back_ms(context.means, "plain") == 3_000.0
+
+
+@given("an entry host over {count:d} stand-in engines that each hold all layers")
+def start_engine_site(context: Any, count: int) -> None:
+    context.engines = [
+        EngineSpec(f"e{number}", context.site.ip(10 + number), 0, ENGINE_LAYERS)
+        for number in range(count)
+    ]
+    start_engines(context.site, context.engines, shared=True)
+
+
+@when(
+    "{what} turn streams away for {hold_s:d} s, and {count:d} clients send streams without a pause "
+    "for {span_s:d} s"
+)
+@when(
+    "{what} turns streams away for {hold_s:d} s, and {count:d} clients send streams without a pause "
+    "for {span_s:d} s"
+)
+def turn_streams_away(context: Any, what: str, hold_s: int, count: int, span_s: int) -> None:
+    context.turning = context.engines[:1] if what == "one of the engines" else context.engines
+    for spec in context.turning:
+        set_engine_fault(context.site, spec.name, busy=True, retry_after=str(hold_s))
+    context.loop = asyncio.new_event_loop()
+    context.results = []
+
+    async def run() -> None:
+        context.host = create_host("h1", context.engines, seed=context.site.seed)
+        context.started_ms = context.host.clock.now_ms()
+
+        async def send_on(number: int) -> None:
+            for request in itertools.count():
+                sent_ms = context.host.clock.now_ms()
+                if sent_ms > context.started_ms + span_s * 1000.0:
+                    return
+                name = f"q{number}-{request}"
+                result = await run_generation(context.host, f"{name} [tokens=3]", name)
+                context.results.append((sent_ms, context.host.clock.now_ms(), result))
+                # A refusal may come without a turn of the loop, which the others need.
+                await asyncio.sleep(0.001)
+
+        await asyncio.gather(*(send_on(number) for number in range(count)))
+
+    context.loop.run_until_complete(run())
+
+
+@then("none of them turned away a stream later than 0.5 s after its first answer")
+def check_streams_away(context: Any) -> None:
+    lines = [engine_journal(context.site, spec.name, "refused") for spec in context.turning]
+    assert any(lines), "none was turned away"
+    for times_ms in ([line["at_ms"] for line in own] for own in lines):
+        assert not times_ms or max(times_ms) <= min(times_ms) + 500.0, times_ms
+
+
+@then("callers were refused as not run, to come back once the {hold_s:d} s are over")
+def check_told_time(context: Any, hold_s: int) -> None:
+    assert len(context.results) > 100, len(context.results)
+    for sent_ms, ended_ms, result in context.results[10:]:
+        assert result.refusal is not None, result
+        assert result.refusal.ran is Ran.NOT_RUN, result.refusal
+        assert ended_ms - sent_ms < 250.0, (sent_ms, ended_ms)
+        back_ms = ended_ms + result.refusal.retry_after_ms
+        assert abs(back_ms - context.started_ms - hold_s * 1000.0) < 500.0, result.refusal
+
+
+@when("the engines take streams again, and the time is over")
+def take_streams(context: Any) -> None:
+    for spec in context.engines:
+        set_engine_fault(context.site, spec.name)
+    left_ms = max(result.refusal.retry_after_ms for _, _, result in context.results[-1:])
+    time.sleep(left_ms / 1000.0 + 0.1)
+
+
+@then("streams come whole through both again within {bound_s:d} s")
+def check_streams_back(context: Any, bound_s: int) -> None:
+    async def send() -> bool:
+        context.host.means.router.replan()
+        names = [f"back{number}" for number in range(8)]
+        await asyncio.gather(
+            *(run_generation(context.host, f"{name} [tokens=3]", name) for name in names)
+        )
+        return all(engine_journal(context.site, s.name, "end") for s in context.engines)
+
+    def are_back() -> bool:
+        return context.loop.run_until_complete(send())
+
+    wait_until(are_back, "both engines run streams", bound_s)
+    context.loop.close()
+
+
+@then("all the streams came whole")
+def check_streams_whole(context: Any) -> None:
+    context.loop.close()
+    assert len(context.results) > 20, len(context.results)
+    for _, _, result in context.results:
+        assert result.finished is not None, result
+        assert len(result.tokens) == 3, result
--- a/src/pimentodale/admission/gate.py
+++ b/src/pimentodale/admission/gate.py
@@ -67,7 +67,7 @@
             The permit, which must be released; or a refusal, and nothing was run.
         """
         if not self._router.has_route(model.name, model.layers):
-            return Error(_no_route(model))
+            return Error(_no_route(model, self._router.held_off_ms(model.name)))
         admission = self._admission_of(model)
         return await admission.admit(workspace, float(tokens), deadline_ms, hint=prefix_hash)
 
@@ -121,7 +121,8 @@
     return Gate(clock, router, create_rate_shares(clock, own_host), configuration)
 
 
-def _no_route(model: Model) -> Refusal:
-    """Refuse for want of a route."""
+def _no_route(model: Model, held_off_ms: float) -> Refusal:
+    """Refuse for want of a route; engines that asked for time say when there is one again."""
     message = f"No live backend servers hold every layer of {model.name} now; come back later."
-    return create_refusal(ResultCode.NO_ROUTE, message, retry_after_ms=NO_ROUTE_RETRY_MS)
+    retry_after_ms = held_off_ms or NO_ROUTE_RETRY_MS
+    return create_refusal(ResultCode.NO_ROUTE, message, retry_after_ms=retry_after_ms)
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -15,6 +15,7 @@
     TokenNote,
 )
 from pimentodale.clients.http_call import CallFault, CallRequest, collect_body, fetch, open_call
+from pimentodale.clients.retry_after import RETRY_AFTER, read_retry_after_ms
 from pimentodale.clock import create_clock
 
 if TYPE_CHECKING:
@@ -76,6 +77,9 @@
     connection_lost: bool = False
     """Whether only the connection was lost: the engine answers on another one."""
 
+    hold_off_ms: float | None = None
+    """How long the stage that refused for want of room wants nothing; `None` where it did not say."""
+
 
 EngineEvent = EngineToken | EngineFinish
 """What a stream yields."""
@@ -326,7 +330,15 @@
         refusal = _refusal_decoder.decode(body.ok).pimentodale
     except msgspec.DecodeError:
         return EngineFault(f"answered HTTP {status}", malformed=True)
-    return EngineFault(f"answered HTTP {status}", refused=refusal, stage_lost=refusal.stage_lost)
+    hold_off_ms = None
+    if refusal.busy:
+        hold_off_ms = read_retry_after_ms(call.headers.get(RETRY_AFTER))
+    return EngineFault(
+        f"answered HTTP {status}",
+        refused=refusal,
+        stage_lost=refusal.stage_lost,
+        hold_off_ms=hold_off_ms,
+    )
 
 
 def _fault_of(fault: CallFault) -> EngineFault:
--- a/src/pimentodale/pipelines/attempt.py
+++ b/src/pimentodale/pipelines/attempt.py
@@ -68,6 +68,7 @@
             yield Error(opened.error)
             return
         stream = opened.ok
+        means.fleet.note_taken(route.replicas)
         async with aclosing(_read(progress, route, stream)) as events:
             async for event in events:
                 end = event.error.message if event.is_error() else "whole"
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -210,6 +210,8 @@
         return progress.refuse(ResultCode.CLAIM_LOST, message)
     if fault.refused is not None and fault.refused.busy:
         progress.busy.add(fault.refused.busy)
+        if fault.hold_off_ms is not None:
+            means.fleet.hold_off(fault.refused.busy, fault.hold_off_ms)
         means.metrics.retries["busy"] += 1
         return None
     progress.failed_attempts += 1
--- a/src/pimentodale/pipelines/suspicion.py
+++ b/src/pimentodale/pipelines/suspicion.py
@@ -194,7 +194,8 @@
     """Refuse for want of a route."""
     model = progress.generation.model.name
     message = f"No live backend servers hold every layer of {model} now; come back later."
-    return progress.refuse(ResultCode.NO_ROUTE, message, NO_ROUTE_RETRY_MS)
+    held_off_ms = progress.means.fleet.held_off_ms(model)
+    return progress.refuse(ResultCode.NO_ROUTE, message, held_off_ms or NO_ROUTE_RETRY_MS)
 
 
 def _end_trial(progress: Progress) -> None:
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pimentodale.admission.hold_offs import HoldOffs, create_hold_offs
 from pimentodale.leaving.servers import create_leaving_servers
 
 BUSY_PAUSE_MS: Final = 100.0
@@ -58,7 +59,16 @@
 class Fleet:
     """Backend servers by name."""
 
-    __slots__ = ("_clock", "_down_services", "_engines", "_leaving", "_services", "revision")
+    __slots__ = (
+        "_clock",
+        "_down_services",
+        "_engines",
+        "_held",
+        "_hold_offs",
+        "_leaving",
+        "_services",
+        "revision",
+    )
 
     revision: int
     """Rises with each change that calls for another plan."""
@@ -69,6 +79,8 @@
         self._services: dict[str, ServiceTarget] = {}
         self._down_services: dict[str, float] = {}
         self._leaving = create_leaving_servers(clock, publish_sign, self._note_leaving)
+        self._hold_offs: HoldOffs[str] = create_hold_offs(clock)
+        self._held: frozenset[str] = frozenset()
         self.revision = 0
 
     def apply_targets(self, targets: Targets) -> None:
@@ -140,8 +152,41 @@
         if status is not None:
             status.busy_until_ms = self._clock.now_ms() + BUSY_PAUSE_MS
 
+    def hold_off(self, replica: str, duration_ms: float) -> None:
+        """Give an engine no new work for the time that it asked for.
+
+        Args:
+            replica: The engine.
+            duration_ms: How long it wants nothing.
+        """
+        self._hold_offs.hold(replica, duration_ms)
+        self._set_held()
+
+    def note_sent(self, replicas: Iterable[str]) -> None:
+        """Note that a stream goes to engines; the first one after an engine's time goes alone."""
+        for replica in replicas:
+            self._hold_offs.note_sent(replica)
+        self._set_held()
+
+    def note_taken(self, replicas: Iterable[str]) -> None:
+        """Note that engines have taken a stream."""
+        for replica in replicas:
+            self._hold_offs.note_taken(replica)
+        self._set_held()
+
+    def held_off_ms(self, model: str) -> float:
+        """Return how long it takes until an engine of a model that asked for time takes work again.
+
+        Returns:
+            The time in ms; 0 where none asked.
+        """
+        held = self._hold_offs.held()
+        own = [name for name, status in self._engines.items() if status.target.model == model]
+        return self._hold_offs.soonest_ms(held.intersection(own))
+
     def note_recovered(self) -> None:
-        """Look for replicas whose time of being down is over; call it regularly."""
+        """Look for replicas whose time of being down or held off is over; call it regularly."""
+        self._set_held()
         now_ms = self._clock.now_ms()
         for status in self._engines.values():
             if 0.0 < status.down_until_ms <= now_ms:
@@ -168,7 +213,7 @@
         status = self._engines.get(replica)
         if status is None or not status.listed:
             return False
-        if self._leaving.is_leaving(replica):
+        if self._leaving.is_leaving(replica) or not self._hold_offs.allows(replica):
             return False
         return status.down_until_ms <= self._clock.now_ms()
 
@@ -212,6 +257,13 @@
             usable.append(target)
         return usable
 
+    def _set_held(self) -> None:
+        """Have routes planned anew where other engines are held off than before."""
+        held = self._hold_offs.held()
+        if held != self._held:
+            self._held = held
+            self.revision += 1
+
     def _note_leaving(self, _replica: str) -> None:
         """Have routes planned anew after a replica's leaving became known."""
         self.revision += 1
--- a/src/pimentodale/routing/router.py
+++ b/src/pimentodale/routing/router.py
@@ -143,6 +143,7 @@
         """Count a stream that starts on a route; it must be ended."""
         if prompt_prefix_hash:
             self.prefixes.note_stored(prompt_prefix_hash, route.hops[0].replica)
+        self._fleet.note_sent(route.replicas)
         return self.windows.use(route)
 
     def ended(self, route: Route, outcome: RouteOutcome) -> None:
@@ -153,6 +154,10 @@
         """Whether usable engines tile the layers, with room or without."""
         return self.pick_route(model, layers) is not None
 
+    def held_off_ms(self, model: str) -> float:
+        """Return when an engine of a model that asked for time takes work again, in ms; 0 if none did."""
+        return self._fleet.held_off_ms(model)
+
     def replan(self) -> None:
         """Plan anew each model whose engines changed; call it regularly off the request path."""
         self._fleet.note_recovered()
--- a/src/pimentodale/standin/_engine_http.py
+++ b/src/pimentodale/standin/_engine_http.py
@@ -129,6 +129,8 @@
             status = 409
         elif refusal.busy:
             status = 429
+            if self.engine.faults.retry_after:
+                self.set_header("Retry-After", self.engine.faults.retry_after)
         elif refusal.stage_lost:
             status = 502
         self.answer(RefusalBody(refusal), status)
--- a/src/pimentodale/standin/_faults.py
+++ b/src/pimentodale/standin/_faults.py
@@ -43,6 +43,9 @@
     busy: bool = False
     """Refuses every stream with 429."""
 
+    retry_after: str = ""
+    """Header `Retry-After` of such refusals; empty for none."""
+
     leaving: bool = False
     """Refuses every stream with 503 and reports itself leaving."""
 
