Renew a host's record a third as often, and make it anew once its copy of the store misses it

The record lives 20 s in place of 6 and is renewed each 6 s in place of 2; who lives is told by membership, not by it. An outage that ends leases was found out at the next renewal; now the host's copy of the store tells, which it looks at each 0.5 s.

--- a/features/site_mirror.feature
+++ b/features/site_mirror.feature
@@ -66,3 +66,11 @@
       | duty          | least | most | back |
       | watches       | 14    | 28   | 850  |
       | doesn't watch | 4     | 12   | 3400 |
+
+  # Guards against calls to the store that grow with the site, and against hosts that can't be found after an outage.
+  Scenario: a host's record is renewed seldom, and made anew soon where an outage has ended it
+    Given a host that keeps its record in the store
+    When 60 s of its clock pass
+    Then the record is there, after at most 12 calls to the store
+    When an outage of 3 s ends all leases
+    Then the record is there within 2 s of its end, after at most 20 calls
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -8,16 +8,18 @@
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
+from features.support.memory_store import MemoryState, MemoryStore
 from features.support.mirror_fakes import CountingStore, FakePeers
 
-from pimentodale.clients.key_value import KeyValue
+from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
+from pimentodale.gateway.registration import keep_registered
 from pimentodale.mirror.follower import WATCHERS, create_mirror_follower
 from pimentodale.mirror.mirror import Mirror, create_mirror
 from pimentodale.peers.mesh import choose_watchers
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
-from pimentodale.site.view import SiteRecords, create_site_view
+from pimentodale.site.view import HOST_PREFIX, SiteRecords, create_site_view
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -323,3 +325,67 @@
     returned_ms = context.clock.now_ms()
     follow_until(context, lambda: context.mirror.items["k"].value == b"from the store")
     assert context.clock.now_ms() - returned_ms <= limit_ms
+
+
+@given("a host that keeps its record in the store")
+def keep_record(context: Any) -> None:
+    context.clock = ManualClock()
+    context.state = MemoryState(context.clock)
+    context.calls = 0
+    context.is_down = False
+    context.loop = asyncio.new_event_loop()
+    key = HOST_PREFIX + "h1"
+
+    async def gate(stage: str) -> StoreFault | None:
+        await asyncio.sleep(0)
+        context.calls += stage == "request"
+        return StoreFault(False, "down") if context.is_down else None
+
+    context.is_listed = lambda: key in context.state.items
+    store = MemoryStore(context.state, gate)
+    keeping = keep_registered(store, context.clock, "h1", "127.0.0.1:7002", context.is_listed)
+    context.keeping = context.loop.create_task(keeping)
+
+
+def pass_time(context: Any, duration_ms: float) -> None:
+    """Let the host go on until its clock has reached a time from now."""
+    end_ms = context.clock.now_ms() + duration_ms
+
+    async def wait() -> None:
+        for _ in range(MAX_TURNS):
+            if context.clock.now_ms() >= end_ms:
+                return
+            await asyncio.sleep(0)
+
+    context.loop.run_until_complete(wait())
+    context.state.expire()
+
+
+@when("{length_s:d} s of its clock pass")
+def pass_seconds(context: Any, length_s: int) -> None:
+    pass_time(context, length_s * 1000.0)
+
+
+@then("the record is there, after at most {most:d} calls to the store")
+def check_kept(context: Any, most: int) -> None:
+    assert context.is_listed()
+    assert context.calls <= most, context.calls
+
+
+@when("an outage of {length_s:d} s ends all leases")
+def end_leases(context: Any, length_s: int) -> None:
+    context.is_down = True
+    pass_time(context, length_s * 1000.0)
+    context.state.leases = dict.fromkeys(context.state.leases, 0.0)
+    context.state.expire()
+    context.is_down = False
+
+
+@then("the record is there within {limit_s:d} s of its end, after at most {most:d} calls")
+def check_made_anew(context: Any, limit_s: int, most: int) -> None:
+    pass_time(context, limit_s * 1000.0)
+    context.keeping.cancel()
+    context.loop.run_until_complete(asyncio.gather(context.keeping, return_exceptions=True))
+    context.loop.close()
+    assert context.is_listed()
+    assert context.calls <= most, context.calls
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -180,7 +180,13 @@
     start(follower.follow_store(), "store")
     start(follower.follow_peers(), "mirror through peers")
     start(
-        keep_registered(platform.store, gateway.clock, settings.host, settings.peer_listen),
+        keep_registered(
+            platform.store,
+            gateway.clock,
+            settings.host,
+            settings.peer_listen,
+            lambda: settings.host in view.peer_addresses,
+        ),
         "registration",
     )
     exchange = create_load_exchange(means.loads, view, peers, gateway.clock, gateway.rng)
