Have one host of each failure domain watch the store, and the next one in rank take its place

Two hosts of each failure domain watched at all times, since one may be lost; at its loss half of the others' questions met it, and each of those hosts then read the store itself.

Now the first in rank watches. A host that gets no word from it, or an old one, passes it over for 5 s and follows the next in rank, which watches once it finds the same; the store is asked by the others only where neither gives word.

The new scenario is about hosts of a domain whose first watcher gives no word; on the code before its last step can't hold, as the second host always watches (not run there).

--- a/features/site_mirror.feature
+++ b/features/site_mirror.feature
@@ -44,19 +44,27 @@
     Then configuration 7 is in force
 
   Scenario: a host that is no watcher learns through one, and asks the store when it can't
-    Given a failure domain of five hosts, three of which watch the store
+    Given a failure domain of five hosts, two of which may watch the store
     When a host that doesn't watch follows for a while
     Then it has the watcher's keys without a call to the store
     And it reads the store itself once the watchers don't answer
 
+  # Guards against a failure domain whose hosts all ask the store at once as one of them is lost.
+  Scenario: the next host in rank watches the store for the others where the first gives no word
+    Given a failure domain of five hosts, two of which may watch the store
+    When the first watcher gives no word, and each of the others follows for a while
+    Then the next one in rank has read the store, and has kept to a watch
+    And the others have its keys without a call to the store
+    And it follows the first again once that has given word
+
   Scenario: a host that took itself for a watcher stops once it knows the others
-    Given a failure domain of five hosts, three of which watch the store
+    Given a failure domain of five hosts, two of which may watch the store
     And the host knew of no other one when it began to watch
     When it learns of the others
     Then it no longer watches the store, and has the watcher's keys
 
   Scenario Outline: a store that doesn't answer is asked less and less often
-    Given a failure domain of five hosts, three of which watch the store
+    Given a failure domain of five hosts, two of which may watch the store
     And the store and the other hosts don't answer
     When a host that <duty> follows for 10 s of its clock
     Then it has read the store at least <least> times and at most <most> times
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -14,7 +14,7 @@
 from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.gateway.registration import keep_registered
-from pimentodale.mirror.follower import WATCHERS, create_mirror_follower
+from pimentodale.mirror.follower import DISTRUST_MS, WATCHERS, create_mirror_follower
 from pimentodale.mirror.mirror import Mirror, create_mirror
 from pimentodale.peers.mesh import choose_watchers
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
@@ -199,7 +199,7 @@
     assert context.view.configuration.version == 7
 
 
-@given("a failure domain of five hosts, three of which watch the store")
+@given("a failure domain of five hosts, two of which may watch the store")
 def five_hosts(context: Any) -> None:
     clock = create_clock()
     source = create_mirror(clock)
@@ -246,6 +246,56 @@
     assert context.mirror.items["k"].value == b"from the store"
 
 
+@when("the first watcher gives no word, and each of the others follows for a while")
+def lose_watcher(context: Any) -> None:
+    first, second = context.watchers
+    members = {member.host: member for member in context.peers.members}
+    context.peers.silent = {first}
+    context.clock = ManualClock()
+    context.by_host = {}
+    for host in (second, *(name for name in members if name not in context.watchers)):
+        context.peers.own = members[host]
+        mirror, store = create_mirror(context.clock), CountingStore()
+        store.quiet_batches = 1_000
+        mirror.apply_whole(9, [item("k", 9, b"old")])
+        follower = create_mirror_follower(
+            mirror, store, context.peers, context.clock, random.Random(context.site.seed)
+        )
+        context.mirror, context.store, context.follower = mirror, store, follower
+        follow(context, 0.3)
+        context.by_host[host] = (mirror, store, follower)
+
+
+@then("the next one in rank has read the store, and has kept to a watch")
+def check_next_watches(context: Any) -> None:
+    _, store, follower = context.by_host[context.watchers[1]]
+    assert store.reads == 1, store.reads
+    assert store.batches > 1, store.batches
+    context.peers.own = next(m for m in context.peers.members if m.host == context.watchers[1])
+    assert follower.is_watcher()
+
+
+@then("the others have its keys without a call to the store")
+def check_others_follow(context: Any) -> None:
+    for host, (mirror, store, _) in context.by_host.items():
+        if host == context.watchers[1]:
+            continue
+        assert store.reads == 0, host
+        assert mirror.items["k"].value == b"from a watcher", host
+
+
+@then("it follows the first again once that has given word")
+def check_first_again(context: Any) -> None:
+    mirror, store, follower = context.by_host[context.watchers[1]]
+    context.peers.silent = set()
+    context.mirror, context.store, context.follower = mirror, store, follower
+    context.clock.advance(DISTRUST_MS)
+    follow(context, 0.2)
+    batches = store.batches
+    follow(context, 0.2)
+    assert store.batches == batches, (batches, store.batches)
+
+
 @given("the host knew of no other one when it began to watch")
 def know_nobody(context: Any) -> None:
     context.all_members = context.peers.members
--- a/features/support/mirror_fakes.py
+++ b/features/support/mirror_fakes.py
@@ -28,6 +28,8 @@
         self.own = self.members[0]
         self.source = source
         self.answers = True
+        self.silent: set[str] = set()
+        """Hosts that don't answer."""
         self.asked: list[str] = []
 
     def live_members(self) -> list[MemberRecord]:
@@ -43,7 +45,7 @@
         """Answer from the copy."""
         self.asked.append(host)
         await asyncio.sleep(0.01)
-        if not self.answers:
+        if not self.answers or host in self.silent:
             return Error(PeerFault(False, "no answer"))
         question = msgspec.msgpack.decode(body, type=MirrorQuestion)
         return Ok(msgspec.msgpack.encode(self.source.changes_since(question.revision)))
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -52,7 +52,12 @@
 """Pause between two looks for news by a host that keeps another one's question."""
 
 WATCHERS: Final = 2
-"""Hosts of each failure domain that watch the store for the others: one may be lost."""
+"""Hosts of each failure domain that may watch the store for the others: the first does, the next one in
+its place where it gives no word."""
+
+DISTRUST_MS: Final = 5_000.0
+"""How long a watcher that gave no word, or an old one, is passed over; one that has ended has left the
+membership by then."""
 
 RELAY_WAIT_MS: Final = 600.0
 """How long a watcher keeps a quiet question of another host; its end shows that both live."""
@@ -92,6 +97,9 @@
     is_connected: bool = False
     """Whether the store's last answer was a success."""
 
+    _distrusted_ms: dict[str, float] = field(default_factory=dict)
+    """Until when watchers that gave no word are passed over."""
+
     _failures: int = 0
     """Readings without an answer since the last success."""
 
@@ -133,7 +141,7 @@
     def is_watcher(self) -> bool:
         """Whether this host watches the store itself."""
         own = self.peers.own
-        return own.host in self._watchers() or own.state is not MemberState.ALIVE
+        return own.host == self._watcher() or own.state is not MemberState.ALIVE
 
     async def answer(self, body: bytes) -> bytes:
         """Answer another host's question, once there is news or its time is over."""
@@ -144,22 +152,32 @@
             await self.clock.sleep_ms(RELAY_POLL_MS)
         return msgspec.msgpack.encode(self.mirror.changes_since(revision))
 
-    def _watchers(self) -> list[str]:
-        """Return the hosts of this failure domain that watch the store."""
+    def _watcher(self) -> str:
+        """Return the host of this failure domain that watches the store, as far as this one can tell."""
         domain = self.peers.own.failure_domain
         members = self.peers.live_members()
         hosts = {member.host for member in members if member.failure_domain == domain}
-        return choose_watchers(domain, hosts, WATCHERS)
+        ranked = choose_watchers(domain, hosts, WATCHERS)
+        return next((host for host in ranked if not self._is_distrusted(host)), ranked[0])
+
+    def _is_distrusted(self, host: str) -> bool:
+        """Whether a watcher is passed over, as it gave no word."""
+        return self._distrusted_ms.get(host, 0.0) > self.clock.now_ms()
 
     async def _follow_watcher(self) -> None:
-        """Learn from a watcher of this failure domain, until that fails or this host is one."""
+        """Learn from this failure domain's watcher, until none gives word or this host is one."""
         while not self.is_watcher():
-            host = self.rng.choice(self._watchers())
+            host = self._watcher()
             changes = await self._ask(host, RELAY_WAIT_MS, RELAY_WAIT_MS + RELAY_SLACK_MS)
-            if changes is None or changes.age_ms > BEHIND_MS:
-                _log.info("A watcher could not be followed; the store is asked.", host=host)
+            if changes is not None and changes.age_ms <= BEHIND_MS:
+                self.mirror.take(changes)
+                continue
+            now_ms = self.clock.now_ms()
+            kept = {other: end for other, end in self._distrusted_ms.items() if end > now_ms}
+            self._distrusted_ms = kept | {host: now_ms + DISTRUST_MS}
+            _log.info("A watcher could not be followed.", host=host, answered=changes is not None)
+            if self._is_distrusted(self._watcher()):
                 return
-            self.mirror.take(changes)
 
     async def _watch(self) -> None:
         """Take changes until the watch ends, or other hosts turn out to be the watchers."""
