--- a/features/routing.feature
+++ b/features/routing.feature
@@ -38,6 +38,13 @@
     Then it takes no work though it leaves the list and comes back, until 30 s without a sign
     And it takes work again after a start with another boot id
 
+  # Guards against engines that stay without work for what they said before they started anew.
+  Scenario: an engine that wants no work for a while gets it once it has started anew
+    Given a router over 1 failure domains with 4 engines
+    When one engine asks for no work for 60 s
+    Then it takes no work while it reports the same boot
+    And it takes work once it reports another one
+
   Scenario: own streams are counted over a gap in the host list
     Given a router over 1 failure domains with 4 engines
     When the host list loses the engines for a while during 3 streams
--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -353,6 +353,24 @@
     assert context.fleet.is_usable("e0")
 
 
+@when("one engine asks for no work for {length_s:d} s")
+def ask_for_none(context: Any, length_s: int) -> None:
+    context.fleet.apply_load(make_load("live", "boot-1"))
+    context.fleet.hold_off("e0", length_s * 1000.0)
+
+
+@then("it takes no work while it reports the same boot")
+def check_held_off(context: Any) -> None:
+    context.fleet.apply_load(make_load("live", "boot-1"))
+    assert not context.fleet.is_usable("e0")
+
+
+@then("it takes work once it reports another one")
+def check_taken_again(context: Any) -> None:
+    context.fleet.apply_load(make_load("live", "boot-2"))
+    assert context.fleet.is_usable("e0")
+
+
 def make_load(state: Any, boot_id: str) -> EngineLoad:
     return EngineLoad(
         replica="e0",
--- a/src/pimentodale/forwarding/path_queue.py
+++ b/src/pimentodale/forwarding/path_queue.py
@@ -167,6 +167,7 @@
         self._pace.note_handed_out()
 
     def _give_out(self) -> None:
+        """Give paths until nobody fits, or paths were looked for in vain too often."""
         now_ms = self._served_ms = self.clock.now_ms()
         looks = MAX_LOOKS
         for rank in sorted(self._by_rank):
--- a/src/pimentodale/routing/fleet.py
+++ b/src/pimentodale/routing/fleet.py
@@ -108,6 +108,7 @@
             return
         earlier = status.load
         if earlier is not None and earlier.boot_id != report.boot_id:
+            self._hold_offs.forget(report.replica)
             self.revision += 1
         status.load = report
         status.own_at_report = status.in_flight
