--- a/features/site_mirror.feature
+++ b/features/site_mirror.feature
@@ -57,6 +57,12 @@
     And the others have its keys without a call to the store
     And it follows the first again once that has given word
 
+  # Guards against a planned stop that ends with the copy of the store as it was when it began.
+  Scenario: the last host of a failure domain watches the store while it leaves
+    Given a failure domain of five hosts, two of which may watch the store
+    When all of them leave, and one that hasn't watched follows for a while
+    Then it has read the store and watches it
+
   Scenario: a host that took itself for a watcher stops once it knows the others
     Given a failure domain of five hosts, two of which may watch the store
     And the host knew of no other one when it began to watch
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 from behave import given, then, when
 from features.support.memory_store import MemoryState, MemoryStore
 from features.support.mirror_fakes import CountingStore, FakePeers
@@ -17,6 +18,7 @@
 from pimentodale.mirror.follower import DISTRUST_MS, WATCHERS, create_mirror_follower
 from pimentodale.mirror.mirror import Mirror, create_mirror
 from pimentodale.peers.mesh import choose_watchers
+from pimentodale.peers.messages import MemberState
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from pimentodale.platform.replicas import REPLICA_PREFIX, decode_replica
 from pimentodale.site.view import HOST_PREFIX, SiteRecords, create_site_view
@@ -296,6 +298,20 @@
     assert store.batches == batches, (batches, store.batches)
 
 
+@when("all of them leave, and one that hasn't watched follows for a while")
+def leave_all(context: Any) -> None:
+    context.peers.own = msgspec.structs.replace(context.peers.own, state=MemberState.LEAVING)
+    context.peers.members = []
+    context.store.quiet_batches = 1_000
+    follow(context, 0.2)
+
+
+@then("it has read the store and watches it")
+def check_watches(context: Any) -> None:
+    assert context.store.reads == 1, context.store.reads
+    assert context.store.batches > 1, context.store.batches
+
+
 @given("the host knew of no other one when it began to watch")
 def know_nobody(context: Any) -> None:
     context.all_members = context.peers.members
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -141,7 +141,7 @@
     def is_watcher(self) -> bool:
         """Whether this host watches the store itself."""
         own = self.peers.own
-        return own.host == self._watcher() or own.state is not MemberState.ALIVE
+        return own.state is not MemberState.ALIVE or own.host == self._watcher()
 
     async def answer(self, body: bytes) -> bytes:
         """Answer another host's question, once there is news or its time is over."""
@@ -154,10 +154,11 @@
 
     def _watcher(self) -> str:
         """Return the host of this failure domain that watches the store, as far as this one can tell."""
-        domain = self.peers.own.failure_domain
+        own = self.peers.own
         members = self.peers.live_members()
-        hosts = {member.host for member in members if member.failure_domain == domain}
-        ranked = choose_watchers(domain, hosts, WATCHERS)
+        hosts = {m.host for m in members if m.failure_domain == own.failure_domain}
+        # A host that leaves is no live one, and may be the last of its failure domain.
+        ranked = choose_watchers(own.failure_domain, hosts or {own.host}, WATCHERS)
         return next((host for host in ranked if not self._is_distrusted(host)), ranked[0])
 
     def _is_distrusted(self, host: str) -> bool:
