--- /dev/null
+++ b/features/silent_replicas.feature
@@ -0,0 +1,21 @@
+Feature: silent replicas
+  Replicas that give nothing for a while and then go on. A client that has waited for less than its
+  limit gets its whole answer, whatever the gateway does meanwhile.
+
+  # Guards against streams that end although their replicas would have finished them: a send was ended
+  # for silence before there was another replica, attempt or retry budget to go on with (issue 28).
+  Scenario Outline: <streams> streams are whole after <pauses> pauses of their replicas of <pause_ms> ms, <when> a planned stop
+    Given a site whose replicas send 60 events, 50 ms apart
+    When <streams> streams of a gateway run <when> a planned stop, and their replicas pause <pauses> times for <pause_ms> ms
+    Then all of the streams are whole with each event exactly once
+    And no client waited for an event for 2 s
+    And no stream ran at more replicas than its route allows
+
+    Examples:
+      | streams | pauses | pause_ms | when    |
+      | 8       | 1      | 1600     | during  |
+      | 8       | 2      | 900      | during  |
+      | 8       | 2      | 900      | without |
+      | 60      | 1      | 900      | during  |
+      | 60      | 1      | 900      | without |
+      | 30      | 2      | 1200     | during  |
--- a/features/stalled_streams.feature
+++ b/features/stalled_streams.feature
@@ -20,19 +20,19 @@
     Then a pause of 90 ms is investigated
     And the stream is moved past it without a question to the head replica
 
-  Scenario: a slow but healthy stream is not interrupted if it cannot be resumed elsewhere
+  Scenario: a silent send goes on if there is no retry budget for a successor
     Given a stream over two replicas, the second of which has an alternative
+    And another replica that can be the head
     When the retry budget is spent and no event has come from the head replica for 1400 ms
-    Then the stream is kept
+    Then the send goes on, and gets no successor because of no retry budget
 
-  Scenario: a stream without events is abandoned if other streams of its head replica have events
+  Scenario: a silent send goes on if no other replica can be the head
     Given a stream over two replicas, the second of which has an alternative
-    When the retry budget is spent and no event has come from the head replica for 1400 ms
-    But another stream of the head replica has had an event since
-    Then the stream is abandoned
+    When no event has come from the head replica for 1400 ms
+    Then the send goes on, and gets no successor because of no path is free
 
-  Scenario: a stream without events is resumed elsewhere if possible
+  Scenario: a silent send goes on beside a successor elsewhere
     Given a stream over two replicas, the second of which has an alternative
     And another replica that can be the head
     When no event has come from the head replica for 1400 ms
-    Then the stream is abandoned
+    Then the send goes on, and gets a successor elsewhere
--- a/features/steps/full_replicas.py
+++ b/features/steps/full_replicas.py
@@ -12,7 +12,7 @@
 from pimentodale.forwarding.load_table import create_load_table
 from pimentodale.forwarding.passive_health import record_send_outcome
 from pimentodale.forwarding.path_selection import choose_path
-from pimentodale.forwarding.stream_state import SendEnd, StreamState
+from pimentodale.forwarding.stream_state import SendEnd, StreamSend, StreamState
 from pimentodale.placement.messages import PathPart
 from pimentodale.placement.paths import Path, kv_fill_capacity
 from pimentodale.site.model import LayerRange
@@ -42,11 +42,10 @@
     for _ in range(count):
         context.ctx.loads.add(context.parts, context.tokens)
     state = StreamState(None, context.tokens)
-    state.path = Path(context.parts, 1.0)
-    state.active_ms = clock.now_ms()
+    send = StreamSend(Path(context.parts, 1.0), active_ms=clock.now_ms())
     if how == "after it has stalled":
         clock.advance(STALL_MS)
-    record_send_outcome(context.ctx, context.service, state, SendEnd.REFUSED)
+    record_send_outcome(context.ctx, context.service, state, send, SendEnd.REFUSED)
 
 
 def has_path(context: Any) -> bool:
--- /dev/null
+++ b/features/steps/silent_replicas.py
@@ -0,0 +1,73 @@
+"""Steps for replicas that give nothing for a while."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections import defaultdict
+from typing import Any
+
+from behave import given, then, when
+from features.support.gateway_site import create_gateway_site
+from features.support.site import wait_until
+
+EVENTS = 60
+BETWEEN_PAUSES_S = 1.6
+
+MAX_ATTEMPTS = 2
+"""The limit of the site's routes."""
+
+
+@given("a site whose replicas send {events:d} events, {event_ms:d} ms apart")
+def start_site(context: Any, events: int, event_ms: int) -> None:
+    context.gateways = create_gateway_site(context.site)
+    context.gateways.start_all(events=events, event_ms=float(event_ms))
+
+
+@when(
+    "{count:d} streams of a gateway run {when} a planned stop, and their replicas pause {pauses:d} "
+    "times for {pause_ms:d} ms"
+)
+def pause_under_streams(context: Any, count: int, when: str, pauses: int, pause_ms: int) -> None:
+    site = context.gateways
+    context.streams = [site.open_stream("g1") for _ in range(count)]
+    wait_until(
+        lambda: all(len(stream.events) >= 3 for stream in context.streams), "streams run", 5.0
+    )
+    if when == "during":
+        context.site.programs["g1"].process.send_signal(signal.SIGTERM)
+    replicas = context.site.programs["replicas"]
+    for number in range(pauses):
+        if number:
+            time.sleep(BETWEEN_PAUSES_S)
+        replicas.freeze()
+        time.sleep(pause_ms / 1_000.0)
+        replicas.wake()
+    wait_until(lambda: all(stream.is_over for stream in context.streams), "streams end", 15.0)
+
+
+@then("all of the streams are whole with each event exactly once")
+def check_whole(context: Any) -> None:
+    wanted = [str(number) for number in range(1, EVENTS + 1)]
+    cut = [stream for stream in context.streams if not stream.is_whole]
+    assert (
+        not cut
+    ), f"{len(cut)} of {len(context.streams)} cut, the first after {cut[0].events[-1:]}"
+    for stream in context.streams:
+        assert stream.events == wanted, stream.events
+
+
+@then("no client waited for an event for {gap_s:g} s")
+def check_gaps(context: Any, gap_s: float) -> None:
+    longest_s = max(stream.longest_pause_s for stream in context.streams)
+    print(f"longest pause of a client {longest_s * 1_000.0:.0f} ms")
+    assert longest_s < gap_s, longest_s
+
+
+@then("no stream ran at more replicas than its route allows")
+def check_attempts(context: Any) -> None:
+    ran_at = defaultdict(set)
+    for run in context.gateways.journal("run"):
+        ran_at[run["attempt"]].add(run["replica"])
+    for attempt, replicas in ran_at.items():
+        assert len(replicas) <= MAX_ATTEMPTS, (attempt, replicas)
--- a/features/steps/stalled_streams.py
+++ b/features/steps/stalled_streams.py
@@ -12,9 +12,14 @@
 
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.load_table import create_load_table
+from pimentodale.forwarding.overlapping_sends import find_successor
 from pimentodale.forwarding.stalls import StallReports, StallVerdict, check_stall
-from pimentodale.forwarding.stream_monitor import investigation_pause_ms, should_abandon
-from pimentodale.forwarding.stream_state import StreamState, create_shared_stream_state
+from pimentodale.forwarding.stream_monitor import Pause, examine_pause, investigation_pause_ms
+from pimentodale.forwarding.stream_state import (
+    StreamSend,
+    StreamState,
+    create_shared_stream_state,
+)
 from pimentodale.placement.messages import EngineReport, OrderOutcome, PathPart
 from pimentodale.placement.paths import Path
 from pimentodale.site.model import LayerRange
@@ -48,7 +53,12 @@
         loads=create_load_table(clock),
         slow_replicas=SimpleNamespace(slowness=lambda _record: 1.0),
         engines=SimpleNamespace(report=report, repath=repath),
-        retries=SimpleNamespace(has_budget=lambda *_: True),
+        retries=SimpleNamespace(has_budget=lambda *_: True, try_spend=lambda *_: True),
+        crashes=SimpleNamespace(
+            record=SimpleNamespace(is_convicted=lambda _fingerprint: False),
+            awaits_verdict=lambda _routed: False,
+            has_ended=lambda _incarnation: False,
+        ),
         failure_domain="a",
         fence=lambda: 7,
     )
@@ -56,7 +66,8 @@
         PathPart(name, replicas[name].address, halves[name]) for name in ("first", "second")
     )
     context.path = Path(parts, 1.0)
-    context.state = StreamState(None, TOKENS, path=context.path, send_events=3, events=3)
+    context.send = StreamSend(context.path, events=3)
+    context.state = StreamState(None, TOKENS, events=3, active=[context.send])
 
 
 @when("another request finds the second replica down")
@@ -81,7 +92,11 @@
 def investigation_ms(context: Any) -> float:
     """Return the pause after which the stream is investigated."""
     return investigation_pause_ms(
-        context.ctx, create_shared_stream_state(context.ctx.clock), SimpleNamespace(), context.state
+        context.ctx,
+        create_shared_stream_state(context.ctx.clock),
+        SimpleNamespace(),
+        context.state,
+        context.send,
     )
 
 
@@ -122,38 +137,37 @@
 
 @when("the retry budget is spent and no event has come from the head replica for {time_ms:d} ms")
 def spend_and_fall_silent(context: Any, time_ms: int) -> None:
-    context.ctx.retries = SimpleNamespace(has_budget=lambda *_: False)
+    context.ctx.retries = SimpleNamespace(has_budget=lambda *_: False, try_spend=lambda *_: False)
     fall_silent(context, time_ms)
 
 
 @when("no event has come from the head replica for {time_ms:d} ms")
 def fall_silent(context: Any, time_ms: int) -> None:
     clock = context.ctx.clock
-    context.shared_streams = create_shared_stream_state(clock)
     clock.advance(1_000.0)
-    context.shared_streams.note_head_event("first", clock.now_ms())
-    context.state.active_ms = clock.now_ms()
+    context.send.active_ms = clock.now_ms()
     clock.advance(float(time_ms))
 
 
-@when("another stream of the head replica has had an event since")
-def hear_another(context: Any) -> None:
-    context.shared_streams.note_head_event("first", context.ctx.clock.now_ms())
-
-
-def is_abandoned(context: Any) -> bool:
-    """Return whether the send of the stream without events is abandoned."""
-    route = SimpleNamespace(is_resumable=True)
+def successor_of(context: Any) -> Any:
+    """Return the path of a successor of the silent send, or why there is none."""
+    route = SimpleNamespace(is_resumable=True, max_attempts=2)
     service = SimpleNamespace(name="lm", engine=create_small_engine())
-    routed = SimpleNamespace(route=route, service=service)
-    return should_abandon(context.ctx, context.shared_streams, routed, context.state)
+    routed = SimpleNamespace(route=route, service=service, sends=1, fingerprint="f")
+    shared_streams = create_shared_stream_state(context.ctx.clock)
+    work = examine_pause(context.ctx, shared_streams, routed, context.state, context.send)
+    assert asyncio.run(work) is Pause.SILENT
+    return find_successor(context.ctx, routed, context.state, context.send)
 
 
-@then("the stream is kept")
-def check_kept(context: Any) -> None:
-    assert not is_abandoned(context)
+@then("the send goes on, and gets no successor because of {reason}")
+def check_kept(context: Any, reason: str) -> None:
+    assert successor_of(context) == reason
+    assert context.state.active == [context.send]
 
 
-@then("the stream is abandoned")
-def check_abandoned(context: Any) -> None:
-    assert is_abandoned(context)
+@then("the send goes on, and gets a successor elsewhere")
+def check_successor(context: Any) -> None:
+    path = successor_of(context)
+    assert [part.replica_id for part in path.parts] == ["spare", "second"], path
+    assert context.state.active == [context.send]
--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -21,7 +21,12 @@
 from pimentodale.forwarding.messages import RefusalReason
 from pimentodale.forwarding.passive_health import record_send_outcome
 from pimentodale.forwarding.stream_relay import relay_stream
-from pimentodale.forwarding.stream_state import SendEnd, StreamState, create_shared_stream_state
+from pimentodale.forwarding.stream_state import (
+    SendEnd,
+    StreamSend,
+    StreamState,
+    create_shared_stream_state,
+)
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.placement.messages import PathPart
 from pimentodale.placement.paths import Path, PathRequirements, StageLoad, find_path
@@ -64,9 +69,8 @@
     """Record the end of a send at a head replica."""
     known = context.ctx.view.replicas[head]
     part = PathPart(head, known.address, LayerRange(0, 8))
-    context.state.path = Path((part,), 1.0)
-    context.state.is_head_at_fault = is_head_at_fault
-    record_send_outcome(context.ctx, context.service, context.state, end)
+    send = StreamSend(Path((part,), 1.0), is_head_at_fault=is_head_at_fault)
+    record_send_outcome(context.ctx, context.service, context.state, send, end)
 
 
 @when(
@@ -209,7 +213,7 @@
     ctx = SimpleNamespace(clock=ManualClock(), codec=codec, view=view)
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
     work = relay_stream(
-        ctx, create_shared_stream_state(ctx.clock), context.routed, context.state, path
+        ctx, create_shared_stream_state(ctx.clock), context.routed, context.state, StreamSend(path)
     )
     with contextlib.suppress(TimeoutError):
         await asyncio.wait_for(work, wait_ms / 1_000.0)
@@ -283,7 +287,7 @@
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
     shared_streams = create_shared_stream_state(ctx.clock)
     context.end = await asyncio.wait_for(
-        relay_stream(ctx, shared_streams, routed, context.state, path), 5.0
+        relay_stream(ctx, shared_streams, routed, context.state, StreamSend(path)), 5.0
     )
     server.close()
 
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import threading
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
@@ -56,6 +57,9 @@
     headers: dict[str, str] = field(default_factory=dict)
     """Headers of the answer."""
 
+    longest_pause_s: float = 0.0
+    """Longest time between two reads of the stream that brought bytes."""
+
     connection: http.client.HTTPConnection | None = None
 
 
@@ -275,8 +279,11 @@
         client.status = response.status
         client.headers = dict(response.getheaders())
         text = b""
+        read_s = time.monotonic()
         # A chunked body that breaks off raises here.
         while chunk := response.read1():
+            client.longest_pause_s = max(client.longest_pause_s, time.monotonic() - read_s)
+            read_s = time.monotonic()
             text += chunk
             *lines, text = text.split(b"\n")
             client.events += [line[3:].strip().decode() for line in lines if line[:3] == b"id:"]
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -147,6 +147,44 @@
     )
 
 
+def log_kept_send(
+    ctx: ForwardingContext, routed: RoutedRequest, replica_id: str, reason: str, active_ms: float
+) -> None:
+    """Log that a silent send goes on without a successor.
+
+    Args:
+        ctx: State shared by all requests.
+        routed: The request.
+        replica_id: Id of the head replica.
+        reason: Why there can be no successor.
+        active_ms: Time of the send's last event.
+    """
+    _log.info(
+        "A silent send is kept.",
+        reason=reason,
+        **_silence_fields(ctx, routed, replica_id, active_ms),
+    )
+
+
+def log_successor(
+    ctx: ForwardingContext, routed: RoutedRequest, replica_id: str, successor: str, active_ms: float
+) -> None:
+    """Log that a successor of a silent send starts, while that one goes on.
+
+    Args:
+        ctx: State shared by all requests.
+        routed: The request.
+        replica_id: Id of the silent send's head replica.
+        successor: Id of the successor's head replica.
+        active_ms: Time of the silent send's last event.
+    """
+    _log.info(
+        "A silent send gets a successor.",
+        successor=successor,
+        **_silence_fields(ctx, routed, replica_id, active_ms),
+    )
+
+
 def log_disconnect(ctx: ForwardingContext, routed: RoutedRequest) -> None:
     """Log a request whose client disconnected before the response was complete."""
     _log.info("A client disconnected.", sent=routed.sends, **_logged_fields(ctx, routed))
@@ -163,6 +201,19 @@
     return ctx.clock.now_ms() - routed.exchange.request.received_ms
 
 
+def _silence_fields(
+    ctx: ForwardingContext, routed: RoutedRequest, replica_id: str, active_ms: float
+) -> dict[str, object]:
+    """Return the fields of the log lines about a silent send."""
+    return {
+        "request": routed.exchange.request.attempt_id,
+        "replica": replica_id,
+        "silence_ms": round(ctx.clock.now_ms() - active_ms),
+        "sends": routed.sends,
+        "view_age_ms": view_age_ms(ctx),
+    }
+
+
 def _logged_fields(ctx: ForwardingContext, routed: RoutedRequest) -> dict[str, object]:
     """Return the fields of all log lines about the end of a request."""
     return {
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -76,6 +76,18 @@
             return True
         return self.replica_health.is_confirmed_down(replica)
 
+    def has_left_store(self, incarnations: Iterable[Incarnation]) -> bool:
+        """Whether one of the replicas has no record any more without having announced that.
+
+        Unlike a failed probe, that doesn't happen to a replica which pauses and goes on.
+        """
+        for incarnation in incarnations:
+            replica = self.view.replicas.get(incarnation[0])
+            is_registered = replica is not None and incarnation_of(replica) == incarnation
+            if not is_registered and not self.view.has_announced_departure(incarnation):
+                return True
+        return False
+
     def observe_send(
         self, fingerprint: str, executed_on: Sequence[Incarnation], *, is_fresh: bool
     ) -> None:
@@ -103,7 +115,7 @@
         """
         fingerprint = routed.fingerprint
         end_ms = self.clock.now_ms() + VERDICT_TIMEOUT_MS
-        while self._awaits_verdict(routed) and self.clock.now_ms() < end_ms:
+        while self.awaits_verdict(routed) and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(POLL_INTERVAL_MS)
         if not self.record.is_convicted(fingerprint):
             return False
@@ -111,6 +123,17 @@
             routed.is_on_trial = await self.retrials.acquire(fingerprint)
         return routed.sends > 0 or not routed.is_on_trial
 
+    def awaits_verdict(self, routed: RoutedRequest) -> bool:
+        """Whether the sends without a result yet may put a request into quarantine.
+
+        Many requests may share a fingerprint, and slow replicas leave many of them without a
+        response. So a new request waits only if a crash is already recorded for its fingerprint.
+        """
+        pending = self._pending.get(routed.fingerprint, 0)
+        if pending == 0 or not self.record.may_convict(routed.fingerprint, pending):
+            return False
+        return routed.sends > 0 or self.record.has_open_crash(routed.fingerprint)
+
     def note_ended(self, routed: RoutedRequest) -> None:
         """Record the end of a request; one that has reached no replica returns its trial run.
 
@@ -122,17 +145,6 @@
                 self.retrials.release(routed.fingerprint), "return of a trial run"
             )
 
-    def _awaits_verdict(self, routed: RoutedRequest) -> bool:
-        """Whether the sends without a result yet may put a request into quarantine.
-
-        Many requests may share a fingerprint, and slow replicas leave many of them without a
-        response. So a new request waits only if a crash is already recorded for its fingerprint.
-        """
-        pending = self._pending.get(routed.fingerprint, 0)
-        if pending == 0 or not self.record.may_convict(routed.fingerprint, pending):
-            return False
-        return routed.sends > 0 or self.record.has_open_crash(routed.fingerprint)
-
     async def _observe(
         self, fingerprint: str, executed_on: Sequence[Incarnation], *, is_fresh: bool
     ) -> None:
--- /dev/null
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -0,0 +1,332 @@
+"""Runs the sends of a stream, which overlap: a silent one is listened to until another has an event.
+
+Silence doesn't show that a send is lost: its replicas may pause and go on. So a silent send gets a
+successor, if the limits allow one and there is a path, and whichever has the next event first
+supersedes the other. Without a successor the send goes on until the request's time is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.context import log_failed_send, log_kept_send, log_successor
+from pimentodale.forwarding.crash_detector import MIN_PROGRESS_EVENTS
+from pimentodale.forwarding.passive_health import (
+    faulty_replica_id,
+    has_stalled,
+    record_send_outcome,
+)
+from pimentodale.forwarding.path_selection import choose_path, count_crossings, note_prefill
+from pimentodale.forwarding.slow_streams import SlowStreamDetector, search_slow_replicas
+from pimentodale.forwarding.stream_monitor import PAUSE_MS, Pause, examine_pause
+from pimentodale.forwarding.stream_relay import relay_stream
+from pimentodale.forwarding.stream_state import SendEnd, SharedStreamState, StreamSend, StreamState
+from pimentodale.site.replica_health import incarnation_of
+
+if TYPE_CHECKING:
+    from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
+    from pimentodale.placement.paths import Path
+
+CHECK_INTERVAL_MS: Final = 100.0
+"""Interval at which a stream is checked."""
+
+MAX_SENDS: Final = 6
+"""Maximum number of sends for a client's attempt, including refused ones."""
+
+
+@dataclass(slots=True)
+class _Running:
+    """A send in progress."""
+
+    send: StreamSend
+    relay: asyncio.Task[SendEnd]
+    detector: SlowStreamDetector
+
+
+def create_send(ctx: ForwardingContext, path: Path) -> StreamSend:
+    """Return a send that starts now.
+
+    Args:
+        ctx: State shared by all requests.
+        path: Its path.
+    """
+    now_ms = ctx.clock.now_ms()
+    executed_on = ctx.crashes.list_alive(part.replica_id for part in path.parts)
+    return StreamSend(path, sent_ms=now_ms, active_ms=now_ms, executed_on=executed_on)
+
+
+async def run_sends(
+    ctx: ForwardingContext,
+    shared_streams: SharedStreamState,
+    routed: RoutedRequest,
+    state: StreamState,
+    first: StreamSend,
+) -> SendEnd:
+    """Run a send and its successors until one is whole or all have ended.
+
+    Args:
+        ctx: State shared by all requests.
+        shared_streams: State shared by all streams.
+        routed: The client's request.
+        state: The stream.
+        first: The send to begin with.
+
+    Returns:
+        How the last send ended.
+
+    Raises:
+        ClientGoneError: If the client has closed its connection.
+    """
+    sends = _Sends(ctx, shared_streams, routed, state)
+    end: SendEnd | None = None
+    try:
+        sends.start(first)
+        while end is None:
+            await sends.wait()
+            end = sends.collect_ended()
+            if end is not None:
+                break
+            if routed.left_ms(ctx.clock.now_ms()) <= 0:
+                end = SendEnd.TIMED_OUT
+                break
+            end = await sends.examine_newest()
+        return end
+    finally:
+        sends.close(end)
+
+
+class _Sends:
+    """The sends in progress of one stream."""
+
+    __slots__ = ("_ctx", "_routed", "_running", "_shared", "_state")
+
+    def __init__(
+        self,
+        ctx: ForwardingContext,
+        shared_streams: SharedStreamState,
+        routed: RoutedRequest,
+        state: StreamState,
+    ) -> None:
+        self._ctx = ctx
+        self._shared = shared_streams
+        self._routed = routed
+        self._state = state
+        self._running: list[_Running] = []
+
+    def start(self, send: StreamSend) -> None:
+        """Start a send; the first of those in progress to have the next event relays it."""
+        ctx, routed, state = self._ctx, self._routed, self._state
+        head = ctx.view.replicas.get(send.head_id)
+        if head is not None:
+            ctx.replica_health.hold_offs.note_sent(incarnation_of(head))
+        self._shared.queue.started(routed.workspace or "", state.tokens)
+        ctx.loads.add(send.path.parts, state.tokens)
+        note_prefill(ctx, routed.service, send.path.parts, state.tokens)
+        state.relayed_from = None
+        state.active.append(send)
+        relay = asyncio.ensure_future(relay_stream(ctx, self._shared, routed, state, send))
+        self._running.append(_Running(send, relay, SlowStreamDetector(send.sent_ms)))
+
+    async def wait(self) -> None:
+        """Wait until a send ends or the next check is due."""
+        await asyncio.wait(
+            {running.relay for running in self._running},
+            timeout=CHECK_INTERVAL_MS / MS_PER_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    def collect_ended(self) -> SendEnd | None:
+        """Remove the sends that have ended or are superseded.
+
+        Returns:
+            How the last send ended, or that one is whole; `None` if the stream goes on.
+        """
+        for running in list(self._running):
+            if not running.relay.done():
+                continue
+            end = running.relay.result()
+            self._finish(running, end)
+            if end in (SendEnd.WHOLE, SendEnd.PASSED_ON) or not self._running:
+                return end
+        winner = self._state.relayed_from
+        if winner is not None:
+            for running in [each for each in self._running if each.send is not winner]:
+                self._finish(running, SendEnd.SUPERSEDED)
+        return None
+
+    async def examine_newest(self) -> SendEnd | None:
+        """Examine the newest send, and start a successor if it is silent.
+
+        Returns:
+            How the last send ended, if its replica no longer runs it; `None` if the stream goes on.
+        """
+        ctx, routed, state = self._ctx, self._routed, self._state
+        running = self._running[-1]
+        send = running.send
+        if send.is_writing:
+            return None
+        self._search_if_slow(running)
+        pause = await examine_pause(ctx, self._shared, routed, state, send)
+        if pause is Pause.LOST:
+            if running in self._running and not running.relay.done():
+                self._finish(running, SendEnd.LOST)
+            return None if self._running else SendEnd.LOST
+        if pause is Pause.SILENT and not running.relay.done():
+            self._start_successor(send)
+        return None
+
+    def close(self, end: SendEnd | None) -> None:
+        """End the sends that are still in progress.
+
+        Args:
+            end: How the stream ended; `None` if its client has left.
+        """
+        for running in list(self._running):
+            is_over = end in (SendEnd.WHOLE, SendEnd.PASSED_ON)
+            self._finish(running, SendEnd.SUPERSEDED if is_over else end)
+
+    def _start_successor(self, silent: StreamSend) -> None:
+        """Start a successor of a silent send, or log why there can be none."""
+        ctx, routed, state = self._ctx, self._routed, self._state
+        self._observe(silent)
+        found = find_successor(ctx, routed, state, silent)
+        if isinstance(found, str):
+            if found != silent.kept_reason:
+                silent.kept_reason = found
+                log_kept_send(ctx, routed, silent.head_id, found, silent.active_ms)
+            return
+        log_successor(ctx, routed, silent.head_id, found.parts[0].replica_id, silent.active_ms)
+        head = ctx.view.replicas.get(silent.head_id)
+        if head is not None:
+            may_run_again = not silent.is_head_at_fault
+            state.used_heads.note(incarnation_of(head), may_run_again=may_run_again)
+        self.start(create_send(ctx, found))
+
+    def _search_if_slow(self, running: _Running) -> None:
+        """Search for slow replicas if a send has too few events."""
+        ctx, send, engine = self._ctx, running.send, self._routed.service.engine
+        if engine is None:
+            return
+        if running.detector.is_slow(engine, send.path, ctx.clock.now_ms(), send.events):
+            work = search_slow_replicas(ctx, self._shared.reports, send.path)
+            ctx.background.start(work, "search for slow replicas")
+
+    def _finish(self, running: _Running, end: SendEnd | None) -> None:
+        """Remove a send and record how it ended.
+
+        Args:
+            running: The send.
+            end: How it ended; `None` if the client has left.
+        """
+        ctx, routed, state, send = self._ctx, self._routed, self._state, running.send
+        running.relay.cancel()
+        self._running.remove(running)
+        state.active.remove(send)
+        ctx.loads.remove(send.path.parts, state.tokens)
+        held_ms = ctx.clock.now_ms() - send.sent_ms
+        self._shared.queue.ended(routed.workspace or "", state.tokens, held_ms)
+        routed.history.append(describe_send(ctx, send, end))
+        self._note_crash_evidence(send, end)
+        if end is not None:
+            if end not in (SendEnd.WHOLE, SendEnd.PASSED_ON):
+                replicas = [part.replica_id for part in send.path.parts]
+                log_failed_send(ctx, routed, replicas, end.value)
+            if end is SendEnd.BROKEN:
+                state.broken_at_start += send.events == 0
+            record_send_outcome(ctx, routed.service, state, send, end)
+        if state.relayed_from is send:
+            state.relayed_from = None
+
+    def _note_crash_evidence(self, send: StreamSend, end: SendEnd | None) -> None:
+        """Clear the crash record of a complete request; otherwise observe the replicas of a send."""
+        ctx = self._ctx
+        if end in (SendEnd.WHOLE, SendEnd.PASSED_ON):
+            ctx.crashes.record.clear(self._routed.fingerprint)
+            return
+        waited_ms = ctx.clock.now_ms() - send.active_ms
+        if end is SendEnd.NOT_SENT or _is_healthy_end(ctx, send, end, waited_ms):
+            return
+        self._observe(send)
+
+    def _observe(self, send: StreamSend) -> None:
+        """Observe the replicas of a send for a crash, once."""
+        if send.is_observed:
+            return
+        send.is_observed = True
+        is_fresh = send.events < MIN_PROGRESS_EVENTS
+        self._ctx.crashes.observe_send(
+            self._routed.fingerprint, send.executed_on, is_fresh=is_fresh
+        )
+
+
+def find_successor(
+    ctx: ForwardingContext, routed: RoutedRequest, state: StreamState, silent: StreamSend
+) -> Path | str:
+    """Find a path for a successor of a silent send, and take its retry from the budget.
+
+    Args:
+        ctx: State shared by all requests.
+        routed: The client's request.
+        state: The stream.
+        silent: The send.
+
+    Returns:
+        The path, or why there can be no successor now.
+    """
+    if not routed.route.is_resumable:
+        return "its route allows no resumption"
+    if routed.sends >= MAX_SENDS:
+        return "it was sent as often as a stream may be"
+    if ctx.crashes.awaits_verdict(routed) or ctx.crashes.record.is_convicted(routed.fingerprint):
+        return "it may crash its replicas"
+    running_on = {send.head_id for send in state.active}
+    heads = state.used_heads.allowed_beside(
+        routed.route.max_attempts, ctx.crashes.has_ended, _incarnations(ctx, running_on)
+    )
+    if heads is not None:
+        heads -= running_on
+        if not heads:
+            return "it may have run at as many replicas as the route allows"
+    avoid = state.avoid.difference(heads or ()) | running_on
+    path = choose_path(ctx, routed.service, state.tokens, avoid, heads=heads)
+    if path is None:
+        return "no path is free"
+    if not ctx.retries.try_spend(routed.service.name):
+        return "no retry budget"
+    return path
+
+
+def describe_send(ctx: ForwardingContext, send: StreamSend, end: SendEnd | None) -> str:
+    """Return a send's path and outcome, as they are logged.
+
+    Args:
+        ctx: State shared by all requests.
+        send: The send.
+        end: How it ended; `None` if the client has left.
+    """
+    outcome = f"{'client left' if end is None else end.value}, {send.events} events"
+    if send.refused is not None:
+        outcome = f"refused, {send.refused.value} at {faulty_replica_id(send) or send.head_id}"
+    crossings = count_crossings(ctx, send.path)
+    crossed = f" crossing {crossings} domain borders" if crossings else ""
+    return f"{send.head_id}+{len(send.path.parts) - 1}{crossed}: {outcome}"
+
+
+def _is_healthy_end(
+    ctx: ForwardingContext, send: StreamSend, end: SendEnd | None, waited_ms: float
+) -> bool:
+    """Whether a send ended on healthy replicas: no capacity, timeout or client disconnect."""
+    if end is SendEnd.REFUSED:
+        return not has_stalled(ctx, waited_ms)
+    if end is SendEnd.SUPERSEDED:
+        return waited_ms < PAUSE_MS
+    return end in (None, SendEnd.TIMED_OUT) and send.events > 0 and waited_ms < PAUSE_MS
+
+
+def _incarnations(ctx: ForwardingContext, replica_ids: set[str]) -> set[tuple[str, int]]:
+    """Return the current incarnations of replicas that have a record."""
+    known = (ctx.view.replicas.get(replica_id) for replica_id in replica_ids)
+    return {incarnation_of(replica) for replica in known if replica is not None}
--- a/src/pimentodale/forwarding/passive_health.py
+++ b/src/pimentodale/forwarding/passive_health.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from pimentodale.forwarding.context import ForwardingContext
     from pimentodale.forwarding.messages import BackendAnswer
-    from pimentodale.forwarding.stream_state import StreamState
+    from pimentodale.forwarding.stream_state import StreamSend, StreamState
     from pimentodale.site.model import BackendService, ReplicaRecord
     from pimentodale.site.replica_health import ReplicaHealth
 
@@ -24,19 +24,24 @@
 
 
 def record_send_outcome(
-    ctx: ForwardingContext, service: BackendService, state: StreamState, end: SendEnd
+    ctx: ForwardingContext,
+    service: BackendService,
+    state: StreamState,
+    send: StreamSend,
+    end: SendEnd,
 ) -> None:
     """Update what is known of the replicas of a send from its outcome.
 
     Args:
         ctx: State shared by all requests.
         service: The stream's service.
-        state: The stream; its path is that of the send.
+        state: The stream.
+        send: The send.
         end: How the send ended.
     """
-    if state.path is None or end is SendEnd.TIMED_OUT:
+    if end is SendEnd.TIMED_OUT:
         return
-    head = ctx.view.replicas.get(state.path.parts[0].replica_id)
+    head = ctx.view.replicas.get(send.head_id)
     if head is None:
         return
     incarnation = incarnation_of(head)
@@ -49,10 +54,10 @@
         state.avoid.add(head.replica_id)
         state.used_heads.note(incarnation, may_run_again=False)
     elif end is SendEnd.REFUSED:
-        named = ctx.view.replicas.get(faulty_replica_id(state) or head.replica_id)
+        named = ctx.view.replicas.get(faulty_replica_id(send) or head.replica_id)
         if named is not None:
             state.avoid.add(named.replica_id)
-            waited_ms = ctx.clock.now_ms() - state.active_ms
+            waited_ms = ctx.clock.now_ms() - send.active_ms
             is_stall = has_stalled(ctx, waited_ms)
             record_refusal(ctx.replica_health, head, named, has_stalled=is_stall)
             if service.engine is not None and not is_stall:
@@ -60,7 +65,15 @@
                 ctx.loads.note_full(named.replica_id, capacity)
     elif end is SendEnd.LOST:
         state.avoid.add(head.replica_id)
-        state.used_heads.note(incarnation, may_run_again=not state.is_head_at_fault)
+        state.used_heads.note(incarnation, may_run_again=not send.is_head_at_fault)
+    elif end is SendEnd.SUPERSEDED:
+        # If an older send goes on, this one had too little time to show a fault.
+        winner = state.relayed_from
+        is_newer = winner is not None and winner.sent_ms < send.sent_ms
+        is_at_fault = send.is_head_at_fault and not is_newer
+        if is_at_fault:
+            state.avoid.add(head.replica_id)
+        state.used_heads.note(incarnation, may_run_again=not is_at_fault)
     else:
         ctx.replica_health.note_result(incarnation, True)
 
@@ -116,8 +129,7 @@
         replica_health.note_silent(incarnation)
 
 
-def faulty_replica_id(state: StreamState) -> str:
+def faulty_replica_id(send: StreamSend) -> str:
     """Return the id of the replica that the last refusal names; empty if it names none."""
-    parts = state.path.parts if state.path else ()
-    ids = (part.replica_id for part in parts if str(part.address) == state.faulty_address)
+    ids = (part.replica_id for part in send.path.parts if str(part.address) == send.faulty_address)
     return next(ids, "")
--- a/src/pimentodale/forwarding/stalls.py
+++ b/src/pimentodale/forwarding/stalls.py
@@ -38,8 +38,11 @@
     MOVED = "moved"
     """It continues on another path with the same head replica."""
 
-    LOST = "lost"
-    """It has to be resumed at another head replica."""
+    SILENT = "silent"
+    """It can't be helped on its path; another head replica may go on with the stream."""
+
+    RESTARTED = "restarted"
+    """Its head replica has restarted and knows nothing of it."""
 
 
 @dataclass(slots=True)
@@ -100,16 +103,16 @@
     """
     head = ctx.view.replicas.get(path.parts[0].replica_id)
     if head is None:
-        return StallCheck(StallVerdict.LOST, "its head replica has no record")
+        return StallCheck(StallVerdict.SILENT, "its head replica has no record")
     down = find_down_part(ctx, path)
     if down is not None:
         return await _move(ctx, service, head, path, attempt_id, tokens, str(down.address), avoid)
     report = await reports.ask(ctx, head)
     if report.is_error():
         ctx.replica_health.mark_down(incarnation_of(head), f"no report: {report.error}")
-        return StallCheck(StallVerdict.LOST, "its head replica sent no report")
+        return StallCheck(StallVerdict.SILENT, "its head replica sent no report")
     if head.started_ms and report.ok.started_ms not in (0, head.started_ms):
-        return StallCheck(StallVerdict.LOST, "its head replica has restarted")
+        return StallCheck(StallVerdict.RESTARTED, "its head replica has restarted")
     faulty = next(
         (item.address for item in report.ok.stalled if item.attempt_id == attempt_id), None
     )
@@ -167,23 +170,23 @@
     kept = tuple(part for part in path.parts if part.replica_id not in lost)
     moved = choose_path(ctx, service, tokens, {*avoid, *lost}, kept)
     if moved is None or moved.parts[0] != path.parts[0]:
-        return StallCheck(StallVerdict.LOST, f"it stalls on {faulty}, no other path", None, lost)
+        return StallCheck(StallVerdict.SILENT, f"it stalls on {faulty}, no other path", None, lost)
     if _prompt_crosses_domains(ctx, path, moved) and _may_resume(
         ctx, service, tokens, {*avoid, *lost}
     ):
         # A new send prefills within one domain, which saves bandwidth between the two.
         return StallCheck(
-            StallVerdict.LOST,
+            StallVerdict.SILENT,
             f"it stalls on {faulty}, moving would cross failure domains",
             None,
             lost,
         )
     outcome = await ctx.engines.repath(head, attempt_id, moved.parts, ctx.fence())
     if outcome.is_error():
-        return StallCheck(StallVerdict.LOST, f"it stalls on {faulty}, no answer", None, lost)
+        return StallCheck(StallVerdict.SILENT, f"it stalls on {faulty}, no answer", None, lost)
     if outcome.ok not in (OrderOutcome.DONE, OrderOutcome.BEGUN):
         return StallCheck(
-            StallVerdict.LOST, f"it stalls on {faulty}, {outcome.ok.value}", None, lost
+            StallVerdict.SILENT, f"it stalls on {faulty}, {outcome.ok.value}", None, lost
         )
     _log.info("A stream was moved.", request=attempt_id, past=faulty, parts=len(moved.parts))
     return StallCheck(StallVerdict.MOVED, f"it was moved past {faulty}", moved, lost)
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -14,8 +14,7 @@
     from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
     from pimentodale.forwarding.event_stream import StreamEvent
     from pimentodale.forwarding.messages import BackendAnswer
-    from pimentodale.forwarding.stream_state import SharedStreamState, StreamState
-    from pimentodale.placement.paths import Path
+    from pimentodale.forwarding.stream_state import SharedStreamState, StreamSend, StreamState
 
 CONNECT_TIMEOUT_MS: Final = 400.0
 """Connect timeout for replicas, over a hundred times the usual connect time."""
@@ -26,7 +25,7 @@
     shared_streams: SharedStreamState,
     routed: RoutedRequest,
     state: StreamState,
-    path: Path,
+    send: StreamSend,
 ) -> SendEnd:
     """Send the request on a path and relay its events to the client.
 
@@ -35,27 +34,26 @@
         shared_streams: State shared by all streams.
         routed: The client's request.
         state: The stream so far.
-        path: The path of the send.
+        send: The send; other ones of the stream may be in progress.
 
     Returns:
         How the send ended; the response is finished only if it is complete.
     """
     exchange = routed.exchange
     request = exchange.request
-    head = path.parts[0]
+    head, parts = send.path.parts[0], send.path.parts
     left_ms = routed.left_ms(ctx.clock.now_ms())
     headers = ctx.codec.encode_request(
-        request, routed.workspace, left_ms, head.replica_id, path.parts, state.last_event_id
+        request, routed.workspace, left_ms, head.replica_id, parts, state.last_event_id
     )
     call_request = CallRequest(
         method=request.method, path=request.path, headers=headers, body=request.body
     )
-    may_have_run_before = state.may_have_run
 
     async def note_sent() -> bool:
         # Count the send now: it may be cancelled before there is a response.
         routed.sends += 1
-        state.may_have_run = True
+        state.possible_runs += 1
         return True
 
     opened = await open_call(
@@ -70,16 +68,16 @@
         if replica is not None:
             record_answer(ctx, replica, answer)
         if answer.refused is not None:
-            state.may_have_run = may_have_run_before
-            state.refused = answer.refused
-            state.faulty_address = answer.faulty_address
+            state.possible_runs -= 1
+            send.refused = answer.refused
+            send.faulty_address = answer.faulty_address
             return SendEnd.REFUSED
         state.status = answer.status
         if not answer.is_success:
-            return await _relay_failure(ctx, routed, call, answer, left_ms)
+            return await _relay_failure(routed, state, send, call, answer, left_ms)
         if not exchange.is_begun:
             await exchange.begin(answer.status, answer.headers)
-        return await _relay_events(ctx, shared_streams, routed, state, path, call)
+        return await _relay_events(ctx, shared_streams, routed, state, send, call)
     finally:
         call.close()
 
@@ -89,7 +87,7 @@
     shared_streams: SharedStreamState,
     routed: RoutedRequest,
     state: StreamState,
-    path: Path,
+    send: StreamSend,
     call: HttpCall,
 ) -> SendEnd:
     """Relay complete events until the stream ends."""
@@ -105,23 +103,38 @@
             events = splitter.feed(chunk)
         except InvalidEventStreamError:
             return SendEnd.BROKEN
+        if events and not state.claim(send):
+            return SendEnd.SUPERSEDED
         passed, follows_on = _accept_consecutive(routed, state, events)
         if passed:
-            shared_streams.note_head_event(path.parts[0].replica_id, ctx.clock.now_ms())
-            if state.send_events == 0:
-                waited_ms = ctx.clock.now_ms() - state.sent_ms
-                shared_streams.first_events.note(path.parts[0].replica_id, waited_ms)
+            if send.events == 0:
+                waited_ms = ctx.clock.now_ms() - send.sent_ms
+                shared_streams.first_events.note(send.head_id, waited_ms)
                 shared_streams.retry_schedule.note_begun()
-            _note_events(ctx, routed, state, len(passed))
-            await routed.exchange.write(b"".join(passed))
+            _note_events(ctx, routed, state, send, len(passed))
+            await _write(ctx, routed, send, b"".join(passed))
         if not follows_on:
             return SendEnd.BROKEN
     if splitter.has_partial:
         return SendEnd.BROKEN
+    if not state.claim(send):
+        return SendEnd.SUPERSEDED
     routed.exchange.end()
     return SendEnd.WHOLE
 
 
+async def _write(
+    ctx: ForwardingContext, routed: RoutedRequest, send: StreamSend, piece: bytes
+) -> None:
+    """Write to the client; a client that reads slowly makes the replica neither silent nor slow."""
+    send.is_writing = True
+    try:
+        await routed.exchange.write(piece)
+    finally:
+        send.is_writing = False
+        send.active_ms = ctx.clock.now_ms()
+
+
 def _accept_consecutive(
     routed: RoutedRequest, state: StreamState, events: list[StreamEvent]
 ) -> tuple[list[bytes], bool]:
@@ -141,7 +154,11 @@
 
 
 def _note_events(
-    ctx: ForwardingContext, routed: RoutedRequest, state: StreamState, count: int
+    ctx: ForwardingContext,
+    routed: RoutedRequest,
+    state: StreamState,
+    send: StreamSend,
+    count: int,
 ) -> None:
     """Count relayed events and record their timing."""
     now_ms = ctx.clock.now_ms()
@@ -153,25 +170,29 @@
         routed.longest_pause_ms = max(routed.longest_pause_ms, pause_ms)
         ctx.metrics.between_events.record(pause_ms)
     ctx.metrics.events += count
-    state.active_ms = state.last_event_ms = now_ms
+    send.active_ms = state.last_event_ms = now_ms
     state.events += count
-    state.send_events += count
+    send.events += count
 
 
 async def _relay_failure(
-    ctx: ForwardingContext,
     routed: RoutedRequest,
+    state: StreamState,
+    send: StreamSend,
     call: HttpCall,
     answer: BackendAnswer,
     silence_ms: float,
 ) -> SendEnd:
-    """Relay the replica's own error response, unless events have already been relayed."""
-    if not answer.is_genuine or answer.claims_not_run or routed.exchange.is_begun:
+    """Relay the replica's own error response, unless another send may still answer the request."""
+    if not answer.is_genuine or answer.claims_not_run:
         return SendEnd.BROKEN
     body = bytearray()
     async for chunk in call.chunks(silence_ms):
         if chunk.is_error():
             return SendEnd.BROKEN
         body += chunk.ok
+    if routed.exchange.is_begun or len(state.active) > 1 or not state.claim(send):
+        return SendEnd.BROKEN
+    send.is_writing = True
     await routed.exchange.answer(answer.status, answer.headers, bytes(body))
     return SendEnd.PASSED_ON
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from pimentodale.forwarding.first_events import MAX_HEADS, FirstEventTimes
+from pimentodale.forwarding.first_events import FirstEventTimes
 from pimentodale.forwarding.path_queue import PathQueue, create_path_queue
 from pimentodale.forwarding.retry_schedule import RetrySchedule, create_retry_schedule
 from pimentodale.forwarding.stalls import StallReports
@@ -33,7 +33,10 @@
     REFUSED = "refused"
     BROKEN = "broken"
     LOST = "lost"
-    """A replica of the path does not answer."""
+    """The head replica has restarted, or the request is in quarantine."""
+
+    SUPERSEDED = "superseded"
+    """Another send of the stream had the next event first."""
 
     TIMED_OUT = "timed out"
 
@@ -54,22 +57,55 @@
     first_events: FirstEventTimes = field(default_factory=FirstEventTimes)
     """Recent times to the first event."""
 
-    heard_ms: dict[str, float] = field(default_factory=dict)
-    """Time of the last event from each head replica, on any stream, in ascending order."""
-
-    def note_head_event(self, replica_id: str, now_ms: float) -> None:
-        """Record an event from a head replica."""
-        self.heard_ms.pop(replica_id, None)
-        self.heard_ms[replica_id] = now_ms
-        if len(self.heard_ms) > MAX_HEADS:
-            del self.heard_ms[next(iter(self.heard_ms))]
-
 
 def create_shared_stream_state(clock: Clock) -> SharedStreamState:
     """Return the initial shared state."""
     return SharedStreamState(create_retry_schedule(clock), create_path_queue(clock))
 
 
+@dataclass(slots=True, eq=False)
+class StreamSend:
+    """One send of a stream."""
+
+    path: Path
+    """The path of replicas; it changes if the send is moved."""
+
+    sent_ms: float = 0.0
+    """When it was sent."""
+
+    active_ms: float = 0.0
+    """When it was sent or moved, or had its last event."""
+
+    events: int = 0
+    """Number of events relayed from it."""
+
+    executed_on: list[Incarnation] = field(default_factory=list)
+    """Replicas of the path that were alive when it was sent."""
+
+    is_head_at_fault: bool = True
+    """Whether the head replica is at fault if there are no more events."""
+
+    is_writing: bool = False
+    """Whether it waits for the client to read, so that no event can come from it."""
+
+    refused: RefusalReason | None = None
+    """Why it was refused; `None` if it was not."""
+
+    faulty_address: str = ""
+    """Address of the replica at fault in a refusal."""
+
+    is_observed: bool = False
+    """Whether its replicas are observed for a crash."""
+
+    kept_reason: str = ""
+    """Why there is no successor for it although it is silent, as last logged."""
+
+    @property
+    def head_id(self) -> str:
+        """Id of the head replica."""
+        return self.path.parts[0].replica_id
+
+
 @dataclass(slots=True)
 class StreamState:
     """State of a client's stream across its sends."""
@@ -83,44 +119,38 @@
     avoid: set[str] = field(default_factory=set)
     """Ids of replicas that must not be used again."""
 
-    sent_ms: float = 0.0
-    """When the stream was last sent."""
-
     used_heads: UsedHeads = field(default_factory=UsedHeads)
     """Head replicas at which the stream may have run."""
 
-    is_head_at_fault: bool = True
-    """Whether the head replica is at fault if the current send is lost."""
-
-    active_ms: float = 0.0
-    """When the stream was last sent or moved, or had its last event."""
-
     last_event_ms: float = 0.0
     """When the last event was relayed."""
 
     events: int = 0
     """Number of relayed events."""
 
-    send_events: int = 0
-    """Number of events relayed in the current send."""
-
-    may_have_run: bool = False
-    """Whether a replica may have started to run the request."""
-
-    path: Path | None = None
-    """The path of the current send."""
+    possible_runs: int = 0
+    """Number of sends that may have started to run; a refusal takes its send back."""
 
     broken_at_start: int = 0
     """Number of sends that failed before the first event: the request may crash its replicas."""
 
-    executed_on: list[Incarnation] = field(default_factory=list)
-    """Replicas of the current send that were alive when it started."""
+    active: list[StreamSend] = field(default_factory=list)
+    """Sends in progress, oldest first."""
 
-    refused: RefusalReason | None = None
-    """Why the last send was refused; `None` if it was not."""
-
-    faulty_address: str = ""
-    """Address of the replica at fault in the last refusal."""
+    relayed_from: StreamSend | None = None
+    """The send whose events reach the client; `None` until one of those in progress has the next
+    event."""
 
     status: int = 0
     """HTTP status of the last response."""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have started to run the request."""
+        return self.possible_runs > 0
+
+    def claim(self, send: StreamSend) -> bool:
+        """Return whether a send may relay the next event, which the first to have it does."""
+        if self.relayed_from is None:
+            self.relayed_from = send
+        return self.relayed_from is send
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -4,29 +4,26 @@
 
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.context import log_end, log_failed_send
-from pimentodale.forwarding.crash_detector import MIN_PROGRESS_EVENTS
+from pimentodale.forwarding.context import log_end
 from pimentodale.forwarding.error_responses import refuse_quarantined, send_failure, send_refusal
-from pimentodale.forwarding.passive_health import (
-    faulty_replica_id,
-    has_stalled,
-    record_send_outcome,
+from pimentodale.forwarding.overlapping_sends import (
+    CHECK_INTERVAL_MS,
+    MAX_SENDS,
+    create_send,
+    run_sends,
 )
 from pimentodale.forwarding.path_queue import PathRequest
 from pimentodale.forwarding.path_selection import (
     CAPACITY_WAIT_MS,
     HOLD_OFF_SPREAD,
     choose_path,
-    count_crossings,
     covers_model,
     model_hold_off_ms,
     reload_estimate_ms,
     tokens_held,
 )
-from pimentodale.forwarding.stream_monitor import CHECK_INTERVAL_MS, PAUSE_MS, send_monitored
 from pimentodale.forwarding.stream_state import SendEnd, SharedStreamState, StreamState
 from pimentodale.results import ResultCode
-from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.client_exchange import ClientExchange
@@ -42,9 +39,6 @@
 ENDED_WAIT_MS: Final = 800.0
 """Longest wait until a stopped replica that ran a stream is detected: a probe takes less."""
 
-MAX_SENDS: Final = 6
-"""Maximum number of sends for a client's attempt, including refused ones."""
-
 
 async def serve_stream(
     ctx: ForwardingContext, shared_streams: SharedStreamState, routed: RoutedRequest
@@ -73,8 +67,6 @@
             message = "The time was over before the answer was whole."
             await send_failure(routed.exchange, ResultCode.DEADLINE_EXCEEDED, message)
             return
-        if end is SendEnd.BROKEN:
-            state.broken_at_start += state.send_events == 0
         is_over = state.broken_at_start >= routed.route.max_attempts
         if is_over or (state.may_have_run and not routed.route.is_resumable):
             await _give_up(ctx, shared_streams, routed, state)
@@ -106,37 +98,7 @@
     if routed.sends > 0 and not ctx.retries.try_spend(routed.service.name):
         routed.history.append("no retry budget")
         return None
-    state.path = path
-    head_record = ctx.view.replicas.get(path.parts[0].replica_id)
-    if head_record is not None:
-        ctx.replica_health.hold_offs.note_sent(incarnation_of(head_record))
-    state.executed_on = ctx.crashes.list_alive(part.replica_id for part in path.parts)
-    state.sent_ms = state.active_ms = ctx.clock.now_ms()
-    state.send_events = 0
-    state.is_head_at_fault = True
-    state.refused = None
-    state.faulty_address = ""
-    end = await _send_counted(ctx, shared_streams, routed, state, path_request)
-    head = path.parts[0].replica_id
-    outcome = f"{end.value}, {state.send_events} events"
-    if state.refused is not None:
-        outcome = f"refused, {state.refused.value} at {faulty_replica_id(state) or head}"
-    crossings = count_crossings(ctx, path)
-    crossed = f" crossing {crossings} domain borders" if crossings else ""
-    routed.history.append(f"{head}+{len(path.parts) - 1}{crossed}: {outcome}")
-    if end not in (SendEnd.WHOLE, SendEnd.PASSED_ON):
-        log_failed_send(ctx, routed, [part.replica_id for part in path.parts], end.value)
-    record_send_outcome(ctx, routed.service, state, end)
-    return end
-
-
-def _is_healthy_end(
-    ctx: ForwardingContext, state: StreamState, end: SendEnd | None, waited_ms: float
-) -> bool:
-    """Whether a send ended on healthy replicas: no capacity, timeout or client disconnect."""
-    if end is SendEnd.REFUSED:
-        return not has_stalled(ctx, waited_ms)
-    return end in (None, SendEnd.TIMED_OUT) and state.send_events > 0 and waited_ms < PAUSE_MS
+    return await run_sends(ctx, shared_streams, routed, state, create_send(ctx, path))
 
 
 def _create_path_request(
@@ -163,48 +125,6 @@
     )
 
 
-async def _send_counted(
-    ctx: ForwardingContext,
-    shared_streams: SharedStreamState,
-    routed: RoutedRequest,
-    state: StreamState,
-    path_request: PathRequest,
-) -> SendEnd:
-    """Send a stream, and count it as running for its workspace meanwhile."""
-    shared_streams.queue.started(path_request.workspace, path_request.tokens)
-    started_ms = ctx.clock.now_ms()
-    end: SendEnd | None = None
-    try:
-        end = await send_monitored(ctx, shared_streams, routed, state)
-        return end
-    finally:
-        shared_streams.queue.ended(
-            path_request.workspace, path_request.tokens, ctx.clock.now_ms() - started_ms
-        )
-        _record_crash_evidence(ctx, routed, state, end)
-
-
-def _record_crash_evidence(
-    ctx: ForwardingContext, routed: RoutedRequest, state: StreamState, end: SendEnd | None
-) -> None:
-    """Clear the crash record of a complete request; otherwise observe the replicas of its send.
-
-    Args:
-        ctx: State shared by all requests.
-        routed: The request.
-        state: The stream.
-        end: How the send ended; `None` if the client has disconnected.
-    """
-    if end in (SendEnd.WHOLE, SendEnd.PASSED_ON):
-        ctx.crashes.record.clear(routed.fingerprint)
-        return
-    waited_ms = ctx.clock.now_ms() - state.active_ms
-    if end is SendEnd.NOT_SENT or _is_healthy_end(ctx, state, end, waited_ms):
-        return
-    is_fresh = state.send_events < MIN_PROGRESS_EVENTS
-    ctx.crashes.observe_send(routed.fingerprint, state.executed_on, is_fresh=is_fresh)
-
-
 async def _wait_for_heads(
     ctx: ForwardingContext, routed: RoutedRequest, state: StreamState
 ) -> frozenset[str] | None:
--- a/src/pimentodale/forwarding/used_heads.py
+++ b/src/pimentodale/forwarding/used_heads.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from pimentodale.site.replica_health import Incarnation
 
@@ -40,7 +40,23 @@
             max_replicas: Maximum number of replicas that may run one attempt.
             is_gone: Returns whether a replica has stopped or is unreachable and no longer counts.
         """
+        return self.allowed_beside(max_replicas, is_gone, ())
+
+    def allowed_beside(
+        self,
+        max_replicas: int,
+        is_gone: Callable[[Incarnation], bool],
+        running_on: Collection[Incarnation],
+    ) -> frozenset[str] | None:
+        """Return the ids as `allowed` does, for a send beside others that are in progress.
+
+        Args:
+            max_replicas: Maximum number of replicas that may run one attempt.
+            is_gone: Returns whether a replica has stopped or is unreachable and no longer counts.
+            running_on: The head replicas of the sends in progress, which count as well.
+        """
         alive = [incarnation for incarnation in self._may_run_again if not is_gone(incarnation)]
-        if len(alive) < max_replicas:
+        running = sum(key not in self._may_run_again and not is_gone(key) for key in running_on)
+        if len(alive) + running < max_replicas:
             return None
         return frozenset(key[0] for key in alive if self._may_run_again[key])
