Let successors of silent sends wait for their paths in the queue

A successor searched for a path every 100 ms by itself, so that new requests took capacity that became free before streams that had begun. It waits in the queue of paths now, at the rank of streams that have begun, while the silent send goes on; the search ends if that one has an event again.

--- a/features/stalled_streams.feature
+++ b/features/stalled_streams.feature
@@ -29,7 +29,7 @@
   Scenario: a silent send goes on if no other replica can be the head
     Given a stream over two replicas, the second of which has an alternative
     When no event has come from the head replica for 1400 ms
-    Then the send goes on, and gets no successor because of no path is free
+    Then the send goes on, and a successor waits for a path
 
   Scenario: a silent send goes on beside a successor elsewhere
     Given a stream over two replicas, the second of which has an alternative
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -1,7 +1,7 @@
 """Runs the sends of a stream, which overlap: a silent one is listened to until another has an event.
 
 Silence doesn't show that a send is lost: its replicas may pause and go on. So a silent send gets a
-successor, if the limits allow one and there is a path, and whichever has the next event first
+successor as soon as the limits allow one and there is a path, and whichever has the next event first
 supersedes the other. Without a successor the send goes on until the request's time is over.
 """
 
@@ -18,7 +18,8 @@
     has_stalled,
     record_send_outcome,
 )
-from pimentodale.forwarding.path_selection import choose_path, count_crossings, note_prefill
+from pimentodale.forwarding.path_requests import create_path_request
+from pimentodale.forwarding.path_selection import CAPACITY_WAIT_MS, count_crossings, note_prefill
 from pimentodale.forwarding.slow_streams import SlowStreamDetector, search_slow_replicas
 from pimentodale.forwarding.stream_monitor import (
     PAUSE_MS,
@@ -32,6 +33,7 @@
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
+    from pimentodale.forwarding.path_queue import PathRequest
     from pimentodale.placement.paths import Path
 
 CHECK_INTERVAL_MS: Final = 100.0
@@ -105,7 +107,7 @@
 class _Sends:
     """The sends in progress of one stream."""
 
-    __slots__ = ("_ctx", "_routed", "_running", "_shared", "_state")
+    __slots__ = ("_ctx", "_routed", "_running", "_search", "_shared", "_state")
 
     def __init__(
         self,
@@ -119,6 +121,8 @@
         self._routed = routed
         self._state = state
         self._running: list[_Running] = []
+        self._search: asyncio.Task[None] | None = None
+        """Waits for the path of a successor."""
 
     def start(self, send: StreamSend) -> None:
         """Start a send; the first of those in progress to have the next event relays it."""
@@ -180,7 +184,7 @@
                 self._finish(running, SendEnd.LOST)
             return None if self._running else SendEnd.LOST
         if pause is Pause.SILENT and not running.relay.done():
-            self._start_successor(send)
+            self._seek_successor(send)
         return None
 
     def close(self, end: SendEnd | None) -> None:
@@ -189,26 +193,53 @@
         Args:
             end: How the stream ended; `None` if its client has left.
         """
+        if self._search is not None:
+            self._search.cancel()
         for running in list(self._running):
             is_over = end in (SendEnd.WHOLE, SendEnd.PASSED_ON)
             self._finish(running, SendEnd.SUPERSEDED if is_over else end)
 
-    def _start_successor(self, silent: StreamSend) -> None:
-        """Start a successor of a silent send, or log why there can be none."""
+    def _seek_successor(self, silent: StreamSend) -> None:
+        """Wait for the path of a successor of a silent send, or log why there can be none."""
+        if self._search is not None and not self._search.done():
+            return
         ctx, routed, state = self._ctx, self._routed, self._state
         observe_silent(ctx, routed, silent)
-        found = find_successor(ctx, routed, state, silent)
-        if isinstance(found, str):
-            if found != silent.kept_reason:
-                silent.kept_reason = found
-                log_kept_send(ctx, routed, silent.head_id, found, silent.active_ms)
+        request = plan_successor(ctx, routed, state)
+        if isinstance(request, str):
+            self._note_kept(silent, request)
+            return
+        self._search = asyncio.ensure_future(self._start_successor(silent, request))
+
+    async def _start_successor(self, silent: StreamSend, request: PathRequest) -> None:
+        """Start a successor of a silent send once there is a path and it is silent still."""
+        ctx, routed, state = self._ctx, self._routed, self._state
+        active_ms = silent.active_ms
+        wait_ms = routed.left_ms(ctx.clock.now_ms())
+        if not request.is_begun:
+            wait_ms = min(wait_ms, CAPACITY_WAIT_MS)
+        path = await self._shared.queue.wait(request, wait_ms)
+        if silent not in state.active or silent.active_ms > active_ms:
             return
-        log_successor(ctx, routed, silent.head_id, found.parts[0].replica_id, silent.active_ms)
+        if path is None:
+            self._note_kept(silent, "no path is free")
+            return
+        if not ctx.retries.try_spend(routed.service.name):
+            self._note_kept(silent, "no retry budget")
+            return
+        log_successor(ctx, routed, silent.head_id, path.parts[0].replica_id, silent.active_ms)
         head = ctx.view.replicas.get(silent.head_id)
         if head is not None:
             may_run_again = not silent.is_head_at_fault
             state.used_heads.note(incarnation_of(head), may_run_again=may_run_again)
-        self.start(create_send(ctx, found))
+        self.start(create_send(ctx, path))
+
+    def _note_kept(self, silent: StreamSend, reason: str) -> None:
+        """Log why a silent send has no successor, once for each reason."""
+        if reason == silent.kept_reason:
+            return
+        silent.kept_reason = reason
+        log_kept_send(self._ctx, self._routed, silent.head_id, reason, silent.active_ms)
 
     def _search_if_slow(self, running: _Running) -> None:
         """Search for slow replicas if a send has too few events."""
@@ -257,19 +288,18 @@
         observe_silent(ctx, self._routed, send)
 
 
-def find_successor(
-    ctx: ForwardingContext, routed: RoutedRequest, state: StreamState, silent: StreamSend
-) -> Path | str:
-    """Find a path for a successor of a silent send, and take its retry from the budget.
+def plan_successor(
+    ctx: ForwardingContext, routed: RoutedRequest, state: StreamState
+) -> PathRequest | str:
+    """Plan a successor of a silent send.
 
     Args:
         ctx: State shared by all requests.
         routed: The client's request.
         state: The stream.
-        silent: The send.
 
     Returns:
-        The path, or why there can be no successor now.
+        The request for its path, or why there can be no successor now.
     """
     if not routed.route.is_resumable:
         return "its route allows no resumption"
@@ -285,13 +315,9 @@
         heads -= running_on
         if not heads:
             return "it may have run at as many replicas as the route allows"
-    avoid = state.avoid.difference(heads or ()) | running_on
-    path = choose_path(ctx, routed.service, state.tokens, avoid, heads=heads)
-    if path is None:
-        return "no path is free"
-    if not ctx.retries.try_spend(routed.service.name):
+    if not ctx.retries.has_budget(routed.service.name):
         return "no retry budget"
-    return path
+    return create_path_request(ctx, routed, state, heads, running_on)
 
 
 def describe_send(ctx: ForwardingContext, send: StreamSend, end: SendEnd | None) -> str:
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -12,11 +12,10 @@
     create_send,
     run_sends,
 )
-from pimentodale.forwarding.path_queue import PathRequest
+from pimentodale.forwarding.path_requests import create_path_request
 from pimentodale.forwarding.path_selection import (
     CAPACITY_WAIT_MS,
     HOLD_OFF_SPREAD,
-    choose_path,
     covers_model,
     model_hold_off_ms,
     reload_estimate_ms,
@@ -32,10 +31,6 @@
 RESUME_WAIT_MS: Final = 1_200.0
 """Longest wait for a path by a stream with relayed events; its client would abandon it later on."""
 
-HOLD_OFF_WAIT_MS: Final = 300.0
-"""Longest wait for the end of the replicas' hold-offs: only one request is sent after a hold-off at
-first, so most waiting requests would be refused anyway."""
-
 ENDED_WAIT_MS: Final = 800.0
 """Longest wait until a stopped replica that ran a stream is detected: a probe takes less."""
 
@@ -88,7 +83,7 @@
     if heads is not None and not heads:
         routed.history.append("it may have run at as many replicas as the route allows")
         return None
-    path_request = _create_path_request(ctx, routed, state, heads)
+    path_request = create_path_request(ctx, routed, state, heads)
     path = await shared_streams.queue.wait(path_request, min(wait_ms, left_ms))
     if path is None:
         return None
@@ -101,30 +96,6 @@
     return await run_sends(ctx, shared_streams, routed, state, create_send(ctx, path))
 
 
-def _create_path_request(
-    ctx: ForwardingContext,
-    routed: RoutedRequest,
-    state: StreamState,
-    heads: frozenset[str] | None,
-) -> PathRequest:
-    """Return the path request of the next send."""
-    service, tokens = routed.service, state.tokens
-    avoid = state.avoid.difference(heads or ())
-    engine = service.engine
-    usual = tokens if engine is None else engine.mean_prompt_tokens + engine.mean_answer_tokens
-    return PathRequest(
-        workspace=routed.workspace or "",
-        rank=0 if routed.exchange.is_begun else routed.priority + 1,
-        tokens=tokens,
-        usual_tokens=usual,
-        is_begun=routed.exchange.is_begun,
-        find=lambda: choose_path(ctx, service, tokens, avoid, heads=heads),
-        is_feasible=lambda: covers_model(ctx, service, max_hold_off_ms=HOLD_OFF_WAIT_MS),
-        reserve=lambda path: ctx.loads.add(path.parts, tokens),
-        release=lambda path: ctx.loads.remove(path.parts, tokens),
-    )
-
-
 async def _wait_for_heads(
     ctx: ForwardingContext, routed: RoutedRequest, state: StreamState
 ) -> frozenset[str] | None:
