Tell in logs and metrics who ended an unfinished response, and what silence led to

The line says now who closed, how old the last event was and what was under way; a silent send that is kept or gets a successor has a line with its reason. Metrics pimentodale_silent_sends and pimentodale_unfinished count the same.

--- a/src/pimentodale/forwarding/client_exchange.py
+++ b/src/pimentodale/forwarding/client_exchange.py
@@ -37,7 +37,7 @@
 class ClientExchange:
     """A client request and the connection on which its response is written."""
 
-    __slots__ = ("_connection", "is_begun", "is_ended", "is_last", "request")
+    __slots__ = ("_connection", "is_begun", "is_closed_by_host", "is_ended", "is_last", "request")
 
     def __init__(self, connection: HTTPConnection, request: ClientRequest) -> None:
         self._connection = connection
@@ -46,6 +46,8 @@
         """Whether the response header has been written."""
         self.is_ended = False
         """Whether the response is complete or was aborted."""
+        self.is_closed_by_host = False
+        """Whether this host closed the connection before the response was complete."""
         self.is_last = False
         """Whether the connection closes after this response."""
 
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -86,6 +86,9 @@
     first_event_ms: float | None = None
     """Time from the arrival of the request to the first event of its stream."""
 
+    last_event_ms: float | None = None
+    """When the last event of the stream was relayed."""
+
     longest_pause_ms: float = 0.0
     """Longest time between two events of the stream."""
 
@@ -159,6 +162,7 @@
         reason: Why there can be no successor.
         active_ms: Time of the send's last event.
     """
+    ctx.metrics.silent_sends["kept"] += 1
     _log.info(
         "A silent send is kept.",
         reason=reason,
@@ -178,6 +182,7 @@
         successor: Id of the successor's head replica.
         active_ms: Time of the silent send's last event.
     """
+    ctx.metrics.silent_sends["succeeded"] += 1
     _log.info(
         "A silent send gets a successor.",
         successor=successor,
@@ -186,8 +191,13 @@
 
 
 def log_disconnect(ctx: ForwardingContext, routed: RoutedRequest) -> None:
-    """Log a request whose client disconnected before the response was complete."""
-    _log.info("A client disconnected.", sent=routed.sends, **_logged_fields(ctx, routed))
+    """Log a request whose connection closed before the response was complete, and who closed it."""
+    is_closed_by_host = routed.exchange.is_closed_by_host
+    ctx.metrics.unfinished["host" if is_closed_by_host else "client"] += 1
+    event = "A client disconnected."
+    if is_closed_by_host:
+        event = "This host closed the connection of an unfinished response."
+    _log.info(event, sent=routed.sends, **_logged_fields(ctx, routed))
 
 
 def view_age_ms(ctx: ForwardingContext) -> int | None:
@@ -201,6 +211,13 @@
     return ctx.clock.now_ms() - routed.exchange.request.received_ms
 
 
+def _last_event_age_ms(ctx: ForwardingContext, routed: RoutedRequest) -> int | None:
+    """Return the time since the last event of a stream; `None` if there was none."""
+    if routed.last_event_ms is None:
+        return None
+    return round(ctx.clock.now_ms() - routed.last_event_ms)
+
+
 def _silence_fields(
     ctx: ForwardingContext, routed: RoutedRequest, replica_id: str, active_ms: float
 ) -> dict[str, object]:
@@ -222,6 +239,7 @@
         "service": routed.service.name,
         "workspace": routed.workspace,
         "elapsed_ms": round(_elapsed_ms(ctx, routed)),
+        "last_event_age_ms": _last_event_age_ms(ctx, routed),
         "sends": routed.history,
         "view_age_ms": view_age_ms(ctx),
     }
--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -79,6 +79,11 @@
             if had_request and not self.awaits(stream) and not stream.writing():
                 stream.close()
 
+    async def close_all_connections(self) -> None:
+        """Close all connections, whatever they wait for."""
+        self.shared.is_closing = True
+        await super().close_all_connections()
+
     def awaits(self, stream: IOStream) -> bool:
         """Whether a connection has a request that must be answered before it closes."""
         return stream in self.shared.busy_streams or super().awaits(stream)
@@ -87,7 +92,7 @@
 class SharedServerState:
     """State shared by all connections of a server."""
 
-    __slots__ = ("busy_streams", "limits", "used_streams")
+    __slots__ = ("busy_streams", "is_closing", "limits", "used_streams")
 
     def __init__(self) -> None:
         self.used_streams: WeakSet[IOStream] = WeakSet()
@@ -96,6 +101,8 @@
         """Connections with a request that has started to arrive and is not fully answered yet."""
         self.limits = ClientLimits()
         """Limits on client requests."""
+        self.is_closing = False
+        """Whether the server closes all connections, as the host's time to stop is over."""
 
 
 class _Connections(HTTPServerConnectionDelegate):
@@ -141,6 +148,7 @@
         self._body_bytes = 0
         self._body_ended = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._exchange: ClientExchange | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -177,7 +185,9 @@
             self._connection.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
-        """Cancel the request of a client that has disconnected."""
+        """Cancel the request of a connection that has closed."""
+        if self._exchange is not None:
+            self._exchange.is_closed_by_host = self._shared.is_closing
         if self._task is not None:
             self._task.cancel()
 
@@ -185,7 +195,7 @@
         """Start the task that answers the request."""
         assert self._request is not None
         self._parts.clear()
-        exchange = ClientExchange(self._connection, self._request)
+        exchange = self._exchange = ClientExchange(self._connection, self._request)
         self._task = asyncio.ensure_future(self._run(exchange, handle))
 
     async def _refuse_body(self, exchange: ClientExchange) -> None:
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -267,6 +267,8 @@
         routed.history.append(describe_send(ctx, send, end))
         self._note_crash_evidence(send, end)
         if end is not None:
+            if end is SendEnd.SUPERSEDED:
+                ctx.metrics.silent_sends["superseded"] += 1
             if end not in (SendEnd.WHOLE, SendEnd.PASSED_ON):
                 replicas = [part.replica_id for part in send.path.parts]
                 log_failed_send(ctx, routed, replicas, end.value)
@@ -328,7 +330,7 @@
         send: The send.
         end: How it ended; `None` if the client has left.
     """
-    outcome = f"{'client left' if end is None else end.value}, {send.events} events"
+    outcome = f"{'unfinished' if end is None else end.value}, {send.events} events"
     if send.refused is not None:
         outcome = f"refused, {send.refused.value} at {faulty_replica_id(send) or send.head_id}"
     crossings = count_crossings(ctx, send.path)
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -166,11 +166,11 @@
         routed.first_event_ms = now_ms - routed.exchange.request.received_ms
         ctx.metrics.first_event.record(routed.first_event_ms)
     else:
-        pause_ms = now_ms - state.last_event_ms
+        pause_ms = now_ms - (routed.last_event_ms or now_ms)
         routed.longest_pause_ms = max(routed.longest_pause_ms, pause_ms)
         ctx.metrics.between_events.record(pause_ms)
     ctx.metrics.events += count
-    send.active_ms = state.last_event_ms = now_ms
+    send.active_ms = routed.last_event_ms = now_ms
     state.events += count
     send.events += count
 
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -122,9 +122,6 @@
     used_heads: UsedHeads = field(default_factory=UsedHeads)
     """Head replicas at which the stream may have run."""
 
-    last_event_ms: float = 0.0
-    """When the last event was relayed."""
-
     events: int = 0
     """Number of relayed events."""
 
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -27,7 +27,9 @@
         "leaving_signs",
         "request",
         "results",
+        "silent_sends",
         "store_calls",
+        "unfinished",
     )
 
     def __init__(self) -> None:
@@ -35,6 +37,10 @@
         """Finished requests by result code."""
         self.events = 0
         """Number of stream events relayed to clients."""
+        self.silent_sends: Counter[str] = Counter()
+        """Silent sends of streams: kept without a successor, succeeded by one, and superseded."""
+        self.unfinished: Counter[str] = Counter()
+        """Connections that closed before their response was complete, by who closed them."""
         self.request = Latency()
         """Duration of whole requests."""
         self.first_event = Latency()
@@ -71,6 +77,8 @@
         counted = (
             ("pimentodale_store_calls", "Calls to the store, by kind.", self.store_calls),
             ("pimentodale_leaving_signs", "Signs of leaving, by their source.", self.leaving_signs),
+            ("pimentodale_silent_sends", "Silent sends, by what followed.", self.silent_sends),
+            ("pimentodale_unfinished", "Unfinished answers, by who left.", self.unfinished),
         )
         for name, text, counts in counted:
             family = CounterMetricFamily(name, text, labels=["kind"])
