Listen to a silent read until another replica answers it

What callers saw: reads of a plain service answered 502 while its replicas paused for 0.9 s, although these were sound. The same cause as for streams: a silent send was ended before it was known whether another replica and a retry were left. It goes on beside the next one now, and the first good response is the answer; without a next one it goes on until the request's time is over.

--- a/features/silent_replicas.feature
+++ b/features/silent_replicas.feature
@@ -19,3 +19,15 @@
       | 60      | 1      | 900      | during  |
       | 60      | 1      | 900      | without |
       | 30      | 2      | 1200     | during  |
+
+  # Guards against reads that fail at sound replicas: a silent send was ended before there was another
+  # replica to send the read to.
+  Scenario Outline: reads do not fail after a pause of their replicas of <pause_ms> ms, <when> a planned stop
+    Given a site whose replicas send 60 events, 50 ms apart
+    When 16 clients read through a gateway <when> a planned stop, and its replicas pause for <pause_ms> ms
+    Then each read is answered by a replica or refused as not run
+
+    Examples:
+      | pause_ms | when    |
+      | 900      | during  |
+      | 900      | without |
--- a/features/steps/silent_replicas.py
+++ b/features/steps/silent_replicas.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Any
 
 from behave import given, then, when
@@ -14,6 +16,9 @@
 EVENTS = 60
 BETWEEN_PAUSES_S = 1.6
 
+READERS = 16
+READ_S = 2.5
+
 MAX_ATTEMPTS = 2
 """The limit of the site's routes."""
 
@@ -71,3 +76,47 @@
         ran_at[event["attempt"]].add(event["replica"])
     for attempt, replicas in ran_at.items():
         assert len(replicas) <= MAX_ATTEMPTS, (attempt, replicas)
+
+
+@when(
+    "16 clients read through a gateway {when} a planned stop, and its replicas pause for "
+    "{pause_ms:d} ms"
+)
+def pause_under_reads(context: Any, when: str, pause_ms: int) -> None:
+    site = context.gateways
+    context.replies = []
+    end_s = time.monotonic() + READ_S
+    lock = threading.Lock()
+
+    def read() -> None:
+        while time.monotonic() < end_s:
+            with lock:
+                headers = site.headers()
+            # A gateway that has stopped takes no connection.
+            with contextlib.suppress(OSError):
+                reply = site.request("g1", "/read/x", method="GET", headers=headers)
+                context.replies.append(reply)
+
+    clients = [threading.Thread(target=read) for _ in range(READERS)]
+    for client in clients:
+        client.start()
+    time.sleep(0.5)
+    if when == "during":
+        context.site.programs["g1"].process.send_signal(signal.SIGTERM)
+    replicas = context.site.programs["replicas"]
+    replicas.freeze()
+    time.sleep(pause_ms / 1_000.0)
+    replicas.wake()
+    for client in clients:
+        client.join(20.0)
+
+
+@then("each read is answered by a replica or refused as not run")
+def check_reads(context: Any) -> None:
+    statuses = Counter(reply.status for reply in context.replies)
+    print(dict(statuses))
+    assert statuses[200] > READERS, statuses
+    # A gateway that stops, or knows of no replica that answers, takes no new request.
+    assert set(statuses) <= {200, 503}, statuses
+    refused = [reply for reply in context.replies if reply.status == 503]
+    assert all(reply.json()["ran"] == "not_run" for reply in refused), refused[:1]
--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Final
@@ -23,9 +24,16 @@
     from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
     from pimentodale.forwarding.messages import BackendAnswer
     from pimentodale.site.model import ReplicaRecord
+    from pimentodale.site.replica_health import Incarnation
 
-SEND_TIMEOUT_FACTOR: Final = 4.0
-"""Multiple of the target latency after which a repeatable request is sent to another replica."""
+SILENT_FACTOR: Final = 4.0
+"""Multiple of the target latency after which a repeatable request is sent to another replica too."""
+
+MAX_PATIENCE_FRACTION: Final = 0.6
+"""Fraction of the time left after which that happens at the latest."""
+
+RECHECK_MS: Final = 100.0
+"""Interval at which another replica is looked for while all sends are silent."""
 
 CROSSING_PENALTY: Final = 2.0
 """Requests in progress added to the count of a replica in another failure domain."""
@@ -63,43 +71,182 @@
 
 async def serve_plain(ctx: ForwardingContext, routed: RoutedRequest) -> None:
     """Answer a request with the response of a replica of a plain service."""
-    is_repeatable = routed.route.repeatability is Repeatability.IDEMPOTENT
-    tried: set[str] = set()
-    may_have_run = False
-    failure: PlainReply | None = None
-    while True:
-        if await ctx.crashes.is_refused(routed):
-            await refuse_quarantined(ctx, routed)
-            return
-        left_ms = routed.left_ms(ctx.clock.now_ms())
-        replica = choose_replica(ctx, routed.service.name, tried)
-        if left_ms <= 0 or replica is None or routed.sends >= routed.route.max_attempts:
-            break
-        if routed.sends > 0 and not ctx.retries.try_spend(routed.service.name):
-            routed.history.append("no retry budget")
-            break
-        tried.add(replica.replica_id)
-        reply = await _send_tracked(ctx, routed, replica, left_ms, is_repeatable)
-        _record_outcome(ctx, routed, replica, reply)
-        if reply.result is SendResult.NOT_SENT:
-            continue
-        routed.sends += 1
-        if reply.result is SendResult.REFUSED:
-            continue
-        answer = reply.answer
-        if answer is not None and reply.result is SendResult.ANSWERED:
-            failure = reply
-            may_repeat = is_repeatable and answer.status >= 500
-            if not may_repeat or routed.sends >= routed.route.max_attempts:
+    sends = _PlainSends(ctx, routed)
+    try:
+        while True:
+            if not sends.running and await ctx.crashes.is_refused(routed):
+                await refuse_quarantined(ctx, routed)
+                return
+            if not sends.start_next() and not sends.running:
+                break
+            reply = await sends.wait()
+            if reply is not None:
                 await _relay_reply(ctx, routed, reply)
                 return
-        may_have_run = True
-        if not is_repeatable:
-            break
-    if failure is not None:
-        await _relay_reply(ctx, routed, failure)
+    finally:
+        sends.close()
+    if sends.failure is not None:
+        await _relay_reply(ctx, routed, sends.failure)
         return
-    await _give_up(ctx, routed, may_have_run)
+    await _give_up(ctx, routed, sends.may_have_run)
+
+
+@dataclass(slots=True, eq=False)
+class _PlainSend:
+    """A send in progress."""
+
+    replica: ReplicaRecord
+    exchange: asyncio.Task[PlainReply]
+    executed_on: list[Incarnation]
+    started_ms: float
+    is_silent: bool = False
+    """Whether it was silent for longer than replicas usually need."""
+
+    is_observed: bool = False
+    """Whether its replica is observed for a crash."""
+
+
+class _PlainSends:
+    """The sends of a plain request.
+
+    A silent send of a repeatable request goes on beside the next one, as its replica may only have
+    paused. The first good response is the answer.
+    """
+
+    __slots__ = (
+        "_ctx",
+        "_is_repeatable",
+        "_routed",
+        "_tried",
+        "failure",
+        "may_have_run",
+        "running",
+    )
+
+    def __init__(self, ctx: ForwardingContext, routed: RoutedRequest) -> None:
+        self._ctx = ctx
+        self._routed = routed
+        self._is_repeatable = routed.route.repeatability is Repeatability.IDEMPOTENT
+        self._tried: set[str] = set()
+        self.running: list[_PlainSend] = []
+        """Sends in progress, oldest first."""
+        self.failure: PlainReply | None = None
+        """The last response of a replica that failed."""
+        self.may_have_run = False
+        """Whether a replica may have run the request."""
+
+    def start_next(self) -> bool:
+        """Start the first send, or one beside those in progress once all of them are silent.
+
+        Returns:
+            Whether one was started.
+        """
+        ctx, routed = self._ctx, self._routed
+        left_ms = routed.left_ms(ctx.clock.now_ms())
+        if self.may_have_run and not self._is_repeatable:
+            return False
+        if left_ms <= 0 or routed.sends >= routed.route.max_attempts or self._patience_ms() > 0:
+            return False
+        for silent in self.running:
+            self._note_silent(silent)
+        if self.running and not self._may_repeat():
+            return False
+        replica = choose_replica(ctx, routed.service.name, self._tried)
+        if replica is None:
+            return False
+        if routed.sends > 0 and not ctx.retries.try_spend(routed.service.name):
+            self._note_no_budget()
+            return False
+        self._tried.add(replica.replica_id)
+        executed_on = ctx.crashes.list_alive([replica.replica_id])
+        ctx.replica_health.hold_offs.note_sent(incarnation_of(replica))
+        # Counted now, as the client may leave before there is a response.
+        routed.sends += 1
+        exchange = asyncio.ensure_future(_send(ctx, routed, replica, left_ms))
+        now_ms = ctx.clock.now_ms()
+        self.running.append(_PlainSend(replica, exchange, executed_on, now_ms))
+        return True
+
+    async def wait(self) -> PlainReply | None:
+        """Wait until a send ends or a further one may start; return the final response, if any."""
+        exchanges = {send.exchange for send in self.running}
+        timeout_ms = max(self._patience_ms(), RECHECK_MS) if self._is_repeatable else None
+        timeout_s = None if timeout_ms is None else timeout_ms / MS_PER_S
+        await asyncio.wait(exchanges, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        for send in [each for each in self.running if each.exchange.done()]:
+            self.running.remove(send)
+            reply = send.exchange.result()
+            self._note_end(send, reply)
+            if self._is_final(reply):
+                return reply
+        return None
+
+    def close(self) -> None:
+        """End the sends that are still in progress."""
+        for send in self.running:
+            send.exchange.cancel()
+            self._observe(send)
+            self._routed.history.append(f"{send.replica.replica_id}: unfinished")
+
+    def _note_end(self, send: _PlainSend, reply: PlainReply) -> None:
+        """Record how a send ended."""
+        ctx, routed = self._ctx, self._routed
+        _record_outcome(ctx, routed, send.replica, reply)
+        if reply.result is SendResult.NOT_SENT:
+            routed.sends -= 1
+        elif reply.result is SendResult.ANSWERED:
+            ctx.crashes.record.clear(routed.fingerprint)
+            self.failure = reply
+        elif reply.result is not SendResult.REFUSED:
+            self._observe(send)
+        if reply.result not in (SendResult.NOT_SENT, SendResult.REFUSED):
+            self.may_have_run = True
+
+    def _is_final(self, reply: PlainReply) -> bool:
+        """Whether a response is the answer; a failure is, if the request may not be sent again."""
+        if reply.answer is None or reply.result is not SendResult.ANSWERED:
+            return False
+        if not self._is_repeatable or reply.answer.status < 500:
+            return True
+        return not self.running and self._routed.sends >= self._routed.route.max_attempts
+
+    def _patience_ms(self) -> float:
+        """Return how long to wait until the newest send in progress is silent; 0 if it is."""
+        if not self.running:
+            return 0.0
+        if not self._is_repeatable:
+            return math.inf
+        ctx, routed, newest = self._ctx, self._routed, self.running[-1]
+        now_ms = ctx.clock.now_ms()
+        given_ms = routed.left_ms(newest.started_ms) * MAX_PATIENCE_FRACTION
+        given_ms = min(given_ms, SILENT_FACTOR * routed.route.target_latency_ms)
+        return max(0.0, newest.started_ms + given_ms - now_ms)
+
+    def _may_repeat(self) -> bool:
+        """Whether the request is known not to have crashed the replicas that are silent."""
+        crashes, routed = self._ctx.crashes, self._routed
+        return not crashes.awaits_verdict(routed) and not crashes.record.is_convicted(
+            routed.fingerprint
+        )
+
+    def _note_no_budget(self) -> None:
+        """Note for the log that the budget allowed no further send."""
+        if "no retry budget" not in self._routed.history:
+            self._routed.history.append("no retry budget")
+
+    def _note_silent(self, send: _PlainSend) -> None:
+        """Count a silent send against its replica, once."""
+        self._observe(send)
+        if not send.is_silent:
+            send.is_silent = True
+            self._ctx.replica_health.note_result(incarnation_of(send.replica), False)
+
+    def _observe(self, send: _PlainSend) -> None:
+        """Observe a send's replica for a crash, once."""
+        if send.is_observed:
+            return
+        send.is_observed = True
+        self._ctx.crashes.observe_send(self._routed.fingerprint, send.executed_on, is_fresh=True)
 
 
 def choose_replica(ctx: ForwardingContext, service: str, tried: set[str]) -> ReplicaRecord | None:
@@ -124,42 +271,14 @@
     return None if best is None else best[1]
 
 
-async def _send_tracked(
-    ctx: ForwardingContext,
-    routed: RoutedRequest,
-    replica: ReplicaRecord,
-    left_ms: float,
-    is_repeatable: bool,
-) -> PlainReply:
-    """Send a request, and have the crash detector check the replica if the send fails."""
-    executed_on = ctx.crashes.list_alive([replica.replica_id])
-    ctx.replica_health.hold_offs.note_sent(incarnation_of(replica))
-    reply: PlainReply | None = None
-    try:
-        reply = await _send(ctx, routed, replica, left_ms, is_repeatable)
-        return reply
-    finally:
-        if reply is not None and reply.result is SendResult.ANSWERED:
-            ctx.crashes.record.clear(routed.fingerprint)
-        elif reply is None or reply.result in (SendResult.BROKEN, SendResult.SILENT):
-            ctx.crashes.observe_send(routed.fingerprint, executed_on, is_fresh=True)
-
-
 async def _send(
-    ctx: ForwardingContext,
-    routed: RoutedRequest,
-    replica: ReplicaRecord,
-    left_ms: float,
-    is_repeatable: bool,
+    ctx: ForwardingContext, routed: RoutedRequest, replica: ReplicaRecord, left_ms: float
 ) -> PlainReply:
     """Send a request to a replica and read the complete response, with a time limit."""
-    wait_ms = left_ms
-    if is_repeatable and routed.sends + 1 < routed.route.max_attempts:
-        wait_ms = min(left_ms * 0.6, SEND_TIMEOUT_FACTOR * routed.route.target_latency_ms)
     parts = (PathPart(replica.replica_id, replica.address, _SINGLE_LAYER),)
     ctx.loads.add(parts, 0.0)
     try:
-        async with asyncio.timeout(wait_ms / MS_PER_S):
+        async with asyncio.timeout(left_ms / MS_PER_S):
             return await _exchange(ctx, routed, replica, left_ms)
     except TimeoutError:
         return PlainReply(SendResult.SILENT)
