Withdraw the crash of a replica that only paused

One that pauses for over a second and goes on was never taken back, so that three pauses convicted a request and its repeats were refused with 502. A replica that answers again as the same run, by its start time, withdraws what was presumed of it. A plain service has no start time in its answers; there a whole answer clears the request, as before.

crashing_requests.feature, "a replica that answers no probe for a while and goes on": before, the crash is recorded and nothing withdraws it (the scenario ends in an error for want of the call); now 0 crashes. One that starts anew still counts 1.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -78,6 +78,8 @@
       | announces that it leaves and goes               | 0     |
       | announces that it leaves and starts anew        | 0     |
       | says in an answer that it leaves and goes       | 0     |
+      | answers no probe for a while and goes on        | 0     |
+      | answers no probe for a while and starts anew    | 1     |
 
   # Guards against failure domains that count crashes separately while they are partitioned.
   Scenario: hosts that can only reach the store count crashes together
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -341,15 +341,17 @@
     If the replica lapses, its record disappears 2 s after the request was sent. Otherwise its
     record has already changed when the request is recorded as sent: it is deleted, or replaced by
     one with a later start time if the replica starts anew. A replica that leaves has announced that
-    before, by the state `draining` in its record or in an answer.
+    before, by the state `draining` in its record or in an answer. One that answers no probe for a
+    while counts as down, until it answers as the same run or a record shows another one.
     """
     clock, background = create_clock(), create_background_tasks()
     context.record = create_crash_record(clock)
+    health = create_replica_health(clock)
     detector = create_crash_detector(
         clock,
         context.record,
         context.view,
-        create_replica_health(clock),
+        health,
         background,
         create_retrials("g1", clock, context.record, MemoryStore(MemoryState(clock))),
     )
@@ -359,11 +361,21 @@
         put_replica(context, "draining", 1)
     elif ends.startswith("says"):
         context.view.note_leaving(context.view.replicas["r1"])
+    if ends.startswith("answers no probe"):
+        detector.observe_send(POISON, executed_on, is_fresh=True)
+        health.note_failed_probe(executed_on[0], "no answer")
+        await asyncio.sleep(0.2)
+        assert context.record.has_open_crash(POISON), "a replica that stays away has crashed"
+        if ends.endswith("goes on"):
+            health.mark_up(executed_on[0])
+            detector.note_alive(executed_on[0])
+            background.cancel()
+            return
     if ends.startswith("lapses"):
         detector.observe_send(POISON, executed_on, is_fresh=True)
         await asyncio.sleep(2.0)
     put_replica(context, "ready" if "anew" in ends else "", 2)
-    if not ends.startswith("lapses"):
+    if not ends.startswith(("lapses", "answers no probe")):
         detector.observe_send(POISON, executed_on, is_fresh=True)
     await asyncio.sleep(0.7)
     background.cancel()
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -43,6 +43,9 @@
 """Time after a send within which a record that disappears was withdrawn by the replica itself, in a
 planned shutdown: the record of a crashed replica expires after two heartbeats at the earliest."""
 
+MAX_PRESUMED: Final = 256
+"""Maximum number of replicas whose crash may still turn out to be a pause."""
+
 MIN_PROGRESS_EVENTS: Final = 3
 """Number of events of one send from which its replicas are past the start of the request."""
 
@@ -64,6 +67,10 @@
     _pending: Counter[str] = field(default_factory=Counter)
     """Number of sends without a result yet, by request fingerprint."""
 
+    _presumed: dict[Incarnation, set[str]] = field(default_factory=dict)
+    """Fingerprints of the requests to which crashes were attributed because a replica answered no
+    probe, by replica; the oldest first."""
+
     def list_alive(self, replica_ids: Iterable[str]) -> list[Incarnation]:
         """Return the replicas believed to be alive; call it as a request is sent to them."""
         known = (self.view.replicas.get(replica_id) for replica_id in replica_ids)
@@ -145,6 +152,11 @@
             return False
         return routed.sends > 0 or self.record.has_open_crash(routed.fingerprint)
 
+    def note_alive(self, incarnation: Incarnation) -> None:
+        """Withdraw the crash of a replica that answers again as the same run: it only paused."""
+        for fingerprint in self._presumed.pop(incarnation, ()):
+            self.record.withdraw(fingerprint, crash_name(*incarnation))
+
     def note_ended(self, routed: RoutedRequest) -> None:
         """Record the end of a request; one that has reached no replica returns its trial run.
 
@@ -169,6 +181,7 @@
                 ended = self._find_crashed(executed_on, departed, waited_ms)
                 if ended is not None:
                     self.record.strike(fingerprint, crash_name(*ended), is_fresh=is_fresh)
+                    self._note_presumed(ended, fingerprint)
                     return
                 if is_pending and waited_ms >= VERDICT_TIMEOUT_MS:
                     is_pending = False
@@ -180,6 +193,14 @@
             if is_pending:
                 self._settle(fingerprint)
 
+    def _note_presumed(self, incarnation: Incarnation, fingerprint: str) -> None:
+        """Remember a crash that only failed probes show, in case the replica answers again."""
+        if self.has_left_store([incarnation]):
+            return
+        if incarnation not in self._presumed and len(self._presumed) >= MAX_PRESUMED:
+            del self._presumed[next(iter(self._presumed))]
+        self._presumed.setdefault(incarnation, set()).add(fingerprint)
+
     def _find_crashed(
         self, executed_on: Sequence[Incarnation], departed: set[Incarnation], waited_ms: float
     ) -> Incarnation | None:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -351,6 +351,8 @@
                 continue
             if started_ms.ok in (0, replica.started_ms):
                 ctx.replica_health.mark_up(incarnation_of(replica))
+            if replica.started_ms and started_ms.ok == replica.started_ms:
+                ctx.crashes.note_alive(incarnation_of(replica))
 
 
 async def _recheck_slow_replicas(ctx: ForwardingContext, reports: StallReports) -> None:
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -141,6 +141,18 @@
         cleared = sorted(entry.open_crashes.difference(kept))
         self._apply(CrashEntry(fingerprint, cleared=cleared), told_by="")
 
+    def withdraw(self, fingerprint: str, crash: str) -> None:
+        """Withdraw a crash that did not happen.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            crash: Name of the crash.
+        """
+        entry = self.find(fingerprint)
+        if entry is None or crash not in entry.open_crashes:
+            return
+        self._apply(CrashEntry(fingerprint, cleared=[crash]), told_by="")
+
     def receive(self, entry: CrashEntry, told_by: str) -> None:
         """Merge an entry from another host.
 
