Start no successor for a stream that goes on by itself

A search for a successor outlived the silence of its send: it kept the first place of the queue until it got a path, and other streams were refused as full meanwhile. A path that was granted while the check waited for a report could also start a send beside one that was whole (its answer was ended twice), or take the stream from an older send that went on.

features/overlapping_sends.feature: 3 of 3 failed before (1 waiting in the queue; a second 'whole'; the first send ended after event 6), 3 of 3 hold now.

--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -107,7 +107,7 @@
 class _Sends:
     """The sends in progress of one stream."""
 
-    __slots__ = ("_ctx", "_routed", "_running", "_search", "_shared", "_state")
+    __slots__ = ("_ctx", "_routed", "_running", "_search", "_shared", "_sought", "_state")
 
     def __init__(
         self,
@@ -123,6 +123,8 @@
         self._running: list[_Running] = []
         self._search: asyncio.Task[None] | None = None
         """Waits for the path of a successor."""
+        self._sought: tuple[StreamSend, float] | None = None
+        """The silent send of the search, and the time of its last event."""
 
     def start(self, send: StreamSend) -> None:
         """Start a send; the first of those in progress to have the next event relays it."""
@@ -161,6 +163,10 @@
             if end in (SendEnd.WHOLE, SendEnd.PASSED_ON) or not self._running:
                 return end
         winner = self._state.relayed_from
+        if self._search is not None and not self._is_still_silent():
+            # A search holds its place in the queue, ahead of new requests.
+            self._search.cancel()
+            self._search = None
         if winner is not None:
             for running in [each for each in self._running if each.send is not winner]:
                 self._finish(running, SendEnd.SUPERSEDED)
@@ -209,17 +215,26 @@
         if isinstance(request, str):
             self._note_kept(silent, request)
             return
+        self._sought = (silent, silent.active_ms)
         self._search = asyncio.ensure_future(self._start_successor(silent, request))
 
+    def _is_still_silent(self) -> bool:
+        """Whether the send that a successor is sought for is silent still, and no other one goes on."""
+        if self._sought is None or any(running.relay.done() for running in self._running):
+            return False
+        silent, active_ms = self._sought
+        state = self._state
+        is_passed = state.relayed_from is not None and state.relayed_from is not silent
+        return silent in state.active and silent.active_ms <= active_ms and not is_passed
+
     async def _start_successor(self, silent: StreamSend, request: PathRequest) -> None:
         """Start a successor of a silent send once there is a path and it is silent still."""
         ctx, routed, state = self._ctx, self._routed, self._state
-        active_ms = silent.active_ms
         wait_ms = routed.left_ms(ctx.clock.now_ms())
         if not request.is_begun:
             wait_ms = min(wait_ms, CAPACITY_WAIT_MS)
         path = await self._shared.queue.wait(request, wait_ms)
-        if silent not in state.active or silent.active_ms > active_ms:
+        if not self._is_still_silent():
             return
         if path is None:
             self._note_kept(silent, "no path is free")
