Count sends in progress towards a route's attempts, whatever a probe says

A replica that pauses fails a probe and was taken for gone, so that it no longer counted towards the attempts of its route: a stream ran at three replicas that all lived (two allowed), in a review's trial with both of its sends in progress.

--- a/src/pimentodale/forwarding/used_heads.py
+++ b/src/pimentodale/forwarding/used_heads.py
@@ -53,10 +53,10 @@
         Args:
             max_replicas: Maximum number of replicas that may run one attempt.
             is_gone: Returns whether a replica has stopped or is unreachable and no longer counts.
-            running_on: The head replicas of the sends in progress, which count as well.
+            running_on: The head replicas of the sends in progress. They count in any case: one that
+                seems to be gone may only have paused.
         """
         alive = [incarnation for incarnation in self._may_run_again if not is_gone(incarnation)]
-        running = sum(key not in self._may_run_again and not is_gone(key) for key in running_on)
-        if len(alive) + running < max_replicas:
+        if len({*alive, *running_on}) < max_replicas:
             return None
         return frozenset(key[0] for key in alive if self._may_run_again[key])
