Answer a read with its failure while its other sends stay silent

It waits as long as a replica may be silent now. A silent send whose replica has started anew is ended, as that one no longer runs it.

--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -77,7 +77,7 @@
             if not sends.running and await ctx.crashes.is_refused(routed):
                 await refuse_quarantined(ctx, routed)
                 return
-            if not sends.start_next() and not sends.running:
+            if not sends.start_next() and (not sends.running or sends.is_failure_due()):
                 break
             reply = await sends.wait()
             if reply is not None:
@@ -115,6 +115,7 @@
 
     __slots__ = (
         "_ctx",
+        "_failed_ms",
         "_is_repeatable",
         "_routed",
         "_tried",
@@ -132,6 +133,7 @@
         """Sends in progress, oldest first."""
         self.failure: PlainReply | None = None
         """The last response of a replica that failed."""
+        self._failed_ms: float | None = None
         self.may_have_run = False
         """Whether a replica may have run the request."""
 
@@ -173,6 +175,7 @@
         timeout_ms = max(self._patience_ms(), RECHECK_MS) if self._is_repeatable else None
         timeout_s = None if timeout_ms is None else timeout_ms / MS_PER_S
         await asyncio.wait(exchanges, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        self._drop_restarted()
         for send in [each for each in self.running if each.exchange.done()]:
             self.running.remove(send)
             reply = send.exchange.result()
@@ -197,6 +200,7 @@
         elif reply.result is SendResult.ANSWERED:
             ctx.crashes.record.clear(routed.fingerprint)
             self.failure = reply
+            self._failed_ms = ctx.clock.now_ms()
         elif reply.result is not SendResult.REFUSED:
             self._observe(send)
         if reply.result not in (SendResult.NOT_SENT, SendResult.REFUSED):
@@ -210,6 +214,23 @@
             return True
         return not self.running and self._routed.sends >= self._routed.route.max_attempts
 
+    def _drop_restarted(self) -> None:
+        """End silent sends whose replica has started anew and no longer runs them."""
+        restarted = self._ctx.crashes.has_restarted
+        for send in list(self.running):
+            if send.exchange.done() or not any(map(restarted, send.executed_on)):
+                continue
+            send.exchange.cancel()
+            self.running.remove(send)
+            self._note_end(send, PlainReply(SendResult.BROKEN))
+
+    def is_failure_due(self) -> bool:
+        """Whether to answer with the failure that a replica gave, as the other sends stay silent."""
+        if self.failure is None or self._failed_ms is None or not self.running:
+            return False
+        waited_ms = self._ctx.clock.now_ms() - self._failed_ms
+        return waited_ms >= SILENT_FACTOR * self._routed.route.target_latency_ms
+
     def _patience_ms(self) -> float:
         """Return how long to wait until the newest send in progress is silent; 0 if it is."""
         if not self.running:
