Let no send write once the response is complete, and hold the deadline while a pause is examined

Found in review, read in the code: a successor could start while a replica's own error was still being written; an error of a send that ended beside another one was never looked at; a question to a replica could outlast the request's deadline by half a second; and a convicted stream was ended where its replica's record was withdrawn although such a replica serves on. A restart under the same id ends it now.

--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -84,17 +84,13 @@
             return True
         return self.replica_health.is_confirmed_down(replica)
 
-    def has_left_store(self, incarnations: Iterable[Incarnation]) -> bool:
-        """Whether one of the replicas has no record any more without having announced that.
+    def has_restarted(self, incarnation: Incarnation) -> bool:
+        """Whether a replica is registered with another start time, so that its work is lost.
 
-        Unlike a failed probe, that doesn't happen to a replica which pauses and goes on.
+        Unlike a failed probe or a record that is gone, that doesn't happen to one that goes on.
         """
-        for incarnation in incarnations:
-            replica = self.view.replicas.get(incarnation[0])
-            is_registered = replica is not None and incarnation_of(replica) == incarnation
-            if not is_registered and not self.view.has_announced_departure(incarnation):
-                return True
-        return False
+        replica = self.view.replicas.get(incarnation[0])
+        return replica is not None and incarnation_of(replica) != incarnation
 
     def note_whole(self, fingerprint: str, executed_on: Iterable[Incarnation]) -> None:
         """Clear the crashes of a request that has completed, except those of this attempt.
@@ -195,7 +191,8 @@
 
     def _note_presumed(self, incarnation: Incarnation, fingerprint: str) -> None:
         """Remember a crash that only failed probes show, in case the replica answers again."""
-        if self.has_left_store([incarnation]):
+        replica = self.view.replicas.get(incarnation[0])
+        if replica is None or incarnation_of(replica) != incarnation:
             return
         if incarnation not in self._presumed and len(self._presumed) >= MAX_PRESUMED:
             del self._presumed[next(iter(self._presumed))]
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -98,7 +99,7 @@
             if routed.left_ms(ctx.clock.now_ms()) <= 0:
                 end = SendEnd.TIMED_OUT
                 break
-            end = await sends.examine_newest()
+            end = await sends.examine_newest_within(routed.left_ms(ctx.clock.now_ms()))
         return end
     finally:
         sends.close(end)
@@ -172,6 +173,13 @@
                 self._finish(running, SendEnd.SUPERSEDED)
         return None
 
+    async def examine_newest_within(self, time_ms: float) -> SendEnd | None:
+        """Examine the newest send as `examine_newest`, for no longer than the request's time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(time_ms / MS_PER_S):
+                return await self.examine_newest()
+        return None
+
     async def examine_newest(self) -> SendEnd | None:
         """Examine the newest send, and start a successor if it is silent.
 
@@ -216,11 +224,16 @@
             self._note_kept(silent, request)
             return
         self._sought = (silent, silent.active_ms)
-        self._search = asyncio.ensure_future(self._start_successor(silent, request))
+        work = self._start_successor(silent, request)
+        self._search = ctx.background.start(work, "search for a successor")
 
     def _is_still_silent(self) -> bool:
         """Whether the send that a successor is sought for is silent still, and no other one goes on."""
-        if self._sought is None or any(running.relay.done() for running in self._running):
+        if (
+            self._sought is None
+            or self._state.is_over
+            or any(running.relay.done() for running in self._running)
+        ):
             return False
         silent, active_ms = self._sought
         state = self._state
@@ -273,7 +286,9 @@
             end: How it ended; `None` if the client has left.
         """
         ctx, routed, state, send = self._ctx, self._routed, self._state, running.send
-        running.relay.cancel()
+        if not running.relay.cancel() and not running.relay.cancelled():
+            # Marks a fault as seen; that of the send that ends the stream is raised already.
+            running.relay.exception()
         self._running.remove(running)
         state.active.remove(send)
         ctx.loads.remove(send.path.parts, state.tokens)
--- a/src/pimentodale/forwarding/stream_monitor.py
+++ b/src/pimentodale/forwarding/stream_monitor.py
@@ -69,7 +69,9 @@
         return Pause.SHORT
     if ctx.crashes.record.is_convicted(routed.fingerprint):
         # Moving the send would crash another replica.
-        return Pause.LOST if ctx.crashes.has_left_store(send.executed_on[:1]) else Pause.SHORT
+        heads = [each for each in send.executed_on if each[0] == send.head_id]
+        is_lost = any(map(ctx.crashes.has_restarted, heads))
+        return Pause.LOST if is_lost else Pause.SHORT
     if pause_ms > SILENT_MS:
         send.is_head_at_fault = True
         return Pause.SILENT
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -119,6 +119,7 @@
         return SendEnd.BROKEN
     if not state.claim(send):
         return SendEnd.SUPERSEDED
+    state.is_over = True
     routed.exchange.end()
     return SendEnd.WHOLE
 
@@ -193,6 +194,6 @@
         body += chunk.ok
     if routed.exchange.is_begun or len(state.active) > 1 or not state.claim(send):
         return SendEnd.BROKEN
-    send.is_writing = True
+    send.is_writing = state.is_over = True
     await routed.exchange.answer(answer.status, answer.headers, bytes(body))
     return SendEnd.PASSED_ON
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -141,6 +141,9 @@
     executed_on: set[Incarnation] = field(default_factory=set)
     """Replicas of all sends that were alive when they were sent."""
 
+    is_over: bool = False
+    """Whether the response to the client is complete."""
+
     status: int = 0
     """HTTP status of the last response."""
 
@@ -151,6 +154,8 @@
 
     def claim(self, send: StreamSend) -> bool:
         """Return whether a send may relay the next event, which the first to have it does."""
+        if self.is_over:
+            return False
         if self.relayed_from is None:
             self.relayed_from = send
         return self.relayed_from is send
