--- a/features/silent_replicas.feature
+++ b/features/silent_replicas.feature
@@ -20,6 +20,21 @@
       | 60      | 1      | 900      | without |
       | 30      | 2      | 1200     | during  |
 
+  # Guards against streams that end at replicas which answer questions but give no event for a while.
+  # The second send has no event either until they go on, and the client's time is over before that.
+  Scenario Outline: <streams> streams are whole after <pauses> pauses of <pause_ms> ms in which their replicas answer questions
+    Given a site whose replicas send 60 events, 50 ms apart
+    When <streams> streams of a gateway run without a planned stop, and their replicas give no event <pauses> times for <pause_ms> ms
+    Then all of the streams are whole with each event exactly once
+    And no client waited for an event for 2 s
+    And no stream ran at more replicas than its route allows
+    And silent sends had successors and were superseded
+
+    Examples:
+      | streams | pauses | pause_ms |
+      | 8       | 2      | 1600     |
+      | 60      | 1      | 1600     |
+
   # Guards against reads that fail at sound replicas: a silent send was ended before there was another
   # replica to send the read to.
   Scenario Outline: reads do not fail after a pause of their replicas of <pause_ms> ms, <when> a planned stop
--- a/features/steps/silent_replicas.py
+++ b/features/steps/silent_replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import signal
 import threading
 import time
@@ -10,7 +11,8 @@
 from typing import Any
 
 from behave import given, then, when
-from features.support.gateway_site import create_gateway_site
+from features.support.gateway_site import ENGINE_REPLICAS, create_gateway_site
+from features.support.site import http as call
 from features.support.site import wait_until
 
 EVENTS = 60
@@ -29,16 +31,27 @@
     context.gateways.start_all(events=events, event_ms=float(event_ms))
 
 
+def open_streams(context: Any, count: int) -> None:
+    """Open streams of different requests, as callers have them, and wait until they run."""
+    context.streams = [
+        context.gateways.open_stream("g1", b"body %d" % number) for number in range(count)
+    ]
+    wait_until(
+        lambda: all(len(stream.events) >= 3 for stream in context.streams), "streams run", 5.0
+    )
+
+
+def wait_for_end(context: Any) -> None:
+    """Wait until all streams have ended in any way."""
+    wait_until(lambda: all(stream.is_over for stream in context.streams), "streams end", 15.0)
+
+
 @when(
     "{count:d} streams of a gateway run {when} a planned stop, and their replicas pause {pauses:d} "
     "times for {pause_ms:d} ms"
 )
 def pause_under_streams(context: Any, count: int, when: str, pauses: int, pause_ms: int) -> None:
-    site = context.gateways
-    context.streams = [site.open_stream("g1") for _ in range(count)]
-    wait_until(
-        lambda: all(len(stream.events) >= 3 for stream in context.streams), "streams run", 5.0
-    )
+    open_streams(context, count)
     if when == "during":
         context.site.programs["g1"].process.send_signal(signal.SIGTERM)
     replicas = context.site.programs["replicas"]
@@ -48,7 +61,33 @@
         replicas.freeze()
         time.sleep(pause_ms / 1_000.0)
         replicas.wake()
-    wait_until(lambda: all(stream.is_over for stream in context.streams), "streams end", 15.0)
+    wait_for_end(context)
+
+
+@when(
+    "{count:d} streams of a gateway run without a planned stop, and their replicas give no event "
+    "{pauses:d} times for {pause_ms:d} ms"
+)
+def hold_events(context: Any, count: int, pauses: int, pause_ms: int) -> None:
+    open_streams(context, count)
+    for number in range(pauses):
+        if number:
+            time.sleep(BETWEEN_PAUSES_S)
+        for name in ENGINE_REPLICAS:
+            context.gateways.admin(name, "hold")
+        time.sleep(pause_ms / 1_000.0)
+        for name in ENGINE_REPLICAS:
+            context.gateways.admin(name, "go-on")
+    wait_for_end(context)
+
+
+@then("silent sends had successors and were superseded")
+def check_superseded(context: Any) -> None:
+    text = call(f"http://{context.gateways.ip('g1')}:7001/metrics").body.decode()
+    counts = dict(re.findall(r'pimentodale_silent_sends_total{kind="(\w+)"} (\S+)', text))
+    print(counts)
+    assert float(counts.get("succeeded", 0)) > 0, counts
+    assert float(counts.get("superseded", 0)) > 0, counts
 
 
 @then("all of the streams are whole with each event exactly once")
@@ -72,8 +111,8 @@
 @then("no stream ran at more replicas than its route allows")
 def check_attempts(context: Any) -> None:
     ran_at = defaultdict(set)
-    for event in context.gateways.journal("event"):
-        ran_at[event["attempt"]].add(event["replica"])
+    for begin in context.gateways.journal("begin"):
+        ran_at[begin["attempt"]].add(begin["replica"])
     for attempt, replicas in ran_at.items():
         assert len(replicas) <= MAX_ATTEMPTS, (attempt, replicas)
 
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -220,13 +220,14 @@
         sent = body if method == "POST" else None
         return call(url, sent, headers=headers or self.headers(key), method=method, timeout_s=12.0)
 
-    def open_stream(self, gateway: str) -> StreamClient:
+    def open_stream(self, gateway: str, body: bytes = b"body") -> StreamClient:
         """Begin to read a stream."""
         client = StreamClient()
         connection = http.client.HTTPConnection(self.ip(gateway), 7000, timeout=15.0)
         client.connection = connection
         headers = self.headers()
-        threading.Thread(target=_read, args=(client, connection, headers), daemon=True).start()
+        arguments = (client, connection, headers, body)
+        threading.Thread(target=_read, args=arguments, daemon=True).start()
         return client
 
     def fault(self, name: str, **faults: object) -> None:
@@ -270,11 +271,14 @@
 
 
 def _read(
-    client: StreamClient, connection: http.client.HTTPConnection, headers: dict[str, str]
+    client: StreamClient,
+    connection: http.client.HTTPConnection,
+    headers: dict[str, str],
+    body: bytes,
 ) -> None:
     """Read a stream to its end."""
     try:
-        connection.request("POST", "/lm/stream", b"body", headers)
+        connection.request("POST", "/lm/stream", body, headers)
         response = connection.getresponse()
         client.status = response.status
         client.headers = dict(response.getheaders())
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -174,6 +174,9 @@
     turned_away_s: str = ""
     """Value of `Retry-After` with which it turns requests away; empty while it does not."""
 
+    goes_on: asyncio.Event = field(default_factory=asyncio.Event)
+    """Unset while it holds back the events of its streams."""
+
     is_cured: bool = False
     """Whether no request crashes it any more."""
 
@@ -400,6 +403,7 @@
         part = self.part
         if await self._crashes(attempt):
             return
+        self._journal("begin", attempt, "")
         run = Run(path, self.request.body == LAST_PART_POISON)
         part.running[attempt] = run
         crash_last(run, attempt)
@@ -425,6 +429,7 @@
             if not await self._wait_for_path(run):
                 self.reset_connection()
                 return
+            await self.part.goes_on.wait()
             steps = [f"{step.first}-{step.end}" for step in run.path]
             self._journal("event", attempt, f"{number} {' '.join(steps)}")
             await self._write_event(number)
@@ -521,6 +526,24 @@
             self.reply({})
 
 
+class HoldHandler(ReplicaHandler):
+    """`/admin/hold`: it gives no event of a stream, but answers all else."""
+
+    def post(self) -> None:
+        """Hold events back."""
+        self.part.goes_on.clear()
+        self.reply({})
+
+
+class GoOnHandler(ReplicaHandler):
+    """`/admin/go-on`: it gives events again."""
+
+    def post(self) -> None:
+        """Go on."""
+        self.part.goes_on.set()
+        self.reply({})
+
+
 class CureHandler(ReplicaHandler):
     """`/admin/cure`: from now on no request crashes the replica."""
 
@@ -579,6 +602,7 @@
     part = PlatformReplicaPart(
         settings, clock, outage, Journal(settings.journal), int(clock.wall_ms())
     )
+    part.goes_on.set()
     _replicas[settings.advertise or settings.listen] = part
     arguments: dict[str, Any] = {"part": part}
     handlers: dict[str, type[PartHandler]] = {
@@ -594,6 +618,8 @@
         "/admin/announce": AnnounceHandler,
         "/admin/turn-away": TurnAwayHandler,
         "/admin/cure": CureHandler,
+        "/admin/hold": HoldHandler,
+        "/admin/go-on": GoOnHandler,
         "/admin/lose-answers": LoseAnswersHandler,
         "/admin/restart": RestartHandler,
     }
