Take no refusal of another attempt for one of this request

A faulty replica that writes an earlier refusal once more states that an earlier attempt did not run; the gateway took that for the request that it had just sent. With two attempts on the route the request, which the replica had run, ran at a second one; with one attempt the client was told "not run". The decoder now tells a refusal only where the echoed attempt id is this request's or absent, as in a 400 without an id; any other one is an answer that is not the replica's own to this request, after which a request that must not repeat gets 502.

--- /dev/null
+++ b/features/steps/faulty_answers.py
@@ -0,0 +1,381 @@
+"""Steps for replicas with faulty answers, on raw connections behind real programs."""
+
+from __future__ import annotations
+
+import base64
+import http.client
+import json
+import socket
+import socketserver
+import struct
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from behave import given, then, when
+from features.support.gateway_site import LAYERS, GatewaySite, create_gateway_site
+from features.support.site import http as call
+from features.support.site import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+PORT: Final = 8000
+EVENTS: Final = 5
+HEADS: Final = ("e1", "e2", "e3")
+TAILS: Final = ("e4", "e5")
+PLAIN_REPLICAS: Final = ("p1", "p2", "p3")
+
+SETTLE_S: Final = 0.3
+"""Time between two requests, in which a replica that refused may be used again."""
+
+CLOSE_DELAY_S: Final = 0.03
+"""Time from an answer to the end of its connection."""
+
+PLAIN_BODY: Final = b"the whole body of an answer"
+OWN: Final = b"Pimentodale-Attempt-Id: ID\r\n"
+OTHER: Final = b"Pimentodale-Attempt-Id: an-earlier-one\r\n"
+NOT_RUN: Final = b"Pimentodale-Not-Executed: 1\r\n"
+SIGNED: Final = OWN + b"Pimentodale-Replica-Stamp: s1\r\n"
+RESET: Final = b"RESET"
+"""At the end of an answer: the connection is reset instead of closed."""
+
+
+def build_answer(status: str, headers: bytes, body: bytes = b"") -> bytes:
+    """Return an answer with a length."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 " + status.encode() + b"\r\n" + headers + length + b"\r\n" + body
+
+
+def build_chunks(pieces: Iterable[bytes], headers: bytes, end: bytes = b"0\r\n\r\n") -> bytes:
+    """Return an answer in chunks; without `end` it is cut before the last one."""
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+    return b"HTTP/1.1 200 OK\r\n" + headers + chunked + chunks + end
+
+
+def build_events(first: int, last: int, end: bytes = b"0\r\n\r\n") -> bytes:
+    """Return a stream with the events of a range."""
+    numbers = range(first, last + 1)
+    pieces = [b"id: %d\ndata: d%d\n\n" % (number, number) for number in numbers]
+    return build_chunks(pieces, SIGNED + b"Content-Type: text/event-stream\r\n", end)
+
+
+HEAD: Final = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"Content-Length: 27\r\n\r\n"
+INTERIM: Final = b"HTTP/1.1 102 Processing\r\n\r\n"
+FAULT_TEXT: Final = b"error: the replica failed"
+
+ANSWERS: Final = {
+    "503 of another request": build_answer("503 Full", OTHER + NOT_RUN, FAULT_TEXT),
+    "421 of another request": build_answer("421 Wrong", OTHER + NOT_RUN, FAULT_TEXT),
+    "429 of another request": build_answer("429 Busy", OTHER + NOT_RUN, FAULT_TEXT),
+    "400 of another request": build_answer("400 Bad", OTHER + NOT_RUN, FAULT_TEXT),
+    "503 ahead of the request": build_answer("503 Full", OTHER + NOT_RUN, FAULT_TEXT),
+    "own 503": build_answer("503 Full", OWN + NOT_RUN, FAULT_TEXT),
+    "own 421": build_answer("421 Wrong", OWN + NOT_RUN, FAULT_TEXT),
+    "503 without an id": build_answer("503 Full", NOT_RUN, FAULT_TEXT),
+    "own 500": build_answer("500 Error", SIGNED, FAULT_TEXT),
+    "own 404": build_answer("404 Unknown", SIGNED, FAULT_TEXT),
+    "unsigned 502": build_answer("502 Bad", b"", FAULT_TEXT),
+    "200 with a text": build_answer("200 OK", SIGNED, FAULT_TEXT),
+    "200 with a text and a gap": build_answer("200 OK", SIGNED, FAULT_TEXT + b"\n\n"),
+    "200 with a body of no bytes": build_answer("200 OK", SIGNED),
+    "204": b"HTTP/1.1 204 No Content\r\n" + SIGNED + b"\r\n",
+    "half a head": HEAD[:40],
+    "no further event": build_events(1, 0),
+    "in the status": HEAD[:11],
+    "after the status line": HEAD[:17],
+    "in a header's name": HEAD[:25],
+    "in the length": HEAD[:-5],
+    "before the blank line": HEAD[:-2],
+    "in the blank line": HEAD[:-1],
+    "after the head": HEAD,
+    "in the body": HEAD + PLAIN_BODY[:9],
+    "before the last chunk": build_chunks([PLAIN_BODY], SIGNED, b""),
+    "in the last chunk": build_chunks([PLAIN_BODY], SIGNED, b"0\r\n"),
+    "by a reset without a length": b"HTTP/1.1 200 OK\r\n" + SIGNED + b"\r\n" + PLAIN_BODY + RESET,
+    "after an interim head": INTERIM,
+    "in the head after an interim one": INTERIM + HEAD[:30],
+    "with 204 and a body": build_answer("204 No Content", SIGNED, PLAIN_BODY),
+}
+"""Faulty answers by name; `ID` stands for the request's attempt id."""
+
+
+@dataclass
+class Plan:
+    """What the replicas do with the next request of the client."""
+
+    first: bytes | None = None
+    """Answer of the first replica that gets it; `None` for a sound one."""
+
+    later: bytes | None = None
+    """Answer of the other ones."""
+
+    is_early: bool = False
+    """Whether the first answer goes out before the request is read."""
+
+    arrivals: int = 0
+    """How often it was sent to a replica."""
+
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+
+@dataclass
+class Received:
+    """What a client got."""
+
+    name: str
+    status: int
+    body: bytes
+    is_whole: bool
+    arrivals: int
+
+
+class RawReplica(socketserver.ThreadingTCPServer):
+    """A replica that answers as planned; reports and orders are sound."""
+
+    allow_reuse_address = True
+    daemon_threads = True
+
+    def __init__(self, ip: str, replica_id: str, *, is_engine: bool, site: FaultySite) -> None:
+        super().__init__((ip, PORT), RawHandler)
+        self.replica_id = replica_id
+        self.is_engine = is_engine
+        self.site = site
+        self.started_ms = int(time.time() * 1_000)
+        threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Pass over connections that the caller has closed."""
+
+    def record(self) -> dict[str, Any]:
+        """Return its record in the store."""
+        record = {
+            "service": "lm" if self.is_engine else "plain",
+            "address": f"{self.server_address[0]}:{PORT}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 96,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 0,
+            "born": self.started_ms,
+        }
+        return record | (self.layers() if self.is_engine else {})
+
+    def layers(self) -> dict[str, Any]:
+        """Return what an engine says of its part; only heads, in the first half, get requests."""
+        half = LAYERS // 2
+        first = half if self.replica_id in TAILS else 0
+        return {"kind": "card", "layers": {"from": first, "to": first + half, "version": 1}}
+
+    def report(self) -> bytes:
+        """Return the report."""
+        report = {"busy": False, "sequence": 0, "queued_requests": 0, "active_requests": 0}
+        report |= {"kv_used": 0, "kv_total": 1_000_000, "pace": 1.0, "born": self.started_ms}
+        return build_answer("200 OK", b"", json.dumps(report | self.layers()).encode())
+
+
+class RawHandler(socketserver.BaseRequestHandler):
+    """Serves one connection."""
+
+    server: RawReplica
+
+    def handle(self) -> None:
+        """Read a request and answer it."""
+        plan = self.server.site.plan
+        if plan.is_early and not plan.arrivals and not self.server.is_engine:
+            self.request.sendall(plan.first)
+        head, body = b"", b""
+        while b"\r\n\r\n" not in head:
+            if not (piece := self.request.recv(65_536)):
+                return
+            head += piece
+        head, _, body = head.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        while len(body) < int(headers.get("content-length", "0")):
+            body += self.request.recv(65_536)
+        path = lines[0].split(" ")[1]
+        self.answer(path, headers, plan)
+
+    def answer(self, path: str, headers: dict[str, str], plan: Plan) -> None:
+        """Write the answer to a request that was read."""
+        if path == "/api/order":
+            self.request.sendall(build_answer("200 OK", b""))
+            return
+        if path == "/api/report":
+            is_engine = self.server.is_engine
+            unrun = build_answer("400 Bad", NOT_RUN)
+            self.request.sendall(self.server.report() if is_engine else unrun)
+            return
+        answer: bytes | None = None
+        if not path.endswith("/probe"):
+            with plan.lock:
+                plan.arrivals += 1
+                answer = plan.first if plan.arrivals == 1 else plan.later
+                if plan.is_early and plan.arrivals == 1:
+                    return
+        if answer is None:
+            last = int(headers.get("last-event-id", "0"))
+            events = build_events(last + 1, EVENTS)
+            plain = build_answer("200 OK", SIGNED, PLAIN_BODY)
+            answer = events if self.server.is_engine else plain
+        answer = answer.replace(b"ID\r\n", headers["pimentodale-attempt-id"].encode() + b"\r\n")
+        self.request.sendall(answer.removesuffix(RESET))
+        # What was sent is read before the connection ends.
+        time.sleep(CLOSE_DELAY_S)
+        if answer.endswith(RESET):
+            linger = struct.pack("ii", 1, 0)
+            self.request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.request.close()
+
+
+@dataclass
+class FaultySite:
+    """A gateway, its store and raw replicas."""
+
+    gateways: GatewaySite
+    plan: Plan = field(default_factory=Plan)
+    replicas: list[RawReplica] = field(default_factory=list)
+    received: list[Received] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start everything, and wait until each route is served."""
+        site = self.gateways.site
+        ip = site.ip(2)
+        store = {"kind": "platform_store", "listen": f"{ip}:9000", "admin_listen": f"{ip}:9001"}
+        site.start(
+            "store", "pimentodale-standin", str(site.write("store.yaml", {"parts": [store]}))
+        )
+        site.wait_ready(f"{self.gateways.store}/healthz")
+        for name in (*HEADS, *TAILS, *PLAIN_REPLICAS):
+            is_engine = name not in PLAIN_REPLICAS
+            replica = RawReplica(self.gateways.ip(name), name, is_engine=is_engine, site=self)
+            self.replicas.append(replica)
+            value = base64.b64encode(json.dumps(replica.record()).encode()).decode()
+            put = {"puts": [{"key": f"servers/{name}", "value": value, "lease": 0}]}
+            assert call(f"{self.gateways.store}/api/kv-txn", put).status == 200
+        once = {"path_prefix": "/once/", "kind": "streaming", "service": "lm", "resumable": False}
+        once |= {"timeout_ms": 20_000, "gap_target_ms": 250}
+        note = {"path_prefix": "/note/", "kind": "non_idempotent", "service": "plain"}
+        self.gateways.configure([once, note])
+        self.gateways.start_gateway("g1")
+        for prefix in ("/lm/", "/once/", "/read/", "/note/"):
+            wait_until(lambda prefix=prefix: self.serves(prefix), f"{prefix} is served", 20.0)
+
+    def serves(self, prefix: str) -> bool:
+        """Whether a request is served."""
+        try:
+            return bool(self.gateways.request("g1", f"{prefix}probe").status == 200)
+        except OSError:
+            return False
+
+    def ask(self, prefix: str, name: str, plan: Plan) -> None:
+        """Send one request under a plan and keep what the client gets."""
+        # Which replicas are thought to be sound must not depend on the row before.
+        wait_until(lambda: self.serves(prefix), f"{prefix} is served", 5.0)
+        time.sleep(SETTLE_S)
+        self.plan = plan
+        connection = http.client.HTTPConnection(self.gateways.ip("g1"), 7000, timeout=12.0)
+        status, body, is_whole = 0, b"", False
+        try:
+            connection.request("POST", f"{prefix}x", b"body", self.gateways.headers())
+            response = connection.getresponse()
+            status = response.status
+            while piece := response.read1():
+                body += piece
+            is_whole = response.length in (0, None)
+        except (OSError, http.client.HTTPException, ValueError):
+            is_whole = False
+        finally:
+            connection.close()
+        self.plan = Plan()
+        received = Received(f"{prefix} {name}", status, body, is_whole, plan.arrivals)
+        print(f"{received.name}: {status} whole={is_whole} sends={plan.arrivals} {body[:60]!r}")
+        self.received.append(received)
+
+    def close(self) -> None:
+        """Stop the replicas."""
+        for replica in self.replicas:
+            replica.shutdown()
+            replica.server_close()
+
+
+def check_each(site: FaultySite, is_right: Any) -> None:
+    """Assert that all answers since the last check are right."""
+    wrong = [received for received in site.received if not is_right(received)]
+    count = len(site.received)
+    site.received.clear()
+    assert count, "nothing was asked"
+    assert not wrong, "\n".join([f"{len(wrong)} of {count} wrong:", *map(str, wrong)])
+
+
+@given("a gateway before raw replicas")
+def start_site(context: Any) -> None:
+    context.faulty = FaultySite(create_gateway_site(context.site))
+    context.add_cleanup(context.faulty.close)
+    context.faulty.start()
+
+
+@when(
+    "each of these requests gets an answer from the first replica that reads it, and the next one "
+    "is sound"
+)
+def ask_refused(context: Any) -> None:
+    for row in context.table:
+        name = row["first answer"]
+        plan = Plan(first=ANSWERS[name], is_early=name.endswith("ahead of the request"))
+        context.faulty.ask(row["request"], name, plan)
+
+
+@then("each is answered 502 and was sent once")
+def check_once(context: Any) -> None:
+    check_each(context.faulty, lambda got: got.status == 502 and got.arrivals == 1)
+
+
+@then("each is answered 200 in full and was sent twice")
+def check_twice(context: Any) -> None:
+    check_each(context.faulty, lambda got: got.status == 200 and got.is_whole and got.arrivals == 2)
+
+
+@when("streams begin with {count:d} of 5 events, break off, and each further replica answers")
+def ask_begun(context: Any, count: int) -> None:
+    for row in context.table:
+        later = ANSWERS[row["next answer"]]
+        context.faulty.ask("/lm/", row["next answer"], Plan(build_events(1, count, b""), later))
+
+
+def events_to(last: int) -> bytes:
+    """Return the events up to one, as a client gets them."""
+    numbers = range(1, last + 1)
+    return b"".join(b"id: %d\ndata: d%d\n\n" % (number, number) for number in numbers)
+
+
+@then("each client has events 1 and 2, nothing else, and sees the stream break off")
+def check_broken(context: Any) -> None:
+    check_each(
+        context.faulty,
+        lambda got: got.body == events_to(2) and not got.is_whole and got.arrivals > 1,
+    )
+
+
+@then("each client has events 1 to 5 and sees the stream end")
+def check_ended(context: Any) -> None:
+    check_each(
+        context.faulty,
+        lambda got: got.body == events_to(EVENTS) and got.is_whole and got.arrivals > 1,
+    )
+
+
+@when("every replica cuts its answers to each of these requests")
+def ask_cut(context: Any) -> None:
+    for row in context.table:
+        answer = ANSWERS[row["cut"]]
+        context.faulty.ask(row["request"], row["cut"], Plan(answer, answer))
+
+
+@then("each is answered 502")
+def check_failed(context: Any) -> None:
+    check_each(context.faulty, lambda got: got.status == 502 and got.is_whole)
--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -74,7 +74,7 @@
     """HTTP status."""
 
     refused: RefusalReason | None
-    """Why the replica did not run the request; `None` unless it says that it did not."""
+    """Why the replica did not run this request; `None` unless it says that it did not."""
 
     faulty_address: str
     """`IP:PORT` of the replica at fault; empty if it is not named."""
--- a/src/pimentodale/platform/header_codec.py
+++ b/src/pimentodale/platform/header_codec.py
@@ -131,17 +131,14 @@
         attempt_id: Attempt id of the request, to detect an answer to another attempt.
     """
     echoed = headers.get(ATTEMPT_ID)
-    refused = None
-    if status == 421:
-        refused = RefusalReason.WRONG_REPLICA
-    elif NOT_RUN in headers:
-        refused = RefusalReason.NO_ROOM
+    is_mismatched = echoed is not None and echoed != attempt_id
     return BackendAnswer(
         status=status,
-        refused=refused,
+        # What another attempt was refused for says nothing of whether this one runs.
+        refused=None if is_mismatched else _decode_refusal(status, headers),
         faulty_address=headers.get(FAULTY_ADDRESS, ""),
         is_stamped=STAMP in headers,
-        is_mismatched=echoed is not None and echoed != attempt_id,
+        is_mismatched=is_mismatched,
         is_encoded="Content-Encoding" in headers,
         claims_not_run=status in _NOT_RUN_STATUSES,
         is_leaving=is_leaving_signal(headers.get(LEAVING)),
@@ -152,6 +149,13 @@
     )
 
 
+def _decode_refusal(status: int, headers: HTTPHeaders) -> RefusalReason | None:
+    """Return why an answer says that its request was not run; `None` if it does not say so."""
+    if status == 421:
+        return RefusalReason.WRONG_REPLICA
+    return RefusalReason.NO_ROOM if NOT_RUN in headers else None
+
+
 def _parse_number(text: str) -> float | None:
     """Parse a number from 0 to below 1e12; return `None` for any other text."""
     try:
