--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -25,3 +25,36 @@
       | /note/              | 503 without an id          |
       | /once/              | own 503                    |
     Then each is answered 200 in full and was sent twice
+
+  # Guards against a 2xx made of an answer whose head or body is not whole.
+  Scenario: a gateway passes on no answer that was cut
+    Given a gateway before raw replicas
+    When every replica cuts its answers to each of these requests
+      | request | cut                             |
+      | /note/  | in the status                   |
+      | /note/  | after the status line           |
+      | /note/  | in a header's name              |
+      | /note/  | in the length                   |
+      | /note/  | before the blank line           |
+      | /note/  | in the blank line               |
+      | /note/  | after the head                  |
+      | /note/  | in the body                     |
+      | /note/  | before the last chunk           |
+      | /note/  | in the last chunk               |
+      | /note/  | by a reset without a length     |
+      | /note/  | after an interim head           |
+      | /note/  | in the head after an interim one|
+      | /note/  | with 204 and a body             |
+      | /read/  | after the status line           |
+      | /read/  | in the length                   |
+      | /read/  | before the blank line           |
+      | /read/  | before the last chunk           |
+      | /read/  | by a reset without a length     |
+      | /once/  | after the status line           |
+      | /once/  | in the length                   |
+      | /once/  | before the blank line           |
+      | /once/  | after an interim head           |
+      | /lm/    | after the status line           |
+      | /lm/    | before the blank line           |
+      | /lm/    | after an interim head           |
+    Then each is answered 502
