End a resumed stream only with an answer that shows it goes on

A stream that broke off ended as complete after 2 of its 5 events where the next replica gave a success that is no stream: 200 without a body, or 204. An answer that resumes a stream must have the status of the response that has begun, and without any event it must be declared as a stream of events; else the send is broken, and the next one or the end of the connection follows. An answer of events needs no such type. The state's status is now that of the response to the client; it was that of any replica's last answer, which the log of a whole stream then named. The stand-in declares resumed streams as events too.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -26,6 +26,27 @@
       | /once/              | own 503                    |
     Then each is answered 200 in full and was sent twice
 
+  # Guards against error texts inside a begun stream, and against ends that look like the last piece.
+  Scenario: a gateway adds no error answer to a stream that has begun
+    Given a gateway before raw replicas
+    When streams begin with 2 of 5 events, break off, and each further replica answers
+      | next answer                  |
+      | own 500                      |
+      | own 404                      |
+      | own 503                      |
+      | 503 of another request       |
+      | unsigned 502                 |
+      | 200 with a text              |
+      | 200 with a text and a gap    |
+      | 200 with a body of no bytes  |
+      | 204                          |
+      | half a head                  |
+    Then each client has events 1 and 2, nothing else, and sees the stream break off
+    When streams begin with 5 of 5 events, break off, and each further replica answers
+      | next answer                  |
+      | no further event             |
+    Then each client has events 1 to 5 and sees the stream end
+
   # Guards against a 2xx made of an answer whose head or body is not whole.
   Scenario: a gateway passes on no answer that was cut
     Given a gateway before raw replicas
--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -97,6 +97,9 @@
     is_leaving: bool = False
     """Whether the replica announces that it is shutting down."""
 
+    is_event_stream: bool = False
+    """Whether the body is declared as a stream of events."""
+
     hold_off_ms: float | None = None
     """How long this host must send the replica no requests; `None` if it does not say."""
 
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -72,12 +72,18 @@
             send.refused = answer.refused
             send.faulty_address = answer.faulty_address
             return SendEnd.REFUSED
-        state.status = answer.status
         if not answer.is_success:
             return await _relay_failure(routed, state, send, call, answer, left_ms)
+        # Without any event, only its type shows that an answer goes on with the stream.
+        may_be_empty = not exchange.is_begun or answer.is_event_stream
         if not exchange.is_begun:
+            state.status = answer.status
             await exchange.begin(answer.status, answer.headers)
-        return await _relay_events(ctx, shared_streams, routed, state, send, call)
+        if answer.status != state.status:
+            return SendEnd.BROKEN
+        return await _relay_events(
+            ctx, shared_streams, routed, state, send, call, may_be_empty=may_be_empty
+        )
     finally:
         call.close()
 
@@ -89,6 +95,8 @@
     state: StreamState,
     send: StreamSend,
     call: HttpCall,
+    *,
+    may_be_empty: bool,
 ) -> SendEnd:
     """Relay complete events until the stream ends."""
     splitter = EventSplitter()
@@ -115,7 +123,7 @@
             await _write(ctx, routed, send, b"".join(passed))
         if not follows_on:
             return SendEnd.BROKEN
-    if splitter.has_partial:
+    if splitter.has_partial or (send.events == 0 and not may_be_empty):
         return SendEnd.BROKEN
     if not state.claim(send):
         return SendEnd.SUPERSEDED
@@ -193,6 +201,7 @@
         body += chunk.ok
     if routed.exchange.is_begun or len(state.active) > 1 or not state.claim(send):
         return SendEnd.BROKEN
+    state.status = answer.status
     send.is_writing = True
     await routed.exchange.answer(answer.status, answer.headers, bytes(body))
     return SendEnd.PASSED_ON
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -142,7 +142,7 @@
     """Replicas of all sends that were alive when they were sent."""
 
     status: int = 0
-    """HTTP status of the last response."""
+    """HTTP status of the response to the client; 0 until it has begun."""
 
     @property
     def may_have_run(self) -> bool:
--- a/src/pimentodale/platform/header_codec.py
+++ b/src/pimentodale/platform/header_codec.py
@@ -56,6 +56,9 @@
 """Statuses by which a replica claims that the request has not run."""
 
 
+_EVENT_STREAM: Final = "text/event-stream"
+
+
 def decode_request(method: str, path: str, headers: HTTPHeaders) -> ClientRequest:
     """Translate the header of a client's request.
 
@@ -141,6 +144,7 @@
         is_mismatched=is_mismatched,
         is_encoded="Content-Encoding" in headers,
         claims_not_run=status in _NOT_RUN_STATUSES,
+        is_event_stream=headers.get("Content-Type", "").lower().startswith(_EVENT_STREAM),
         is_leaving=is_leaving_signal(headers.get(LEAVING)),
         hold_off_ms=read_retry_after_ms(headers.get(RETRY_AFTER)) if status == 503 else None,
         headers=[
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -420,6 +420,7 @@
         if fault:
             self._refuse_unrun(503, fault)
             return
+        self.set_header("Content-Type", "text/event-stream")
         last = self.request.headers.get("Last-Event-Id", "0")
         for number in range(int(last) + 1, self.part.settings.events + 1):
             if not await self._wait_for_path(run):
@@ -446,8 +447,6 @@
 
     async def _write_event(self, number: int) -> None:
         """Write one event."""
-        if number == 1:
-            self.set_header("Content-Type", "text/event-stream")
         self.write(f"id: {number}\ndata: piece {number}\n\n")
         await self.flush()
 
