Take no refusal of another attempt for one of an engine's call

On the entry host too a refusal, in the engines' protocol, named no request: an engine that wrote an earlier one once more made the router count an attempt as not run that the engine had read, and go on at another engine. Refusals name their request and attempt now, and one that names another is a malformed answer of an attempt that may have run; one that names none counts as before. The stand-in names them, so engine_standin.feature asks for the names beside the stage where it asked for the stage alone: the whole body is still compared.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -79,3 +79,13 @@
       | /lm/    | before the blank line           |
       | /lm/    | after an interim head           |
     Then each is answered 502
+
+  # Guards against a promise "not run" that rests on an engine's refusal of an earlier attempt.
+  Scenario: an entry host takes no refusal of another attempt for one of its own
+    When an entry host sends attempt 2 of "job-1" to an engine that refuses in each of these ways
+      | refused request | refused attempt | counts as      |
+      | job-1           | 2               | not run        |
+      | none            | 0               | not run        |
+      | job-1           | 1               | may have run   |
+      | job-0           | 2               | may have run   |
+    Then the attempt counts as that
--- a/features/steps/engine_standin.py
+++ b/features/steps/engine_standin.py
@@ -167,7 +167,8 @@
 @then('the engines refuse with {status:d} and busy "{name}"')
 def check_busy(context: Any, status: int, name: str) -> None:
     assert context.answer.status == status, context.answer
-    assert json.loads(context.answer.body) == {"pimentodale": {"busy": name}}, context.answer
+    refusal = {"busy": name, "request_id": "q1", "attempt": 1}
+    assert json.loads(context.answer.body) == {"pimentodale": refusal}, context.answer
 
 
 @given("a stand-in engine whose honours_fencing is {honours}")
--- a/features/steps/faulty_answers.py
+++ b/features/steps/faulty_answers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
+import contextlib
 import http.client
 import json
 import socket
@@ -11,15 +13,30 @@
 import threading
 import time
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, Final
 
 from behave import given, then, when
 from features.support.gateway_site import LAYERS, GatewaySite, create_gateway_site
+from features.support.memory_store import MemoryState, MemoryStore
 from features.support.site import http as call
 from features.support.site import wait_until
 
+from pimentodale.addresses import Address
+from pimentodale.background import create_background_tasks
+from pimentodale.clients.engine_client import EngineToken, open_stream
+from pimentodale.clients.engine_messages import EngineCall, Hop
+from pimentodale.clock import create_clock
+from pimentodale.configuration.documents import Operation, Service
+from pimentodale.quarantine.crash_record import create_crash_record
+from pimentodale.quarantine.retrials import create_retrials
+from pimentodale.results import Ran
+from pimentodale.services.caller import create_service_caller
+from pimentodale.services.crash_guard import create_crash_guard
+from pimentodale.services.messages import ServiceCall, ServiceReplica
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 PORT: Final = 8000
 EVENTS: Final = 5
@@ -41,6 +58,9 @@
 RESET: Final = b"RESET"
 """At the end of an answer: the connection is reset instead of closed."""
 
+PAUSE: Final = b"PAUSE"
+"""Within an answer: what follows is sent a little later."""
+
 
 def build_answer(status: str, headers: bytes, body: bytes = b"") -> bytes:
     """Return an answer with a length."""
@@ -48,9 +68,14 @@
     return b"HTTP/1.1 " + status.encode() + b"\r\n" + headers + length + b"\r\n" + body
 
 
+def build_chunk(piece: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(piece), piece)
+
+
 def build_chunks(pieces: Iterable[bytes], headers: bytes, end: bytes = b"0\r\n\r\n") -> bytes:
     """Return an answer in chunks; without `end` it is cut before the last one."""
-    chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+    chunks = b"".join(build_chunk(piece) for piece in pieces)
     chunked = b"Transfer-Encoding: chunked\r\n\r\n"
     return b"HTTP/1.1 200 OK\r\n" + headers + chunked + chunks + end
 
@@ -379,3 +404,208 @@
 @then("each is answered 502")
 def check_failed(context: Any) -> None:
     check_each(context.faulty, lambda got: got.status == 502 and got.is_whole)
+
+
+# The entry host's callers, on connections to servers in this process.
+
+CUT_TIMEOUT_MS: Final = 3_000.0
+HOPS: Final = [Hop(replica="e1", address="127.0.0.1:1", first_layer=0, last_layer=8)]
+CALL: Final = EngineCall(request_id="job-1", attempt=2, route=HOPS)
+STREAM_HEAD: Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LAST_CHUNK: Final = b"0\r\n\r\n"
+FURTHER_BYTES: Final = {
+    "a text": build_chunk(FAULT_TEXT + b"\n\n") + LAST_CHUNK,
+    "a whole error answer": build_answer("500 Error", b"", FAULT_TEXT),
+    "an error as an event": build_chunk(b'data: {"error": "it failed"}\n\n') + LAST_CHUNK,
+    "its end": LAST_CHUNK,
+    "its end mark without a finish": build_chunk(b"data: [DONE]\n\n") + LAST_CHUNK,
+    "half a chunk": b"40\r\ndata: {",
+}
+"""What follows the tokens of an engine's stream, by name."""
+
+
+@dataclass
+class RawServer:
+    """A server in this process that counts the requests it reads."""
+
+    answers: Callable[[int], bytes]
+    """Returns what to write to the request of a number, from 0."""
+
+    arrivals: int = 0
+    connections: list[asyncio.Task[None]] = field(default_factory=list)
+    server: asyncio.Server | None = None
+
+    async def start(self) -> Address:
+        """Listen."""
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return Address("127.0.0.1", self.server.sockets[0].getsockname()[1])
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Begin to serve a connection."""
+        self.connections.append(asyncio.ensure_future(self._serve(reader, writer)))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one connection."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            number, self.arrivals = self.arrivals, self.arrivals + 1
+            answer = self.answers(number)
+            for piece in answer.removesuffix(RESET).split(PAUSE):
+                writer.write(piece)
+                await writer.drain()
+                # What was sent is read before the next piece or the end of the connection.
+                await asyncio.sleep(CLOSE_DELAY_S)
+            if answer.endswith(RESET):
+                linger = struct.pack("ii", 1, 0)
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+
+    async def close(self) -> None:
+        """Stop listening, once all connections have ended."""
+        await asyncio.gather(*self.connections)
+        if self.server is not None:
+            self.server.close()
+
+
+async def open_attempt(address: Address) -> Any:
+    """Send an attempt to an engine."""
+    path = "/v1/chat/completions"
+    return await open_stream(address, path, {"model": "m"}, CALL, {}, CUT_TIMEOUT_MS)
+
+
+async def read_events(address: Address) -> list[Any]:
+    """Send an attempt to an engine and read its stream, or the fault in its place."""
+    opened = await open_attempt(address)
+    if opened.is_error():
+        return [opened]
+    events = [event async for event in opened.ok.events(CUT_TIMEOUT_MS)]
+    opened.ok.close()
+    return events
+
+
+async def call_service(address: Address) -> Any:
+    """Make a call that may not repeat."""
+    clock = create_clock()
+    replica = ServiceReplica("r1", address)
+    operation = Operation(method="POST", path="/*", repeatable=False, keyless=True)
+    call = ServiceCall(
+        workspace="w1",
+        service=Service(name="rigs", operations=[operation]),
+        operation=operation,
+        method="POST",
+        path="/note",
+        deadline_ms=clock.now_ms() + CUT_TIMEOUT_MS,
+        request_id="call-1",
+    )
+    record = create_crash_record(clock)
+    retrials = create_retrials("e1", clock, record, MemoryStore(MemoryState(clock)))
+    caller = create_service_caller(
+        SimpleNamespace(),
+        lambda _name, excluded: None if replica.name in excluded else replica,
+        clock,
+        lambda: True,
+        lambda _replica, _is_whole: None,
+        create_crash_guard(record, retrials, clock, create_background_tasks()),
+    )
+    return await caller(call, lambda: False)
+
+
+@when('an entry host sends attempt 2 of "job-1" to an engine that refuses in each of these ways')
+def refuse_attempts(context: Any) -> None:
+    async def run(row: Any) -> str:
+        refusal: dict[str, Any] = {"busy": "e1"}
+        if row["refused request"] != "none":
+            refusal |= {
+                "request_id": row["refused request"],
+                "attempt": int(row["refused attempt"]),
+            }
+        body = json.dumps({"pimentodale": refusal}).encode()
+        server = RawServer(lambda _number: build_answer("429 Full", b"", body))
+        opened = await open_attempt(await server.start())
+        await server.close()
+        assert opened.is_error(), opened
+        assert opened.error.sent, opened
+        return "may have run" if opened.error.refused is None else "not run"
+
+    context.counted = [(row["counts as"], asyncio.run(run(row))) for row in context.table]
+
+
+@then("the attempt counts as that")
+def check_counted(context: Any) -> None:
+    assert all(expected == found for expected, found in context.counted), context.counted
+
+
+@when("an entry host calls a service that writes each answer twice, 503 to every second call")
+def call_repeating(context: Any) -> None:
+    def answer(number: int) -> bytes:
+        status = "503 Busy" if number % 2 else "200 OK"
+        return build_answer(status, b"", b"call %d" % number) * 2
+
+    async def run() -> list[Any]:
+        context.server = RawServer(answer)
+        address = await context.server.start()
+        replies = [await call_service(address) for _ in range(20)]
+        await context.server.close()
+        return replies
+
+    context.replies = asyncio.run(run())
+
+
+@then("each of {count:d} calls has its own answer and ran once")
+def check_own_answers(context: Any, count: int) -> None:
+    got = [(reply.ok.status, reply.ok.body) for reply in context.replies]
+    assert got == [(503 if n % 2 else 200, b"call %d" % n) for n in range(count)], got
+    assert context.server.arrivals == count, context.server.arrivals
+
+
+@when("an engine's stream has 2 tokens and then each of these")
+def read_faulty_streams(context: Any) -> None:
+    tokens = b""
+    for index in range(2):
+        note = {"request_id": "job-1", "attempt": 2, "index": index, "token": "t"}
+        tokens += build_chunk(b"data: " + json.dumps({"pimentodale": note}).encode() + b"\n\n")
+
+    async def run(further: bytes) -> list[Any]:
+        server = RawServer(lambda _number: STREAM_HEAD + tokens + PAUSE + further)
+        events = await read_events(await server.start())
+        await server.close()
+        return events
+
+    names = [row["further bytes"] for row in context.table]
+    context.read = {name: asyncio.run(run(FURTHER_BYTES[name])) for name in names}
+
+
+@then("the entry host has read 2 tokens and a fault each time")
+def check_faults(context: Any) -> None:
+    for name, events in context.read.items():
+        assert [event.is_ok() for event in events] == [True, True, False], (name, events)
+        assert all(isinstance(event.ok, EngineToken) for event in events[:2]), (name, events)
+        assert events[2].error.refused is None, (name, events)
+
+
+@when("an entry host calls a service and an engine that cut their answers")
+def call_cutting(context: Any) -> None:
+    async def run(answer: bytes, ask: Callable[[Address], Any]) -> tuple[Any, int]:
+        server = RawServer(lambda _number: answer)
+        end = await ask(await server.start())
+        await server.close()
+        return end, server.arrivals
+
+    names = [row["cut"] for row in context.table]
+    context.calls = {name: asyncio.run(run(ANSWERS[name], call_service)) for name in names}
+    context.streams = {name: asyncio.run(run(ANSWERS[name], read_events)) for name in names}
+
+
+@then("each call failed as one that may have run, and was sent once")
+def check_cut_calls(context: Any) -> None:
+    for name, (end, arrivals) in context.calls.items():
+        assert end.is_error(), (name, end)
+        assert (end.error.ran, arrivals) == (Ran.MAY_HAVE_RUN, 1), (name, end, arrivals)
+    for name, (events, arrivals) in context.streams.items():
+        (end,) = events
+        assert end.is_error(), (name, end)
+        assert end.error.sent, (name, end)
+        assert (end.error.refused, arrivals) == (None, 1), (name, end, arrivals)
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -228,7 +228,7 @@
         return Error(_fault_of(opened.error))
     if opened.ok.status == HTTP_OK:
         return Ok(EngineStream(opened.ok))
-    return Error(await _read_refusal(opened.ok, header_timeout_ms))
+    return Error(await _read_refusal(opened.ok, call, header_timeout_ms))
 
 
 async def read_load(address: Address, timeout_ms: float) -> Result[EngineLoad, EngineFault]:
@@ -320,19 +320,22 @@
     return Ok(EngineToken(note))
 
 
-async def _read_refusal(call: HttpCall, timeout_ms: float) -> EngineFault:
-    """Read why an engine did not accept; only its own word makes it 'ran nothing'."""
-    status = call.status
-    body = await collect_body(call, timeout_ms)
+async def _read_refusal(answer: HttpCall, call: EngineCall, timeout_ms: float) -> EngineFault:
+    """Read why an engine did not accept; only its word on this call makes it 'ran nothing'."""
+    status = answer.status
+    body = await collect_body(answer, timeout_ms)
     if body.is_error():
         return _fault_of(body.error)
     try:
         refusal = _refusal_decoder.decode(body.ok).pimentodale
     except msgspec.DecodeError:
         return EngineFault(f"answered HTTP {status}", malformed=True)
+    if not refusal.concerns(call):
+        message = f"it refused attempt {refusal.attempt} of request {refusal.request_id}"
+        return EngineFault(message, malformed=True)
     hold_off_ms = None
     if refusal.busy:
-        hold_off_ms = read_retry_after_ms(call.headers.get(RETRY_AFTER))
+        hold_off_ms = read_retry_after_ms(answer.headers.get(RETRY_AFTER))
     return EngineFault(
         f"answered HTTP {status}",
         refused=refusal,
--- a/src/pimentodale/clients/engine_messages.py
+++ b/src/pimentodale/clients/engine_messages.py
@@ -107,6 +107,21 @@
     stage_lost: str = ""
     """Name of a stage that could not be reached."""
 
+    request_id: str = ""
+    """The request that was refused; empty where the engine does not say."""
+
+    attempt: int = 0
+    """The attempt that was refused, where the request is named."""
+
+    def concerns(self, call: EngineCall) -> bool:
+        """Whether it refuses a call; one that names no request does.
+
+        Args:
+            call: The call that it answers.
+        """
+        named = (self.request_id, self.attempt)
+        return not self.request_id or named == (call.request_id, call.attempt)
+
 
 class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
     """Answer of `GET /v1/pimentodale/load`."""
--- a/src/pimentodale/standin/_engine_http.py
+++ b/src/pimentodale/standin/_engine_http.py
@@ -151,13 +151,14 @@
             await self.gone.wait()
             return
         if body.model != engine.orders.reached.model and engine.takes_work():
-            self.refuse(EngineRefusal(mismatch=f"{engine.settings.replica} has no {body.model}"))
+            mismatch = f"{engine.settings.replica} has no {body.model}"
+            self._refuse_call(body.pimentodale, EngineRefusal(mismatch=mismatch))
             return
         prompt = prompt_text(msgspec.json.decode(self.request.body))
         key = self.request.headers.get("Idempotency-Key", "")
         opened = await engine.heads.open(body.pimentodale, prompt, key)
         if opened.is_error():
-            self.refuse(opened.error)
+            self._refuse_call(body.pimentodale, opened.error)
             return
         stream = opened.ok
         watch = asyncio.create_task(self._cancel_when_gone(stream))
@@ -169,6 +170,12 @@
         finally:
             watch.cancel()
 
+    def _refuse_call(self, call: EngineCall, refusal: EngineRefusal) -> None:
+        """Answer that nothing of this call was run."""
+        self.refuse(
+            msgspec.structs.replace(refusal, request_id=call.request_id, attempt=call.attempt)
+        )
+
     async def _cancel_when_gone(self, stream: HeadStream) -> None:
         """Cancel the stream once its caller went away."""
         await self.gone.wait()
