Show what an entry host reads of an error in an engine's stream, and end it there

Before, a chunk not in its form (an error as an event, in the test) was followed by a second fault for the same stream, though nothing may follow the first; no caller read on, so callers saw none of it.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -89,3 +89,15 @@
       | job-1           | 1               | may have run   |
       | job-0           | 2               | may have run   |
     Then the attempt counts as that
+
+  # Guards against error texts that pass for tokens, and against ends that look like the last piece.
+  Scenario: an entry host reads no error in an engine's stream as a piece or an end of it
+    When an engine's stream has 2 tokens and then each of these
+      | further bytes                |
+      | a text                       |
+      | a whole error answer         |
+      | an error as an event         |
+      | its end                      |
+      | its end mark without a finish|
+      | half a chunk                 |
+    Then the entry host has read 2 tokens and a fault each time
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -153,7 +153,10 @@
             if line.ok == _DONE:
                 break
             event = _parse_chunk(line.ok)
-            if event.is_error() or isinstance(event.ok, EngineToken):
+            if event.is_error():
+                yield event
+                return
+            if isinstance(event.ok, EngineToken):
                 yield event
                 continue
             finish = event.ok
