Show that an entry host mixes no repeated or cut answer into another call

A service that writes each answer twice on a connection, every second one a 503: 20 of 20 calls have their own answer and ran once, as each has a connection of its own. 14 cuts in the head, the body or the chunks: 14 of 14 calls of a service that may not repeat and 14 of 14 of an engine fail as ones that may have run, after one send.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -101,3 +101,28 @@
       | its end mark without a finish|
       | half a chunk                 |
     Then the entry host has read 2 tokens and a fault each time
+
+  # Guards against an earlier refusal that answers the next call.
+  Scenario: a service that writes each refusal once more answers no other call with it
+    When an entry host calls a service that writes each answer twice, 503 to every second call
+    Then each of 20 calls has its own answer and ran once
+
+  # Guards against a 2xx made of an answer whose head or body is not whole.
+  Scenario: an entry host passes on no answer that was cut
+    When an entry host calls a service and an engine that cut their answers
+      | cut                              |
+      | in the status                    |
+      | after the status line            |
+      | in a header's name               |
+      | in the length                    |
+      | before the blank line            |
+      | in the blank line                |
+      | after the head                   |
+      | in the body                      |
+      | before the last chunk            |
+      | in the last chunk                |
+      | by a reset without a length      |
+      | after an interim head            |
+      | in the head after an interim one |
+      | with 204 and a body              |
+    Then each call failed as one that may have run, and was sent once
