--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -74,7 +74,7 @@
     """HTTP status."""
 
     refused: RefusalReason | None
-    """Why the replica did not run the request; `None` unless it says that it did not."""
+    """Why the replica did not run this request; `None` unless it says that it did not."""
 
     faulty_address: str
     """`IP:PORT` of the replica at fault; empty if it is not named."""
@@ -97,6 +97,9 @@
     is_leaving: bool = False
     """Whether the replica announces that it is shutting down."""
 
+    is_event_stream: bool = False
+    """Whether the body is declared as a stream of events."""
+
     hold_off_ms: float | None = None
     """How long this host must send the replica no requests; `None` if it does not say."""
 
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -145,7 +145,7 @@
     """Whether the response to the client is complete."""
 
     status: int = 0
-    """HTTP status of the last response."""
+    """HTTP status of the response to the client; 0 until it has begun."""
 
     @property
     def may_have_run(self) -> bool:
--- a/src/pimentodale/platform/header_codec.py
+++ b/src/pimentodale/platform/header_codec.py
@@ -56,6 +56,9 @@
 """Statuses by which a replica claims that the request has not run."""
 
 
+_EVENT_STREAM: Final = "text/event-stream"
+
+
 def decode_request(method: str, path: str, headers: HTTPHeaders) -> ClientRequest:
     """Translate the header of a client's request.
 
@@ -131,19 +134,17 @@
         attempt_id: Attempt id of the request, to detect an answer to another attempt.
     """
     echoed = headers.get(ATTEMPT_ID)
-    refused = None
-    if status == 421:
-        refused = RefusalReason.WRONG_REPLICA
-    elif NOT_RUN in headers:
-        refused = RefusalReason.NO_ROOM
+    is_mismatched = echoed is not None and echoed != attempt_id
     return BackendAnswer(
         status=status,
-        refused=refused,
+        # What another attempt was refused for says nothing of whether this one runs.
+        refused=None if is_mismatched else _decode_refusal(status, headers),
         faulty_address=headers.get(FAULTY_ADDRESS, ""),
         is_stamped=STAMP in headers,
-        is_mismatched=echoed is not None and echoed != attempt_id,
+        is_mismatched=is_mismatched,
         is_encoded="Content-Encoding" in headers,
         claims_not_run=status in _NOT_RUN_STATUSES,
+        is_event_stream=headers.get("Content-Type", "").lower().startswith(_EVENT_STREAM),
         is_leaving=is_leaving_signal(headers.get(LEAVING)),
         hold_off_ms=read_retry_after_ms(headers.get(RETRY_AFTER)) if status == 503 else None,
         headers=[
@@ -152,6 +153,13 @@
     )
 
 
+def _decode_refusal(status: int, headers: HTTPHeaders) -> RefusalReason | None:
+    """Return why an answer says that its request was not run; `None` if it does not say so."""
+    if status == 421:
+        return RefusalReason.WRONG_REPLICA
+    return RefusalReason.NO_ROOM if NOT_RUN in headers else None
+
+
 def _parse_number(text: str) -> float | None:
     """Parse a number from 0 to below 1e12; return `None` for any other text."""
     try:
