Hold no pause of the gateway itself against its replicas

Cause: the clock goes on while the process does not run. When it does again, time-outs are handled before what has come, so that every replica seems silent, reports and connections seem to be unanswered, and a replica counts as down.

Now a task notes each 50 ms that the process runs; whoever measures silence notes it too, as it may come first. The time between two notes that are far apart is left out of the silence of streams and reads. A report or probe that failed across such a pause is asked again, up to three times; a replica that was not connected to is probed before it counts as down. Only the pauses are left out, so that a process that pauses often still notices a lost replica. A log line and two metrics tell of it.

--- a/features/steps/stalled_streams.py
+++ b/features/steps/stalled_streams.py
@@ -53,6 +53,11 @@
         loads=create_load_table(clock),
         slow_replicas=SimpleNamespace(slowness=lambda _record: 1.0),
         engines=SimpleNamespace(report=report, repath=repath),
+        # The process runs all the while.
+        own_pauses=SimpleNamespace(
+            silence_ms=lambda since_ms: clock.now_ms() - since_ms,
+            ask=lambda question: question(),
+        ),
         retries=SimpleNamespace(has_budget=lambda *_: True, try_spend=lambda *_: True),
         crashes=SimpleNamespace(
             record=SimpleNamespace(is_convicted=lambda _fingerprint: False),
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -19,6 +19,7 @@
     from pimentodale.forwarding.crash_detector import CrashDetector
     from pimentodale.forwarding.load_table import LoadTable
     from pimentodale.forwarding.messages import ExchangeCodec
+    from pimentodale.forwarding.own_pauses import OwnPauses
     from pimentodale.forwarding.retry_budget_share import RetryBudgetShare
     from pimentodale.gateway.metrics import GatewayMetrics
     from pimentodale.placement.messages import EngineClient
@@ -51,6 +52,7 @@
     retries: RetryBudgetShare
     crashes: CrashDetector
     metrics: GatewayMetrics
+    own_pauses: OwnPauses
     failure_domain: str
     stall_ms: float
     """Stall timeout of the engines: how long they wait for a replica that does not answer."""
--- a/src/pimentodale/forwarding/passive_health.py
+++ b/src/pimentodale/forwarding/passive_health.py
@@ -14,7 +14,7 @@
     from pimentodale.forwarding.messages import BackendAnswer
     from pimentodale.forwarding.stream_state import StreamSend, StreamState
     from pimentodale.site.model import BackendService, ReplicaRecord
-    from pimentodale.site.replica_health import ReplicaHealth
+    from pimentodale.site.replica_health import Incarnation, ReplicaHealth
 
 FULL_BACKOFF_MS: Final = 150.0
 """How long a replica that refused for lack of capacity gets no new requests."""
@@ -46,8 +46,8 @@
         return
     incarnation = incarnation_of(head)
     if end is SendEnd.NOT_SENT:
-        ctx.replica_health.mark_down(incarnation, "it can't be connected to")
-        state.avoid.add(head.replica_id)
+        if record_unreachable(ctx, incarnation, send.sent_ms):
+            state.avoid.add(head.replica_id)
     elif end is SendEnd.BROKEN:
         ctx.replica_health.note_result(incarnation, False)
         ctx.replica_health.request_probe(incarnation)
@@ -78,6 +78,24 @@
         ctx.replica_health.note_result(incarnation, True)
 
 
+def record_unreachable(ctx: ForwardingContext, incarnation: Incarnation, sent_ms: float) -> bool:
+    """Count a replica as down that can't be connected to, unless this process itself didn't run.
+
+    Args:
+        ctx: State shared by all requests.
+        incarnation: The replica.
+        sent_ms: When the connection was begun.
+
+    Returns:
+        Whether it counts as down; otherwise it is probed.
+    """
+    if ctx.own_pauses.has_paused_since(sent_ms):
+        ctx.replica_health.request_probe(incarnation)
+        return False
+    ctx.replica_health.mark_down(incarnation, "it can't be connected to")
+    return True
+
+
 def has_stalled(ctx: ForwardingContext, waited_ms: float) -> bool:
     """Whether a refusal came late enough to mean that a replica of the path stalled the request."""
     return waited_ms >= ctx.stall_ms * STALLED_FRACTION
--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -12,7 +12,7 @@
 from pimentodale.clock import MS_PER_S
 from pimentodale.forwarding.context import log_end, log_failed_send
 from pimentodale.forwarding.error_responses import refuse_quarantined, send_failure, send_refusal
-from pimentodale.forwarding.passive_health import record_answer
+from pimentodale.forwarding.passive_health import record_answer, record_unreachable
 from pimentodale.forwarding.path_selection import HOLD_OFF_SPREAD, service_hold_off_ms
 from pimentodale.forwarding.stream_relay import CONNECT_TIMEOUT_MS
 from pimentodale.placement.messages import PathPart
@@ -191,7 +191,7 @@
     def _note_end(self, send: _PlainSend, reply: PlainReply) -> None:
         """Record how a send ended."""
         ctx, routed = self._ctx, self._routed
-        _record_outcome(ctx, routed, send.replica, reply)
+        _record_outcome(ctx, routed, send, reply)
         if reply.result is SendResult.NOT_SENT:
             routed.sends -= 1
         elif reply.result is SendResult.ANSWERED:
@@ -217,10 +217,9 @@
         if not self._is_repeatable:
             return math.inf
         ctx, routed, newest = self._ctx, self._routed, self.running[-1]
-        now_ms = ctx.clock.now_ms()
         given_ms = routed.left_ms(newest.started_ms) * MAX_PATIENCE_FRACTION
         given_ms = min(given_ms, SILENT_FACTOR * routed.route.target_latency_ms)
-        return max(0.0, newest.started_ms + given_ms - now_ms)
+        return max(0.0, given_ms - ctx.own_pauses.silence_ms(newest.started_ms))
 
     def _may_repeat(self) -> bool:
         """Whether the request is known not to have crashed the replicas that are silent."""
@@ -319,16 +318,17 @@
 
 
 def _record_outcome(
-    ctx: ForwardingContext, routed: RoutedRequest, replica: ReplicaRecord, reply: PlainReply
+    ctx: ForwardingContext, routed: RoutedRequest, send: _PlainSend, reply: PlainReply
 ) -> None:
     """Update the beliefs about a replica from the outcome of a send, and log a failed one."""
+    replica = send.replica
     status = "" if reply.answer is None else f" {reply.answer.status}"
     routed.history.append(f"{replica.replica_id}: {reply.result.value}{status}")
     if reply.result is not SendResult.ANSWERED:
         log_failed_send(ctx, routed, [replica.replica_id], reply.result.value)
     incarnation = incarnation_of(replica)
     if reply.result is SendResult.NOT_SENT:
-        ctx.replica_health.mark_down(incarnation, "it can't be connected to")
+        record_unreachable(ctx, incarnation, send.started_ms)
     elif reply.result is SendResult.REFUSED:
         ctx.replica_health.exclude_for(incarnation, REFUSAL_BACKOFF_MS)
     else:
--- a/src/pimentodale/forwarding/stalls.py
+++ b/src/pimentodale/forwarding/stalls.py
@@ -60,7 +60,7 @@
         now_ms = ctx.clock.now_ms()
         known = self._asked.get(replica.replica_id)
         if known is None or now_ms - known[0] > REPORT_INTERVAL_MS:
-            asked = asyncio.ensure_future(ctx.engines.report(replica))
+            asked = asyncio.ensure_future(ctx.own_pauses.ask(lambda: ctx.engines.report(replica)))
             known = (now_ms, asked)
             self._asked[replica.replica_id] = known
         return await asyncio.shield(known[1])
--- a/src/pimentodale/forwarding/stream_monitor.py
+++ b/src/pimentodale/forwarding/stream_monitor.py
@@ -64,7 +64,7 @@
         state: The stream.
         send: The newest send of the stream.
     """
-    pause_ms = ctx.clock.now_ms() - send.active_ms
+    pause_ms = ctx.own_pauses.silence_ms(send.active_ms)
     if pause_ms < investigation_pause_ms(ctx, shared_streams, routed, state, send):
         return Pause.SHORT
     if ctx.crashes.record.is_convicted(routed.fingerprint):
@@ -114,7 +114,7 @@
     overdue_ms = shared_streams.first_events.overdue_ms(
         send.head_id, routed.route.target_latency_ms
     )
-    if overdue_ms is None or ctx.clock.now_ms() - send.sent_ms < overdue_ms:
+    if overdue_ms is None or ctx.own_pauses.silence_ms(send.sent_ms) < overdue_ms:
         return False
     return ctx.retries.has_budget(routed.service.name, OVERDUE_RETRY_FRACTION)
 
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -22,6 +22,7 @@
 from pimentodale.forwarding.forwarder import forward
 from pimentodale.forwarding.front_server import create_front_server
 from pimentodale.forwarding.load_table import create_load_table
+from pimentodale.forwarding.own_pauses import create_own_pauses
 from pimentodale.forwarding.retry_budget_share import create_retry_budget_share
 from pimentodale.forwarding.slow_streams import recheck_slow_replicas
 from pimentodale.forwarding.stream_state import SharedStreamState, create_shared_stream_state
@@ -57,6 +58,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from expression import Result
     from tornado.httputil import HTTPServerRequest
 
     from pimentodale.addresses import Address
@@ -68,6 +70,7 @@
     from pimentodale.gateway.settings import GatewaySettings
     from pimentodale.peers.peers import Peers
     from pimentodale.placement.messages import EngineClient
+    from pimentodale.site.model import ReplicaRecord
     from pimentodale.site.view import SiteRecords, SiteView
 
 UNREADY_GRACE_MS: Final = 2_500.0
@@ -193,6 +196,7 @@
     )
     load_exchange = create_load_exchange(ctx.loads, view, peers, gateway.clock, gateway.rng)
     start(load_exchange.run(), "loads")
+    start(ctx.own_pauses.run(), "own pauses")
     start(_probe_replicas(ctx), "probes")
     start(_recheck_slow_replicas(ctx, gateway.shared_streams.reports), "paces")
     start(placer.run(), "placement")
@@ -250,6 +254,10 @@
     metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
     metrics.add_gauge("convicted_requests", record.count_convicted)
 
+    own_pauses = create_own_pauses(clock)
+    metrics.add_gauge("own_pauses", lambda: own_pauses.count)
+    metrics.add_gauge("own_pauses_ms", lambda: own_pauses.total_ms)
+
     def count_hosts() -> int:
         return max(len(peers.live_members()), len(view.peer_addresses))
 
@@ -273,6 +281,7 @@
             clock, record, view, replica_health, gateway.background, retrials
         ),
         metrics=metrics,
+        own_pauses=own_pauses,
         failure_domain=settings.failure_domain,
         stall_ms=settings.stall_ms,
         background=gateway.background,
@@ -344,7 +353,7 @@
             if incarnation not in known:
                 ctx.replica_health.forget(incarnation)
         probes = [known[incarnation] for incarnation in due if incarnation in known]
-        found = await asyncio.gather(*(ctx.engines.probe(replica) for replica in probes))
+        found = await asyncio.gather(*(_probe(ctx, replica) for replica in probes))
         for replica, started_ms in zip(probes, found, strict=True):
             if started_ms.is_error():
                 ctx.replica_health.note_failed_probe(incarnation_of(replica), started_ms.error)
@@ -353,6 +362,11 @@
                 ctx.replica_health.mark_up(incarnation_of(replica))
 
 
+async def _probe(ctx: ForwardingContext, replica: ReplicaRecord) -> Result[int, str]:
+    """Probe one replica; a pause of this process is not held against it."""
+    return await ctx.own_pauses.ask(lambda: ctx.engines.probe(replica))
+
+
 async def _recheck_slow_replicas(ctx: ForwardingContext, reports: StallReports) -> None:
     """Recheck replicas marked as slow until cancelled."""
     while True:
