Keep a connection busy whose next request comes before the last one is noted as ended

The log had "A client disconnected." for them. Only second and later requests of a connection were cut, whose clients sent them as soon as they had the last chunk of a stream.

Cause: the task of a request removes its connection from the busy ones when it ends. The last chunk of a stream is written some turns of the event loop earlier, by the task of its send. A request that comes between the two marks the connection as busy first; then the end of the one before it removes the mark. The stop takes such a connection for idle.

Now the mark belongs to the newest request, and only its own end removes it.

--- a/features/planned_work.feature
+++ b/features/planned_work.feature
@@ -15,3 +15,10 @@
       | work                                                                      |
       | six configurations                                                        |
       | a planned stop, six configurations, another gateway's restart, two pauses |
+
+  # Guards against a connection that counts as idle while its second request runs, as the end of the first was recorded
+  # after the second had come; the stop closed it in the middle of the answer.
+  Scenario: the answer to a request that follows the one before it at once is whole through a planned stop
+    Given a front server whose streams end 5 ms before their requests do
+    When a client sends two requests at once on one connection, and the server stops accepting during the second
+    Then both requests have whole answers
--- a/features/steps/planned_work.py
+++ b/features/steps/planned_work.py
@@ -2,14 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 import threading
 import time
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
-from behave import then, when
+from behave import given, then, when
 from features.support.gateway_site import KEY
 from features.support.site import wait_until
+from tornado.netutil import bind_sockets
+
+from pimentodale.clock import create_clock
+from pimentodale.forwarding.front_server import create_front_server
+from pimentodale.platform import header_codec as exchanges
+
+if TYPE_CHECKING:
+    from pimentodale.forwarding.client_exchange import ClientExchange
+
+REQUEST: Final = b"GET /x HTTP/1.1\r\nHost: lab.example\r\nPimentodale-Attempt-Id: a1\r\n\r\n"
+LAST_CHUNK: Final = b"0\r\n\r\n"
+STREAM_S: Final = 0.2
+END_S: Final = 0.005
+CLOSE_MS: Final = 1_000.0
 
 CONFIGURATION_INTERVAL_S: Final = 0.4
 
@@ -119,3 +134,53 @@
         "A client disconnected.",
     ):
         assert line not in log, line
+
+
+@given("a front server whose streams end 5 ms before their requests do")
+def plan_server(context: Any) -> None:
+    context.begun = 0
+
+    async def handle(exchange: ClientExchange) -> None:
+        context.begun += 1
+        await exchange.begin(200, [])
+        await exchange.write(b"piece")
+        context.is_begun[context.begun].set()
+        await asyncio.sleep(STREAM_S)
+        exchange.end()
+        await asyncio.sleep(END_S)
+
+    context.handle = handle
+
+
+@when(
+    "a client sends two requests at once on one connection, and the server stops accepting during "
+    "the second"
+)
+def send_two(context: Any) -> None:
+    context.answer = asyncio.run(run_two(context))
+
+
+async def run_two(context: Any) -> bytes:
+    """Send two requests at once, stop during the second, and return all that came."""
+    context.is_begun = {1: asyncio.Event(), 2: asyncio.Event()}
+    clock = create_clock()
+    server = create_front_server(exchanges, clock, context.handle)
+    sockets = bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    reader, writer = await asyncio.open_connection(*sockets[0].getsockname())
+    writer.write(REQUEST + REQUEST)
+    await asyncio.wait_for(context.is_begun[2].wait(), 5.0)
+    # The first request has ended by then, too.
+    await asyncio.sleep(STREAM_S / 2)
+    server.end_connections_when_answered()
+    server.stop_accepting()
+    await server.close_when_sent(clock, CLOSE_MS)
+    answer = await asyncio.wait_for(reader.read(), 5.0)
+    writer.close()
+    return answer
+
+
+@then("both requests have whole answers")
+def check_both(context: Any) -> None:
+    assert context.answer.count(b"HTTP/1.1 200 ") == 2, context.answer
+    assert context.answer.count(LAST_CHUNK) == 2, context.answer
--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from typing import TYPE_CHECKING, Any, Final
-from weakref import WeakSet
+from weakref import WeakKeyDictionary, WeakSet
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -97,8 +97,9 @@
     def __init__(self) -> None:
         self.used_streams: WeakSet[IOStream] = WeakSet()
         """Connections that have received a request."""
-        self.busy_streams: WeakSet[IOStream] = WeakSet()
-        """Connections with a request that has started to arrive and is not fully answered yet."""
+        self.busy_streams: WeakKeyDictionary[IOStream, _Receiver] = WeakKeyDictionary()
+        """Connections with a request that has started to arrive and is not fully answered yet, with
+        the newest one. It may come before the end of the one before it is noted."""
         self.limits = ClientLimits()
         """Limits on client requests."""
         self.is_closing = False
@@ -159,7 +160,7 @@
         self._request = self._codec.decode_request(start_line.method, start_line.path, headers)
         self._request.received_ms = self._clock.now_ms()
         if isinstance(self._connection, HTTP1Connection):
-            self._shared.busy_streams.add(self._connection.stream)
+            self._shared.busy_streams[self._connection.stream] = self
             self._shared.used_streams.add(self._connection.stream)
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > self._shared.limits.max_body_bytes:
@@ -232,8 +233,15 @@
         finally:
             if not exchange.is_ended:
                 exchange.abort()
-            if isinstance(self._connection, HTTP1Connection):
-                self._shared.busy_streams.discard(self._connection.stream)
+            self._note_answered()
+
+    def _note_answered(self) -> None:
+        """Note that the connection is idle, unless its next request has come already."""
+        if not isinstance(self._connection, HTTP1Connection):
+            return
+        busy = self._shared.busy_streams
+        if busy.get(self._connection.stream) is self:
+            del busy[self._connection.stream]
 
 
 def create_front_server(
