Test that a slow reading client doesn't make its replica look silent

A send that waits for its client to read has no event, whatever its replica does; it is left out of the examination of pauses meanwhile. No test held that. Now one relays 10 events, which come within 0.1 s, to a client that doesn't read for 2 s after the first: whole, one send, none counted as silent.

--- a/features/silent_replicas.feature
+++ b/features/silent_replicas.feature
@@ -31,3 +31,10 @@
       | pause_ms | when    |
       | 900      | during  |
       | 900      | without |
+
+  # Guards against a client that reads slowly and makes its replica look silent: no event can come from a send that
+  # waits for its client to read.
+  Scenario: a client that doesn't read for 2 s doesn't make its replica look silent
+    Given a replica that sends a stream of 10 events within 0.1 s
+    When a gateway relays it to a client that doesn't read for 2 s after the first event
+    Then the client has 10 events of one send, none of which counted as silent
