Give up a silent generation only once it can go on elsewhere

Callers saw their streams refused with no_route, after some tokens, when all engines paused and went on: an attempt was ended for silence first, and its head marked as down, and only then a route, an attempt and a share of the retry budget were looked for. The next engine was silent as well.

The next attempt is secured before the silent one is given up: an attempt is left, the engines of a free route answer, the budget has paid. Otherwise the silent attempt is listened to until the deadline.

--- a/features/steps/streams.py
+++ b/features/steps/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
@@ -88,6 +89,25 @@
     _run(context, count, shortest, longest, begun, kill, repeatable=False)
 
 
+@when(
+    _STREAMS + " that must not be repeated run "
+    "and all engines pause for {pause_ms:d} ms once {begun:d} of them have begun"
+)
+def run_once_and_pause(
+    context: Any, count: int, shortest: int, longest: int, pause_ms: int, begun: int
+) -> None:
+    programs = [context.site.programs[spec.name] for spec in context.engines]
+
+    def pause() -> None:
+        for program in programs:
+            program.freeze()
+        time.sleep(pause_ms / 1_000.0)
+        for program in programs:
+            program.wake()
+
+    _run(context, count, shortest, longest, begun, pause, repeatable=False)
+
+
 @when(_STREAMS + ' run and engine "{name}" is frozen once {begun:d} of them have begun')
 def run_and_freeze(
     context: Any, count: int, shortest: int, longest: int, name: str, begun: int
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -134,19 +134,21 @@
         self._rest = b""
 
     async def events(
-        self, silence_timeout_ms: float
+        self, silence_timeout_ms: float, first_timeout_ms: float | None = None
     ) -> AsyncIterator[Result[EngineEvent, EngineFault]]:
         """Read the stream.
 
         Args:
             silence_timeout_ms: Longest wait for the next event; bytes that are none don't count.
+            first_timeout_ms: Longest wait for the first event; `None` if it is the same.
 
         Yields:
             Tokens, then one finish; or one fault, after which nothing follows. After a silent
             fault the stream may be read on by another call.
         """
         finish: EngineFinish | None = None
-        async for line in self._lines(silence_timeout_ms):
+        first_ms = silence_timeout_ms if first_timeout_ms is None else first_timeout_ms
+        async for line in self._lines(silence_timeout_ms, first_ms):
             if line.is_error():
                 yield Error(line.error)
                 return
@@ -166,10 +168,12 @@
         """Drop the connection, which cancels the work at all stages."""
         self._call.close()
 
-    async def _lines(self, silence_timeout_ms: float) -> AsyncIterator[Result[bytes, EngineFault]]:
+    async def _lines(
+        self, silence_timeout_ms: float, first_timeout_ms: float
+    ) -> AsyncIterator[Result[bytes, EngineFault]]:
         """Split the stream into the contents of its `data:` lines."""
         heard_ms = self._clock.now_ms()
-        left_ms = silence_timeout_ms
+        limit_ms = left_ms = first_timeout_ms
         while True:
             chunk = await self._call.next_chunk(left_ms)
             if chunk is None:
@@ -182,12 +186,13 @@
                 if line.startswith(_DATA):
                     yield Ok(line[len(_DATA) :].strip())
                     heard_ms = self._clock.now_ms()
+                    limit_ms = silence_timeout_ms
             if len(self._rest) > _MAX_LINE_BYTES:
                 yield Error(EngineFault("a line of the stream is too long", malformed=True))
                 return
-            left_ms = silence_timeout_ms - (self._clock.now_ms() - heard_ms)
+            left_ms = limit_ms - (self._clock.now_ms() - heard_ms)
             if left_ms <= 0:
-                message = f"no event for {silence_timeout_ms:.0f} ms"
+                message = f"no event for {limit_ms:.0f} ms"
                 yield Error(EngineFault(message, sent=True, silent=True))
                 return
 
--- a/src/pimentodale/pipelines/attempt.py
+++ b/src/pimentodale/pipelines/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Final
 
@@ -10,11 +11,13 @@
 from pimentodale.addresses import parse_address
 from pimentodale.clients.engine_client import EngineFault, EngineFinish, open_stream
 from pimentodale.clients.engine_messages import EngineCall
+from pimentodale.clock import MS_PER_S
 from pimentodale.pipelines.context import describe_route
 from pimentodale.pipelines.messages import Finished, Token
 from pimentodale.pipelines.receipts import check_receipt
 from pimentodale.pipelines.resume import choose_kv_source
 from pimentodale.pipelines.silence_diagnosis import cancel_in_background, diagnose_silence
+from pimentodale.pipelines.successors import secure_successor
 from pimentodale.routing.routes import RouteOutcome
 
 if TYPE_CHECKING:
@@ -28,7 +31,14 @@
     from pimentodale.tracing.tracer import Span
 
 ACCEPT_TIMEOUT_MS: Final = 1_500.0
-"""Timeout for the first engine of a route to accept or refuse a stream."""
+"""Silence of the first engine of a route, which neither accepts nor refuses a stream, after which
+another route is looked for."""
+
+RECHECK_MS: Final = 300.0
+"""Silence after which another route is looked for again."""
+
+CONFIRM_MS: Final = 100.0
+"""Silence that confirms a dead connection: tokens that the head has sent arrive sooner."""
 
 GenerationEvent = Token | Finished
 """What a generation yields."""
@@ -118,46 +128,82 @@
     if generation.idempotency_key:
         headers["Idempotency-Key"] = generation.idempotency_key
     path = "/v1/chat/completions" if generation.kind == "chat" else "/v1/completions"
-    opened = await open_stream(
+    opening = open_stream(
         parse_address(route.hops[0].address),
         path,
         generation.body,
         call,
         headers,
-        min(ACCEPT_TIMEOUT_MS, max(1.0, progress.remaining_ms)),
+        max(1.0, progress.remaining_ms),
         None if progress.gate is None else progress.gate.ask,
     )
+    opened = await _wait_for_answer(progress, route, asyncio.ensure_future(opening))
     if opened.is_ok() or (opened.error.sent and opened.error.refused is None):
         progress.handed_over = True
     return opened
 
 
+async def _wait_for_answer(
+    progress: Progress, route: Route, opening: asyncio.Future[Result[EngineStream, EngineFault]]
+) -> Result[EngineStream, EngineFault]:
+    """Wait until the first engine answers, or until a silent one can be replaced."""
+    silence = EngineFault(f"{route.hops[0].replica} sent no header in time", silent=True)
+    timeout_ms = ACCEPT_TIMEOUT_MS
+    try:
+        while True:
+            await asyncio.wait({opening}, timeout=timeout_ms / MS_PER_S)
+            if not opening.done() and await secure_successor(progress, route, silence):
+                break
+            if opening.done():
+                break
+            timeout_ms = RECHECK_MS
+        return opening.result() if opening.done() else Error(silence)
+    finally:
+        opening.cancel()
+
+
 async def _read_stream(
     progress: Progress, route: Route, stream: EngineStream
 ) -> AsyncGenerator[Result[GenerationEvent, EngineFault], None]:
-    """Read a stream's events; diagnose the cause whenever it goes silent."""
+    """Read a stream's events; diagnose the cause whenever it goes silent.
+
+    It is given up only once the generation can go on elsewhere, or its time is over.
+    """
     stalled_checks = 0
+    suspected: EngineFault | None = None
+    wait_ms = progress.ctx.limits().chunk_timeout_ms
     while True:
         silence: EngineFault | None = None
-        timeout_ms = min(progress.ctx.limits().chunk_timeout_ms, max(1.0, progress.remaining_ms))
-        async for event in stream.events(timeout_ms):
+        left_ms = max(1.0, progress.remaining_ms)
+        timeout_ms = min(progress.ctx.limits().chunk_timeout_ms, left_ms)
+        async for event in stream.events(timeout_ms, min(wait_ms, left_ms)):
             checked = event.bind(lambda found: _verify(progress, route, found))
             if checked.is_error() and checked.error.silent:
                 silence = checked.error
                 break
             stalled_checks = 0
+            suspected = None
             yield checked
             if checked.is_error() or isinstance(checked.ok, Finished):
                 return
         if silence is None:
             yield Error(EngineFault("the stream ended early", malformed=True))
             return
-        fault = await _diagnose(progress, route, silence, stalled_checks)
-        if fault is not None:
+        fault = suspected or await _diagnose(progress, route, silence, stalled_checks)
+        if fault is None:
+            stalled_checks += 1
+            wait_ms = progress.ctx.limits().chunk_timeout_ms
+            continue
+        if fault.connection_lost and suspected is None:
+            suspected = fault
+            wait_ms = CONFIRM_MS
+            continue
+        if progress.remaining_ms <= 0 or await secure_successor(progress, route, fault):
             cancel_in_background(progress, route.hops[0])
             yield Error(fault)
             return
-        stalled_checks += 1
+        suspected = None
+        wait_ms = RECHECK_MS
 
 
 async def _diagnose(
--- a/src/pimentodale/pipelines/context.py
+++ b/src/pimentodale/pipelines/context.py
@@ -61,6 +61,9 @@
     pending_probes: dict[str, asyncio.Task[Loss]] = field(default_factory=dict)
     """Liveness probes in progress, by replica address."""
 
+    pending_answers: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
+    """Checks in progress whether engines of next routes answer, by replica address."""
+
     def boot_id_of(self, replica: str) -> str:
         """Return the boot id in a replica's last load report; empty when there was none."""
         status = self.fleet.status(replica)
@@ -135,6 +138,12 @@
     resumed: bool = False
     """Whether it has been resumed before; only further resumes draw on the retry budget."""
 
+    is_resume_paid: bool = False
+    """Whether the retry budget has paid for the next resume already."""
+
+    next_route: Route | None = None
+    """Route of the next attempt, whose engines answered before the silent one was given up."""
+
     repeat_route: bool = False
     """Whether the next attempt uses the last route again, over a new connection."""
 
--- a/src/pimentodale/pipelines/generate.py
+++ b/src/pimentodale/pipelines/generate.py
@@ -31,6 +31,7 @@
     refuse_no_route,
 )
 from pimentodale.pipelines.resume import reuse_stages
+from pimentodale.pipelines.successors import MAX_ATTEMPTS
 from pimentodale.results import Refusal, ResultCode
 
 if TYPE_CHECKING:
@@ -42,9 +43,6 @@
 
 __all__ = ["FirstByteGate", "GenerationEvent", "PipelineContext", "describe_route", "generate"]
 
-MAX_ATTEMPTS: Final = 6
-"""Maximum failed attempts of one generation."""
-
 BUSY_INITIAL_BACKOFF_MS: Final = 20.0
 """Initial backoff before busy replicas are tried again; it doubles with each round."""
 
@@ -174,8 +172,11 @@
     if progress.repeat_route and last is not None and not set(avoided).intersection(last.replicas):
         progress.repeat_route = False
         return last
-    reserved = progress.reserved
+    reserved, secured = progress.reserved, progress.next_route
+    progress.next_route = None
     unusable = progress.excluded.union(avoided, progress.busy)
+    if secured is not None and unusable.isdisjoint(secured.replicas):
+        return secured
     if reserved is not None and unusable.isdisjoint(reserved.route.replicas):
         return reserved.route
     route = ctx.router.pick_route(model.name, model.layers, generation.prefix_hash, unusable)
@@ -226,9 +227,12 @@
     if not progress.generation.repeatable:
         message = f"The work was in progress when {fault.message}; it is not run again."
         return progress.refuse(ResultCode.BACKEND_SERVER_LOST, message)
+    if progress.remaining_ms <= 0:
+        return progress.refuse_deadline_exceeded()
     # The first resume replaces load that was lost with the stage, so it costs no retry budget.
-    first_resume, progress.resumed = not progress.resumed, True
-    if not first_resume and not ctx.spend_retry():
+    is_free, progress.resumed = progress.is_resume_paid or not progress.resumed, True
+    progress.is_resume_paid = False
+    if not is_free and not ctx.spend_retry():
         message = "The retry budget is spent, as too much work was lost lately; come back later."
         return progress.refuse(ResultCode.RETRY_BUDGET_SPENT, message, BUDGET_RETRY_AFTER_MS)
     ctx.metrics.retries["lost"] += 1
