Listen to silent repeatable calls beside their next attempts

Callers of a plain service got backend_server_lost with may_have_run before their deadline, when all its replicas paused and went on: each attempt got half of the time left and was then ended, until there was no other replica.

An attempt now ends at the call's deadline. After half of the time left it counts as silent: the next one starts beside it if there is an attempt, a replica and a share of the retry budget, and the first whole reply is the answer. Calls that may not repeat are sent as before, once.

--- a/features/silent_engines.feature
+++ b/features/silent_engines.feature
@@ -25,3 +25,15 @@
     When 8 streams of 100 to 120 tokens that must not be repeated run and all engines pause for 2500 ms once 8 of them have begun
     Then each stream is complete and has the text for its own prompt
     And each stream had 1 attempt
+
+  # Guards against calls that fail at sound replicas: each replica got a part of the time left and was
+  # given up after it, until there was no other one.
+  Scenario Outline: repeatable calls do not fail after a pause of their replicas of 900 ms, <when> a planned stop
+    Given an entry host before two engines for each of two ranges, and two replicas of a service
+    When 16 callers read through the entry host <when> a planned stop, and all replicas pause for 900 ms
+    Then each call is answered by a replica or refused as not run
+
+    Examples:
+      | when    |
+      | during  |
+      | without |
--- a/src/pimentodale/services/caller.py
+++ b/src/pimentodale/services/caller.py
@@ -15,6 +15,7 @@
 from pimentodale.results import Ran, ResultCode, create_refusal
 from pimentodale.services.crash_guard import QUARANTINED_MESSAGE
 from pimentodale.services.messages import ServiceCall, ServiceReply
+from pimentodale.services.repeatable_calls import CallAttempts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,6 +26,7 @@
     from pimentodale.results import Refusal
     from pimentodale.services.crash_guard import CrashGuard
     from pimentodale.services.messages import ServiceReplica
+    from pimentodale.services.repeatable_calls import ReplicaAttempt
 
     PickReplica = Callable[[str, frozenset[str]], ServiceReplica | None]
     CallService = Callable[
@@ -35,10 +37,6 @@
 MAX_REPLICA_ATTEMPTS: Final = 4
 """Maximum number of replicas that one call is attempted on."""
 
-MIN_REPLICA_ATTEMPT_MS: Final = 100.0
-"""An attempt gets half of the time left, unless that is shorter than this; it
-then gets all of it."""
-
 NO_ROUTE_RETRY_AFTER_MS: Final = 2000.0
 """Retry delay for a service that has no live replica."""
 
@@ -204,54 +202,88 @@
 
     async def _call_replicas(self, call: ServiceCall) -> Result[ServiceReply, Refusal]:
         """Call replicas until one answers, within the deadline and the retry budget."""
-        excluded: set[str] = set()
-        last: WorkFault | None = None
-        busy: CallReply | None = None
-        sent = False
-        for number in range(MAX_REPLICA_ATTEMPTS):
-            left_ms = call.deadline_ms - self._clock.now_ms()
-            if left_ms <= 0:
-                last = _deadline_passed()
-                break
-            replica = self._pick(call.service.name, self._hold_offs.held() | excluded)
-            if replica is None:
-                last = last or self._no_replica(call, excluded)
-                break
-            if sent and not self._guard.may_repeat(call):
-                refusal = create_refusal(
-                    ResultCode.QUARANTINED, QUARANTINED_MESSAGE, ran=Ran.MAY_HAVE_RUN
-                )
-                return Error(refusal)
-            if number and not self._spend_retry():
-                break
-            excluded.add(replica.name)
-            self._hold_offs.note_sent(replica.name)
-            reply = await fetch(replica.address, _request(call), self._attempt_timeout_ms(left_ms))
-            self._note_reply(replica, reply)
-            if reply.is_error():
-                sent = sent or reply.error.sent
-                if reply.error.sent:
-                    await self._guard.note_lost_reply(call, replica)
-                last = _lost_reply(reply.error, sent=reply.error.sent)
-                continue
-            if reply.ok.status != BUSY_STATUS:
-                self._guard.note_complete_reply(call)
-                return Ok(_to_reply(_to_outcome(reply.ok)))
-            busy = reply.ok
-        if busy is not None:
-            return Ok(_to_reply(_to_outcome(busy)))
-        if not sent:
+        attempts = CallAttempts()
+        try:
+            while True:
+                if attempts.may_have_run and not self._guard.may_repeat(call):
+                    refusal = create_refusal(
+                        ResultCode.QUARANTINED, QUARANTINED_MESSAGE, ran=Ran.MAY_HAVE_RUN
+                    )
+                    return Error(refusal)
+                if attempts.all_silent:
+                    self._start_next(call, attempts)
+                if not attempts.running:
+                    break
+                for ended in await attempts.wait(self._clock):
+                    reply = await self._take_reply(call, attempts, ended)
+                    if reply is not None:
+                        return Ok(_to_reply(_to_outcome(reply)))
+                await self._note_silent(call, attempts)
+        finally:
+            attempts.close()
+        if attempts.busy is not None:
+            return Ok(_to_reply(_to_outcome(attempts.busy)))
+        if not attempts.sent:
             await self._guard.note_not_sent(call)
-        fault = last or self._no_replica(call, excluded)
+        fault = attempts.last or self._no_replica(call, attempts.tried)
         return Error(
             create_refusal(
                 fault.code,
                 fault.message,
-                ran=Ran.MAY_HAVE_RUN if sent else Ran.NOT_RUN,
+                ran=Ran.MAY_HAVE_RUN if attempts.sent else Ran.NOT_RUN,
                 retry_after_ms=fault.retry_after_ms,
             )
         )
 
+    def _start_next(self, call: ServiceCall, attempts: CallAttempts) -> None:
+        """Start the next attempt beside silent ones, if one is left and there is a replica."""
+        if len(attempts.tried) >= MAX_REPLICA_ATTEMPTS:
+            return
+        left_ms = call.deadline_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            attempts.last = _deadline_passed()
+            return
+        replica = self._pick(call.service.name, self._hold_offs.held() | attempts.tried)
+        if replica is None:
+            attempts.last = attempts.last or self._no_replica(call, attempts.tried)
+            return
+        if attempts.tried and not self._spend_retry():
+            return
+        self._hold_offs.note_sent(replica.name)
+        attempts.start(replica, _request(call), self._clock, left_ms)
+
+    async def _take_reply(
+        self, call: ServiceCall, attempts: CallAttempts, ended: ReplicaAttempt
+    ) -> CallReply | None:
+        """Record how an attempt ended; return its reply if it is the answer."""
+        assert ended.exchange is not None
+        reply = ended.exchange.result()
+        if reply.is_ok() or not ended.is_silent:
+            self._note_reply(ended.replica, reply)
+        if reply.is_error():
+            fault = reply.error
+            attempts.sent = attempts.sent or fault.sent
+            is_noted = ended.is_silent and fault.silent
+            if fault.sent and not is_noted:
+                await self._guard.note_lost_reply(call, ended.replica)
+            attempts.last = _lost_reply(fault, sent=fault.sent)
+            return None
+        if reply.ok.status == BUSY_STATUS:
+            attempts.busy = reply.ok
+            return None
+        self._guard.note_complete_reply(call)
+        return reply.ok
+
+    async def _note_silent(self, call: ServiceCall, attempts: CallAttempts) -> None:
+        """Record attempts that have become silent; their replicas get no new calls for a while."""
+        for attempt in attempts.running:
+            if attempt.is_silent or self._clock.now_ms() < attempt.silent_at_ms:
+                continue
+            attempt.is_silent = True
+            self._report(attempt.replica, False)
+            if attempt.is_sent:
+                await self._guard.note_lost_reply(call, attempt.replica)
+
     def _note_reply(self, replica: ServiceReplica, reply: Result[CallReply, CallFault]) -> None:
         """Record the result of an attempt for its replica."""
         self._report(replica, reply.is_ok())
@@ -279,10 +311,6 @@
             return _not_sent(ResultCode.BACKEND_SERVER_UNREACHABLE, message)
         return _not_sent(ResultCode.NO_ROUTE, f"Service '{name}' has no live replica now.")
 
-    def _attempt_timeout_ms(self, left_ms: float) -> float:
-        """Return the timeout of one attempt, half of the time left if that is enough."""
-        return left_ms if left_ms / 2 < MIN_REPLICA_ATTEMPT_MS else left_ms / 2
-
 
 def create_service_caller(
     ledger: Ledger,
