Count no crash for a replica that can't be connected to in time

A plain service's replica that takes no connection within 300 ms, as it pauses with a full queue or its host can't be reached, counted as crashed: a TimeoutError is an OSError too. Three such pauses could put a harmless call in quarantine.

A replica whose process has ended refuses the connection and still counts.

--- a/features/silent_engines.feature
+++ b/features/silent_engines.feature
@@ -37,3 +37,10 @@
       | when    |
       | during  |
       | without |
+
+  # Guards against strikes for pauses: a replica that can't be connected to in time counted as crashed,
+  # so that three pauses could put a harmless call in quarantine.
+  Scenario: a replica that takes no connection for a while has not crashed
+    Given a replica of a plain service whose queue of connections is full
+    When the reply of a call to it is lost
+    Then no crash is recorded for the call
--- a/features/steps/silent_engines.py
+++ b/features/steps/silent_engines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 import threading
 import time
 from collections import Counter
@@ -11,9 +12,19 @@
 
 from behave import given, then, when
 from features.support.layout import FAILURE_DOMAINS, LAYERS, EngineLayout, Layout, headers_of
+from features.support.memory_store import MemoryState, MemoryStore
 from features.support.site import http as call_http
 from features.support.streaming_callers import CallerResult, stream_completion
 
+from pimentodale.addresses import Address
+from pimentodale.background import create_background_tasks
+from pimentodale.clock import create_clock
+from pimentodale.configuration.documents import Operation, Service
+from pimentodale.quarantine.crash_record import create_crash_record, fingerprint_of
+from pimentodale.quarantine.retrials import create_retrials
+from pimentodale.services.crash_guard import create_crash_guard
+from pimentodale.services.messages import ServiceCall, ServiceReplica
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -31,6 +42,12 @@
 READ_TIMEOUT_MS: Final = 1_150
 """Time limit of a call, later than the end of the pause; a half and a quarter of it end before."""
 
+SILENT_NUMBER: Final = 181
+QUEUED: Final = 8
+"""More connections than a queue of the shortest length holds."""
+
+RECHECKED_S: Final = 0.8
+
 
 @given("an entry host before two engines for each of two ranges, and two replicas of a service")
 def start_site(context: Any) -> None:
@@ -173,3 +190,49 @@
     assert whole > READERS
     assert not context.broken, context.broken[:3]
     assert {ran for _, ran in ends} <= {"not_run"}, ends
+
+
+@given("a replica of a plain service whose queue of connections is full")
+def fill_queue(context: Any) -> None:
+    listener = socket.create_server((context.site.ip(SILENT_NUMBER), 0), backlog=0)
+    context.add_cleanup(listener.close)
+    ip, port = listener.getsockname()
+    context.replica = ServiceReplica("rigs-0", Address(ip, port))
+    for _ in range(QUEUED):
+        queued = socket.socket()
+        queued.setblocking(False)
+        queued.connect_ex((ip, port))
+        context.add_cleanup(queued.close)
+
+
+@when("the reply of a call to it is lost")
+def lose_reply(context: Any) -> None:
+    clock = create_clock()
+    operation = Operation(method="GET", path="/*", repeatable=True)
+    context.call = ServiceCall(
+        workspace="lab",
+        service=Service(name="rigs", operations=[operation]),
+        operation=operation,
+        method="GET",
+        path="/status/rig-1",
+        deadline_ms=clock.now_ms() + 5_000.0,
+        request_id="call-1",
+    )
+
+    async def note_lost() -> None:
+        context.record = create_crash_record(clock)
+        store = MemoryStore(MemoryState(clock))
+        retrials = create_retrials("e1", clock, context.record, store)
+        guard = create_crash_guard(context.record, retrials, clock, create_background_tasks())
+        await guard.note_lost_reply(context.call, context.replica)
+        # The guard looks at the replica once more.
+        await asyncio.sleep(RECHECKED_S)
+
+    asyncio.run(note_lost())
+
+
+@then("no crash is recorded for the call")
+def check_no_crash(context: Any) -> None:
+    name = fingerprint_of("rigs GET /status/rig-1", "lab", b"")
+    found = context.record.find(name)
+    assert found is None or not found.fresh, found
--- a/src/pimentodale/services/crash_guard.py
+++ b/src/pimentodale/services/crash_guard.py
@@ -96,6 +96,9 @@
         dial = asyncio.open_connection(replica.address.ip, replica.address.port)
         try:
             _, writer = await asyncio.wait_for(dial, DIAL_TIMEOUT_MS / MS_PER_S)
+        except TimeoutError:
+            # An `OSError` too, but a replica that only pauses, or can't be reached, has not exited.
+            return False
         except OSError:
             return True
         writer.close()
