Learn nothing of a replica from an answer to another attempt

Since refusals of other attempts are none of this request's, a 421 to an earlier attempt, which may come from another server at the address, was read for the departure and the pauses of the replica that the request was meant for. No answer to another attempt is read for them now.

--- a/features/replica_signs.feature
+++ b/features/replica_signs.feature
@@ -44,6 +44,7 @@
       | 500    | the     | shows         | has no |
       | 503    | the     | shows         | has no |
       | 421    | another | does not show | gets   |
+      | 421    | an earlier attempt's | does not show | gets   |
 
   # Guards against notices that are lost when an older record is read from the store again.
   Scenario: a departure notice overrides older records, and ends with the incarnation
--- a/features/steps/replica_signs.py
+++ b/features/steps/replica_signs.py
@@ -265,8 +265,8 @@
 
 @when("an answer with status {status:d} of {whose} replica announces its departure")
 def take_answer(context: Any, status: int, whose: str) -> None:
-    del whose
-    headers = HTTPHeaders({"Server-Leaving": "1", "Pimentodale-Attempt-Id": "attempt-1"})
+    attempt = "attempt-0" if whose == "an earlier attempt's" else "attempt-1"
+    headers = HTTPHeaders({"Server-Leaving": "1", "Pimentodale-Attempt-Id": attempt})
     if status in (421, 503):
         headers["Pimentodale-Not-Executed"] = "1"
     replica = context.host_state.view.replicas["r1"]
--- a/src/pimentodale/forwarding/passive_health.py
+++ b/src/pimentodale/forwarding/passive_health.py
@@ -91,8 +91,9 @@
         replica: The replica that the request was sent to.
         answer: The response header from its address.
     """
-    if answer.refused is RefusalReason.WRONG_REPLICA:
-        # The address now belongs to another replica, so the header says nothing about this one.
+    if answer.is_mismatched or answer.refused is RefusalReason.WRONG_REPLICA:
+        # It answers another request, or the address now belongs to another replica, so the header
+        # says nothing about this one.
         return
     if answer.is_leaving:
         ctx.view.note_leaving(replica)
