Let the soak pause replicas, and judge streams and reads that have no whole answer

It pauses them now for 0.3 to 1.6 s, alone and in series, in one process or two; has clients that leave after 2 s without an event, clients that read, and kept connections; and records when unplanned faults, stops and pauses were. A request that was taken and has no whole answer breaks a promise if no unplanned fault met it, its gateway's stop was younger than its time, and pauses alone don't explain that its client left.

Pauses are drawn apart, so that seeds keep what they drew.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,3 +12,13 @@
       | 1    | 10      |
       | 2    | 10      |
       | 35   | 6       |
+
+  # Guards against streams and reads that fail although their replicas only pause (issue 28): before
+  # silent sends were listened to, each of these seeds cut streams and answered reads 502.
+  Scenario Outline: pauses, stops and configurations cut no stream under seed <seed>
+    When a site whose replicas only pause is soaked for <seconds> s under seed <seed> with <clients> streams through each gateway
+    Then no promise was broken, and bookings and streams were served
+
+    Examples:
+      | seed | seconds | clients |
+      | 1    | 6       | 12      |
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -14,6 +14,15 @@
     print(dict(context.result.counts))
 
 
+@when(
+    "a site whose replicas only pause is soaked for {seconds:d} s under seed {seed:d} with "
+    "{clients:d} streams through each gateway"
+)
+def run_pauses(context: Any, seconds: int, seed: int, clients: int) -> None:
+    context.result = soak(seed, float(seconds), is_planned=True, stream_clients=clients)
+    print(dict(context.result.counts))
+
+
 @then("no promise was broken, and bookings and streams were served")
 def check_soak(context: Any) -> None:
     assert not context.result.broken, context.result.broken[:10]
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -19,6 +19,12 @@
 LAYERS: Final = 8
 """Layers of the model."""
 
+SHARED_CARD_MB: Final = 800.0
+"""Memory of an engine replica of which two hold a copy of the model, besides their requests."""
+
+WHOLE_CARD_MB: Final = 2_000.0
+"""Memory of one that holds a copy alone."""
+
 HOST_NAME: Final = "lab.example"
 """Host name of all routes."""
 
@@ -60,6 +66,15 @@
     longest_pause_s: float = 0.0
     """Longest time between two reads of the stream that brought bytes."""
 
+    attempt: str = ""
+    """Id of its attempt."""
+
+    is_sent: bool = False
+    """Whether the request was written."""
+
+    has_left: bool = False
+    """Whether it gave up, as nothing came for its longest wait."""
+
     connection: http.client.HTTPConnection | None = None
 
 
@@ -71,6 +86,8 @@
     version: int = 0
     next_attempt: int = 0
     numbers: dict[str, int] = field(default_factory=dict)
+    card_mb: float = SHARED_CARD_MB
+    """Memory of an engine replica."""
 
     def ip(self, name: str) -> str:
         """Return the address of a replica or gateway."""
@@ -81,8 +98,19 @@
         """Base URL of the store."""
         return f"http://{self.site.ip(2)}:9000"
 
-    def start_platform(self, events: int = 20, event_ms: float = 10.0) -> None:
-        """Start the store and the replicas."""
+    def start_platform(
+        self, events: int = 20, event_ms: float = 10.0, *, is_split: bool = False
+    ) -> None:
+        """Start the store and the replicas.
+
+        Args:
+            events: Events of a stream.
+            event_ms: Time from one event to the next.
+            is_split: Whether each failure domain has a process of its own, `replicas-a` and
+                `replicas-b`, instead of one for all. A path can't cross processes, so that each
+                engine replica holds the whole model then.
+        """
+        self.card_mb = WHOLE_CARD_MB if is_split else SHARED_CARD_MB
         ip = self.site.ip(2)
         store = {"kind": "platform_store", "listen": f"{ip}:9000", "admin_listen": f"{ip}:9001"}
         relay = {"kind": "relay", "listen": f"{ip}:9002", "target": f"{ip}:9000"}
@@ -90,10 +118,13 @@
         path = self.site.write("store.yaml", {"parts": [store, relay]})
         self.site.start("store", "pimentodale-standin", str(path))
         self.site.wait_ready(f"{self.store}/healthz")
-        parts = []
+        parts: dict[str, list[dict[str, Any]]] = {}
         for name in (*ENGINE_REPLICAS, *PLAIN_REPLICAS):
             is_engine = name in ENGINE_REPLICAS
-            parts.append(
+            failure_domain = name[0] if is_engine else name[1]
+            process = f"replicas-{failure_domain}" if is_split else "replicas"
+            own = parts.setdefault(process, [])
+            own.append(
                 {
                     "kind": "platform_replica",
                     "listen": f"{self.ip(name)}:8000",
@@ -101,7 +132,7 @@
                     "advertise": f"{self.ip(name)}:8002",
                     "replica_id": f"i-{name}",
                     "service": "lm" if is_engine else "plain",
-                    "failure_domain": name[0] if is_engine else name[1],
+                    "failure_domain": failure_domain,
                     "store": f"{ip}:9000",
                     "journal": str(self.site.folder / "journal"),
                     "events": events,
@@ -110,9 +141,9 @@
                 | ({"memory_layers": 8, "model_layers": LAYERS} if is_engine else {})
             )
             if is_engine:
-                parts[-1]["accelerator"] = "card"
+                own[-1]["accelerator"] = "card"
             # Requests and orders pass through a relay, where links are harmed.
-            parts.append(
+            own.append(
                 {
                     "kind": "relay",
                     "listen": f"{self.ip(name)}:8002",
@@ -120,8 +151,9 @@
                     "admin_listen": f"{self.ip(name)}:8003",
                 }
             )
-        path = self.site.write("replicas.yaml", {"parts": parts})
-        self.site.start("replicas", "pimentodale-standin", str(path))
+        for process, own in parts.items():
+            path = self.site.write(f"{process}.yaml", {"parts": own})
+            self.site.start(process, "pimentodale-standin", str(path))
 
     def start_gateway(self, name: str, store: str = "") -> Program:
         """Start one gateway."""
@@ -181,7 +213,7 @@
             "loads_at_once": 6,
             "usual": {"prompt": 50, "answer": 20},
             "models": [{"load_s": 0.05}],
-            "kinds": [{"name": "card", "mb": 800.0, "pace": 1.0}],
+            "kinds": [{"name": "card", "mb": self.card_mb, "pace": 1.0}],
         }
         value = {
             "version": self.version,
@@ -220,12 +252,13 @@
         sent = body if method == "POST" else None
         return call(url, sent, headers=headers or self.headers(key), method=method, timeout_s=12.0)
 
-    def open_stream(self, gateway: str) -> StreamClient:
-        """Begin to read a stream."""
+    def open_stream(self, gateway: str, patience_s: float = 15.0) -> StreamClient:
+        """Begin to read a stream; the client leaves once nothing has come for `patience_s`."""
         client = StreamClient()
-        connection = http.client.HTTPConnection(self.ip(gateway), 7000, timeout=15.0)
+        connection = http.client.HTTPConnection(self.ip(gateway), 7000, timeout=patience_s)
         client.connection = connection
         headers = self.headers()
+        client.attempt = headers["Pimentodale-Attempt-Id"]
         threading.Thread(target=_read, args=(client, connection, headers), daemon=True).start()
         return client
 
@@ -275,6 +308,7 @@
     """Read a stream to its end."""
     try:
         connection.request("POST", "/lm/stream", b"body", headers)
+        client.is_sent = True
         response = connection.getresponse()
         client.status = response.status
         client.headers = dict(response.getheaders())
@@ -288,6 +322,9 @@
             *lines, text = text.split(b"\n")
             client.events += [line[3:].strip().decode() for line in lines if line[:3] == b"id:"]
         client.is_whole = response.status == 200
+    except TimeoutError:
+        client.has_left = True
+        connection.close()
     except (OSError, http.client.HTTPException, ValueError, AttributeError):
         client.is_whole = False
     finally:
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -1,16 +1,19 @@
 """A randomized soak: gateways under load while faults come in series and overlap.
 
 Each seed starts a site of its own, draws faults for some seconds, mends everything, and compares what
-clients got with what replicas ran. By hand: `python -m features.support.soak --seeds 50 --seconds 12`.
+clients got with what replicas ran. By hand: `python -m features.support.soak --seeds 50 --seconds 12`;
+with `--faults pauses` replicas only pause, while gateways stop and configurations change.
 """
 
 from __future__ import annotations
 
 import argparse
 import contextlib
+import http.client
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -27,11 +30,23 @@
     create_gateway_site,
 )
 from features.support.site import Site, wait_until
+from features.support.soak_faults import PATIENCE_S, Ending, FaultLog, ReplicaPauses, Span
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 EVENTS: Final = 30
+EVENT_MS: Final = 15.0
+
+PAUSES_EVENT_MS: Final = 40.0
+"""The same when replicas only pause, so that more streams are under way meanwhile."""
+
+STREAM_CLIENTS: Final = 2
+"""Clients that read streams, for each gateway."""
+
+STOPPED_S: Final = 10.0
+"""Longest time in which a gateway ends after SIGTERM."""
+
 RECOVERY_S: Final = 12.0
 """Longest time until streams are served again once everything is mended."""
 
@@ -41,6 +56,12 @@
 LAST_S: Final = (0.3, 3.0)
 """How long a fault lasts."""
 
+PAUSES_SHARE: Final = 0.3
+"""Share of the rounds of faults in which replicas begin to pause."""
+
+SPLIT_SHARE: Final = 0.5
+"""Share of the seeds whose replicas run in two processes, of which one may pause alone."""
+
 MAX_CRASHES: Final = 6
 """Replicas that may end under one request: three, and three further sendings that the users' rule bears."""
 
@@ -67,32 +88,68 @@
     replica_rng: random.Random
     """Draws what replicas say and meet, apart from the rest, so that seeds keep what they drew."""
 
+    pause_rng: random.Random
+    """Draws pauses of replicas, and all faults where these are the only unplanned ones."""
+
+    log: FaultLog
+    pauses: ReplicaPauses
+
     stop: threading.Event = field(default_factory=threading.Event)
     lock: threading.Lock = field(default_factory=threading.Lock)
     bookings: dict[str, int] = field(default_factory=dict)
     """Status of each booking by attempt; 0 for no answer."""
 
 
-def soak(seed: int, seconds: float) -> SoakResult:
-    """Run one seed and return what it found."""
+def soak(
+    seed: int,
+    seconds: float,
+    *,
+    is_planned: bool = False,
+    stream_clients: int = STREAM_CLIENTS,
+    keeps_failed: bool = False,
+) -> SoakResult:
+    """Run one seed and return what it found.
+
+    Args:
+        seed: Seed of all that is drawn.
+        seconds: How long faults are drawn.
+        is_planned: Whether there are only pauses of replicas, planned stops and configurations.
+        stream_clients: Clients that read streams, for each gateway.
+        keeps_failed: Whether logs and journal stay if a promise was broken.
+    """
     site = Site(seed)
     result = SoakResult(seed)
     try:
         gateways = create_gateway_site(site)
-        gateways.start_platform(EVENTS, 15.0)
+        pause_rng, log = random.Random(f"pauses {seed}"), FaultLog()
+        event_ms = PAUSES_EVENT_MS if is_planned else EVENT_MS
+        gateways.start_platform(EVENTS, event_ms, is_split=pause_rng.random() < SPLIT_SHARE)
+        replicas = [site.programs[name] for name in site.programs if name != "store"]
         gateways.configure()
         gateways.start_gateway("g1")
         gateways.start_gateway("g2", store=f"{site.ip(2)}:9002")
         gateways.wait_serving()
-        run = _Run(gateways, result, random.Random(seed), random.Random(-seed - 1))
+        run = _Run(
+            gateways,
+            result,
+            random.Random(seed),
+            random.Random(-seed - 1),
+            pause_rng,
+            log,
+            ReplicaPauses(replicas, pause_rng, log),
+        )
         clients = [
             threading.Thread(target=work, args=(run, name))
             for name in GATEWAYS
-            for work in (_book, _stream, _stream)
+            for work in (_book, _read, *([_stream] * stream_clients))
         ]
         for client in clients:
             client.start()
-        _break_things(run, seconds)
+        if is_planned:
+            _plan_things(run, seconds)
+        else:
+            _break_things(run, seconds)
+        run.pauses.join()
         _check_recovery(run)
         run.stop.set()
         for client in clients:
@@ -102,31 +159,68 @@
             print(site.logs())
     finally:
         site.stop()
-        shutil.rmtree(site.folder, ignore_errors=True)
+        if result.broken and keeps_failed:
+            print(f"seed {seed}: logs and journal in {site.folder}")
+        else:
+            shutil.rmtree(site.folder, ignore_errors=True)
     return result
 
 
 def _book(run: _Run, gateway: str) -> None:
     """Book again and again through one gateway."""
+    connection = _keep_connection(run, gateway)
     while not run.stop.is_set():
+        ending = _send(run, connection, gateway, "POST", "/book/rig")
         with run.lock:
-            headers = run.site.headers()
-        try:
-            status = run.site.request(gateway, "/book/rig", headers=headers).status
-        except Exception:  # whatever breaks a connection is no answer
-            status = 0
-            time.sleep(0.05)
+            run.bookings[ending.attempt] = ending.status
+        time.sleep(0.02)
+
+
+def _read(run: _Run, gateway: str) -> None:
+    """Read again and again through one gateway."""
+    connection = _keep_connection(run, gateway)
+    while not run.stop.is_set():
+        ending = _send(run, connection, gateway, "GET", "/read/x")
         with run.lock:
-            run.bookings[headers["Pimentodale-Attempt-Id"]] = status
-            run.result.counts[f"booking {status}"] += 1
+            run.log.endings.append(ending)
         time.sleep(0.02)
 
 
+def _keep_connection(run: _Run, gateway: str) -> http.client.HTTPConnection:
+    """Return a connection that is kept, and opened anew once the gateway has closed it."""
+    return http.client.HTTPConnection(run.site.ip(gateway), 7000, timeout=12.0)
+
+
+def _send(
+    run: _Run, connection: http.client.HTTPConnection, gateway: str, method: str, path: str
+) -> Ending:
+    """Send a plain request and return how it ended; status 0 stands for no answer."""
+    with run.lock:
+        headers = run.site.headers()
+    kind = "booking" if method == "POST" else "read"
+    attempt = headers["Pimentodale-Attempt-Id"]
+    ending = Ending(kind, gateway, attempt, time.monotonic(), 0.0, 0, False, False)
+    try:
+        connection.request(method, path, b"body" if method == "POST" else None, headers)
+        ending.is_sent = True
+        with connection.getresponse() as response:
+            response.read()
+            ending.status, ending.is_whole = response.status, response.status == 200
+    except Exception:  # whatever breaks a connection is no answer
+        connection.close()
+        time.sleep(0.05)
+    ending.end_s = time.monotonic()
+    with run.lock:
+        run.result.counts[f"{kind} {ending.status}"] += 1
+    return ending
+
+
 def _stream(run: _Run, gateway: str) -> None:
     """Read streams again and again through one gateway."""
     while not run.stop.is_set():
         with run.lock:
-            client = run.site.open_stream(gateway)
+            begin_s = time.monotonic()
+            client = run.site.open_stream(gateway, PATIENCE_S)
         end = time.monotonic() + 15.0
         while not client.is_over and time.monotonic() < end:
             time.sleep(0.02)
@@ -134,6 +228,19 @@
         with run.lock:
             ending = "whole" if client.is_whole else "cut" if client.events else "none"
             run.result.counts[f"stream {client.status} {ending}"] += 1
+            run.log.endings.append(
+                Ending(
+                    "stream",
+                    gateway,
+                    client.attempt,
+                    begin_s,
+                    time.monotonic(),
+                    client.status,
+                    client.is_whole,
+                    client.is_sent,
+                    client.has_left,
+                )
+            )
             if not client.is_over:
                 run.result.broken.append(f"a stream hung with events {client.events}")
             elif client.is_whole and client.events != wanted:
@@ -174,13 +281,74 @@
         act = run.replica_rng.choice(replica_acts)
         run.result.counts[act.__name__.strip("_")] += 1
         mends.append((time.monotonic() + run.replica_rng.uniform(*LAST_S), act(run)))
+        if run.pause_rng.random() < PAUSES_SHARE:
+            run.result.counts["pause"] += 1
+            run.pauses.start()
     for _, mend in mends:
         mend()
 
 
+def _plan_things(run: _Run, seconds: float) -> None:
+    """Pause replicas, stop gateways and change configurations, overlapping."""
+    stops: dict[str, threading.Thread] = {}
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        time.sleep(run.pause_rng.uniform(*PAUSE_S))
+        act = run.pause_rng.choice(("pause", "pause", "stop", "configuration"))
+        run.result.counts[act] += 1
+        if act == "pause":
+            run.pauses.start()
+            continue
+        if act == "configuration":
+            _change_configuration(run)
+            continue
+        name = run.pause_rng.choice(GATEWAYS)
+        if name in stops and stops[name].is_alive():
+            continue
+        stops[name] = threading.Thread(target=_stop_whole, args=(run, name))
+        stops[name].start()
+    for stop in stops.values():
+        stop.join()
+
+
+def _stop_whole(run: _Run, name: str) -> None:
+    """Ask a gateway to stop, let it end by itself, and start it again."""
+    _terminate(run, name)
+    try:
+        code = run.site.site.programs[name].process.wait(STOPPED_S)
+    except subprocess.TimeoutExpired:
+        code = -1
+    if code:
+        run.result.broken.append(f"{name} ended with {code} after SIGTERM")
+    _restart(run, name)
+    # Until it is ready, SIGTERM may meet it before it has a handler.
+    try:
+        wait_until(lambda: run.site.is_ready(name), f"{name} is ready", RECOVERY_S)
+    except AssertionError as error:
+        run.result.broken.append(f"not started: {error}")
+
+
+def _terminate(run: _Run, name: str) -> None:
+    """Ask a gateway to stop, and note it."""
+    run.log.stops.append(Span(time.monotonic(), name))
+    run.site.site.programs[name].process.send_signal(signal.SIGTERM)
+
+
+def _begin_fault(run: _Run, gateway: str = "") -> Callable[[], None]:
+    """Note that an unplanned fault begins; the result notes its end."""
+    span = Span(time.monotonic(), gateway)
+    run.log.unplanned.append(span)
+
+    def end() -> None:
+        span.end_s = time.monotonic()
+
+    return end
+
+
 def _kill_gateway(run: _Run) -> Callable[[], None]:
     """Kill a gateway; it starts again."""
     name = run.rng.choice(GATEWAYS)
+    _begin_fault(run, name)()
     run.site.site.programs[name].kill()
     return lambda: _restart(run, name)
 
@@ -188,7 +356,7 @@
 def _stop_gateway(run: _Run) -> Callable[[], None]:
     """Ask a gateway to stop; it starts again once it has, or is killed."""
     name = run.rng.choice(GATEWAYS)
-    run.site.site.programs[name].process.send_signal(signal.SIGTERM)
+    _terminate(run, name)
     return lambda: _restart(run, name)
 
 
@@ -197,33 +365,55 @@
     program = run.site.site.programs[name]
     program.wake()
     if program.process.poll() is None:
+        _begin_fault(run, name)()
         program.kill()
+    for stop in run.log.stops:
+        if stop.gateway == name:
+            stop.end_s = min(stop.end_s, time.monotonic())
     run.site.start_gateway(name, f"{run.site.site.ip(2)}:9002" if name == "g2" else "")
 
 
 def _freeze_gateway(run: _Run) -> Callable[[], None]:
     """Pause a gateway."""
-    program = run.site.site.programs[run.rng.choice(GATEWAYS)]
+    name = run.rng.choice(GATEWAYS)
+    program = run.site.site.programs[name]
+    end = _begin_fault(run, name)
     program.freeze()
-    return program.wake
+
+    def mend() -> None:
+        program.wake()
+        end()
+
+    return mend
 
 
 def _harm_link(run: _Run) -> Callable[[], None]:
     """Cut, silence or delay the link to a replica, or of one gateway to the store."""
     name = run.rng.choice((*ENGINE_REPLICAS, *PLAIN_REPLICAS, "store"))
     fault = run.rng.choice(({"cut": True}, {"silent": True}, {"blackhole": True}, {"delay_ms": 40}))
+    if name == "store":
+        run.site.link_fault(name, **fault)
+        return lambda: run.site.link_fault(name)
+    end = _begin_fault(run)
     run.site.link_fault(name, **fault)
-    return lambda: run.site.link_fault(name)
+
+    def mend() -> None:
+        run.site.link_fault(name)
+        end()
+
+    return mend
 
 
 def _lose_replica(run: _Run) -> Callable[[], None]:
     """Take a replica away; it starts again empty."""
     name = run.rng.choice((*ENGINE_REPLICAS, *PLAIN_REPLICAS))
+    end = _begin_fault(run)
     run.site.fault(name, down=True, down_mode=run.rng.choice(("reset", "refuse", "silent")))
 
     def mend() -> None:
         run.site.admin(name, "restart")
         run.site.fault(name)
+        end()
 
     return mend
 
@@ -231,8 +421,14 @@
 def _announce_leaving(run: _Run) -> Callable[[], None]:
     """Have a replica say in its answers alone that it leaves; it starts again."""
     name = run.replica_rng.choice((*ENGINE_REPLICAS, *PLAIN_REPLICAS))
+    end = _begin_fault(run)
     run.site.admin(name, "announce")
-    return lambda: run.site.admin(name, "restart")
+
+    def mend() -> None:
+        run.site.admin(name, "restart")
+        end()
+
+    return mend
 
 
 def _turn_away(run: _Run) -> Callable[[], None]:
@@ -247,9 +443,11 @@
     gateway = run.replica_rng.choice(GATEWAYS)
 
     def send() -> None:
+        end = _begin_fault(run)
         # Whatever breaks the connection is no answer.
         with contextlib.suppress(Exception):
             run.site.request(gateway, "/lm/stream", body=b"poison")
+        end()
 
     threading.Thread(target=send, daemon=True).start()
     return lambda: None
@@ -310,6 +508,8 @@
 
 def _judge(run: _Run) -> None:
     """Compare what clients were told with what the replicas ran."""
+    passed_on = {entry["attempt"] for what in ("run", "event") for entry in run.site.journal(what)}
+    run.result.broken += run.log.judge(passed_on)
     runs: defaultdict[str, int] = defaultdict(int)
     for entry in run.site.journal("run"):
         if "/book/" in entry["detail"].partition(" ")[0]:
@@ -351,10 +551,19 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--faults", choices=("all", "pauses"), default="all")
+    parser.add_argument("--clients", type=int, default=STREAM_CLIENTS)
+    parser.add_argument("--keep", action="store_true", help="keep logs of seeds that failed")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        result = soak(seed, arguments.seconds)
+        result = soak(
+            seed,
+            arguments.seconds,
+            is_planned=arguments.faults == "pauses",
+            stream_clients=arguments.clients,
+            keeps_failed=arguments.keep,
+        )
         failed += bool(result.broken)
         print(seed, "BROKEN" if result.broken else "held", dict(result.counts), flush=True)
         for line in result.broken[:10]:
