Drop only silent reads for a replica's restart

Read in the diff: a request that was just sent could be ended as its replica's record came late and named a start before the request, at a replica that runs it. Only a send that has been silent for longer than replicas need is ended by that, so never one that may not repeat.

--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -215,10 +215,15 @@
         return not self.running and self._routed.sends >= self._routed.route.max_attempts
 
     def _drop_restarted(self) -> None:
-        """End silent sends whose replica has started anew and no longer runs them."""
+        """End silent sends whose replica has started anew and no longer runs them.
+
+        Others go on: the replica may have started before they were sent, and its record come later.
+        """
         restarted = self._ctx.crashes.has_restarted
         for send in list(self.running):
-            if send.exchange.done() or not any(map(restarted, send.executed_on)):
+            if send.exchange.done() or not send.is_silent:
+                continue
+            if not any(map(restarted, send.executed_on)):
                 continue
             send.exchange.cancel()
             self.running.remove(send)
