--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -101,7 +101,7 @@
     """Relay complete events until the stream ends."""
     splitter = EventSplitter()
     while True:
-        # No timeout here: the stream monitor cancels a wait that is too long.
+        # No timeout here: silence ends no send; the request's time or another send does.
         chunk = await call.next_chunk()
         if chunk is None:
             break
