Say who confirmed a host's copy of the store, and since when its configuration is in force

A request that is refused for an unknown route or key named the version and the age of the host's copy.

The line now also has the copy's source and revision and how long the version has been in force; an answer that is ignored as older is logged and counted, a watcher that is given up is logged with the age of both copies. Gauges for version, revision, ignored answers and skipped watchers. No change of logic.

--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -74,7 +74,7 @@
     assert sorted(item.key for item in changes.items) == ["k12", "k13"]
     behind = create_mirror(ManualClock())
     behind.apply_snapshot(11, [item("k", 10, b"new"), item("k11", 11)])
-    behind.apply(changes)
+    behind.apply(changes, "h1")
     context.updated = [behind]
 
 
@@ -84,7 +84,7 @@
     assert changes.is_whole
     behind = create_mirror(ManualClock())
     behind.apply_snapshot(5, [item("gone", 4)])
-    behind.apply(changes)
+    behind.apply(changes, "h1")
     context.updated.append(behind)
 
 
@@ -105,7 +105,7 @@
 def check_removed(context: Any) -> None:
     behind = create_mirror(ManualClock())
     behind.apply_snapshot(10, [item("k", 10)])
-    behind.apply(context.mirror.changes_since(10))
+    behind.apply(context.mirror.changes_since(10), "h1")
     assert behind.items == {}
 
 
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -101,7 +101,11 @@
     request = exchange.request
     elapsed_ms = ctx.clock.now_ms() - request.received_ms
     ctx.metrics.note_end(code, elapsed_ms)
-    configuration = ctx.view.configuration
+    view = ctx.view
+    configuration = view.configuration
+    in_force_ms = None
+    if configuration is not None:
+        in_force_ms = round(ctx.clock.now_ms() - view.configuration_since_ms)
     _log.info(
         "A request was not admitted.",
         request=request.attempt_id,
@@ -109,6 +113,9 @@
         code=int(code),
         name=code.name.lower(),
         configuration=configuration.version if configuration else 0,
+        in_force_ms=in_force_ms,
         view_age_ms=view_age_ms(ctx),
+        view_source=view.mirror.source,
+        view_revision=view.mirror.revision,
     )
     await send_refusal(exchange, code, message, retry_after_ms=retry_after_ms)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -165,6 +165,7 @@
     ctx = _create_forwarding_context(gateway, view, peers)
     ctx.metrics.leaving_signs = leaving.signal_counts
     follower = create_mirror_follower(mirror, platform.store, peers, gateway.clock, gateway.rng)
+    ctx.metrics.add_gauge("mirror_skipped_watchers", lambda: follower.skipped_watchers)
     placer = Placer(
         settings.host,
         platform.store,
@@ -252,6 +253,9 @@
     metrics.add_gauge("requests_waiting", lambda: len(gateway.shared_streams.queue))
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
     metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
+    metrics.add_gauge("mirror_revision", lambda: view.mirror.revision)
+    metrics.add_gauge("mirror_ignored_answers", lambda: view.mirror.ignored_answers)
+    metrics.add_gauge("configuration_version", lambda: _configuration_version(view))
     metrics.add_gauge("convicted_requests", record.count_convicted)
 
     own_pauses = create_own_pauses(clock)
@@ -290,6 +294,11 @@
     )
 
 
+def _configuration_version(view: SiteView) -> int:
+    """Return the version of the configuration in force, 0 without one."""
+    return view.configuration.version if view.configuration else 0
+
+
 def _serve_clients(gateway: Gateway, ctx: ForwardingContext) -> FrontServer:
     """Start the server for clients."""
 
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -99,6 +99,9 @@
     is_connected: bool = False
     """Whether the last request to the store succeeded."""
 
+    skipped_watchers: int = 0
+    """Number of times a watcher gave no answer, or one from a stale mirror."""
+
     _skipped_until_ms: dict[str, float] = field(default_factory=dict)
     """Time until which unresponsive watchers are skipped, by host."""
 
@@ -176,12 +179,19 @@
                 host, LONG_POLL_TIMEOUT_MS, LONG_POLL_TIMEOUT_MS + LONG_POLL_GRACE_MS
             )
             if changes is not None and changes.age_ms <= STALE_MS:
-                self.mirror.apply(changes)
+                self.mirror.apply(changes, host)
                 continue
             now_ms = self.clock.now_ms()
             kept = {other: end for other, end in self._skipped_until_ms.items() if end > now_ms}
             self._skipped_until_ms = kept | {host: now_ms + WATCHER_SKIP_MS}
-            _log.info("A watcher could not be followed.", host=host, answered=changes is not None)
+            self.skipped_watchers += 1
+            _log.info(
+                "A watcher could not be followed.",
+                host=host,
+                host_age_ms=None if changes is None else round(changes.age_ms),
+                age_ms=round(self.mirror.age_ms()),
+                revision=self.mirror.revision,
+            )
             if self._is_skipped(self._current_watcher()):
                 return
 
@@ -209,7 +219,7 @@
         if changes is None:
             return
         before = self.mirror.revision
-        self.mirror.apply(changes)
+        self.mirror.apply(changes, host)
         if self.mirror.revision > before:
             _log.info(
                 "Received changes from another host.",
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pimentodale.clients.key_value import KeyValue
+from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -20,6 +21,12 @@
 keys."""
 
 
+STORE: Final = "store"
+"""Source of what this host read from the store itself; other sources are names of hosts."""
+
+_log = get_log("mirror")
+
+
 class MirrorChanges(msgspec.Struct, array_like=True):
     """Changes that one host sends to another that is behind."""
 
@@ -63,6 +70,12 @@
     verified_ms: float = float("-inf")
     """Time at which this content was last confirmed by the store."""
 
+    source: str = ""
+    """Who confirmed this content last: `STORE`, or the host that this one follows."""
+
+    ignored_answers: int = 0
+    """Number of answers that were ignored because their revision is older than this mirror's."""
+
     outage_ended_ms: float = float("-inf")
     """Time at which this host last reached the store again after an outage."""
 
@@ -78,9 +91,16 @@
         """Return the time since this content was last confirmed by the store."""
         return self.clock.now_ms() - self.verified_ms
 
-    def apply_snapshot(self, revision: int, items: Sequence[KeyValue], age_ms: float = 0.0) -> None:
+    def apply_snapshot(
+        self,
+        revision: int,
+        items: Sequence[KeyValue],
+        age_ms: float = 0.0,
+        source: str = STORE,
+    ) -> None:
         """Apply a snapshot of all keys; one with an older revision is ignored."""
         if revision < self.revision:
+            self._note_ignored(revision, source)
             return
         present = {item.key for item in items}
         gone = [
@@ -92,15 +112,21 @@
             # The individual changes in between are unknown.
             self._history.clear()
             self._history_start = revision
-        self._apply(revision, items, gone, age_ms)
+        self._apply(revision, items, gone, age_ms, source)
 
     def apply_changes(
-        self, revision: int, puts: Sequence[KeyValue], deletes: Sequence[str], age_ms: float = 0.0
+        self,
+        revision: int,
+        puts: Sequence[KeyValue],
+        deletes: Sequence[str],
+        age_ms: float = 0.0,
+        source: str = STORE,
     ) -> None:
         """Apply changes that follow this mirror's revision."""
         if revision < self.revision:
+            self._note_ignored(revision, source)
             return
-        self._apply(revision, puts, deletes, age_ms)
+        self._apply(revision, puts, deletes, age_ms, source)
 
     def changes_since(self, revision: int) -> MirrorChanges:
         """Return the changes that a host at the given revision is missing."""
@@ -113,15 +139,32 @@
         deletes = [key for key in keys if key not in self.items]
         return MirrorChanges(self.revision, False, items, deletes, max(0.0, self.age_ms()))
 
-    def apply(self, changes: MirrorChanges) -> None:
+    def apply(self, changes: MirrorChanges, host: str) -> None:
         """Apply changes received from another host."""
+        revision, items, age_ms = changes.revision, changes.items, changes.age_ms
         if changes.is_whole:
-            self.apply_snapshot(changes.revision, changes.items, changes.age_ms)
+            self.apply_snapshot(revision, items, age_ms, host)
         else:
-            self.apply_changes(changes.revision, changes.items, changes.deletes, changes.age_ms)
+            self.apply_changes(revision, items, changes.deletes, age_ms, host)
+
+    def _note_ignored(self, revision: int, source: str) -> None:
+        """Count an answer that is older than this mirror, and log it."""
+        self.ignored_answers += 1
+        _log.info(
+            "An answer with an older revision was ignored.",
+            source=source,
+            answer_revision=revision,
+            revision=self.revision,
+            age_ms=round(self.age_ms()),
+        )
 
     def _apply(
-        self, revision: int, puts: Sequence[KeyValue], deletes: Sequence[str], age_ms: float
+        self,
+        revision: int,
+        puts: Sequence[KeyValue],
+        deletes: Sequence[str],
+        age_ms: float,
+        source: str,
     ) -> None:
         """Apply changes, add them to the history, and notify the subscribers."""
         changed: set[str] = set()
@@ -135,7 +178,10 @@
             if self.items.pop(key, None) is not None:
                 changed.add(key)
         self.revision = revision
-        self.verified_ms = max(self.verified_ms, self.clock.now_ms() - age_ms)
+        confirmed_ms = self.clock.now_ms() - age_ms
+        if confirmed_ms >= self.verified_ms:
+            self.verified_ms = confirmed_ms
+            self.source = source
         for key in changed:
             if len(self._history) == HISTORY_LENGTH:
                 self._history_start = self._history[0].revision
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -62,6 +62,9 @@
     configuration: SiteConfiguration | None = None
     """Current configuration; `None` until the first one is read."""
 
+    configuration_since_ms: float = float("-inf")
+    """Time at which the current configuration came into force on this host."""
+
     routes: RouteTable = field(default_factory=lambda: RouteTable(()))
     """Routes of the current configuration."""
 
@@ -155,12 +158,14 @@
             return
         self.configuration = decoded.ok
         self.routes = RouteTable(decoded.ok.routes)
+        self.configuration_since_ms = self.clock.now_ms()
         _log.info(
             "A configuration is in force.",
             version=decoded.ok.version,
             revision=item.mod_revision,
             routes=len(decoded.ok.routes),
             age_ms=round(self.mirror.age_ms()),
+            source=self.mirror.source,
         )
 
     def _apply_replica(self, key: str) -> None:
