--- a/src/pimentodale/standin/platform_store.py
+++ b/src/pimentodale/standin/platform_store.py
@@ -1,16 +1,13 @@
-"""Stand-in for the users' platform's metadata store: keys, revisions, leases and watches."""
+"""Stand-in for the users' platform's metadata store: its calls over HTTP, and its outages."""
 
 from __future__ import annotations
 
-import asyncio
-import base64
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 
-from pimentodale.clock import MS_PER_S, create_clock
+from pimentodale.clock import create_clock
 from pimentodale.standin.http_parts import (
     Listener,
     Outage,
@@ -20,9 +17,15 @@
     repeat,
     spawn,
 )
+from pimentodale.standin.platform_store_state import (
+    DEFAULT_HISTORY,
+    LeaseRequest,
+    StoreTxn,
+    create_store_state,
+)
 
 if TYPE_CHECKING:
-    from pimentodale.clock import Clock
+    from pimentodale.standin.platform_store_state import StoreAnswer, StoreState
 
 LEASE_TICK_MS: Final = 50.0
 """How often leases are looked at."""
@@ -37,118 +40,26 @@
     admin_listen: str = ""
     """`IP:PORT` where faults are set while the part is down."""
 
-    history: int = 1_000
+    history: int = DEFAULT_HISTORY
     """Changes that watches can go back."""
 
     faults: Outage = Outage()
     """Faults from the start."""
 
 
-class StoreItem(msgspec.Struct):
-    """One key on the wire."""
-
-    key: str
-    value: str = ""
-    revision: int = 0
-    created: int = 0
-    lease: int = 0
-    deleted: bool = False
-
-
-class ExpectedRow(msgspec.Struct):
-    """A condition of a transaction."""
-
-    key: str
-    revision: int
-
-
-class StorePut(msgspec.Struct):
-    """A write of a transaction."""
-
-    key: str
-    value: str
-    lease: int = 0
-
-
-class StoreTxn(msgspec.Struct):
-    """A transaction."""
-
-    expected: list[ExpectedRow] = []
-    puts: list[StorePut] = []
-    remove: list[str] = []
-
-
-class LeaseRequest(msgspec.Struct):
-    """A call for a lease."""
-
-    ttl_ms: int
-
-
-@dataclass(slots=True)
-class HeldLease:
-    """One lease."""
-
-    ttl_ms: float
-    until_ms: float
-
-
 @dataclass(slots=True)
 class PlatformStorePart:
-    """State of the running stand-in."""
+    """The running stand-in."""
 
-    settings: Settings
-    clock: Clock
+    state: StoreState
     outage: OutageState
-    items: dict[str, StoreItem] = field(default_factory=dict)
-    history: deque[StoreItem] = field(default_factory=deque)
-    leases: dict[int, HeldLease] = field(default_factory=dict)
-    revision: int = 1
-    dropped: int = 0
-    """Changes up to this revision are no longer in the history."""
-
-    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
-    next_lease: int = 70_000
-
-    def put(self, key: str, value: str, lease: int) -> None:
-        """Write one key at the revision of now."""
-        known = self.items.get(key)
-        created = known.created if known else self.revision
-        self.items[key] = StoreItem(key, value, self.revision, created, lease)
-        self._remember(self.items[key])
-
-    def remove(self, key: str) -> None:
-        """Remove one key at the revision of now."""
-        if self.items.pop(key, None) is not None:
-            self._remember(StoreItem(key, "", self.revision, deleted=True))
-
-    async def tell(self) -> None:
-        """Wake the watches."""
-        async with self.changed:
-            self.changed.notify_all()
-
-    def lapse(self) -> None:
-        """Remove the keys of leases that have run out; none does while the store is down."""
-        now_ms = self.clock.now_ms()
-        for number, lease in list(self.leases.items()):
-            if self.outage.faults.down:
-                lease.until_ms += LEASE_TICK_MS
-            elif lease.until_ms < now_ms:
-                self.end_lease(number)
-
-    def end_lease(self, number: int) -> None:
-        """End a lease and remove its keys."""
-        if self.leases.pop(number, None) is None:
-            return
-        self.revision += 1
-        for key in [key for key, item in self.items.items() if item.lease == number]:
-            self.remove(key)
-        spawn(self.tell(), "tell watches")
 
-    def _remember(self, item: StoreItem) -> None:
-        """Keep a change for watches."""
-        self.history.append(item)
-        while len(self.history) > self.settings.history:
-            self.dropped = self.history.popleft().revision
+    def check_leases(self) -> None:
+        """End leases that have run out; none does while the store is down."""
+        if self.outage.faults.down:
+            self.state.extend_leases(LEASE_TICK_MS)
+            return
+        spawn(self.state.end_lapsed_leases(), "lapsed leases")
 
 
 class StoreHandler(PartHandler):
@@ -161,6 +72,11 @@
         """Take the part."""
         self.part = part
 
+    @property
+    def state(self) -> StoreState:
+        """The store's state."""
+        return self.part.state
+
     def number(self, name: str) -> int:
         """Return a whole number of the query."""
         text = self.get_query_argument(name, "0")
@@ -170,19 +86,19 @@
         """Meet the outage; whether the call goes on."""
         return await self.meet_outage(self.part.outage.faults)
 
+    def send(self, answer: StoreAnswer) -> None:
+        """Send an answer."""
+        self.set_status(answer.status)
+        self.reply(answer.body)
+
 
 class KeyHandler(StoreHandler):
     """`/api/kv-key`."""
 
     async def get(self) -> None:
         """Read one key."""
-        if not await self.is_up():
-            return
-        item = self.part.items.get(self.get_query_argument("key"))
-        if item is None:
-            self.refuse(404, "no such key")
-            return
-        self.reply(item)
+        if await self.is_up():
+            self.send(self.state.read_key(self.get_query_argument("key")))
 
 
 class RangeHandler(StoreHandler):
@@ -193,13 +109,7 @@
         if not await self.is_up():
             return
         prefix = self.get_query_argument("path_prefix", "")
-        after = self.get_query_argument("after", "")
-        items = [
-            item
-            for key, item in sorted(self.part.items.items())
-            if key.startswith(prefix) and key > after
-        ]
-        self.reply({"items": items, "has_more": False, "at": self.part.revision})
+        self.send(self.state.read_range(prefix, self.get_query_argument("after", "")))
 
 
 class WatchHandler(StoreHandler):
@@ -210,24 +120,9 @@
         if not await self.is_up():
             return
         prefix = self.get_query_argument("path_prefix", "")
-        after = self.number("after")
-        if after < self.part.dropped:
-            self.refuse(410, "this history is gone")
-            return
-
-        def events() -> list[StoreItem]:
-            changes = self.part.history
-            return [
-                item for item in changes if item.revision > after and item.key.startswith(prefix)
-            ]
-
-        try:
-            async with asyncio.timeout(self.number("wait_ms") / MS_PER_S), self.part.changed:
-                await self.part.changed.wait_for(events)
-        except TimeoutError:
-            pass
+        answer = await self.state.watch(prefix, self.number("after"), self.number("wait_ms"))
         if await self.is_up():
-            self.reply({"events": events(), "at": self.part.revision})
+            self.send(answer)
 
 
 class TxnHandler(StoreHandler):
@@ -238,27 +133,8 @@
         if not await self.is_up():
             return
         txn = self.read(StoreTxn)
-        if txn is None:
-            return
-        part = self.part
-        current = [part.items.get(row.key, StoreItem(row.key)) for row in txn.expected]
-        if any(
-            item.revision != row.revision for item, row in zip(current, txn.expected, strict=True)
-        ):
-            self.set_status(412)
-            self.reply({"items": [item for item in current if item.revision]})
-            return
-        if any(put.lease and put.lease not in part.leases for put in txn.puts):
-            self.refuse(404, "no such lease")
-            return
-        part.revision += 1
-        for put in txn.puts:
-            base64.b64decode(put.value, validate=True)
-            part.put(put.key, put.value, put.lease)
-        for key in txn.remove:
-            part.remove(key)
-        await part.tell()
-        self.reply({"revision": part.revision})
+        if txn is not None:
+            self.send(await self.state.transact(txn))
 
 
 class LeaseHandler(StoreHandler):
@@ -269,13 +145,8 @@
         if not await self.is_up():
             return
         request = self.read(LeaseRequest)
-        if request is None:
-            return
-        part = self.part
-        part.next_lease += 1
-        until_ms = part.clock.now_ms() + request.ttl_ms
-        part.leases[part.next_lease] = HeldLease(request.ttl_ms, until_ms)
-        self.reply({"lease": part.next_lease, "ttl_ms": request.ttl_ms})
+        if request is not None:
+            self.send(self.state.grant_lease(request.ttl_ms))
 
 
 class KeepHandler(StoreHandler):
@@ -283,14 +154,8 @@
 
     async def post(self, number: str) -> None:
         """Renew a lease."""
-        if not await self.is_up():
-            return
-        lease = self.part.leases.get(int(number))
-        if lease is None:
-            self.refuse(404, "no such lease")
-            return
-        lease.until_ms = self.part.clock.now_ms() + lease.ttl_ms
-        self.reply({"ttl_ms": lease.ttl_ms})
+        if await self.is_up():
+            self.send(self.state.keep_lease(int(number)))
 
 
 class LeaseEndHandler(StoreHandler):
@@ -298,10 +163,8 @@
 
     async def delete(self, number: str) -> None:
         """End a lease."""
-        if not await self.is_up():
-            return
-        self.part.end_lease(int(number))
-        self.reply({})
+        if await self.is_up():
+            self.send(await self.state.end_lease(int(number)))
 
 
 class ForgetHandler(StoreHandler):
@@ -309,15 +172,14 @@
 
     def post(self) -> None:
         """Drop it."""
-        self.part.dropped = self.part.revision
-        self.part.history.clear()
+        self.state.forget_history()
         self.reply({})
 
 
 async def start_part(settings: Settings) -> None:
     """Start the stand-in; it runs as long as the process."""
     outage = OutageState(settings.faults, bool(settings.admin_listen))
-    part = PlatformStorePart(settings, create_clock(), outage)
+    part = PlatformStorePart(create_store_state(create_clock(), settings.history), outage)
     handlers: dict[str, type[PartHandler]] = {
         "/api/kv-key": KeyHandler,
         "/api/kv-range": RangeHandler,
@@ -332,6 +194,6 @@
     application = create_application({**handlers, **admin}, arguments, outage)
     outage.listeners.append(Listener(settings.listen, application))
     await outage.apply()
-    spawn(repeat(part.lapse, LEASE_TICK_MS), "leases")
+    spawn(repeat(part.check_leases, LEASE_TICK_MS), "leases")
     if settings.admin_listen:
         Listener(settings.admin_listen, create_application(admin, arguments, outage)).open()
