Trust a watcher's copy for less time than a change may take

Cause: a follower took a watcher's copy as current for 2.6 s after the store had confirmed it, and refused by it up to that age, while a change must be in force after 2 s. A watcher that lost the store noticed after 2.3 s, and held its followers' polls as if nothing were wrong. Class: an age up to which a belief is trusted that is longer than the promise that rests on it.

Now a watch waits 0.5 s and counts as silent after 1 s; a copy counts as old 1 s and a batch's delay after its confirmation; a host whose copy is old answers a poll after 0.2 s at most; a host watches for itself while no watcher gives word, rather than read all keys again and again; the delay after a batch is at most 0.4 s, also with 300 hosts; nothing is refused as unknown by a copy that was confirmed over 1.9 s ago.

Evidence: features/configuration_in_force.feature, 30 moments a row in virtual time, 2 with 300 hosts. Ruled out by the same rows: killed watchers (noticed in 0.9 s).

The fake watchers of site_mirror confirmed their copy once and for all; as their host responds, its watch now confirms it with each reply.

--- /dev/null
+++ b/features/configuration_in_force.feature
@@ -0,0 +1,21 @@
+Feature: a configuration is in force at every host in touch within 2 s
+  Whatever happens to the hosts through which others follow the store.
+
+  # Guards against hosts that serve and refuse by an old configuration, as they trust the copy of a
+  # watcher that is cut off from the store for longer than a change may take.
+  Scenario Outline: changes are in force in time while <fault>
+    Given a site of <domains> failure domains of <hosts> hosts that follow the store
+    When configurations change at <phases> moments around a fault: <fault>
+    Then each was in force within 2 s at every host that reached the store
+    And no host that lacked one took its copy for current
+
+    Examples:
+      | domains | hosts | phases | fault                                            |
+      | 3       | 5     | 30     | nothing is wrong                                 |
+      | 3       | 5     | 30     | a watcher is cut off from the store              |
+      | 3       | 5     | 30     | a watcher is killed                              |
+      | 3       | 5     | 30     | both watchers of a domain are cut off            |
+      | 3       | 5     | 30     | both watchers of a domain are killed             |
+      | 3       | 5     | 30     | one watcher is cut off and the other is killed   |
+      | 3       | 100   | 2      | a watcher is cut off from the store              |
+      | 3       | 100   | 2      | both watchers of a domain are killed             |
--- /dev/null
+++ b/features/steps/configuration_in_force.py
@@ -0,0 +1,88 @@
+"""Steps for configurations that must be in force in time, in virtual time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+from features.support.mirror_site import MirrorSite
+
+from pimentodale.forwarding.forwarder import STALE_CONFIGURATION_MS
+from pimentodale.mirror.follower import WATCHERS
+from pimentodale.peers.mesh import choose_watchers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+APPLY_MS = 2_000.0
+"""Time in which the users' pages want a change in force."""
+
+OBSERVED_MS = 4_500.0
+"""How long hosts are looked at after each change."""
+
+
+def cut_first(site: MirrorSite, watchers: list[str]) -> None:
+    site.cut_off.add(watchers[0])
+
+
+def kill_first(site: MirrorSite, watchers: list[str]) -> None:
+    site.lose(watchers[0])
+
+
+def cut_both(site: MirrorSite, watchers: list[str]) -> None:
+    site.cut_off.update(watchers)
+
+
+def kill_both(site: MirrorSite, watchers: list[str]) -> None:
+    for name in watchers:
+        site.lose(name)
+
+
+def cut_and_kill(site: MirrorSite, watchers: list[str]) -> None:
+    cut_first(site, watchers)
+    site.lose(watchers[1])
+
+
+FAULTS: dict[str, Callable[[MirrorSite, list[str]], None]] = {
+    "nothing is wrong": lambda _site, _watchers: None,
+    "a watcher is cut off from the store": cut_first,
+    "a watcher is killed": kill_first,
+    "both watchers of a domain are cut off": cut_both,
+    "both watchers of a domain are killed": kill_both,
+    "one watcher is cut off and the other is killed": cut_and_kill,
+}
+
+
+@given("a site of {domains:d} failure domains of {hosts:d} hosts that follow the store")
+def create_site(context: Any, domains: int, hosts: int) -> None:
+    context.shape = (domains, hosts)
+
+
+@when("configurations change at {phases:d} moments around a fault: {fault}")
+def change_around(context: Any, phases: int, fault: str) -> None:
+    domains, hosts = context.shape
+    context.late, context.refusals = [], []
+    for phase in range(phases):
+        site = MirrorSite(context.site.seed + phase, domains, hosts)
+        site.start()
+        names = {member.host for member in site.members if member.failure_domain == "d0"}
+        # The fault and the change come at any moment of the calls that hosts make.
+        site.run(site.rng.uniform(0.0, 3_000.0))
+        FAULTS[fault](site, choose_watchers("d0", names, WATCHERS))
+        site.run(site.rng.uniform(0.0, 100.0))
+        site.configure()
+        site.check_until(OBSERVED_MS, APPLY_MS, STALE_CONFIGURATION_MS)
+        context.late += site.late[:1]
+        context.refusals += site.refusals[:1]
+        site.stop()
+    print(f"late at {len(context.late)}, refused at {len(context.refusals)} of {phases} moments")
+
+
+@then("each was in force within 2 s at every host that reached the store")
+def check_in_force(context: Any) -> None:
+    assert not context.late, (len(context.late), context.late[:3])
+
+
+@then("no host that lacked one took its copy for current")
+def check_refusals(context: Any) -> None:
+    assert not context.refusals, (len(context.refusals), context.refusals[:3])
--- a/features/support/mirror_fakes.py
+++ b/features/support/mirror_fakes.py
@@ -53,6 +53,8 @@
         await asyncio.sleep(0.01)
         if not self.answers or host in self.silent:
             return Error(PeerFault(False, "no answer"))
+        # Its watch confirms the mirror of a host that responds.
+        self.source.apply_changes(self.source.revision, [], [])
         query = msgspec.msgpack.decode(body, type=MirrorQuery)
         return Ok(msgspec.msgpack.encode(self.source.changes_since(query.revision)))
 
--- /dev/null
+++ b/features/support/mirror_site.py
@@ -0,0 +1,305 @@
+"""Hosts that follow one store in virtual time, by the platform's adapter and through each other."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+from expression import Error, Ok
+
+from features.support.virtual_time import VirtualClock, VirtualTimeLoop, run_virtually
+from pimentodale.addresses import Address
+from pimentodale.clients.http_call import CallReply
+from pimentodale.clients.key_value import StoreFault
+from pimentodale.clock import MS_PER_S
+from pimentodale.mirror.follower import create_mirror_follower
+from pimentodale.mirror.mirror import create_mirror
+from pimentodale.peers.messages import MemberRecord, MemberState
+from pimentodale.peers.peers import PeerFault
+from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from pimentodale.platform.replica_records import REPLICA_PREFIX, decode_replica
+from pimentodale.platform.store import PlatformStore
+from pimentodale.site.view import SiteRecords, create_site_view
+from pimentodale.standin.platform_store_state import StorePut, StoreTxn, create_store_state
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from pimentodale.clients.key_value import KeyValueStore
+    from pimentodale.mirror.follower import MirrorFollower
+    from pimentodale.site.view import SiteView
+    from pimentodale.standin.platform_store_state import StoreAnswer
+
+STORE_MS: Final = 4.0
+"""Time that the store takes for an answer."""
+
+PEER_MS: Final = 2.0
+"""Time that a request takes from one host to another and back."""
+
+SAMPLE_MS: Final = 25.0
+"""Interval at which hosts are looked at."""
+
+RECORDS: Final = SiteRecords(
+    CONFIGURATION_KEY, REPLICA_PREFIX, decode_configuration, decode_replica
+)
+
+
+@dataclass(slots=True)
+class MirrorHost:
+    """One host."""
+
+    member: MemberRecord
+    store: KeyValueStore
+    view: SiteView
+    follower: MirrorFollower
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """Name of the host."""
+        return self.member.host
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 without one."""
+        return self.view.configuration.version if self.view.configuration else 0
+
+
+@dataclass(slots=True)
+class Change:
+    """A configuration that the store has acknowledged."""
+
+    version: int
+    acknowledged_ms: float
+
+
+class SimulatedStore(PlatformStore):
+    """The platform's adapter in front of the stand-in's state, without a network."""
+
+    __slots__ = ("_host", "_site")
+
+    def __init__(self, site: MirrorSite, host: str) -> None:
+        super().__init__(Address("127.0.0.1", 1))
+        self._site = site
+        self._host = host
+
+    async def _call(
+        self, call: str, method: str, path: str, body: object, timeout_ms: float = 1_500.0
+    ) -> Any:
+        """Answer one call, or none while the host can't reach the store."""
+        self.calls[call] += 1
+        site = self._site
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await asyncio.sleep(STORE_MS / 2 / MS_PER_S)
+                await site.wait_reachable(self._host)
+                answer = await _dispatch(site, method, path, body)
+                await asyncio.sleep(STORE_MS / 2 / MS_PER_S)
+                # What was under way when the link broke is lost.
+                await site.wait_reachable(self._host)
+        except TimeoutError:
+            return Error(StoreFault(method != "GET", "no whole response in time", silent=True))
+        octets = msgspec.json.encode(answer.body)
+        return Ok(CallReply(answer.status, site.headers(), octets))
+
+
+class SimulatedPeers:
+    """One host's requests to the others; the membership stays as it was at the start."""
+
+    __slots__ = ("_handlers", "_site", "own")
+
+    def __init__(self, site: MirrorSite, own: MemberRecord) -> None:
+        self._site = site
+        self.own = own
+        self._handlers: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
+
+    def live_members(self) -> list[MemberRecord]:
+        """Return all hosts of the site."""
+        return self._site.members
+
+    def handle(self, topic: str, handler: Callable[[bytes], Awaitable[bytes]]) -> None:
+        """Register the handler of a topic."""
+        self._handlers[topic] = handler
+
+    async def answer(self, topic: str, body: bytes) -> bytes:
+        """Answer another host."""
+        return await self._handlers[topic](body)
+
+    async def request(
+        self, host: str, topic: str, body: bytes, timeout_ms: float, **_options: Any
+    ) -> Any:
+        """Ask another host."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await asyncio.sleep(PEER_MS / 2 / MS_PER_S)
+                await self._site.wait_alive(self.own.host, host)
+                reply = await self._site.peers[host].answer(topic, body)
+                await asyncio.sleep(PEER_MS / 2 / MS_PER_S)
+                await self._site.wait_alive(self.own.host, host)
+                return Ok(reply)
+        except TimeoutError:
+            return Error(PeerFault(True, "no answer in time"))
+
+
+class MirrorSite:
+    """Hosts of several failure domains, one store, and the faults between them."""
+
+    def __init__(self, seed: int, failure_domains: int = 3, hosts_each: int = 5) -> None:
+        self.loop = VirtualTimeLoop()
+        self.clock = VirtualClock(self.loop)
+        self.rng = random.Random(seed)
+        self.state = create_store_state(self.clock)
+        self.cut_off: set[str] = set()
+        """Hosts that don't reach the store."""
+
+        self.lost: set[str] = set()
+        """Hosts that answer nobody and do nothing."""
+
+        self.changes: list[Change] = []
+        self.late: list[str] = []
+        """Hosts that had no change in force in time."""
+
+        self.refusals: list[str] = []
+        """Hosts that took their copy for current although it lacked a change that was due."""
+
+        self.last_harm_ms: dict[str, float] = {}
+        """Time at which a fault of a host was last seen."""
+
+        self.members = [
+            MemberRecord(
+                f"h{domain}{n}", 1, MemberState.ALIVE, "b", f"d{domain}", "r", "10.0.0.1", 1 + n
+            )
+            for domain in range(failure_domains)
+            for n in range(hosts_each)
+        ]
+        self.peers: dict[str, SimulatedPeers] = {}
+        self.hosts: dict[str, MirrorHost] = {}
+        for member in self.members:
+            self.hosts[member.host] = self._create_host(member)
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass."""
+        run_virtually(self.loop, self.clock.sleep_ms(duration_ms))
+
+    def start(self) -> None:
+        """Start all hosts on a first configuration, and let them settle."""
+        self.configure()
+        for name in self.hosts:
+            self.start_host(name)
+        self.run(5_000.0)
+
+    def start_host(self, name: str) -> None:
+        """Start a host, or start it again with nothing known."""
+        member = next(member for member in self.members if member.host == name)
+        host = self.hosts[name] = self._create_host(member)
+        for work in (host.follower.follow_store(), host.follower.sync_from_peers()):
+            host.tasks.append(self.loop.create_task(work))
+
+    def stop(self) -> None:
+        """End everything."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        run_virtually(self.loop, asyncio.sleep(0))
+        self.loop.close()
+
+    def lose(self, name: str) -> None:
+        """Kill a host; its peers get no answer."""
+        self.lost.add(name)
+        for task in self.hosts[name].tasks:
+            task.cancel()
+
+    def watchers(self, failure_domain: str = "d0") -> list[str]:
+        """Return the hosts of a failure domain that watch the store, as they see it themselves."""
+        return [
+            host.name
+            for host in self.hosts.values()
+            if host.member.failure_domain == failure_domain and host.follower.is_watcher()
+        ]
+
+    def configure(self, version: int = 0) -> int:
+        """Write a configuration as the operators do; 0 takes the next version."""
+        version = version or max((change.version for change in self.changes), default=0) + 1
+        value = base64.b64encode(json.dumps({"version": version}).encode()).decode()
+        self.put(CONFIGURATION_KEY, value)
+        self.changes.append(Change(version, self.clock.now_ms()))
+        return version
+
+    def put(self, key: str, value: str) -> None:
+        """Write one key."""
+        txn = StoreTxn(puts=[StorePut(key, value)])
+        assert run_virtually(self.loop, self.state.transact(txn)).status == 200
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of the store's answers."""
+        return {}
+
+    async def wait_reachable(self, host: str) -> None:
+        """Wait until a host reaches the store."""
+        while host in self.cut_off or host in self.lost:
+            await self.clock.sleep_ms(SAMPLE_MS)
+
+    async def wait_alive(self, *hosts: str) -> None:
+        """Wait until hosts run."""
+        while any(host in self.lost for host in hosts):
+            await self.clock.sleep_ms(SAMPLE_MS)
+
+    def check_until(self, duration_ms: float, bound_ms: float, stale_ms: float) -> None:
+        """Let time pass, and note what hosts have that should have a change in force.
+
+        Args:
+            duration_ms: How long.
+            bound_ms: Time after its acknowledgement in which a change must be in force.
+            stale_ms: Age from which a host does not take its copy for current.
+        """
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.run(SAMPLE_MS)
+            now_ms = self.clock.now_ms()
+            due = [c for c in self.changes if now_ms - c.acknowledged_ms > bound_ms]
+            version = max((change.version for change in due), default=0)
+            for host in self.hosts.values():
+                if host.name in self.lost or host.version >= version:
+                    continue
+                if host.view.mirror.age_ms() <= stale_ms:
+                    self.refusals.append(f"{host.name} at {now_ms:.0f} ms, due {version}")
+                if host.name not in self.cut_off:
+                    self.late.append(f"{host.name} at {now_ms:.0f} ms, due {version}")
+
+    def _create_host(self, member: MemberRecord) -> MirrorHost:
+        """Return a host that is not started."""
+        peers = self.peers[member.host] = SimulatedPeers(self, member)
+        store = SimulatedStore(self, member.host)
+        mirror = create_mirror(self.clock)
+        view = create_site_view(RECORDS, mirror, self.clock)
+        rng = random.Random(self.rng.random())
+        follower = create_mirror_follower(mirror, store, peers, self.clock, rng)  # type: ignore[arg-type]
+        return MirrorHost(member, store, view, follower)
+
+
+async def _dispatch(site: MirrorSite, method: str, path: str, body: object) -> StoreAnswer:
+    """Carry out one call on the store's state."""
+    parts = urlsplit(path)
+    query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+    name = parts.path.removeprefix("/api/")
+    state = site.state
+    if name == "kv-key":
+        return state.read_key(unquote(query["key"]))
+    if name == "kv-range":
+        return state.read_range(query.get("path_prefix", ""), query.get("after", ""))
+    if name == "kv-watch":
+        after, wait_ms = int(query["after"]), float(query["wait_ms"])
+        return await state.watch(query.get("path_prefix", ""), after, wait_ms)
+    if name == "kv-txn":
+        return await state.transact(msgspec.convert(body, StoreTxn))
+    if name == "kv-lease":
+        return state.grant_lease(msgspec.convert(body, dict[str, float])["ttl_ms"])
+    number = int(name.rpartition("/")[2])
+    if method == "DELETE":
+        return await state.end_lease(number)
+    return state.keep_lease(number)
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -20,9 +20,9 @@
     from pimentodale.forwarding.context import ForwardingContext
     from pimentodale.forwarding.stream_state import SharedStreamState
 
-STALE_CONFIGURATION_MS: Final = 2_600.0
+STALE_CONFIGURATION_MS: Final = 1_900.0
 """Age from which the configuration may be stale: a route or key that it lacks may have been added
-since, and is not reported as unknown."""
+since, and is not reported as unknown. A change must be in force within 2 s."""
 
 RETRY_AFTER_MS: Final = 1_000.0
 """Retry-After time for clients of a host without a current configuration."""
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -27,8 +27,7 @@
 """Mean delay before the first retry of a failed store read; doubles with each further retry."""
 
 MAX_WATCHER_RETRY_MS: Final = 600.0
-"""Maximum retry delay of a watcher, on which other hosts depend; a change must be in force within
-2 s."""
+"""Maximum retry delay of a watcher, on which other hosts depend."""
 
 MAX_RETRY_MS: Final = 2_400.0
 """Maximum retry delay of other hosts, which query the watchers meanwhile."""
@@ -39,8 +38,13 @@
 PEER_TIMEOUT_MS: Final = 400.0
 """Timeout of a query to another host."""
 
-STALE_MS: Final = 2_600.0
-"""Age from which a mirror counts as stale; a watch confirms it sooner even without changes."""
+WATCH_SILENCE_MS: Final = 1_000.0
+"""Time without an answer to a watch after which the store counts as unavailable.
+
+A change has to be in force at every host within 2 s, also when its watcher loses the store just
+before: the time until a watcher's mirror counts as stale, until its followers learn of that, and
+until another host has read the store must fit into that.
+"""
 
 BATCH_DELAY_MS: Final = 150.0
 """Delay after a change, so that further changes are received in one batch."""
@@ -49,6 +53,9 @@
 """Additional batch delay per host of the site: a large site has more frequent changes and more
 watchers."""
 
+MAX_BATCH_DELAY_MS: Final = 400.0
+"""Maximum batch delay, as it also delays changes of the configuration."""
+
 LONG_POLL_INTERVAL_MS: Final = 80.0
 """Interval at which a host checks for changes while it holds another host's long poll."""
 
@@ -60,10 +67,14 @@
 """How long a watcher is skipped after it gave no reply or a stale one; a stopped watcher has left
 the membership by then."""
 
-LONG_POLL_TIMEOUT_MS: Final = 600.0
+LONG_POLL_TIMEOUT_MS: Final = 500.0
 """Maximum time for which a watcher holds a long poll without changes; its reply shows that it is
 alive."""
 
+STALE_HOLD_MS: Final = 200.0
+"""Maximum time for which a host with a stale mirror holds a long poll: it may be about to read the
+store in place of a lost watcher."""
+
 LONG_POLL_GRACE_MS: Final = 300.0
 """How long after that timeout a reply may arrive before the host reads the store itself."""
 
@@ -131,41 +142,62 @@
         """Fetch changes from other hosts while the store is unavailable. Never returns."""
         while True:
             await self.clock.sleep_ms(PEER_SYNC_INTERVAL_MS * self.rng.uniform(0.8, 1.2))
-            if self.is_connected and self.mirror.age_ms() < STALE_MS:
+            usual_age_ms = self.max_age_ms() + LONG_POLL_TIMEOUT_MS
+            if self.is_connected and self.mirror.age_ms() < usual_age_ms:
                 continue
             await self._sync_from_peer()
 
     def retry_ms(self) -> float:
         """Return the mean delay before the next retry of a failed read."""
-        most_ms = MAX_WATCHER_RETRY_MS if self.is_watcher() else MAX_RETRY_MS
+        most_ms = MAX_WATCHER_RETRY_MS if self.is_assigned_watcher() else MAX_RETRY_MS
         return min(most_ms, RETRY_MS * 2.0 ** min(self._failures - 1, 10))
 
     def batch_delay_ms(self) -> float:
         """Return the delay after a change, in which further changes are collected."""
-        return BATCH_DELAY_MS + BATCH_DELAY_PER_HOST_MS * len(self.peers.live_members())
+        delay_ms = BATCH_DELAY_MS + BATCH_DELAY_PER_HOST_MS * len(self.peers.live_members())
+        return min(delay_ms, MAX_BATCH_DELAY_MS)
+
+    def max_age_ms(self) -> float:
+        """Return the age up to which a watcher's mirror is followed: that of one whose watch works."""
+        return WATCH_SILENCE_MS + self.batch_delay_ms()
 
     def is_watcher(self) -> bool:
-        """Return whether this host watches the store itself."""
+        """Return whether this host watches the store: it is assigned to, or no such host responds."""
+        if self.is_assigned_watcher():
+            return True
+        return all(self._is_skipped(host) for host in self._ranked_watchers())
+
+    def is_assigned_watcher(self) -> bool:
+        """Return whether this host is the one that watches the store for its failure domain."""
         own = self.peers.own
         return own.state is not MemberState.ALIVE or own.host == self._current_watcher()
 
     async def answer(self, body: bytes) -> bytes:
-        """Answer another host's query once there are changes or its wait time has passed."""
+        """Answer another host's query on changes, once its time is over, or if this host is stale."""
         query = _query_decoder.decode(body)
         revision = query.revision
-        end_ms = self.clock.now_ms() + min(LONG_POLL_TIMEOUT_MS, query.wait_ms)
-        while self.mirror.revision <= revision and self.clock.now_ms() < end_ms:
+        now_ms = self.clock.now_ms()
+        end_ms = now_ms + min(LONG_POLL_TIMEOUT_MS, query.wait_ms)
+        stale_end_ms = min(end_ms, now_ms + STALE_HOLD_MS)
+        while self.mirror.revision <= revision:
+            is_stale = self.mirror.age_ms() > self.max_age_ms()
+            if self.clock.now_ms() >= (stale_end_ms if is_stale else end_ms):
+                break
             await self.clock.sleep_ms(LONG_POLL_INTERVAL_MS)
         return msgspec.msgpack.encode(self.mirror.changes_since(revision))
 
     def _current_watcher(self) -> str:
         """Return the host that watches the store in this failure domain, as far as known."""
+        ranked = self._ranked_watchers()
+        return next((host for host in ranked if not self._is_skipped(host)), ranked[0])
+
+    def _ranked_watchers(self) -> list[str]:
+        """Return the hosts of this failure domain that may watch the store, in order of rank."""
         own = self.peers.own
         members = self.peers.live_members()
         hosts = {m.host for m in members if m.failure_domain == own.failure_domain}
         # A leaving host doesn't count as live, but may be the last one in its failure domain.
-        ranked = choose_watchers(own.failure_domain, hosts or {own.host}, WATCHERS)
-        return next((host for host in ranked if not self._is_skipped(host)), ranked[0])
+        return choose_watchers(own.failure_domain, hosts or {own.host}, WATCHERS)
 
     def _is_skipped(self, host: str) -> bool:
         """Return whether an unresponsive watcher is currently skipped."""
@@ -178,7 +210,7 @@
             changes = await self._request_changes(
                 host, LONG_POLL_TIMEOUT_MS, LONG_POLL_TIMEOUT_MS + LONG_POLL_GRACE_MS
             )
-            if changes is not None and changes.age_ms <= STALE_MS:
+            if changes is not None and changes.age_ms <= self.max_age_ms():
                 self.mirror.apply(changes, host)
                 continue
             now_ms = self.clock.now_ms()
@@ -192,12 +224,10 @@
                 age_ms=round(self.mirror.age_ms()),
                 revision=self.mirror.revision,
             )
-            if self._is_skipped(self._current_watcher()):
-                return
 
     async def _watch(self) -> None:
         """Apply changes until the watch ends or another host is the watcher."""
-        batches = self.store.watch("", self.mirror.revision + 1, STALE_MS)
+        batches = self.store.watch("", self.mirror.revision + 1, WATCH_SILENCE_MS)
         async for batch in batches:
             if batch.is_error():
                 self._note_store_unavailable(batch.error.message)
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -34,11 +34,12 @@
 CALL_TIMEOUT_MS: Final = 1_500.0
 """Timeout of a call; the store answers within milliseconds, or about 0.4 s while it is slow."""
 
-WATCH_WAIT_MS: Final = 1_800
-"""Long-poll wait of a watch; short, so that an unresponsive connection is detected within 2.3 s."""
-
 WATCH_SLACK_MS: Final = 500.0
-"""Time beyond `WATCH_WAIT_MS` after which a watch without an answer counts as unresponsive."""
+"""Part of a watch's silence timeout that is left for the answer to its long poll: the store takes
+about 0.4 s while it is slow."""
+
+MIN_WATCH_WAIT_MS: Final = 100.0
+"""Minimum wait of a watch's long poll."""
 
 OK: Final = 200
 NOT_FOUND: Final = 404
@@ -179,11 +180,11 @@
     ) -> AsyncIterator[Result[WatchBatch, StoreFault]]:
         """Yield changes under a prefix from a revision on; ends after the first fault."""
         after = from_revision - 1
+        wait_ms = int(max(MIN_WATCH_WAIT_MS, silence_timeout_ms - WATCH_SLACK_MS))
         yield Ok(WatchBatch(after, [], []))
         while True:
-            query = f"path_prefix={quote(prefix, safe='/')}&after={after}&wait_ms={WATCH_WAIT_MS}"
-            timeout_ms = min(silence_timeout_ms, WATCH_WAIT_MS + WATCH_SLACK_MS)
-            events = await self._get("watch", f"/api/kv-watch?{query}", _Events, timeout_ms)
+            query = f"path_prefix={quote(prefix, safe='/')}&after={after}&wait_ms={wait_ms}"
+            events = await self._get("watch", f"/api/kv-watch?{query}", _Events, silence_timeout_ms)
             if events.is_error():
                 yield Error(events.error)
                 return
