Count a copy as confirmed only from when the store or the other host may have said so

The age decides who is followed, and whether a route or key is refused as unknown (CONFIG).

- The platform's adapter began each watch with a batch that the store had not sent; it confirmed the copy as of that moment, again and again while the store's answers were ignored.
- A whole read counted from its end, though the store may have read the first page, with the configuration, when it was asked.
- Another host's reply counted as if it had taken no time.

--- a/features/configuration_in_force.feature
+++ b/features/configuration_in_force.feature
@@ -19,3 +19,18 @@
       | 3       | 5     | 30     | one watcher is cut off and the other is killed   |
       | 3       | 100   | 2      | a watcher is cut off from the store              |
       | 3       | 100   | 2      | both watchers of a domain are killed             |
+
+  # Guards against copies that count as fresh for the time that an answer took to arrive, or because
+  # a watch was begun.
+  Scenario Outline: a copy is no fresher than what the store has confirmed while <fault>
+    Given a site of <domains> failure domains of <hosts> hosts that follow the store
+    When configurations change at <phases> moments around a fault: <fault>
+    Then no copy counted as confirmed before the store had confirmed it
+
+    Examples:
+      | domains | hosts | phases | fault                                                 |
+      | 3       | 5     | 30     | nothing is wrong                                      |
+      | 3       | 5     | 30     | a watcher is cut off from the store                   |
+      | 3       | 5     | 30     | both watchers of a domain are killed                  |
+      | 3       | 5     | 30     | a whole read takes 1.2 s, and the store is lost after it |
+      | 3       | 5     | 30     | replies of other hosts take 250 ms                    |
--- a/features/steps/configuration_in_force.py
+++ b/features/steps/configuration_in_force.py
@@ -43,6 +43,16 @@
     site.lose(watchers[1])
 
 
+def slow_pages(site: MirrorSite, watchers: list[str]) -> None:
+    site.page_ms = 1_200.0
+    site.cuts_after_page = True
+    kill_both(site, watchers)
+
+
+def slow_replies(site: MirrorSite, watchers: list[str]) -> None:
+    site.reply_ms = 250.0
+
+
 FAULTS: dict[str, Callable[[MirrorSite, list[str]], None]] = {
     "nothing is wrong": lambda _site, _watchers: None,
     "a watcher is cut off from the store": cut_first,
@@ -50,6 +60,8 @@
     "both watchers of a domain are cut off": cut_both,
     "both watchers of a domain are killed": kill_both,
     "one watcher is cut off and the other is killed": cut_and_kill,
+    "a whole read takes 1.2 s, and the store is lost after it": slow_pages,
+    "replies of other hosts take 250 ms": slow_replies,
 }
 
 
@@ -61,7 +73,7 @@
 @when("configurations change at {phases:d} moments around a fault: {fault}")
 def change_around(context: Any, phases: int, fault: str) -> None:
     domains, hosts = context.shape
-    context.late, context.refusals = [], []
+    context.late, context.refusals, context.overstated = [], [], []
     for phase in range(phases):
         site = MirrorSite(context.site.seed + phase, domains, hosts)
         site.start()
@@ -71,11 +83,15 @@
         FAULTS[fault](site, choose_watchers("d0", names, WATCHERS))
         site.run(site.rng.uniform(0.0, 100.0))
         site.configure()
+        site.run(site.rng.uniform(0.0, 1_500.0))
+        site.configure()
         site.check_until(OBSERVED_MS, APPLY_MS, STALE_CONFIGURATION_MS)
         context.late += site.late[:1]
         context.refusals += site.refusals[:1]
+        context.overstated += site.overstated[:1]
         site.stop()
-    print(f"late at {len(context.late)}, refused at {len(context.refusals)} of {phases} moments")
+    counts = (len(context.late), len(context.refusals), len(context.overstated))
+    print(f"of {phases} moments late, refused, confirmed too early: {counts}")
 
 
 @then("each was in force within 2 s at every host that reached the store")
@@ -86,3 +102,8 @@
 @then("no host that lacked one took its copy for current")
 def check_refusals(context: Any) -> None:
     assert not context.refusals, (len(context.refusals), context.refusals[:3])
+
+
+@then("no copy counted as confirmed before the store had confirmed it")
+def check_confirmed(context: Any) -> None:
+    assert not context.overstated, (len(context.overstated), context.overstated[:3])
--- a/features/support/mirror_site.py
+++ b/features/support/mirror_site.py
@@ -100,9 +100,12 @@
                 await asyncio.sleep(STORE_MS / 2 / MS_PER_S)
                 await site.wait_reachable(self._host)
                 answer = await _dispatch(site, method, path, body)
-                await asyncio.sleep(STORE_MS / 2 / MS_PER_S)
+                way_ms = site.page_ms if call == "page" else STORE_MS / 2
+                await asyncio.sleep(way_ms / MS_PER_S)
                 # What was under way when the link broke is lost.
                 await site.wait_reachable(self._host)
+                if call == "page" and site.cuts_after_page:
+                    site.cut_off.add(self._host)
         except TimeoutError:
             return Error(StoreFault(method != "GET", "no whole response in time", silent=True))
         octets = msgspec.json.encode(answer.body)
@@ -140,7 +143,7 @@
                 await asyncio.sleep(PEER_MS / 2 / MS_PER_S)
                 await self._site.wait_alive(self.own.host, host)
                 reply = await self._site.peers[host].answer(topic, body)
-                await asyncio.sleep(PEER_MS / 2 / MS_PER_S)
+                await asyncio.sleep(self._site.reply_ms / MS_PER_S)
                 await self._site.wait_alive(self.own.host, host)
                 return Ok(reply)
         except TimeoutError:
@@ -161,6 +164,15 @@
         self.lost: set[str] = set()
         """Hosts that answer nobody and do nothing."""
 
+        self.page_ms = STORE_MS / 2
+        """Time that a page of a range is on its way."""
+
+        self.cuts_after_page = False
+        """Whether a host loses the store once it has a page."""
+
+        self.reply_ms = PEER_MS / 2
+        """Time that another host's reply is on its way."""
+
         self.changes: list[Change] = []
         self.late: list[str] = []
         """Hosts that had no change in force in time."""
@@ -168,8 +180,8 @@
         self.refusals: list[str] = []
         """Hosts that took their copy for current although it lacked a change that was due."""
 
-        self.last_harm_ms: dict[str, float] = {}
-        """Time at which a fault of a host was last seen."""
+        self.overstated: list[str] = []
+        """Hosts whose copy lacks a change from before the time at which it counts as confirmed."""
 
         self.members = [
             MemberRecord(
@@ -264,13 +276,24 @@
             due = [c for c in self.changes if now_ms - c.acknowledged_ms > bound_ms]
             version = max((change.version for change in due), default=0)
             for host in self.hosts.values():
-                if host.name in self.lost or host.version >= version:
+                if host.name in self.lost:
+                    continue
+                self._check_confirmation(host)
+                if host.version >= version:
                     continue
                 if host.view.mirror.age_ms() <= stale_ms:
                     self.refusals.append(f"{host.name} at {now_ms:.0f} ms, due {version}")
                 if host.name not in self.cut_off:
                     self.late.append(f"{host.name} at {now_ms:.0f} ms, due {version}")
 
+    def _check_confirmation(self, host: MirrorHost) -> None:
+        """Note a host whose copy is older than it counts as."""
+        verified_ms = host.view.mirror.verified_ms
+        for change in self.changes:
+            if change.acknowledged_ms < verified_ms - STORE_MS and change.version > host.version:
+                early_ms = verified_ms - change.acknowledged_ms
+                self.overstated.append(f"{host.name} by {early_ms:.0f} ms")
+
     def _create_host(self, member: MemberRecord) -> MirrorHost:
         """Return a host that is not started."""
         peers = self.peers[member.host] = SimulatedPeers(self, member)
--- a/src/pimentodale/clients/key_value.py
+++ b/src/pimentodale/clients/key_value.py
@@ -147,8 +147,9 @@
         """Report changes under a prefix from a revision on; ends after one fault.
 
         With `range_end` the keys from `prefix` up to before it are watched instead. The first batch
-        is empty and says the service's revision at the start; one below `from_revision` - 1 tells
-        that the service was restored to an old state. A quiet watch yields empty batches too.
+        says the service's revision at the start; one below `from_revision` - 1 tells that the
+        service was restored to an old state. A quiet watch yields empty batches too. Each batch is
+        an answer of the service, which thereby confirms that nothing else has changed.
         """
 
 
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -72,8 +72,8 @@
 alive."""
 
 STALE_HOLD_MS: Final = 200.0
-"""Maximum time for which a host with a stale mirror holds a long poll: it may be about to read the
-store in place of a lost watcher."""
+"""Maximum long poll of or at a host with a stale mirror: the host that is asked may be about to read
+the store in place of a lost watcher."""
 
 LONG_POLL_GRACE_MS: Final = 300.0
 """How long after that timeout a reply may arrive before the host reads the store itself."""
@@ -124,6 +124,7 @@
         while True:
             if self.mirror.revision > 0 and not self.is_watcher():
                 await self._follow_watcher()
+            asked_ms = self.clock.now_ms()
             snapshot = await self.store.read("", ALL_KEYS_END)
             if snapshot.is_error():
                 self._note_store_unavailable(snapshot.error.message)
@@ -132,7 +133,9 @@
                 continue
             self._failures = 0
             self._note_store_available(snapshot.ok.revision)
-            self.mirror.apply_snapshot(snapshot.ok.revision, snapshot.ok.items)
+            # The store may have read the first page as soon as it was asked.
+            age_ms = self.clock.now_ms() - asked_ms
+            self.mirror.apply_snapshot(snapshot.ok.revision, snapshot.ok.items, age_ms)
             # The store is read before any watcher is followed, so that the first host of a site can
             # start without other hosts.
             await self._watch()
@@ -184,7 +187,9 @@
             if self.clock.now_ms() >= (stale_end_ms if is_stale else end_ms):
                 break
             await self.clock.sleep_ms(LONG_POLL_INTERVAL_MS)
-        return msgspec.msgpack.encode(self.mirror.changes_since(revision))
+        changes = self.mirror.changes_since(revision)
+        changes.held_ms = self.clock.now_ms() - now_ms
+        return msgspec.msgpack.encode(changes)
 
     def _current_watcher(self) -> str:
         """Return the host that watches the store in this failure domain, as far as known."""
@@ -207,9 +212,9 @@
         """Follow this failure domain's watcher until none responds or this host is the watcher."""
         while not self.is_watcher():
             host = self._current_watcher()
-            changes = await self._request_changes(
-                host, LONG_POLL_TIMEOUT_MS, LONG_POLL_TIMEOUT_MS + LONG_POLL_GRACE_MS
-            )
+            is_stale = self.mirror.age_ms() > self.max_age_ms()
+            wait_ms = STALE_HOLD_MS if is_stale else LONG_POLL_TIMEOUT_MS
+            changes = await self._request_changes(host, wait_ms, wait_ms + LONG_POLL_GRACE_MS)
             if changes is not None and changes.age_ms <= self.max_age_ms():
                 self.mirror.apply(changes, host)
                 continue
@@ -262,15 +267,19 @@
         self, host: str, wait_ms: float, timeout_ms: float
     ) -> MirrorChanges | None:
         """Request the changes after this mirror's revision from a host."""
+        asked_ms = self.clock.now_ms()
         query = msgspec.msgpack.encode(MirrorQuery(self.mirror.revision, wait_ms))
         reply = await self.peers.request(host, TOPIC, query, timeout_ms, reuse_connection=True)
         if reply.is_error():
             return None
         try:
-            return _changes_decoder.decode(reply.ok)
+            changes = _changes_decoder.decode(reply.ok)
         except msgspec.MsgspecError as error:
             _log.warning("Another host's reply can't be decoded.", host=host, problem=str(error))
             return None
+        # The time that the reply was on its way counts, as the host's mirror aged meanwhile.
+        changes.age_ms += max(0.0, self.clock.now_ms() - asked_ms - changes.held_ms)
+        return changes
 
     def _note_store_unavailable(self, reason: str) -> None:
         """Log once that the store is unavailable."""
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -45,6 +45,9 @@
     age_ms: float
     """Time since this content was last confirmed by the store."""
 
+    held_ms: float = 0.0
+    """Time for which the sender held the receiver's query before it replied."""
+
 
 @dataclass(slots=True, frozen=True)
 class _Change:
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -181,7 +181,6 @@
         """Yield changes under a prefix from a revision on; ends after the first fault."""
         after = from_revision - 1
         wait_ms = int(max(MIN_WATCH_WAIT_MS, silence_timeout_ms - WATCH_SLACK_MS))
-        yield Ok(WatchBatch(after, [], []))
         while True:
             query = f"path_prefix={quote(prefix, safe='/')}&after={after}&wait_ms={wait_ms}"
             events = await self._get("watch", f"/api/kv-watch?{query}", _Events, silence_timeout_ms)
