Follow a store that has returned from an older copy

Cause: a host's copy took answers with a lower revision for old ones. Class: an order that holds within one life of the store, used beyond it.

The era is now part of the key-value interface's replies and of what hosts tell each other; the adapter reads it from the store's header. Content of a higher era is taken as it is, that of a lower one is ignored, and logged; a host that follows another one gives up a watcher of an earlier era. The configuration in force never goes back. What replicas said after the copy was made (they leave, joined or are gone) holds for 2 s, in which they say it again, though a copy's word that one leaves counts at once. A missing, empty, non-numeric or falling era changes nothing and is logged once.

--- a/features/support/mirror_fakes.py
+++ b/features/support/mirror_fakes.py
@@ -56,7 +56,7 @@
         # Its watch confirms the mirror of a host that responds.
         self.source.apply_changes(self.source.revision, [], [])
         query = msgspec.msgpack.decode(body, type=MirrorQuery)
-        return Ok(msgspec.msgpack.encode(self.source.changes_since(query.revision)))
+        return Ok(msgspec.msgpack.encode(self.source.changes_since(query.revision, query.era)))
 
 
 class CountingStore:
--- a/features/support/mirror_site.py
+++ b/features/support/mirror_site.py
@@ -26,7 +26,12 @@
 from pimentodale.platform.replica_records import REPLICA_PREFIX, decode_replica
 from pimentodale.platform.store import PlatformStore
 from pimentodale.site.view import SiteRecords, create_site_view
-from pimentodale.standin.platform_store_state import StorePut, StoreTxn, create_store_state
+from pimentodale.standin.platform_store_state import (
+    ERA_HEADER,
+    StorePut,
+    StoreTxn,
+    create_store_state,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -34,6 +39,7 @@
     from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.mirror.follower import MirrorFollower
     from pimentodale.site.view import SiteView
+    from pimentodale.standin import platform_store_state
     from pimentodale.standin.platform_store_state import StoreAnswer
 
 STORE_MS: Final = 4.0
@@ -59,6 +65,8 @@
     view: SiteView
     follower: MirrorFollower
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    highest_version: int = 0
+    """Highest version that was seen in force."""
 
     @property
     def name(self) -> str:
@@ -79,6 +87,14 @@
     acknowledged_ms: float
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """A copy of the store, and when it was made."""
+
+    content: platform_store_state.StoreCopy
+    at_ms: float
+
+
 class SimulatedStore(PlatformStore):
     """The platform's adapter in front of the stand-in's state, without a network."""
 
@@ -167,12 +183,16 @@
         self.page_ms = STORE_MS / 2
         """Time that a page of a range is on its way."""
 
+        self.is_store_down = False
         self.cuts_after_page = False
         """Whether a host loses the store once it has a page."""
 
         self.reply_ms = PEER_MS / 2
         """Time that another host's reply is on its way."""
 
+        self.version = 0
+        """Version of the newest configuration that was written."""
+
         self.changes: list[Change] = []
         self.late: list[str] = []
         """Hosts that had no change in force in time."""
@@ -180,6 +200,9 @@
         self.refusals: list[str] = []
         """Hosts that took their copy for current although it lacked a change that was due."""
 
+        self.back: list[str] = []
+        """Hosts that went back to an earlier configuration."""
+
         self.overstated: list[str] = []
         """Hosts whose copy lacks a change from before the time at which it counts as confirmed."""
 
@@ -236,7 +259,8 @@
 
     def configure(self, version: int = 0) -> int:
         """Write a configuration as the operators do; 0 takes the next version."""
-        version = version or max((change.version for change in self.changes), default=0) + 1
+        version = version or self.version + 1
+        self.version = max(self.version, version)
         value = base64.b64encode(json.dumps({"version": version}).encode()).decode()
         self.put(CONFIGURATION_KEY, value)
         self.changes.append(Change(version, self.clock.now_ms()))
@@ -247,13 +271,25 @@
         txn = StoreTxn(puts=[StorePut(key, value)])
         assert run_virtually(self.loop, self.state.transact(txn)).status == 200
 
+    def restore(self, copy: StoreCopy, away_ms: float) -> None:
+        """Take the store away, and let it return from a copy."""
+        self.is_store_down = True
+        self.run(away_ms)
+        run_virtually(self.loop, self.state.restore(copy.content))
+        self.changes = [c for c in self.changes if c.acknowledged_ms <= copy.at_ms]
+        self.is_store_down = False
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the store."""
+        return StoreCopy(self.state.copy(), self.clock.now_ms())
+
     def headers(self) -> dict[str, str]:
         """Return the headers of the store's answers."""
-        return {}
+        return {ERA_HEADER: str(self.state.era)}
 
     async def wait_reachable(self, host: str) -> None:
         """Wait until a host reaches the store."""
-        while host in self.cut_off or host in self.lost:
+        while host in self.cut_off or host in self.lost or self.is_store_down:
             await self.clock.sleep_ms(SAMPLE_MS)
 
     async def wait_alive(self, *hosts: str) -> None:
@@ -279,6 +315,9 @@
                 if host.name in self.lost:
                     continue
                 self._check_confirmation(host)
+                if host.version < host.highest_version:
+                    self.back.append(f"{host.name} to {host.version}")
+                host.highest_version = host.version
                 if host.version >= version:
                     continue
                 if host.view.mirror.age_ms() <= stale_ms:
--- a/src/pimentodale/clients/key_value.py
+++ b/src/pimentodale/clients/key_value.py
@@ -56,6 +56,10 @@
     items: list[KeyValue]
     """The keys in order."""
 
+    era: int = 0
+    """How often the service has returned from an older copy, 0 if it doesn't tell; revisions are
+    comparable only within an era."""
+
 
 class Compare(msgspec.Struct, frozen=True):
     """A condition on one key of a transaction."""
@@ -115,6 +119,9 @@
     deletes: list[str]
     """Keys removed."""
 
+    era: int = 0
+    """The service's era, as in `RangeReply`."""
+
 
 class KeyValueStore(Protocol):
     """What the project asks of the key-value service. Every call is bounded in time."""
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -93,6 +93,9 @@
     wait_ms: float
     """Maximum time to wait for changes before replying."""
 
+    era: int = 0
+    """Era of the store to which the revision belongs."""
+
 
 _changes_decoder = msgspec.msgpack.Decoder(MirrorChanges)
 _query_decoder = msgspec.msgpack.Decoder(MirrorQuery)
@@ -135,7 +138,8 @@
             self._note_store_available(snapshot.ok.revision)
             # The store may have read the first page as soon as it was asked.
             age_ms = self.clock.now_ms() - asked_ms
-            self.mirror.apply_snapshot(snapshot.ok.revision, snapshot.ok.items, age_ms)
+            read = snapshot.ok
+            self.mirror.apply_snapshot(read.revision, read.items, age_ms, era=read.era)
             # The store is read before any watcher is followed, so that the first host of a site can
             # start without other hosts.
             await self._watch()
@@ -182,12 +186,12 @@
         now_ms = self.clock.now_ms()
         end_ms = now_ms + min(LONG_POLL_TIMEOUT_MS, query.wait_ms)
         stale_end_ms = min(end_ms, now_ms + STALE_HOLD_MS)
-        while self.mirror.revision <= revision:
+        while self.mirror.era == query.era and self.mirror.revision <= revision:
             is_stale = self.mirror.age_ms() > self.max_age_ms()
             if self.clock.now_ms() >= (stale_end_ms if is_stale else end_ms):
                 break
             await self.clock.sleep_ms(LONG_POLL_INTERVAL_MS)
-        changes = self.mirror.changes_since(revision)
+        changes = self.mirror.changes_since(revision, query.era)
         changes.held_ms = self.clock.now_ms() - now_ms
         return msgspec.msgpack.encode(changes)
 
@@ -215,7 +219,7 @@
             is_stale = self.mirror.age_ms() > self.max_age_ms()
             wait_ms = STALE_HOLD_MS if is_stale else LONG_POLL_TIMEOUT_MS
             changes = await self._request_changes(host, wait_ms, wait_ms + LONG_POLL_GRACE_MS)
-            if changes is not None and changes.age_ms <= self.max_age_ms():
+            if changes is not None and self._is_current(changes):
                 self.mirror.apply(changes, host)
                 continue
             now_ms = self.clock.now_ms()
@@ -230,6 +234,10 @@
                 revision=self.mirror.revision,
             )
 
+    def _is_current(self, changes: MirrorChanges) -> bool:
+        """Return whether a watcher's reply shows that its watch works and is of this era."""
+        return changes.age_ms <= self.max_age_ms() and changes.era >= self.mirror.era
+
     async def _watch(self) -> None:
         """Apply changes until the watch ends or another host is the watcher."""
         batches = self.store.watch("", self.mirror.revision + 1, WATCH_SILENCE_MS)
@@ -237,10 +245,15 @@
             if batch.is_error():
                 self._note_store_unavailable(batch.error.message)
                 return
-            self.mirror.apply_changes(batch.ok.revision, batch.ok.puts, batch.ok.deletes)
+            changes = batch.ok
+            if changes.era != self.mirror.era:
+                return
+            self.mirror.apply_changes(
+                changes.revision, changes.puts, changes.deletes, era=changes.era
+            )
             if not self.is_watcher():
                 return
-            if batch.ok.puts or batch.ok.deletes:
+            if changes.puts or changes.deletes:
                 await self.clock.sleep_ms(self.batch_delay_ms())
 
     async def _sync_from_peer(self) -> None:
@@ -253,9 +266,9 @@
         changes = await self._request_changes(host, 0.0, PEER_TIMEOUT_MS)
         if changes is None:
             return
-        before = self.mirror.revision
+        before = (self.mirror.era, self.mirror.revision)
         self.mirror.apply(changes, host)
-        if self.mirror.revision > before:
+        if (self.mirror.era, self.mirror.revision) > before:
             _log.info(
                 "Received changes from another host.",
                 host=host,
@@ -268,7 +281,7 @@
     ) -> MirrorChanges | None:
         """Request the changes after this mirror's revision from a host."""
         asked_ms = self.clock.now_ms()
-        query = msgspec.msgpack.encode(MirrorQuery(self.mirror.revision, wait_ms))
+        query = msgspec.msgpack.encode(MirrorQuery(self.mirror.revision, wait_ms, self.mirror.era))
         reply = await self.peers.request(host, TOPIC, query, timeout_ms, reuse_connection=True)
         if reply.is_error():
             return None
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -1,4 +1,4 @@
-"""One host's mirror of the store's keys; its revision never decreases."""
+"""One host's mirror of the store's keys; its revision never decreases within the store's era."""
 
 from __future__ import annotations
 
@@ -21,6 +21,9 @@
 keys."""
 
 
+REWRITE_GRACE_MS: Final = 2_000.0
+"""Time in which replicas, operators and hosts write again what the store has lost."""
+
 STORE: Final = "store"
 """Source of what this host read from the store itself; other sources are names of hosts."""
 
@@ -45,6 +48,9 @@
     age_ms: float
     """Time since this content was last confirmed by the store."""
 
+    era: int = 0
+    """Era of the store to which the revision belongs."""
+
     held_ms: float = 0.0
     """Time for which the sender held the receiver's query before it replied."""
 
@@ -67,6 +73,9 @@
     items: dict[str, KeyValue] = field(default_factory=dict)
     """Existing keys with their values."""
 
+    era: int = 0
+    """Era of the store; it rises as the store returns from an older copy."""
+
     revision: int = 0
     """Store revision up to which changes have been applied; 0 before the first read."""
 
@@ -77,7 +86,11 @@
     """Who confirmed this content last: `STORE`, or the host that this one follows."""
 
     ignored_answers: int = 0
-    """Number of answers that were ignored because their revision is older than this mirror's."""
+    """Number of answers that were ignored because they are older than this mirror."""
+
+    unsettled_until_ms: dict[str, float] = field(default_factory=dict)
+    """Keys of which the store's copy may lack the newest state, and the time until which their
+    writers may write them again."""
 
     outage_ended_ms: float = float("-inf")
     """Time at which this host last reached the store again after an outage."""
@@ -100,11 +113,16 @@
         items: Sequence[KeyValue],
         age_ms: float = 0.0,
         source: str = STORE,
+        era: int = 0,
     ) -> None:
-        """Apply a snapshot of all keys; one with an older revision is ignored."""
-        if revision < self.revision:
-            self._note_ignored(revision, source)
+        """Apply a snapshot of all keys; one of an older era or revision is ignored."""
+        if era > self.era and self.revision > 0:
+            self._enter_era(era, revision, items, age_ms, source)
             return
+        if (era, revision) < (self.era, self.revision):
+            self._note_ignored(era, revision, source)
+            return
+        self.era = era
         present = {item.key for item in items}
         gone = [
             key
@@ -124,39 +142,90 @@
         deletes: Sequence[str],
         age_ms: float = 0.0,
         source: str = STORE,
+        era: int = 0,
     ) -> None:
-        """Apply changes that follow this mirror's revision."""
-        if revision < self.revision:
-            self._note_ignored(revision, source)
+        """Apply changes that follow this mirror's revision; those of another era are ignored."""
+        if era != self.era or revision < self.revision:
+            self._note_ignored(era, revision, source)
             return
         self._apply(revision, puts, deletes, age_ms, source)
 
-    def changes_since(self, revision: int) -> MirrorChanges:
-        """Return the changes that a host at the given revision is missing."""
-        if revision < self._history_start or revision > self.revision:
-            return MirrorChanges(
-                self.revision, True, list(self.items.values()), [], max(0.0, self.age_ms())
-            )
+    def changes_since(self, revision: int, era: int = 0) -> MirrorChanges:
+        """Return the changes that a host at the given revision of an era is missing."""
+        age_ms = max(0.0, self.age_ms())
+        if era != self.era or not self._history_start <= revision <= self.revision:
+            items = list(self.items.values())
+            return MirrorChanges(self.revision, True, items, [], age_ms, self.era)
         keys = {change.key for change in self._history if change.revision > revision}
         items = [self.items[key] for key in keys if key in self.items]
         deletes = [key for key in keys if key not in self.items]
-        return MirrorChanges(self.revision, False, items, deletes, max(0.0, self.age_ms()))
+        return MirrorChanges(self.revision, False, items, deletes, age_ms, self.era)
 
     def apply(self, changes: MirrorChanges, host: str) -> None:
         """Apply changes received from another host."""
         revision, items, age_ms = changes.revision, changes.items, changes.age_ms
         if changes.is_whole:
-            self.apply_snapshot(revision, items, age_ms, host)
+            self.apply_snapshot(revision, items, age_ms, host, changes.era)
         else:
-            self.apply_changes(revision, items, changes.deletes, age_ms, host)
+            self.apply_changes(revision, items, changes.deletes, age_ms, host, changes.era)
+
+    def is_unsettled(self, key: str) -> bool:
+        """Return whether the newest state of a key may be lost and written again soon."""
+        return self.unsettled_until_ms.get(key, 0.0) > self.clock.now_ms()
+
+    def _enter_era(
+        self, era: int, revision: int, items: Sequence[KeyValue], age_ms: float, source: str
+    ) -> None:
+        """Take the content of a store that has returned from an older copy."""
+        now_ms = self.clock.now_ms()
+        restored = {item.key: item for item in items}
+        until_ms = now_ms + REWRITE_GRACE_MS
+        changed = {
+            key
+            for key in self.items.keys() | restored.keys()
+            if self.items.get(key) != restored.get(key)
+        }
+        self.unsettled_until_ms = {
+            key: until_ms for key in changed if self._may_be_newer(key, restored.get(key))
+        }
+        _log.warning(
+            "The store returned from an older copy.",
+            old_era=self.era,
+            era=era,
+            old_revision=self.revision,
+            revision=revision,
+            missing=len(self.items.keys() - restored.keys()),
+            unsettled=len(self.unsettled_until_ms),
+            source=source,
+        )
+        self.items = restored
+        self.era, self.revision = era, revision
+        self._history.clear()
+        self._history_start = revision
+        self.verified_ms, self.source = now_ms - age_ms, source
+        self.outage_ended_ms = now_ms
+        for callback in self._subscribers:
+            callback(changed)
 
-    def _note_ignored(self, revision: int, source: str) -> None:
+    def _may_be_newer(self, key: str, restored: KeyValue | None) -> bool:
+        """Return whether this mirror's state of a key is later than the restored one."""
+        known = self.items.get(key)
+        if restored is None:
+            return True
+        if known is None:
+            # A removal that this host had seen; an item beyond its revision is new to it.
+            return restored.mod_revision <= self.revision
+        return restored.mod_revision < known.mod_revision
+
+    def _note_ignored(self, era: int, revision: int, source: str) -> None:
         """Count an answer that is older than this mirror, and log it."""
         self.ignored_answers += 1
         _log.info(
-            "An answer with an older revision was ignored.",
+            "An older answer was ignored.",
             source=source,
+            answer_era=era,
             answer_revision=revision,
+            era=self.era,
             revision=self.revision,
             age_ms=round(self.age_ms()),
         )
@@ -180,6 +249,8 @@
         for key in deletes:
             if self.items.pop(key, None) is not None:
                 changed.add(key)
+        for key in changed:
+            self.unsettled_until_ms.pop(key, None)
         self.revision = revision
         confirmed_ms = self.clock.now_ms() - age_ms
         if confirmed_ms >= self.verified_ms:
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -21,6 +21,7 @@
     WatchBatch,
     prefix_end,
 )
+from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -45,10 +46,22 @@
 NOT_FOUND: Final = 404
 HISTORY_GONE: Final = 410
 CONDITION_FAILED: Final = 412
+ERA: Final = "Store-Era"
+"""Header that counts how often the store has returned from an older copy."""
+
+MAX_ERA_DIGITS: Final = 6
+"""Maximum length of an era; fencing numbers carry it above the revision."""
+
+MAX_LOGGED_ERAS: Final = 16
+"""Maximum number of unusable eras that are logged."""
+
 NOT_APPLIED_STATUSES: Final = (429, 503)
 """Statuses by which the store guarantees that a call had no effect."""
 
 
+_log = get_log("store")
+
+
 class _Item(msgspec.Struct):
     """One key in the store's format; `value` is base64 text."""
 
@@ -97,10 +110,13 @@
 class PlatformStore:
     """Implements `KeyValueStore` with the platform's HTTP calls."""
 
-    __slots__ = ("_address", "calls")
+    __slots__ = ("_address", "_logged_eras", "calls", "era")
 
     def __init__(self, address: Address) -> None:
         self._address = address
+        self.era = 0
+        """Highest era seen; 0 before the first."""
+        self._logged_eras: set[str] = set()
         self.calls: Counter[str] = Counter()
         """Number of calls so far by kind, including failed ones."""
 
@@ -114,18 +130,23 @@
             return Error(StoreFault(False, "only whole prefixes can be read; ask for one"))
         items: list[KeyValue] = []
         revision = 0
+        era = -1
         after = ""
         while True:
             query = f"path_prefix={quote(key, safe='/')}&after={quote(after, safe='/')}"
-            page = await self._get("page", f"/api/kv-range?{query}", _Page)
-            if page.is_error():
-                return Error(page.error)
+            read = await self._get("page", f"/api/kv-range?{query}", _Page)
+            if read.is_error():
+                return Error(read.error)
+            page, page_era = read.ok
+            if era not in (-1, page_era):
+                return Error(StoreFault(False, "the store returned from a copy between two pages"))
+            era = page_era
             # Pages are not a snapshot: changes are watched from the revision of the first page.
-            revision = revision or page.ok.at
-            items += [_key_value(item) for item in page.ok.items]
-            if not page.ok.has_more or not page.ok.items or 0 < limit <= len(items):
-                return Ok(RangeReply(revision, items))
-            after = page.ok.items[-1].key
+            revision = revision or page.at
+            items += [_key_value(item) for item in page.items]
+            if not page.has_more or not page.items or 0 < limit <= len(items):
+                return Ok(RangeReply(revision, items, era))
+            after = page.items[-1].key
 
     async def txn(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
@@ -183,14 +204,15 @@
         wait_ms = int(max(MIN_WATCH_WAIT_MS, silence_timeout_ms - WATCH_SLACK_MS))
         while True:
             query = f"path_prefix={quote(prefix, safe='/')}&after={after}&wait_ms={wait_ms}"
-            events = await self._get("watch", f"/api/kv-watch?{query}", _Events, silence_timeout_ms)
-            if events.is_error():
-                yield Error(events.error)
+            reply = await self._get("watch", f"/api/kv-watch?{query}", _Events, silence_timeout_ms)
+            if reply.is_error():
+                yield Error(reply.error)
                 return
-            after = max(after, events.ok.at)
-            puts = [_key_value(item) for item in events.ok.events if not item.deleted]
-            deletes = [item.key for item in events.ok.events if item.deleted]
-            yield Ok(WatchBatch(after, puts, deletes))
+            events, era = reply.ok
+            after = max(after, events.at)
+            puts = [_key_value(item) for item in events.events if not item.deleted]
+            deletes = [item.key for item in events.events if item.deleted]
+            yield Ok(WatchBatch(after, puts, deletes, era))
 
     async def _read_one(self, key: str) -> Result[RangeReply, StoreFault]:
         """Read one key."""
@@ -205,12 +227,32 @@
 
     async def _get(
         self, call: str, path: str, kind: type[T], timeout_ms: float = CALL_TIMEOUT_MS
-    ) -> Result[T, StoreFault]:
-        """Make a GET call and decode its reply."""
+    ) -> Result[tuple[T, int], StoreFault]:
+        """Make a GET call; return its decoded reply and the era of the store."""
         reply = await self._call(call, "GET", path, None, timeout_ms)
         if reply.is_error():
             return Error(reply.error)
-        return _decode(reply.ok, kind)
+        era = self._read_era(reply.ok)
+        if era < self.era:
+            return Error(StoreFault(False, f"the store's answer is of its earlier era {era}"))
+        self.era = era
+        return _decode(reply.ok, kind).map(lambda body: (body, era))
+
+    def _read_era(self, reply: CallReply) -> int:
+        """Return the era of a reply; that of earlier ones if it tells none that can be understood."""
+        text = reply.headers.get(ERA, "")
+        is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+        era = int(text) if is_number else self.era
+        if (not is_number and (text or self.era)) or era < self.era:
+            self._log_odd_era(text)
+        return era
+
+    def _log_odd_era(self, text: str) -> None:
+        """Log an era that is missing, no number, or lower than an earlier one, once each."""
+        if text in self._logged_eras or len(self._logged_eras) >= MAX_LOGGED_ERAS:
+            return
+        self._logged_eras.add(text)
+        _log.warning("The store's era can't be used.", value=text[:MAX_ERA_DIGITS], era=self.era)
 
     async def _call(
         self, call: str, method: str, path: str, body: object, timeout_ms: float = CALL_TIMEOUT_MS
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -75,7 +75,8 @@
     """Peer addresses of other hosts, by host name."""
 
     missing_since_outage: dict[str, float] = field(default_factory=dict)
-    """Replicas whose records expired in a store outage, with the time until which they are kept."""
+    """Replicas whose records expired in a store outage or are older in the store's copy, with the
+    time until which what this host knows of them is kept."""
 
     changed_ms: float = 0.0
     """Time of the last change to the replicas."""
@@ -177,6 +178,10 @@
             self._remove_replica(replica_id)
             return
         decoded = self.records.decode_replica(key, item.value)
+        if self.mirror.is_unsettled(key) and not (decoded.is_ok() and decoded.ok.is_draining):
+            # The store's copy is older than what this host knows of the replica.
+            self.missing_since_outage[replica_id] = self.mirror.unsettled_until_ms[key]
+            return
         if decoded.is_error():
             _log.warning("A replica's record can't be used.", key=key, reason=decoded.error)
             self.replicas.pop(replica_id, None)
@@ -241,6 +246,10 @@
             if now_ms < until_ms:
                 continue
             del self.missing_since_outage[replica_id]
+            key = self.records.replica_prefix + replica_id
+            if key in self.mirror.items:
+                self._apply_replica(key)
+                continue
             known = self.replicas.pop(replica_id, None)
             if known is not None:
                 self._remember_departed(known)
--- a/src/pimentodale/standin/platform_store.py
+++ b/src/pimentodale/standin/platform_store.py
@@ -19,13 +19,14 @@
 )
 from pimentodale.standin.platform_store_state import (
     DEFAULT_HISTORY,
+    ERA_HEADER,
     LeaseRequest,
     StoreTxn,
     create_store_state,
 )
 
 if TYPE_CHECKING:
-    from pimentodale.standin.platform_store_state import StoreAnswer, StoreState
+    from pimentodale.standin.platform_store_state import StoreAnswer, StoreCopy, StoreState
 
 LEASE_TICK_MS: Final = 50.0
 """How often leases are looked at."""
@@ -53,6 +54,8 @@
 
     state: StoreState
     outage: OutageState
+    saved: StoreCopy | None = None
+    """Copy from which the store may return."""
 
     def check_leases(self) -> None:
         """End leases that have run out; none does while the store is down."""
@@ -88,6 +91,7 @@
 
     def send(self, answer: StoreAnswer) -> None:
         """Send an answer."""
+        self.set_header(ERA_HEADER, str(self.state.era))
         self.set_status(answer.status)
         self.reply(answer.body)
 
@@ -176,6 +180,27 @@
         self.reply({})
 
 
+class SaveHandler(StoreHandler):
+    """`/admin/save`: makes a copy of what the store holds."""
+
+    def post(self) -> None:
+        """Make it."""
+        self.part.saved = self.state.copy()
+        self.reply({})
+
+
+class RestoreHandler(StoreHandler):
+    """`/admin/restore`: returns from the copy."""
+
+    async def post(self) -> None:
+        """Return from it."""
+        if self.part.saved is None:
+            self.refuse(409, "no copy was saved; call /admin/save first")
+            return
+        await self.state.restore(self.part.saved)
+        self.reply({"era": self.state.era})
+
+
 async def start_part(settings: Settings) -> None:
     """Start the stand-in; it runs as long as the process."""
     outage = OutageState(settings.faults, bool(settings.admin_listen))
@@ -190,7 +215,11 @@
         "/api/kv-lease-end/([0-9]+)": LeaseEndHandler,
     }
     arguments: dict[str, Any] = {"part": part}
-    admin: dict[str, type[PartHandler]] = {"/admin/forget": ForgetHandler}
+    admin: dict[str, type[PartHandler]] = {
+        "/admin/forget": ForgetHandler,
+        "/admin/save": SaveHandler,
+        "/admin/restore": RestoreHandler,
+    }
     application = create_application({**handlers, **admin}, arguments, outage)
     outage.listeners.append(Listener(settings.listen, application))
     await outage.apply()
--- a/src/pimentodale/standin/platform_store_state.py
+++ b/src/pimentodale/standin/platform_store_state.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -21,6 +21,9 @@
 HISTORY_GONE: Final = 410
 CONDITION_FAILED: Final = 412
 
+ERA_HEADER: Final = "Store-Era"
+"""Header of every answer: how often the store has returned from a copy, from 1 on."""
+
 DEFAULT_HISTORY: Final = 1_000
 """Number of changes that watches can go back."""
 
@@ -83,6 +86,16 @@
     until_ms: float
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """What a copy of the store holds."""
+
+    items: dict[str, StoreItem]
+    leases: dict[int, HeldLease]
+    revision: int
+    next_lease: int
+
+
 @dataclass(slots=True)
 class StoreState:
     """Keys, revisions, leases and the history for watches."""
@@ -93,6 +106,9 @@
     history: deque[StoreItem] = field(default_factory=deque)
     leases: dict[int, HeldLease] = field(default_factory=dict)
     revision: int = 1
+    era: int = 1
+    """Rises each time that the store returns from a copy."""
+
     dropped: int = 0
     """Changes up to this revision are no longer in the history."""
 
@@ -115,7 +131,7 @@
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreAnswer:
         """Wait for changes under a prefix."""
-        if after < self.dropped:
+        if not self.dropped <= after <= self.revision:
             return _error(HISTORY_GONE, "this history is gone")
 
         def events() -> list[StoreItem]:
@@ -125,11 +141,14 @@
                 if item.revision > after and item.key.startswith(prefix)
             ]
 
+        era = self.era
         try:
             async with asyncio.timeout(wait_ms / MS_PER_S), self.changed:
-                await self.changed.wait_for(events)
+                await self.changed.wait_for(lambda: events() or self.era != era)
         except TimeoutError:
             pass
+        if self.era != era:
+            return _error(HISTORY_GONE, "this history is gone")
         return StoreAnswer(OK, {"events": events(), "at": self.revision})
 
     async def transact(self, txn: StoreTxn) -> StoreAnswer:
@@ -190,6 +209,21 @@
         for lease in self.leases.values():
             lease.until_ms += duration_ms
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds."""
+        leases = {number: replace(lease) for number, lease in self.leases.items()}
+        return StoreCopy(dict(self.items), leases, self.revision, self.next_lease)
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Return from a copy: what was written since is gone, its revisions are given out again."""
+        self.era += 1
+        self.items = dict(copy.items)
+        self.leases = {number: replace(lease) for number, lease in copy.leases.items()}
+        self.revision = copy.revision
+        self.next_lease = copy.next_lease
+        self.forget_history()
+        await self._tell()
+
     def forget_history(self) -> None:
         """Drop the history, as the platform's store may."""
         self.dropped = self.revision
