Let no lease, record or fencing number outlive a store's return from a copy

- A lease that the copy lacks could be renewed under an id that belongs to another host by then: neither noticed.
The adapter now puts the era into the ids that it hands out, and a lease of an earlier era has ended.
- Fencing numbers fell: replicas refuse the orders of a new holder until the revisions have caught up, and no layers are placed.
The era now stands above the revision in them.
- Another host could take the placement lease while its holder still relied on it.
After a return nobody takes it for the time that a lease lasts.
- A host whose record was lost writes it again after up to 1.2 s, not all at once.

Evidence: features/store_restored.feature.

--- a/features/steps/placement_lease.py
+++ b/features/steps/placement_lease.py
@@ -27,6 +27,8 @@
     items: dict[str, Any]
     reached_ms: float
     clock: ManualClock
+    era: int = 0
+    era_entered_ms: float = float("-inf")
 
     def age_ms(self) -> float:
         """Return how long ago any host last reached the store."""
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -409,7 +409,8 @@
 
     context.is_listed = lambda: key in context.state.items
     store = MemoryStore(context.state, gate)
-    keeping = keep_registered(store, context.clock, "h1", "127.0.0.1:7002", context.is_listed)
+    rng = random.Random(context.site.seed)
+    keeping = keep_registered(store, context.clock, rng, "h1", "127.0.0.1:7002", context.is_listed)
     context.keeping = context.loop.create_task(keeping)
 
 
--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -4,24 +4,30 @@
 
 import asyncio
 import json
+import random
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 from expression import Ok
 from features.steps.configuration_in_force import APPLY_MS
-from features.support.mirror_site import RECORDS, MirrorSite
+from features.support.mirror_site import RECORDS, MirrorSite, SimulatedStore
+from features.support.virtual_time import run_virtually
 from structlog.testing import capture_logs
 
 from pimentodale.addresses import Address
 from pimentodale.clients.http_call import CallReply
-from pimentodale.clients.key_value import KeyValue
-from pimentodale.clock import ManualClock
+from pimentodale.clients.key_value import KeyValue, Put, fencing_number
+from pimentodale.clock import MS_PER_S, ManualClock
 from pimentodale.forwarding.forwarder import STALE_CONFIGURATION_MS
+from pimentodale.gateway.registration import keep_registered
 from pimentodale.mirror.follower import WATCHERS
 from pimentodale.mirror.mirror import create_mirror
 from pimentodale.peers.mesh import choose_watchers
+from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
 from pimentodale.platform.store import PlatformStore
-from pimentodale.site.view import create_site_view
+from pimentodale.site.replica_health import create_replica_health
+from pimentodale.site.view import HOST_PREFIX, create_site_view
+from pimentodale.steward.lease import LEASE_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -225,3 +231,163 @@
 def check_era(context: Any, count: int) -> None:
     assert context.store.era == 3
     assert len(context.lines) == count, context.lines
+
+
+@given("two hosts at a store that has been copied")
+def two_hosts(context: Any) -> None:
+    context.mirrors = MirrorSite(context.site.seed, 1, 2)
+    context.first, context.second = (SimulatedStore(context.mirrors, name) for name in ("a", "b"))
+    context.copied = context.mirrors.copy()
+
+
+def wait_for(context: Any, work: Any) -> Any:
+    return run_virtually(context.mirrors.loop, work)
+
+
+@when(
+    "one of them gets a lease, the store returns, and the other one gets a lease with the same id"
+)
+def reissue_lease(context: Any) -> None:
+    state = context.mirrors.state
+    context.lease = wait_for(context, context.first.grant_lease(9_000.0)).ok
+    before = wait_for(context, context.first.txn([], [Put("k", b"1", context.lease)])).ok
+    context.fence_before = fencing_number(before.era, before.revision)
+    number = state.next_lease
+    context.mirrors.restore(context.copied, 10.0)
+    context.other_lease = wait_for(context, context.second.grant_lease(9_000.0)).ok
+    assert state.next_lease == number
+    written = wait_for(context, context.second.txn([], [Put("j", b"2", context.other_lease)])).ok
+    context.fence_after = fencing_number(written.era, written.revision)
+
+
+@then("the first host's lease has ended, and it can't write by it or end the other one")
+def check_lease_ended(context: Any) -> None:
+    assert wait_for(context, context.first.keep_lease(context.lease)).ok == 0.0
+    assert wait_for(context, context.first.txn([], [Put("k", b"1", context.lease)])).is_error()
+    assert wait_for(context, context.first.revoke_lease(context.lease)).is_ok()
+    assert wait_for(context, context.second.keep_lease(context.other_lease)).ok > 0.0
+    assert "j" in context.mirrors.state.items
+
+
+@then("a transaction after the return has a higher fencing number than one before it")
+def check_fences(context: Any) -> None:
+    assert context.fence_after > context.fence_before
+
+
+@given(
+    "a site of {domains:d} failure domains of {hosts:d} hosts that follow the store and register"
+)
+def registering_site(context: Any, domains: int, hosts: int) -> None:
+    site = context.mirrors = MirrorSite(context.site.seed, domains, hosts)
+    context.copied = site.copy()
+    site.start()
+    for host in site.hosts.values():
+        register(site, host.name)
+    site.run(8_000.0)
+
+
+def register(site: MirrorSite, name: str) -> None:
+    """Keep a host's record in the store."""
+    host = site.hosts[name]
+    items = host.view.mirror
+    key = HOST_PREFIX + name
+    rng = random.Random(site.rng.random())
+    work = keep_registered(
+        host.store, site.clock, rng, name, "10.0.0.1:1", lambda: key in items.items
+    )
+    host.tasks.append(site.loop.create_task(work))
+
+
+@when("the store returns from a copy that has none of their records")
+def return_without_records(context: Any) -> None:
+    site = context.mirrors
+    assert len(registered(site)) == len(site.hosts)
+    site.writes_ms.clear()
+    site.restore(context.copied, AWAY_MS)
+    assert not registered(site)
+
+
+def registered(site: MirrorSite) -> set[str]:
+    return {key for key in site.state.items if key.startswith(HOST_PREFIX)}
+
+
+@then("all records are there within 2 s, by at most {peak:d} writing calls in any second")
+def check_records(context: Any, peak: int) -> None:
+    site = context.mirrors
+    site.run(2_000.0)
+    assert len(registered(site)) == len(site.hosts), len(registered(site))
+    times = sorted(site.writes_ms)
+    most = max(sum(start <= at < start + MS_PER_S for at in times) for start in times)
+    print(f"{len(times)} writing calls, at most {most} in a second")
+    assert most <= peak, most
+    site.stop()
+
+
+@given(
+    "a site of {domains:d} failure domains of {hosts:d} hosts that follow the store, register and"
+    " place layers"
+)
+def placing_site(context: Any, domains: int, hosts: int) -> None:
+    registering_site(context, domains, hosts)
+    site = context.mirrors
+    engines: Any = None
+    context.placers = []
+    for rank, host in enumerate(site.hosts.values()):
+        placer = Placer(
+            host.name,
+            host.store,
+            engines,
+            host.view,
+            create_replica_health(site.clock),
+            site.clock,
+            random.Random(site.rng.random()),
+            lambda rank=rank: rank,
+        )
+        context.placers.append(placer)
+    context.without_lease = site.copy()
+    for placer in context.placers:
+        site.loop.create_task(placer.run())
+    site.run(6_000.0)
+    context.with_lease = site.copy()
+
+
+def ordering(context: Any) -> list[Placer]:
+    """Return the hosts that may order now."""
+    return [placer for placer in context.placers if placer._may_order()]
+
+
+@when("the store returns from a copy that {case}")
+def return_with_placers(context: Any, case: str) -> None:
+    site = context.mirrors
+    (holder,) = ordering(context)
+    context.fence = holder.lease.fencing_number
+    assert context.fence == max(highest_fence(host.view) for host in site.hosts.values())
+    site.run(2_000.0)
+    if "cut off" in case:
+        site.cut_off.add(holder.host)
+    copy = context.with_lease if case.startswith("has") else context.without_lease
+    site.restore(copy, AWAY_MS)
+    assert (LEASE_PREFIX + LEASE_NAME in site.state.items) == case.startswith("has")
+    context.returned_ms = site.clock.now_ms()
+    context.at_once, context.placed_ms = 0, 0.0
+    while site.clock.now_ms() < context.returned_ms + 12_000.0:
+        site.run(25.0)
+        found = ordering(context)
+        context.at_once = max(context.at_once, len(found))
+        for placer in found:
+            if not context.placed_ms and placer.lease.fencing_number > context.fence:
+                context.placed_ms = site.clock.now_ms()
+    site.stop()
+
+
+@then("no two hosts could order at the same time")
+def check_one_holder(context: Any) -> None:
+    assert context.at_once == 1, context.at_once
+
+
+@then(
+    "one host places layers at most {limit_ms:d} ms after the return, with a higher fencing number"
+)
+def check_placed(context: Any, limit_ms: int) -> None:
+    assert context.placed_ms, "nobody places layers"
+    assert context.placed_ms - context.returned_ms <= limit_ms, context.placed_ms
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -45,3 +45,35 @@
       | not ASCII    | ٣     | 1     |
       | endless      | 99999999999999999999 | 1 |
       | falling      | 2     | 1     |
+
+  # Guards against a lease that is taken for held because its id was given out to another host.
+  Scenario: a lease that the copy lacks has ended, although its id is given out again
+    Given two hosts at a store that has been copied
+    When one of them gets a lease, the store returns, and the other one gets a lease with the same id
+    Then the first host's lease has ended, and it can't write by it or end the other one
+    And a transaction after the return has a higher fencing number than one before it
+
+  # Guards against duties with two holders, and against orders that engines refuse for good, as their
+  # fencing numbers fell.
+  Scenario Outline: one host at a time places layers over a return of the store, <case>
+    Given a site of 3 failure domains of 5 hosts that follow the store, register and place layers
+    When the store returns from a copy that <case>
+    Then no two hosts could order at the same time
+    And one host places layers at most <limit> ms after the return, with a higher fencing number
+
+    Examples:
+      | case                                   | limit |
+      | has the holder's lease                 | 7000  |
+      | lacks the holder's lease               | 7000  |
+      | lacks it, while the holder is cut off  | 7000  |
+
+  # Guards against hosts that can't be found after a return, and against all of them writing at once.
+  Scenario Outline: what hosts wrote is in the store again within 2 s of its return
+    Given a site of <domains> failure domains of <hosts> hosts that follow the store and register
+    When the store returns from a copy that has none of their records
+    Then all records are there within 2 s, by at most <peak> writing calls in any second
+
+    Examples:
+      | domains | hosts | peak |
+      | 3       | 5     | 60   |
+      | 3       | 100   | 800  |
--- a/features/support/mirror_site.py
+++ b/features/support/mirror_site.py
@@ -48,6 +48,9 @@
 PEER_MS: Final = 2.0
 """Time that a request takes from one host to another and back."""
 
+WRITES: Final = ("transaction", "lease", "lease end")
+"""Kinds of calls that the store counts as writes."""
+
 SAMPLE_MS: Final = 25.0
 """Interval at which hosts are looked at."""
 
@@ -111,6 +114,8 @@
         """Answer one call, or none while the host can't reach the store."""
         self.calls[call] += 1
         site = self._site
+        if call in WRITES:
+            site.writes_ms.append(site.clock.now_ms())
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 await asyncio.sleep(STORE_MS / 2 / MS_PER_S)
@@ -200,6 +205,9 @@
         self.refusals: list[str] = []
         """Hosts that took their copy for current although it lacked a change that was due."""
 
+        self.writes_ms: list[float] = []
+        """Times of all writing calls."""
+
         self.back: list[str] = []
         """Hosts that went back to an earlier configuration."""
 
@@ -225,6 +233,7 @@
     def start(self) -> None:
         """Start all hosts on a first configuration, and let them settle."""
         self.configure()
+        self.loop.create_task(self._end_lapsed_leases())
         for name in self.hosts:
             self.start_host(name)
         self.run(5_000.0)
@@ -325,6 +334,15 @@
                 if host.name not in self.cut_off:
                     self.late.append(f"{host.name} at {now_ms:.0f} ms, due {version}")
 
+    async def _end_lapsed_leases(self) -> None:
+        """End leases that run out, as the store does; none does while it is away."""
+        while True:
+            await self.clock.sleep_ms(SAMPLE_MS)
+            if self.is_store_down:
+                self.state.extend_leases(SAMPLE_MS)
+            else:
+                await self.state.end_lapsed_leases()
+
     def _check_confirmation(self, host: MirrorHost) -> None:
         """Note a host whose copy is older than it counts as."""
         verified_ms = host.view.mirror.verified_ms
--- a/features/support/virtual_time.py
+++ b/features/support/virtual_time.py
@@ -6,6 +6,8 @@
 import selectors
 from typing import TYPE_CHECKING, Any, TypeVar
 
+from structlog.testing import capture_logs
+
 from pimentodale.clock import MS_PER_S, Clock
 
 if TYPE_CHECKING:
@@ -59,5 +61,6 @@
 
 
 def run_virtually(loop: VirtualTimeLoop, work: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine to its end on a loop, which can be used again."""
-    return loop.run_until_complete(work)
+    """Run a coroutine to its end on a loop, which can be used again; its log lines are dropped."""
+    with capture_logs():
+        return loop.run_until_complete(work)
--- a/src/pimentodale/clients/key_value.py
+++ b/src/pimentodale/clients/key_value.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 import msgspec
 
@@ -15,6 +15,10 @@
     from expression import Result
 
 
+REVISION_BITS: Final = 32
+"""Bits of a fencing number below the era; with eras of six digits it fits into JSON's 53 bits."""
+
+
 class KeyValue(msgspec.Struct, frozen=True):
     """One stored key."""
 
@@ -106,6 +110,9 @@
     items: list[KeyValue] = []
     """When they did not hold: the compared keys as they were (absent ones left out)."""
 
+    era: int = 0
+    """The service's era, as in `RangeReply`."""
+
 
 class WatchBatch(msgspec.Struct, frozen=True):
     """Changes that a watch reports together."""
@@ -160,6 +167,16 @@
         """
 
 
+def fencing_number(era: int, revision: int) -> int:
+    """Return a number that rises with each change of the service, also after its restoration.
+
+    Args:
+        era: The service's era.
+        revision: Its revision within that era.
+    """
+    return (era << REVISION_BITS) + revision
+
+
 def prefix_end(prefix: str) -> str:
     """Return the exclusive end of the range of keys that start with `prefix`."""
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -53,7 +53,7 @@
 from pimentodale.site.domain_outages import detect_domain_outages
 from pimentodale.site.replica_health import create_replica_health, incarnation_of
 from pimentodale.site.slow_replicas import create_slow_replicas
-from pimentodale.site.view import create_site_view
+from pimentodale.site.view import HOST_PREFIX, create_site_view
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -189,9 +189,10 @@
         keep_registered(
             platform.store,
             gateway.clock,
+            gateway.rng,
             settings.host,
             settings.peer_listen,
-            lambda: settings.host in view.peer_addresses,
+            lambda: HOST_PREFIX + settings.host in mirror.items,
         ),
         "registration",
     )
@@ -254,6 +255,7 @@
     metrics.add_gauge("live_hosts", lambda: len(peers.live_members()))
     metrics.add_gauge("mirror_age_ms", view.mirror.age_ms)
     metrics.add_gauge("mirror_revision", lambda: view.mirror.revision)
+    metrics.add_gauge("mirror_era", lambda: view.mirror.era)
     metrics.add_gauge("mirror_ignored_answers", lambda: view.mirror.ignored_answers)
     metrics.add_gauge("configuration_version", lambda: _configuration_version(view))
     metrics.add_gauge("convicted_requests", record.count_convicted)
--- a/src/pimentodale/gateway/registration.py
+++ b/src/pimentodale/gateway/registration.py
@@ -9,6 +9,7 @@
 from pimentodale.site.view import HOST_PREFIX
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from pimentodale.clients.key_value import KeyValueStore
@@ -27,17 +28,26 @@
 RETRY_DELAY_MS: Final = 500.0
 """Delay before a retry after a failed store call."""
 
+REWRITE_SPREAD_MS: Final = 1_200.0
+"""Maximum delay before a lost record is written again, as all hosts of a site may do at once."""
+
 _log = get_log("registration")
 
 
 async def keep_registered(
-    store: KeyValueStore, clock: Clock, host: str, address: str, is_listed: Callable[[], bool]
+    store: KeyValueStore,
+    clock: Clock,
+    rng: random.Random,
+    host: str,
+    address: str,
+    is_listed: Callable[[], bool],
 ) -> None:
     """Register this host and renew its record until cancelled.
 
     Args:
         store: The platform's key-value store.
         clock: Time source.
+        rng: Spreads the hosts of a site that write a lost record again.
         host: Name of this host.
         address: Address where its peers reach it.
         is_listed: Returns whether this host's mirror of the store contains the record.
@@ -54,19 +64,25 @@
             await clock.sleep_ms(RETRY_DELAY_MS)
             continue
         while True:
-            await _wait_for_renewal(clock, is_listed)
+            if await _wait_for_renewal(clock, is_listed):
+                await clock.sleep_ms(REWRITE_SPREAD_MS * rng.random())
             kept = await store.keep_lease(granted.ok)
             if kept.is_ok() and kept.ok <= 0:
                 _log.warning("This host's record expired; registering again.")
                 break
 
 
-async def _wait_for_renewal(clock: Clock, is_listed: Callable[[], bool]) -> None:
-    """Wait until the renewal is due or the record is gone; a store outage may end leases early."""
+async def _wait_for_renewal(clock: Clock, is_listed: Callable[[], bool]) -> bool:
+    """Wait until the renewal is due or the record is gone; a store outage may end leases early.
+
+    Returns:
+        Whether the record is gone.
+    """
     due_ms = clock.now_ms() + RENEW_INTERVAL_MS
     was_listed = False
     while clock.now_ms() < due_ms:
         await clock.sleep_ms(POLL_INTERVAL_MS)
         if was_listed and not is_listed():
-            return
+            return True
         was_listed = is_listed()
+    return False
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -135,7 +135,7 @@
                 await self.clock.sleep_ms(self.retry_ms() * self.rng.uniform(0.6, 1.4))
                 continue
             self._failures = 0
-            self._note_store_available(snapshot.ok.revision)
+            self._note_store_available(snapshot.ok.revision, snapshot.ok.era)
             # The store may have read the first page as soon as it was asked.
             age_ms = self.clock.now_ms() - asked_ms
             read = snapshot.ok
@@ -300,14 +300,14 @@
             _log.warning("The store doesn't answer.", reason=reason, revision=self.mirror.revision)
         self.is_connected = False
 
-    def _note_store_available(self, revision: int) -> None:
+    def _note_store_available(self, revision: int, era: int) -> None:
         """Log that the store is available, and record the end of an outage."""
         if self.is_connected:
             return
         self.is_connected = True
         if self.mirror.revision > 0:
             self.mirror.outage_ended_ms = self.clock.now_ms()
-        _log.info("The store answers.", revision=revision)
+        _log.info("The store answers.", revision=revision, era=era)
 
 
 def create_mirror_follower(
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -88,6 +88,9 @@
     ignored_answers: int = 0
     """Number of answers that were ignored because they are older than this mirror."""
 
+    era_entered_ms: float = float("-inf")
+    """Time at which this host saw that the store had returned from an older copy."""
+
     unsettled_until_ms: dict[str, float] = field(default_factory=dict)
     """Keys of which the store's copy may lack the newest state, and the time until which their
     writers may write them again."""
@@ -203,7 +206,7 @@
         self._history.clear()
         self._history_start = revision
         self.verified_ms, self.source = now_ms - age_ms, source
-        self.outage_ended_ms = now_ms
+        self.outage_ended_ms = self.era_entered_ms = now_ms
         for callback in self._subscribers:
             callback(changed)
 
--- a/src/pimentodale/placement/placer.py
+++ b/src/pimentodale/placement/placer.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
+from pimentodale.clients.key_value import fencing_number
 from pimentodale.logs import get_log
 from pimentodale.placement.domain_history import DomainHistory, create_domain_history
 from pimentodale.placement.lease_candidacy import Candidacy, create_candidacy
@@ -158,7 +159,9 @@
 
     async def _try_acquire_lease(self) -> None:
         """Acquire the lease if no host holds it and this host's delay has passed."""
-        is_held = _LEASE_KEY in self.view.mirror.items
+        # A store that has returned from a copy may lack the lease of a host that still relies on it.
+        held_until_ms = self.view.mirror.era_entered_ms + LEASE_TTL_MS
+        is_held = _LEASE_KEY in self.view.mirror.items or self.clock.now_ms() < held_until_ms
         if self._is_released or not self.candidacy.is_due(is_held=is_held):
             return
         taken = await acquire_lease(
@@ -344,4 +347,4 @@
 def highest_fence(view: SiteView) -> int:
     """Return the fencing number of the lease's current holder, as seen in the mirror."""
     item = view.mirror.items.get(_LEASE_KEY)
-    return 0 if item is None else item.mod_revision
+    return 0 if item is None else fencing_number(view.mirror.era, item.mod_revision)
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -52,6 +52,9 @@
 MAX_ERA_DIGITS: Final = 6
 """Maximum length of an era; fencing numbers carry it above the revision."""
 
+LEASE_BITS: Final = 40
+"""Bits of a lease id below the era in which it was granted."""
+
 MAX_LOGGED_ERAS: Final = 16
 """Maximum number of unusable eras that are logged."""
 
@@ -153,47 +156,66 @@
     ) -> Result[TxnReply, StoreFault]:
         """Apply the writes atomically if every condition holds."""
         puts: list[dict[str, Any]] = []
+        leases = {write.lease_id for write in writes if isinstance(write, Put)} - {0}
+        if any(_lease_era(lease) < self.era for lease in leases):
+            return Error(StoreFault(False, "the lease ended as the store returned from a copy"))
         removals: list[str] = []
         for write in writes:
             if isinstance(write, Delete):
                 removals.append(write.key)
                 continue
             value = base64.b64encode(write.value).decode()
-            puts.append({"key": write.key, "value": value, "lease": write.lease_id})
+            puts.append({"key": write.key, "value": value, "lease": _lease_number(write.lease_id)})
         expected = [{"key": item.key, "revision": item.mod_revision} for item in compares]
         body = {"expected": expected, "puts": puts, "remove": removals}
         reply = await self._call("transaction", "POST", "/api/kv-txn", body)
         if reply.is_error():
             return Error(reply.error)
+        era = self._note_era(reply.ok)
         if reply.ok.status == OK:
-            return _decode(reply.ok, _TxnApplied).map(lambda done: TxnReply(done.revision, True))
+            return _decode(reply.ok, _TxnApplied).map(
+                lambda done: TxnReply(done.revision, True, era=era)
+            )
         if reply.ok.status == CONDITION_FAILED:
             return _parse(reply.ok, _TxnConflict).map(
                 lambda conflict: TxnReply(
-                    0, False, [_key_value(item) for item in conflict.items if item.revision]
+                    0,
+                    False,
+                    [_key_value(item) for item in conflict.items if item.revision],
+                    era,
                 )
             )
         return Error(_status_fault(reply.ok))
 
     async def grant_lease(self, ttl_ms: float) -> Result[int, StoreFault]:
-        """Create a lease and return its id."""
+        """Create a lease and return its id, which is not given out again in a later era."""
         reply = await self._call("lease", "POST", "/api/kv-lease", {"ttl_ms": int(ttl_ms)})
         if reply.is_error():
             return Error(reply.error)
-        return _decode(reply.ok, _Lease).map(lambda lease: lease.lease)
+        era = self._note_era(reply.ok)
+        return _decode(reply.ok, _Lease).map(lambda lease: (era << LEASE_BITS) + lease.lease)
 
     async def keep_lease(self, lease_id: int) -> Result[float, StoreFault]:
-        """Renew a lease and return its remaining time in ms, 0 if it has expired."""
-        reply = await self._call("renewal", "POST", f"/api/kv-keep/{lease_id}", None)
+        """Renew a lease and return its remaining time in ms, 0 if it has expired.
+
+        A lease of an earlier era counts as expired: its id may belong to another one by now.
+        """
+        if _lease_era(lease_id) < self.era:
+            return Ok(0.0)
+        path = f"/api/kv-keep/{_lease_number(lease_id)}"
+        reply = await self._call("renewal", "POST", path, None)
         if reply.is_error():
             return Error(reply.error)
-        if reply.ok.status == NOT_FOUND:
+        if reply.ok.status == NOT_FOUND or _lease_era(lease_id) < self._note_era(reply.ok):
             return Ok(0.0)
         return _decode(reply.ok, _Lease).map(lambda lease: lease.ttl_ms)
 
     async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
         """End a lease and remove its keys."""
-        reply = await self._call("lease end", "DELETE", f"/api/kv-lease-end/{lease_id}", None)
+        if _lease_era(lease_id) < self.era:
+            return Ok(None)
+        path = f"/api/kv-lease-end/{_lease_number(lease_id)}"
+        reply = await self._call("lease end", "DELETE", path, None)
         return reply.map(lambda _: None)
 
     async def watch(
@@ -221,8 +243,9 @@
             return Error(reply.error)
         if reply.ok.status == NOT_FOUND:
             return Ok(RangeReply(0, []))
+        era = self._note_era(reply.ok)
         return _decode(reply.ok, _Item).map(
-            lambda item: RangeReply(item.revision, [_key_value(item)])
+            lambda item: RangeReply(item.revision, [_key_value(item)], era)
         )
 
     async def _get(
@@ -232,19 +255,19 @@
         reply = await self._call(call, "GET", path, None, timeout_ms)
         if reply.is_error():
             return Error(reply.error)
-        era = self._read_era(reply.ok)
+        era = self._note_era(reply.ok)
         if era < self.era:
             return Error(StoreFault(False, f"the store's answer is of its earlier era {era}"))
-        self.era = era
         return _decode(reply.ok, kind).map(lambda body: (body, era))
 
-    def _read_era(self, reply: CallReply) -> int:
+    def _note_era(self, reply: CallReply) -> int:
         """Return the era of a reply; that of earlier ones if it tells none that can be understood."""
         text = reply.headers.get(ERA, "")
         is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
         era = int(text) if is_number else self.era
         if (not is_number and (text or self.era)) or era < self.era:
             self._log_odd_era(text)
+        self.era = max(self.era, era)
         return era
 
     def _log_odd_era(self, text: str) -> None:
@@ -296,6 +319,16 @@
     )
 
 
+def _lease_era(lease_id: int) -> int:
+    """Return the era in which a lease was granted."""
+    return lease_id >> LEASE_BITS
+
+
+def _lease_number(lease_id: int) -> int:
+    """Return the store's own id of a lease."""
+    return lease_id & ((1 << LEASE_BITS) - 1)
+
+
 def _key_value(item: _Item) -> KeyValue:
     """Translate one item; an invalid base64 value becomes empty bytes."""
     try:
--- a/src/pimentodale/steward/lease.py
+++ b/src/pimentodale/steward/lease.py
@@ -7,7 +7,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from pimentodale.clients.key_value import Compare, Put, StoreFault
+from pimentodale.clients.key_value import Compare, Put, StoreFault, fencing_number
 
 if TYPE_CHECKING:
     from pimentodale.clients.key_value import KeyValueStore
@@ -194,7 +194,8 @@
         raised = await store.read(key + FENCING_NUMBER_SUFFIX)
         if raised.is_ok():
             digits = raised.ok.items[0].value if raised.ok.items else b""
-            number = max(revision, int(digits) + 1 if digits.isdigit() else 0)
+            own_number = fencing_number(taken.ok.era, revision)
+            number = max(own_number, int(digits) + 1 if digits.isdigit() else 0)
             lease = HeldLease(
                 store, clock, key, granted.ok, revision, number, ttl_ms, margin_ms, asked_ms
             )
