Write crash entries and trials again after the store's return from a copy

Each host now writes the entries and trials again that it had written; nobody takes a trial in the 2 s after a return.

Evidence: a scenario of features/store_restored.feature; it needs what this commit adds (a call after a return) and was not run on the code before.

--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
@@ -25,6 +26,10 @@
 from pimentodale.peers.mesh import choose_watchers
 from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
 from pimentodale.platform.store import PlatformStore
+from pimentodale.quarantine.crash_record import create_crash_record
+from pimentodale.quarantine.crash_sharing import CRASH_PREFIX, share_crashes
+from pimentodale.quarantine.retrials import RETRIAL_PREFIX, TRIALS_AFTER_MS, create_retrials
+from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.site.replica_health import create_replica_health
 from pimentodale.site.view import HOST_PREFIX, create_site_view
 from pimentodale.steward.lease import LEASE_PREFIX
@@ -391,3 +396,58 @@
 def check_placed(context: Any, limit_ms: int) -> None:
     assert context.placed_ms, "nobody places layers"
     assert context.placed_ms - context.returned_ms <= limit_ms, context.placed_ms
+
+
+@given("a host that has stored three crashes of a request and taken its trial, at a copied store")
+def host_with_crashes(context: Any) -> None:
+    site = context.mirrors = MirrorSite(context.site.seed, 1, 2)
+    context.copied = site.copy()
+    site.start()
+    peers: Any = SimpleNamespace(publish=lambda *_a, **_k: None, subscribe=lambda *_a: None)
+    context.trials = []
+    for number, host in enumerate(site.hosts.values()):
+        record = create_crash_record(site.clock)
+        writer = create_store_writer(site.clock, host.store, 600_000.0)
+        mirror = host.view.mirror
+        trials = create_retrials(host.name, site.clock, record, host.store, mirror.has_settled)
+        context.trials.append(trials)
+        for crash in ("r1/5", "r2/5", "r3/5"):
+            record.strike("f", crash, is_fresh=True)
+        if number:
+            continue
+        rewrite = share_crashes(record, peers, writer.put, host.name)
+        record.strike("f", "r4/5", is_fresh=True)
+        mirror.subscribe_return(rewrite)
+        mirror.subscribe_return(lambda trials=trials: site.loop.create_task(trials.rewrite()))
+        site.loop.create_task(writer.run())
+    site.run(TRIALS_AFTER_MS[0] + 100.0)
+    assert wait_for(context, context.trials[0].acquire("f"))
+    context.keys = {f"{CRASH_PREFIX}f/h00", f"{RETRIAL_PREFIX}f/1"}
+    assert context.keys <= set(site.state.items)
+
+
+@when("the store returns from the copy")
+def return_from_copy(context: Any) -> None:
+    site = context.mirrors
+    site.restore(context.copied, AWAY_MS)
+    while site.hosts["h00"].view.mirror.era == 1:
+        site.run(10.0)
+
+
+@then("the host has written the crashes and the trial again within 100 ms")
+def check_written_again(context: Any) -> None:
+    context.mirrors.run(100.0)
+    assert context.keys <= set(context.mirrors.state.items), list(context.mirrors.state.items)
+
+
+@then(
+    "no other host takes a trial of the request in the 2 s after the return, or that one after it"
+)
+def check_no_trial(context: Any) -> None:
+    del context.mirrors.state.items[f"{RETRIAL_PREFIX}f/1"]
+    context.mirrors.run(1_500.0)
+    assert not wait_for(context, context.trials[1].acquire("f"))
+    wait_for(context, context.trials[0].rewrite())
+    context.mirrors.run(1_000.0)
+    assert not wait_for(context, context.trials[1].acquire("f"))
+    context.mirrors.stop()
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -77,3 +77,10 @@
       | domains | hosts | peak |
       | 3       | 5     | 60   |
       | 3       | 100   | 800  |
+
+  # Guards against refused requests that run again, as the store has forgotten why they are refused.
+  Scenario: what is known of crashing requests is in the store again after its return
+    Given a host that has stored three crashes of a request and taken its trial, at a copied store
+    When the store returns from the copy
+    Then the host has written the crashes and the trial again within 100 ms
+    And no other host takes a trial of the request in the 2 s after the return, or that one after it
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -244,9 +244,16 @@
     detect_domain_outages(replica_health, view.replicas.values, settings.failure_domain, clock)
     writer = create_store_writer(clock, gateway.platform.store, CRASH_RETENTION_MS)
     gateway.background.start(writer.run(), "crash writer")
-    share_crashes(record, peers, writer.put, settings.host)
+    rewrite_crashes = share_crashes(record, peers, writer.put, settings.host)
     follow_stored_crashes(record, view.mirror)
-    retrials = create_retrials(settings.host, clock, record, gateway.platform.store)
+    store, mirror = gateway.platform.store, view.mirror
+    retrials = create_retrials(settings.host, clock, record, store, mirror.has_settled)
+
+    def rewrite() -> None:
+        rewrite_crashes()
+        gateway.background.start(retrials.rewrite(), "rewriting of trials")
+
+    mirror.subscribe_return(rewrite)
     metrics = create_gateway_metrics()
     metrics.store_calls = gateway.platform.store_calls
     metrics.count_hold_offs = lambda: replica_health.hold_offs.asked
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -101,11 +101,20 @@
     _history: deque[_Change] = field(default_factory=lambda: deque(maxlen=HISTORY_LENGTH))
     _history_start: int = 0
     _subscribers: list[Callable[[set[str]], None]] = field(default_factory=list)
+    _return_subscribers: list[Callable[[], None]] = field(default_factory=list)
 
     def subscribe(self, callback: Callable[[set[str]], None]) -> None:
         """Register a callback that is called with the changed keys after each change."""
         self._subscribers.append(callback)
 
+    def subscribe_return(self, callback: Callable[[], None]) -> None:
+        """Register a callback that is called after the store has returned from an older copy."""
+        self._return_subscribers.append(callback)
+
+    def has_settled(self) -> bool:
+        """Return whether writers have had time to write again what a returned store has lost."""
+        return self.clock.now_ms() >= self.era_entered_ms + REWRITE_GRACE_MS
+
     def age_ms(self) -> float:
         """Return the time since this content was last confirmed by the store."""
         return self.clock.now_ms() - self.verified_ms
@@ -209,6 +218,8 @@
         self.outage_ended_ms = self.era_entered_ms = now_ms
         for callback in self._subscribers:
             callback(changed)
+        for notify in self._return_subscribers:
+            notify()
 
     def _may_be_newer(self, key: str, restored: KeyValue | None) -> bool:
         """Return whether this mirror's state of a key is later than the restored one."""
--- a/src/pimentodale/quarantine/crash_sharing.py
+++ b/src/pimentodale/quarantine/crash_sharing.py
@@ -8,7 +8,12 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.logs import get_log
-from pimentodale.quarantine.crash_record import CRASH_RETENTION_MS, pack_crashes, unpack_crashes
+from pimentodale.quarantine.crash_record import (
+    CRASH_RETENTION_MS,
+    MAX_REQUESTS,
+    pack_crashes,
+    unpack_crashes,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,7 +39,7 @@
 
 def share_crashes(
     record: CrashRecord, peers: Peers, put: Callable[[str, bytes], None], host: str
-) -> None:
+) -> Callable[[], None]:
     """Publish local changes of the record to peers and the store, and merge the updates of peers.
 
     Args:
@@ -42,7 +47,11 @@
         peers: The peer network.
         put: Queues a key and its value for writing to the store.
         host: Name of this host.
+
+    Returns:
+        Writes this host's entries to the store again, in case it has lost them.
     """
+    stored: dict[str, None] = {}
 
     def publish(entry: CrashEntry) -> None:
         octets = pack_crashes(entry)
@@ -53,12 +62,27 @@
         peers.publish(CRASH_TOPIC, entry.fingerprint, octets, ttl_ms, urgent=is_urgent)
         if is_stored:
             put(f"{CRASH_PREFIX}{entry.fingerprint}/{host}", octets)
+            stored.pop(entry.fingerprint, None)
+            stored[entry.fingerprint] = None
+            if len(stored) > MAX_REQUESTS:
+                del stored[next(iter(stored))]
 
     def merge_update(update: EntryUpdate) -> None:
         merge_crashes(record, update.value, update.owner)
 
+    def rewrite() -> None:
+        for fingerprint in list(stored):
+            entry = record.find(fingerprint)
+            if entry is None:
+                del stored[fingerprint]
+                continue
+            put(f"{CRASH_PREFIX}{fingerprint}/{host}", pack_crashes(entry))
+        if stored:
+            _log.info("Crash entries are written to the store again.", entries=len(stored))
+
     record.subscribe(publish)
     peers.subscribe(CRASH_TOPIC, merge_update)
+    return rewrite
 
 
 def merge_crashes(record: CrashRecord, octets: bytes, told_by: str) -> None:
--- a/src/pimentodale/quarantine/retrials.py
+++ b/src/pimentodale/quarantine/retrials.py
@@ -15,6 +15,8 @@
 from pimentodale.quarantine.crash_record import CRASH_RETENTION_MS, MAX_REQUESTS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pimentodale.clients.key_value import KeyValueStore
     from pimentodale.clock import Clock
     from pimentodale.quarantine.crash_record import CrashRecord
@@ -35,13 +37,29 @@
 class Retrials:
     """Acquires trials of convicted requests for one host."""
 
-    __slots__ = ("_clock", "_owner_id", "_record", "_store", "_store_retry_at_ms", "_taken")
-
-    def __init__(self, host: str, clock: Clock, record: CrashRecord, store: KeyValueStore) -> None:
+    __slots__ = (
+        "_clock",
+        "_is_store_settled",
+        "_owner_id",
+        "_record",
+        "_store",
+        "_store_retry_at_ms",
+        "_taken",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        clock: Clock,
+        record: CrashRecord,
+        store: KeyValueStore,
+        is_store_settled: Callable[[], bool],
+    ) -> None:
         self._owner_id = f"{host}/{secrets.token_hex(8)}".encode()
         self._clock = clock
         self._record = record
         self._store = store
+        self._is_store_settled = is_store_settled
         self._taken: dict[str, int] = {}
         self._store_retry_at_ms = 0.0
 
@@ -52,6 +70,9 @@
         now_ms = self._clock.now_ms()
         if due <= self._taken.get(fingerprint, 0) or now_ms < self._store_retry_at_ms:
             return False
+        # A store that has returned from a copy may lack the trials of other hosts for a moment.
+        if not self._is_store_settled():
+            return False
         # Record the trial first, so that no other request of this host tries during the call.
         self._note_taken(fingerprint, due)
         is_taken = await self._create(f"{RETRIAL_PREFIX}{fingerprint}/{due}")
@@ -73,6 +94,12 @@
         self._note_taken(fingerprint, trial - 1)
         _log.info("Released an unused trial.", fingerprint=fingerprint, trial=trial)
 
+    async def rewrite(self) -> None:
+        """Write the keys of this host's trials to the store again, in case it has lost them."""
+        for fingerprint, trials in list(self._taken.items()):
+            for trial in range(1, trials + 1):
+                await self._create(f"{RETRIAL_PREFIX}{fingerprint}/{trial}")
+
     async def _create(self, key: str) -> bool | None:
         """Create the key of a trial; False if another host did, `None` if the store call failed."""
         lease = await self._store.grant_lease(CRASH_RETENTION_MS)
@@ -93,7 +120,13 @@
         self._taken[fingerprint] = trials
 
 
-def create_retrials(host: str, clock: Clock, record: CrashRecord, store: KeyValueStore) -> Retrials:
+def create_retrials(
+    host: str,
+    clock: Clock,
+    record: CrashRecord,
+    store: KeyValueStore,
+    is_store_settled: Callable[[], bool] = lambda: True,
+) -> Retrials:
     """Create the trials of a host, none of them acquired.
 
     Args:
@@ -101,5 +134,7 @@
         clock: Clock of this host.
         record: The crash record of this host.
         store: The store that holds the keys of trials.
+        is_store_settled: Returns whether the store has what other hosts wrote; it may lack some of
+            it for a moment after it has returned from an older copy.
     """
-    return Retrials(host, clock, record, store)
+    return Retrials(host, clock, record, store, is_store_settled)
