--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -113,6 +113,7 @@
         ("Pimentodale-Tenant", "forged"),
         ("Pimentodale-Token-Count", "800,160"),
         ("Pimentodale-Length-Hint", "90"),
+        ("Pimentodale-Prompt-Prefix", "5C1e:800, 91bd:410,5c1e:800,:7,,e440:250"),
         ("Connection", "keep-alive"),
         ("X-Own", "1"),
         ("X-Own", "2"),
@@ -130,6 +131,7 @@
     assert (request.host, request.api_key, request.deadline_ms) == ("h.example", "k1", 20_000.0)
     assert (request.prompt_tokens, request.max_answer_tokens) == (800.0, 160.0)
     assert request.length_hint_tokens == 90.0
+    assert request.prompt_parts == ("5c1e", "91bd")
     path = (
         PathPart("i-1", Address("10.0.0.1", 80), LayerRange(0, 20)),
         PathPart("i-2", Address("10.0.0.2", 81), LayerRange(20, 80)),
@@ -149,6 +151,8 @@
     assert context.sent["X-Own"] == "1,2"
     assert context.sent["Host"] == "h.example:80"
     assert context.sent["Pimentodale-Token-Count"] == "800,160"
+    parts = "5C1e:800, 91bd:410,5c1e:800,:7,,e440:250"
+    assert context.sent["Pimentodale-Prompt-Prefix"] == parts
     assert "Connection" not in context.sent
     public = header_codec.encode_request(context.request, None, None, "i-1", (), None)
     assert "Pimentodale-Tenant" not in public
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -131,7 +131,7 @@
 
 
 def log_failed_send(
-    ctx: ForwardingContext, routed: RoutedRequest, replicas: list[str], end: str
+    ctx: ForwardingContext, routed: RoutedRequest, replicas: list[str], end: str, events: int = 0
 ) -> None:
     """Log a send that ended without a complete response.
 
@@ -140,6 +140,7 @@
         routed: The request.
         replicas: Ids of the replicas on its path, in order.
         end: How the send ended.
+        events: Number of events that it had.
     """
     _log.info(
         "A send ended without a complete response.",
@@ -147,6 +148,8 @@
         fingerprint=routed.fingerprint,
         replicas=replicas,
         end=end,
+        events=events,
+        parts=routed.exchange.request.prompt_parts,
         sends=routed.sends,
         view_age_ms=view_age_ms(ctx),
     )
--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -49,6 +49,9 @@
     headers: list[tuple[str, str]]
     """Headers that are forwarded."""
 
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt that other requests may have too, in order."""
+
     body: bytes = b""
     """The request body."""
 
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -301,7 +301,7 @@
                 ctx.metrics.silent_sends["superseded"] += 1
             if end not in (SendEnd.WHOLE, SendEnd.PASSED_ON):
                 replicas = [part.replica_id for part in send.path.parts]
-                log_failed_send(ctx, routed, replicas, end.value)
+                log_failed_send(ctx, routed, replicas, end.value, send.events)
             if end is SendEnd.BROKEN:
                 state.broken_at_start += send.events == 0
             record_send_outcome(ctx, routed.service, state, send, end)
--- a/src/pimentodale/platform/header_codec.py
+++ b/src/pimentodale/platform/header_codec.py
@@ -30,6 +30,14 @@
 TOKEN_COUNT: Final = "Pimentodale-Token-Count"
 # The client's estimate of the number of answer tokens.
 LENGTH_HINT: Final = "Pimentodale-Length-Hint"
+# Parts of the prompt in order, as ID:TOKENS entries separated by commas.
+PROMPT_PARTS: Final = "Pimentodale-Prompt-Prefix"
+MAX_PROMPT_PARTS: Final = 64
+"""Maximum number of parts of a prompt that are told apart."""
+
+MAX_PART_ID_LENGTH: Final = 64
+"""Maximum length of a part's id; longer ones are cut."""
+
 LAST_EVENT_ID: Final = "Last-Event-Id"
 
 _CONNECTION_HEADERS: Final = frozenset(
@@ -84,6 +92,7 @@
         max_answer_tokens=_parse_number(answer) or 0.0,
         length_hint_tokens=_parse_number(headers.get(LENGTH_HINT, "")),
         last_event_id=headers.get(LAST_EVENT_ID),
+        prompt_parts=_shared_parts(headers.get(PROMPT_PARTS, "")),
         headers=[
             (name, value)
             for name, value in headers.get_all()
@@ -160,6 +169,13 @@
     return RefusalReason.NO_ROOM if NOT_RUN in headers else None
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which is the request's own."""
+    entries = text.split(",")[:-1][:MAX_PROMPT_PARTS]
+    ids = (entry.partition(":")[0].strip().lower()[:MAX_PART_ID_LENGTH] for entry in entries)
+    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+
+
 def _parse_number(text: str) -> float | None:
     """Parse a number from 0 to below 1e12; return `None` for any other text."""
     try:
