Convict a part of a prompt that crashes the replicas that begin to write on it

Cause: crashes were counted by the whole request, so that each new one began at none. Class: the identity by which faults are counted was narrower than their cause.

A crash now also counts against each shared part of a prompt on which its request had only begun to run, under the same record, limits (three), sharing and trials as a request. Nothing is held against a part on which some request has written three events: hosts remember that for 10 minutes, clear a part as soon as it happens, and answer a conviction by a host that doesn't know of it. Streams that had been writing suspect none of their parts. A part is its id; the length beside it is left out.

Weighed: a limit relative to other parts, which needs counts of sound runs on all hosts; five crashes for parts known as sound, which would convict the first part of all requests where five replicas are lost at once.

--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
 
@@ -36,6 +37,26 @@
 from pimentodale.site.replica_health import create_replica_health
 from pimentodale.site.view import SiteRecords, create_site_view
 
+POISON = fingerprint_of("/p", "w", b"poison")
+"""Fingerprint of the request that crashes replicas."""
+
+
+@dataclass(slots=True)
+class SentRequest:
+    """What the crash detector knows of a request."""
+
+    fingerprint: str = POISON
+    part_keys: tuple[str, ...] = ()
+    has_progressed: bool = False
+    sends: int = 0
+    trial_of: str = ""
+
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether it was granted a trial run."""
+        return bool(self.trial_of)
+
+
 CRASHES = {
     "its first replica, with a reset": ("/lm/stream", b"poison"),
     "its first replica, which falls silent": ("/lm/stream", b"silent poison"),
@@ -145,7 +166,6 @@
         wait_until(lambda name=name: is_served_now(name), f"{name} serves it", left_s)
 
 
-POISON = fingerprint_of("/p", "w", b"poison")
 HARMLESS = fingerprint_of("/p", "w", b"innocent")
 
 
@@ -362,7 +382,7 @@
     elif ends.startswith("says"):
         context.view.note_leaving(context.view.replicas["r1"])
     if ends.startswith("answers no probe"):
-        detector.observe_send(POISON, executed_on, is_fresh=True)
+        detector.observe_send(SentRequest(), executed_on, is_fresh=True)
         health.note_failed_probe(executed_on[0], "no answer")
         await asyncio.sleep(0.2)
         assert context.record.has_open_crash(POISON), "a replica that stays away has crashed"
@@ -372,11 +392,11 @@
             background.cancel()
             return
     if ends.startswith("lapses"):
-        detector.observe_send(POISON, executed_on, is_fresh=True)
+        detector.observe_send(SentRequest(), executed_on, is_fresh=True)
         await asyncio.sleep(2.0)
     put_replica(context, "ready" if "anew" in ends else "", 2)
     if not ends.startswith(("lapses", "answers no probe")):
-        detector.observe_send(POISON, executed_on, is_fresh=True)
+        detector.observe_send(SentRequest(), executed_on, is_fresh=True)
     await asyncio.sleep(0.7)
     background.cancel()
 
@@ -415,7 +435,7 @@
 
 def create_routed() -> Any:
     """Return the request as it is sent again."""
-    return SimpleNamespace(fingerprint=POISON, sends=0, is_on_trial=False)
+    return SentRequest()
 
 
 @when("the reply of the store is lost")
@@ -507,7 +527,7 @@
         create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
     )
     for name in list(replicas)[:count]:
-        detector.observe_send(POISON, detector.list_alive([name]), is_fresh=True)
+        detector.observe_send(SentRequest(), detector.list_alive([name]), is_fresh=True)
     routed = create_routed()
     routed.sends = sends
     started_s = time.monotonic()
--- /dev/null
+++ b/features/steps/deadly_parts.py
@@ -0,0 +1,263 @@
+"""Steps for a part of a prompt that crashes replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given, then, when
+from features.steps.crashing_requests import SentRequest
+from features.support.engine_fleet import replica
+from features.support.gateway_site import GATEWAYS
+from features.support.memory_store import MemoryState, MemoryStore
+
+from pimentodale.background import create_background_tasks
+from pimentodale.clock import ManualClock
+from pimentodale.forwarding.crash_detector import create_crash_detector
+from pimentodale.quarantine.crash_record import CrashEntry, create_crash_record
+from pimentodale.quarantine.prompt_parts import part_keys
+from pimentodale.quarantine.retrials import create_retrials
+from pimentodale.site.replica_health import create_replica_health
+
+SOUND_CALLERS = 4
+"""Callers of sound requests at each gateway."""
+
+FIRST_PART = "5e1f"
+"""Part that all requests share."""
+
+
+def send_with(context: Any, gateway: str, parts: str) -> int:
+    """Send a request of its own with the given parts; returns its status, 0 if it broke off."""
+    site = context.gateways
+    with context.number_lock:
+        headers = site.headers()
+        context.number += 1
+        number = context.number
+    headers["Pimentodale-Prompt-Prefix"] = f"{parts},own{number}:50"
+    try:
+        body = f"body {number}".encode()
+        return int(site.request(gateway, "/lm/x", headers=headers, body=body).status)
+    except (OSError, ValueError):
+        return 0
+
+
+@when(
+    "{count:d} requests with a deadly part come {gap_s:g} s apart, beside sound ones with the same"
+    " first part"
+)
+def send_deadly(context: Any, count: int, gap_s: float) -> None:
+    prepare(context)
+    context.deadly = send_beside(context, count, gap_s, [])
+
+
+def prepare(context: Any) -> None:
+    if not hasattr(context, "number_lock"):
+        context.number, context.number_lock = 0, threading.Lock()
+
+
+def send_beside(context: Any, count: int, gap_s: float, sound: list[int]) -> list[int]:
+    """Send deadly requests one after the other, and sound ones all the while."""
+    is_over = threading.Event()
+
+    def send_sound(name: str) -> None:
+        while not is_over.is_set():
+            sound.append(send_with(context, name, f"{FIRST_PART}:40,50a1:10"))
+            time.sleep(0.05)
+
+    names = GATEWAYS * SOUND_CALLERS
+    threads = [threading.Thread(target=send_sound, args=(name,)) for name in names]
+    deadly: dict[int, int] = {}
+
+    def send_one(number: int) -> None:
+        name = GATEWAYS[number % 2]
+        deadly[number] = send_with(context, name, f"{FIRST_PART}:40,dead:{20 + number}")
+
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    each = [threading.Thread(target=send_one, args=(number,)) for number in range(count)]
+    for thread in each:
+        thread.start()
+        time.sleep(gap_s)
+    for thread in each:
+        thread.join()
+    is_over.set()
+    for thread in threads:
+        thread.join()
+    return [deadly[number] for number in range(count)]
+
+
+@then(
+    "at most {most:d} replicas have crashed and the last {last:d} requests with the part were"
+    " refused"
+)
+def check_deadly(context: Any, most: int, last: int) -> None:
+    crashes = context.gateways.journal("crash")
+    print(f"{len(crashes)} crashes; answers {context.deadly}")
+    assert crashes, "nothing crashed"
+    assert len(crashes) <= most, len(crashes)
+    assert context.deadly[-last:] == [502] * last, context.deadly
+
+
+@then(
+    "{least:d} of {of:d} sound requests with the same first part are served, beside {count:d} more"
+    " with the deadly part"
+)
+def check_sound(context: Any, least: int, of: int, count: int) -> None:
+    # Crashed replicas are back after 1 s, and get their layers anew.
+    time.sleep(3.0)
+    sound: list[int] = []
+    context.deadly = send_beside(context, count, 0.4, sound)
+    print(f"{sound.count(200)} of {len(sound)} sound requests served")
+    assert len(sound) >= of, len(sound)
+    assert sound.count(200) * of >= least * len(sound), sound
+
+
+class Host:
+    """A host's crash detector among replicas that a scenario ends."""
+
+    def __init__(self, name: str, clock: ManualClock, state: MemoryState) -> None:
+        names = [f"r{number}" for number in range(20)]
+        self.replicas = {name: replica(name, "a", "card", None) for name in names}
+        self.record = create_crash_record(clock)
+        self.background = create_background_tasks()
+        view: Any = SimpleNamespace(
+            replicas=self.replicas, has_announced_departure=lambda _incarnation: False
+        )
+        self.detector = create_crash_detector(
+            clock,
+            self.record,
+            view,
+            create_replica_health(clock),
+            self.background,
+            create_retrials(name, clock, self.record, MemoryStore(state)),
+        )
+
+    async def crash_under(self, requests: list[SentRequest], *, is_fresh: bool = True) -> None:
+        """Crash one replica under each request, all at once."""
+        names = list(self.replicas)[: len(requests)]
+        for request, name in zip(requests, names, strict=True):
+            executed_on = self.detector.list_alive([name])
+            self.detector.observe_send(request, executed_on, is_fresh=is_fresh)
+        # A record that is gone at once was withdrawn; these replicas have started anew.
+        for name in names:
+            self.replicas[name] = replica(name, "a", "card", None, started_ms=99)
+        for _ in range(30):
+            await asyncio.sleep(0)
+        for name in names:
+            del self.replicas[name]
+
+
+def create_request(parts: str, number: int) -> SentRequest:
+    return SentRequest(f"request {number}", part_keys(parts.split()))
+
+
+def is_refused(host: Host, parts: str) -> bool:
+    return asyncio.run(host.detector.is_refused(create_request(parts, 99)))
+
+
+@given("a host at which sound requests have written on the parts a and b")
+def host_with_sound_parts(context: Any) -> None:
+    context.clock = ManualClock(1_000.0)
+    context.state = MemoryState(context.clock)
+    context.host = Host("h1", context.clock, context.state)
+    context.host.detector.note_progress(create_request("a b", 0))
+
+
+@when("three requests with the parts a, b and x crash a replica each")
+def crash_three(context: Any) -> None:
+    for number in range(3):
+        asyncio.run(context.host.crash_under([create_request("a b x", number)]))
+
+
+@then("a request with the parts {parts} is refused, and one with a, b and c is not")
+def check_part(context: Any, parts: str) -> None:
+    assert is_refused(context.host, as_ids(parts))
+    assert not is_refused(context.host, "a b c")
+
+
+def as_ids(parts: str) -> str:
+    return parts.replace(",", "").replace(" and ", " ")
+
+
+@then("a request with the parts {parts} is not refused")
+def check_not_refused(context: Any, parts: str) -> None:
+    assert not is_refused(context.host, as_ids(parts))
+
+
+@when("five replicas are lost at once, each under a request with the parts a and b")
+def lose_five(context: Any) -> None:
+    requests = [create_request("a b", number) for number in range(5)]
+    asyncio.run(context.host.crash_under(requests))
+
+
+@when("another host convicts part a")
+def convict_elsewhere(context: Any) -> None:
+    (key,) = part_keys(["a"])
+    context.told = []
+    context.host.record.subscribe(context.told.append)
+    context.host.record.receive(CrashEntry(key, ["r1/1", "r2/1", "r3/1"]), "h2")
+
+
+@then("this host doesn't refuse requests with it, and tells the other that it is sound")
+def check_vindicated(context: Any) -> None:
+    assert not is_refused(context.host, "a b")
+    assert context.told
+    assert not context.told[-1].is_convicted
+
+
+@when(
+    "two requests with the parts a and x crash a replica each, a third one writes, and a fourth one"
+    " crashes one"
+)
+def crash_around_success(context: Any) -> None:
+    for number in range(2):
+        asyncio.run(context.host.crash_under([create_request("a x", number)]))
+    context.host.detector.note_progress(create_request("a x", 2))
+    asyncio.run(context.host.crash_under([create_request("a x", 3)]))
+
+
+@when("three streams with the parts a and y lose their replica after they have written")
+def lose_written(context: Any) -> None:
+    for number in range(3):
+        request = create_request("a y", number)
+        request.has_progressed = True
+        asyncio.run(context.host.crash_under([request]))
+
+
+@given("a host that refuses part x, and another host")
+def host_that_refuses(context: Any) -> None:
+    host_with_sound_parts(context)
+    context.other = Host("h2", context.clock, context.state)
+    for host in (context.host, context.other):
+        for number in range(3):
+            asyncio.run(host.crash_under([create_request("x", number)]))
+        assert is_refused(host, "x")
+
+
+@when("30 s pass")
+def pass_time(context: Any) -> None:
+    context.clock.advance(30_000.0)
+
+
+@then("one request with it may run, at one of the hosts")
+def check_one_trial(context: Any) -> None:
+    context.trial = create_request("x", 50)
+    assert not asyncio.run(context.host.detector.is_refused(context.trial))
+    for host in (context.host, context.other):
+        assert is_refused(host, "x")
+
+
+@when("it writes")
+def write_in_trial(context: Any) -> None:
+    context.host.record.subscribe(lambda entry: context.other.record.receive(entry, "h1"))
+    context.host.detector.note_progress(context.trial)
+
+
+@then("requests with it are served at both hosts")
+def check_served(context: Any) -> None:
+    for host in (context.host, context.other):
+        assert not is_refused(host, "x")
--- a/features/steps/overlapping_sends.py
+++ b/features/steps/overlapping_sends.py
@@ -74,7 +74,7 @@
         retries=SimpleNamespace(has_budget=lambda *_: True, try_spend=lambda *_: True),
         crashes=SimpleNamespace(
             list_alive=lambda _ids: [],
-            record=SimpleNamespace(is_convicted=lambda _fingerprint: False),
+            is_convicted=lambda _routed: False,
             awaits_verdict=lambda _routed: False,
             has_ended=lambda _incarnation: False,
             observe_send=ignore,
@@ -85,7 +85,7 @@
         stall_ms=2_500.0,
         replica_health=create_replica_health(clock),
     )
-    request = SimpleNamespace(attempt_id="attempt-1", received_ms=clock.now_ms())
+    request = SimpleNamespace(attempt_id="attempt-1", received_ms=clock.now_ms(), prompt_parts=())
     context.routed = SimpleNamespace(
         route=SimpleNamespace(is_resumable=True, max_attempts=3),
         service=SimpleNamespace(name="lm", engine=None),
@@ -93,6 +93,7 @@
         workspace="w1",
         sends=1,
         fingerprint="f",
+        has_progressed=True,
         history=[],
         left_ms=lambda _now_ms: 20_000.0,
     )
--- a/features/steps/slow_clients.py
+++ b/features/steps/slow_clients.py
@@ -99,7 +99,6 @@
     ticks = asyncio.ensure_future(own_pauses.run())
     context.metrics = create_gateway_metrics()
     mirror = SimpleNamespace(age_ms=lambda: 0.0)
-    record = SimpleNamespace(is_convicted=lambda _fingerprint: False)
     ctx: Any = SimpleNamespace(
         clock=clock,
         codec=header_codec,
@@ -109,7 +108,8 @@
         replica_health=create_replica_health(clock),
         view=SimpleNamespace(replicas={}, mirror=mirror),
         crashes=SimpleNamespace(
-            record=record,
+            is_convicted=lambda _routed: False,
+            note_progress=lambda _routed: None,
             list_alive=list,
             note_whole=lambda *_: None,
             observe_send=lambda *_, **_named: None,
--- a/features/steps/stalled_streams.py
+++ b/features/steps/stalled_streams.py
@@ -60,7 +60,7 @@
         ),
         retries=SimpleNamespace(has_budget=lambda *_: True, try_spend=lambda *_: True),
         crashes=SimpleNamespace(
-            record=SimpleNamespace(is_convicted=lambda _fingerprint: False),
+            is_convicted=lambda _routed: False,
             awaits_verdict=lambda _routed: False,
             has_ended=lambda _incarnation: False,
         ),
--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -274,6 +274,7 @@
     request = SimpleNamespace(
         method="POST", path="/x", body=b"", attempt_id="attempt-1", received_ms=0.0
     )
+    request.prompt_parts, request.last_event_id = (), None
     exchange = SimpleNamespace(request=request, is_begun=False, begin=begin, write=write, end=end)
     route = SimpleNamespace(timeout_ms=5_000.0)
     routed = RoutedRequest(exchange, route, SimpleNamespace(), "w1", 1)
@@ -283,6 +284,7 @@
         codec=codec,
         metrics=create_gateway_metrics(),
         view=SimpleNamespace(replicas={}),
+        crashes=SimpleNamespace(note_progress=lambda _routed: None),
     )
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
     shared_streams = create_shared_stream_state(ctx.clock)
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -9,6 +9,7 @@
 
 from pimentodale.logs import get_log
 from pimentodale.quarantine.crash_record import fingerprint_of
+from pimentodale.quarantine.prompt_parts import part_keys
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -94,16 +95,30 @@
     longest_pause_ms: float = 0.0
     """Longest time between two events of the stream."""
 
-    is_on_trial: bool = False
-    """Whether the request is in quarantine for crashes and has been granted a trial run."""
+    trial_of: str = ""
+    """Fingerprint or part's key that is in quarantine for crashes and for which the request was
+    granted a trial run; empty without one."""
+
+    has_progressed: bool = False
+    """Whether a replica has written events of it, or had before the client resumed it."""
 
     fingerprint: str = field(init=False)
     """Hash that stays the same when the client repeats the request."""
 
+    part_keys: tuple[str, ...] = field(init=False)
+    """Keys of the shared parts of its prompt."""
+
     def __post_init__(self) -> None:
-        """Compute the fingerprint."""
+        """Compute the fingerprint and the parts' keys."""
         request = self.exchange.request
         self.fingerprint = fingerprint_of(request.path, self.workspace, request.body)
+        self.part_keys = part_keys(request.prompt_parts)
+        self.has_progressed = request.last_event_id is not None
+
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether the request was granted a trial run."""
+        return bool(self.trial_of)
 
     def left_ms(self, now_ms: float) -> float:
         """Return the time that the client's deadline and the route's timeout leave."""
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.quarantine.crash_record import crash_name
+from pimentodale.quarantine.prompt_parts import create_sound_parts
 from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
@@ -20,7 +21,8 @@
     from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.forwarding.context import RoutedRequest
-    from pimentodale.quarantine.crash_record import CrashRecord
+    from pimentodale.quarantine.crash_record import CrashEntry, CrashRecord
+    from pimentodale.quarantine.prompt_parts import SoundParts
     from pimentodale.quarantine.retrials import Retrials
     from pimentodale.site.replica_health import Incarnation, ReplicaHealth
     from pimentodale.site.view import SiteView
@@ -64,12 +66,20 @@
     retrials: Retrials
     """Grants quarantined requests one further run."""
 
+    sound_parts: SoundParts = field(init=False)
+    """Parts of prompts on which requests have written events."""
+
     _pending: Counter[str] = field(default_factory=Counter)
-    """Number of sends without a result yet, by request fingerprint."""
+    """Number of sends without a result yet, by suspect: a request's fingerprint or a part's key."""
 
     _presumed: dict[Incarnation, set[str]] = field(default_factory=dict)
-    """Fingerprints of the requests to which crashes were attributed because a replica answered no
-    probe, by replica; the oldest first."""
+    """Suspects to which crashes were attributed because a replica answered no probe, by replica;
+    the oldest first."""
+
+    def __post_init__(self) -> None:
+        """Create the empty record of sound parts."""
+        self.sound_parts = create_sound_parts(self.clock)
+        self.record.subscribe_received(self._vindicate)
 
     def list_alive(self, replica_ids: Iterable[str]) -> list[Incarnation]:
         """Return the replicas believed to be alive; call it as a request is sent to them."""
@@ -92,23 +102,36 @@
         replica = self.view.replicas.get(incarnation[0])
         return replica is not None and incarnation_of(replica) != incarnation
 
-    def note_whole(self, fingerprint: str, executed_on: Iterable[Incarnation]) -> None:
+    def note_whole(self, routed: RoutedRequest, executed_on: Iterable[Incarnation]) -> None:
         """Clear the crashes of a request that has completed, except those of this attempt.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            routed: The request.
             executed_on: Replicas of all sends of the attempt.
         """
         kept = [crash_name(*incarnation) for incarnation in executed_on]
-        self.record.clear(fingerprint, kept)
+        self.record.clear(routed.fingerprint, kept)
+        self.note_progress(routed)
+
+    def is_convicted(self, routed: RoutedRequest) -> bool:
+        """Whether a request, or a part of its prompt, has crashed too many replicas."""
+        return self._convicted_suspect(routed) is not None
+
+    def note_progress(self, routed: RoutedRequest) -> None:
+        """Vindicate the parts of a request's prompt: a replica has written on all of them."""
+        routed.has_progressed = True
+        self.sound_parts.note(routed.part_keys)
+        for key in routed.part_keys:
+            if self.record.has_open_crash(key):
+                self.record.clear(key)
 
     def observe_send(
-        self, fingerprint: str, executed_on: Sequence[Incarnation], *, is_fresh: bool
+        self, routed: RoutedRequest, executed_on: Sequence[Incarnation], *, is_fresh: bool
     ) -> None:
         """Check in the background whether a send without a complete response crashed a replica.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            routed: The request.
             executed_on: Replicas on the path that were alive when the request was sent.
             is_fresh: Whether they had only started to run the request.
         """
@@ -117,8 +140,11 @@
         # If the caller disconnects, nothing else detects a head replica that has become
         # unresponsive.
         self.replica_health.request_probe_unless_answered(executed_on[0])
-        self._pending[fingerprint] += 1
-        work = self._observe(fingerprint, executed_on, is_fresh=is_fresh)
+        suspects = self._suspects(routed)
+        if routed.has_progressed or not is_fresh:
+            suspects = [routed.fingerprint]
+        self._pending.update(suspects)
+        work = self._observe(suspects, executed_on, is_fresh=is_fresh)
         self.background.start(work, "crash detector")
 
     async def is_refused(self, routed: RoutedRequest) -> bool:
@@ -127,14 +153,14 @@
         Args:
             routed: The request; a quarantined one may be granted a trial run.
         """
-        fingerprint = routed.fingerprint
         end_ms = self.clock.now_ms() + VERDICT_TIMEOUT_MS
         while self.awaits_verdict(routed) and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(POLL_INTERVAL_MS)
-        if not self.record.is_convicted(fingerprint):
+        suspect = self._convicted_suspect(routed)
+        if suspect is None:
             return False
-        if routed.sends == 0 and not routed.is_on_trial:
-            routed.is_on_trial = await self.retrials.acquire(fingerprint)
+        if routed.sends == 0 and not routed.is_on_trial and await self.retrials.acquire(suspect):
+            routed.trial_of = suspect
         return routed.sends > 0 or not routed.is_on_trial
 
     def awaits_verdict(self, routed: RoutedRequest) -> bool:
@@ -143,15 +169,12 @@
         Many requests may share a fingerprint, and slow replicas leave many of them without a
         response. So a new request waits only if a crash is already recorded for its fingerprint.
         """
-        pending = self._pending.get(routed.fingerprint, 0)
-        if pending == 0 or not self.record.may_convict(routed.fingerprint, pending):
-            return False
-        return routed.sends > 0 or self.record.has_open_crash(routed.fingerprint)
+        return any(self._awaits_verdict_on(key, routed.sends) for key in self._suspects(routed))
 
     def note_alive(self, incarnation: Incarnation) -> None:
         """Withdraw the crash of a replica that answers again as the same run: it only paused."""
-        for fingerprint in self._presumed.pop(incarnation, ()):
-            self.record.withdraw(fingerprint, crash_name(*incarnation))
+        for suspect in self._presumed.pop(incarnation, ()):
+            self.record.withdraw(suspect, crash_name(*incarnation))
 
     def note_ended(self, routed: RoutedRequest) -> None:
         """Record the end of a request; one that has reached no replica returns its trial run.
@@ -160,12 +183,31 @@
         it.
         """
         if routed.is_on_trial and routed.sends == 0:
-            self.background.start(
-                self.retrials.release(routed.fingerprint), "return of a trial run"
-            )
+            self.background.start(self.retrials.release(routed.trial_of), "return of a trial run")
+
+    def _convicted_suspect(self, routed: RoutedRequest) -> str | None:
+        """Return the fingerprint of a convicted request, or the key of a convicted part of it."""
+        return next((key for key in self._suspects(routed) if self.record.is_convicted(key)), None)
+
+    def _suspects(self, routed: RoutedRequest) -> list[str]:
+        """Return what may crash a request's replicas: itself, and the parts not known as sound."""
+        parts = [key for key in routed.part_keys if not self.sound_parts.has(key)]
+        return [routed.fingerprint, *parts]
+
+    def _vindicate(self, entry: CrashEntry) -> None:
+        """Clear a part that another host convicts, if requests write on it through this one."""
+        if entry.is_convicted and self.sound_parts.has(entry.fingerprint):
+            self.record.clear(entry.fingerprint)
+
+    def _awaits_verdict_on(self, suspect: str, sends: int) -> bool:
+        """Whether sends without a result yet may convict a suspect."""
+        pending = self._pending.get(suspect, 0)
+        if pending == 0 or not self.record.may_convict(suspect, pending):
+            return False
+        return sends > 0 or self.record.has_open_crash(suspect)
 
     async def _observe(
-        self, fingerprint: str, executed_on: Sequence[Incarnation], *, is_fresh: bool
+        self, suspects: Sequence[str], executed_on: Sequence[Incarnation], *, is_fresh: bool
     ) -> None:
         """Check until a replica has crashed or time is up; a send counts at most one crash."""
         started_ms = self.clock.now_ms()
@@ -176,27 +218,28 @@
                 waited_ms = self.clock.now_ms() - started_ms
                 ended = self._find_crashed(executed_on, departed, waited_ms)
                 if ended is not None:
-                    self.record.strike(fingerprint, crash_name(*ended), is_fresh=is_fresh)
-                    self._note_presumed(ended, fingerprint)
+                    for suspect in suspects:
+                        self.record.strike(suspect, crash_name(*ended), is_fresh=is_fresh)
+                        self._note_presumed(ended, suspect)
                     return
                 if is_pending and waited_ms >= VERDICT_TIMEOUT_MS:
                     is_pending = False
-                    self._settle(fingerprint)
+                    self._settle(suspects)
                 if waited_ms >= OBSERVATION_MS:
                     return
                 await self.clock.sleep_ms(POLL_INTERVAL_MS if is_pending else LATE_POLL_INTERVAL_MS)
         finally:
             if is_pending:
-                self._settle(fingerprint)
+                self._settle(suspects)
 
-    def _note_presumed(self, incarnation: Incarnation, fingerprint: str) -> None:
+    def _note_presumed(self, incarnation: Incarnation, suspect: str) -> None:
         """Remember a crash that only failed probes show, in case the replica answers again."""
         replica = self.view.replicas.get(incarnation[0])
         if replica is None or incarnation_of(replica) != incarnation:
             return
         if incarnation not in self._presumed and len(self._presumed) >= MAX_PRESUMED:
             del self._presumed[next(iter(self._presumed))]
-        self._presumed.setdefault(incarnation, set()).add(fingerprint)
+        self._presumed.setdefault(incarnation, set()).add(suspect)
 
     def _find_crashed(
         self, executed_on: Sequence[Incarnation], departed: set[Incarnation], waited_ms: float
@@ -211,11 +254,12 @@
             departed.add(incarnation)
         return None
 
-    def _settle(self, fingerprint: str) -> None:
-        """Remove a send from the pending count."""
-        self._pending[fingerprint] -= 1
-        if self._pending[fingerprint] <= 0:
-            del self._pending[fingerprint]
+    def _settle(self, suspects: Iterable[str]) -> None:
+        """Remove a send from the pending counts."""
+        for suspect in suspects:
+            self._pending[suspect] -= 1
+            if self._pending[suspect] <= 0:
+                del self._pending[suspect]
 
 
 def create_crash_detector(
--- a/src/pimentodale/forwarding/messages.py
+++ b/src/pimentodale/forwarding/messages.py
@@ -49,15 +49,15 @@
     headers: list[tuple[str, str]]
     """Headers that are forwarded."""
 
-    prompt_parts: tuple[str, ...] = ()
-    """Ids of the parts of the prompt that other requests may have too, in order."""
-
     body: bytes = b""
     """The request body."""
 
     received_ms: float = 0.0
     """When the header arrived, by the host's clock."""
 
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt that other requests may have too, in order."""
+
 
 class RefusalReason(Enum):
     """Why a replica did not run a request."""
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -312,7 +312,7 @@
         """Clear the crash record of a complete request; otherwise observe the replicas of a send."""
         ctx = self._ctx
         if end in (SendEnd.WHOLE, SendEnd.PASSED_ON):
-            ctx.crashes.note_whole(self._routed.fingerprint, self._state.executed_on)
+            ctx.crashes.note_whole(self._routed, self._state.executed_on)
             return
         waited_ms = ctx.clock.now_ms() - send.active_ms
         if end is SendEnd.NOT_SENT or _is_healthy_end(ctx, send, end, waited_ms):
@@ -337,7 +337,7 @@
         return "its route allows no resumption"
     if routed.sends >= MAX_SENDS:
         return "it was sent as often as a stream may be"
-    if ctx.crashes.awaits_verdict(routed) or ctx.crashes.record.is_convicted(routed.fingerprint):
+    if ctx.crashes.awaits_verdict(routed) or ctx.crashes.is_convicted(routed):
         return "it may crash its replicas"
     running_on = {send.head_id for send in state.active}
     heads = state.used_heads.allowed_beside(
--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -250,9 +250,7 @@
     def _may_repeat(self) -> bool:
         """Whether the request is known not to have crashed the replicas that are silent."""
         crashes, routed = self._ctx.crashes, self._routed
-        return not crashes.awaits_verdict(routed) and not crashes.record.is_convicted(
-            routed.fingerprint
-        )
+        return not crashes.awaits_verdict(routed) and not crashes.is_convicted(routed)
 
     def _note_no_budget(self) -> None:
         """Note for the log that the budget allowed no further send."""
@@ -271,7 +269,7 @@
         if send.is_observed:
             return
         send.is_observed = True
-        self._ctx.crashes.observe_send(self._routed.fingerprint, send.executed_on, is_fresh=True)
+        self._ctx.crashes.observe_send(self._routed, send.executed_on, is_fresh=True)
 
 
 def choose_replica(ctx: ForwardingContext, service: str, tried: set[str]) -> ReplicaRecord | None:
--- a/src/pimentodale/forwarding/stream_monitor.py
+++ b/src/pimentodale/forwarding/stream_monitor.py
@@ -67,7 +67,7 @@
     pause_ms = ctx.own_pauses.silence_ms(send.active_ms)
     if pause_ms < investigation_pause_ms(ctx, shared_streams, routed, state, send):
         return Pause.SHORT
-    if ctx.crashes.record.is_convicted(routed.fingerprint):
+    if ctx.crashes.is_convicted(routed):
         # Moving the send would crash another replica.
         heads = [each for each in send.executed_on if each[0] == send.head_id]
         is_lost = any(map(ctx.crashes.has_restarted, heads))
@@ -133,7 +133,7 @@
         return
     send.is_observed = True
     is_fresh = send.events < MIN_PROGRESS_EVENTS
-    ctx.crashes.observe_send(routed.fingerprint, send.executed_on, is_fresh=is_fresh)
+    ctx.crashes.observe_send(routed, send.executed_on, is_fresh=is_fresh)
 
 
 async def _investigate(
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clients.http_call import CallFault, CallRequest, open_call
+from pimentodale.forwarding.crash_detector import MIN_PROGRESS_EVENTS
 from pimentodale.forwarding.event_stream import EventSplitter, InvalidEventStreamError, follows
 from pimentodale.forwarding.passive_health import record_answer
 from pimentodale.forwarding.stream_state import SendEnd
@@ -182,6 +183,8 @@
     send.active_ms = routed.last_event_ms = now_ms
     state.events += count
     send.events += count
+    if not routed.has_progressed and state.events >= MIN_PROGRESS_EVENTS:
+        ctx.crashes.note_progress(routed)
 
 
 async def _relay_failure(
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -87,7 +87,7 @@
     path = await shared_streams.queue.wait(path_request, min(wait_ms, left_ms))
     if path is None:
         return None
-    if ctx.crashes.record.is_convicted(routed.fingerprint) and not routed.is_on_trial:
+    if ctx.crashes.is_convicted(routed) and not routed.is_on_trial:
         routed.history.append("quarantined while it waited")
         return None
     if routed.sends > 0 and not ctx.retries.try_spend(routed.service.name):
@@ -121,7 +121,7 @@
     """Send the error response for a stream that cannot be sent again."""
     exchange: ClientExchange = routed.exchange
     is_trial_unused = routed.is_on_trial and routed.sends == 0
-    if ctx.crashes.record.is_convicted(routed.fingerprint) and not is_trial_unused:
+    if ctx.crashes.is_convicted(routed) and not is_trial_unused:
         await refuse_quarantined(ctx, routed)
         return
     if state.may_have_run:
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -69,18 +69,23 @@
 class CrashRecord:
     """Crash entries of one host, by fingerprint."""
 
-    __slots__ = ("_clock", "_entries", "_expire_ms", "_subscribers")
+    __slots__ = ("_clock", "_entries", "_expire_ms", "_receivers", "_subscribers")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, CrashEntry] = {}
         self._expire_ms: dict[str, float] = {}
         self._subscribers: list[Callable[[CrashEntry], None]] = []
+        self._receivers: list[Callable[[CrashEntry], None]] = []
 
     def subscribe(self, callback: Callable[[CrashEntry], None]) -> None:
         """Register a callback for entries that this host changed, or convicted by a merge."""
         self._subscribers.append(callback)
 
+    def subscribe_received(self, callback: Callable[[CrashEntry], None]) -> None:
+        """Register a callback for entries that have changed by a merge with another host's."""
+        self._receivers.append(callback)
+
     def find(self, fingerprint: str) -> CrashEntry | None:
         """Return the unexpired entry of a request, if there is one."""
         if self._expire_ms.get(fingerprint, 0.0) > self._clock.now_ms():
@@ -184,10 +189,12 @@
         was_convicted = known is not None and known.is_convicted
         # Entries of several hosts may convict only together, which the sender does not know.
         is_news = merged.is_convicted and not was_convicted and not entry.is_convicted
-        if told_by and not is_news:
-            return
-        for callback in self._subscribers:
-            callback(merged)
+        if is_news or not told_by:
+            for callback in self._subscribers:
+                callback(merged)
+        if told_by:
+            for callback in self._receivers:
+                callback(merged)
 
 
 def crash_name(replica_id: str, started_ms: int) -> str:
--- /dev/null
+++ b/src/pimentodale/quarantine/prompt_parts.py
@@ -0,0 +1,68 @@
+"""Parts of prompts as suspects of crashes, and the parts that sound requests have vindicated.
+
+A part that crashes replicas comes in requests that are all different, beside parts that sound
+requests have too. Whatever a request wrote on before any crash, or after it, is not the cause.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pimentodale.clock import Clock
+
+SOUND_MS: Final = 600_000.0
+"""How long a part counts as sound after the last request that wrote on it."""
+
+MAX_SOUND_PARTS: Final = 20_000
+"""Maximum number of sound parts that are remembered; the least recently used go first."""
+
+PREFIX: Final = "part-"
+"""Prefix of the keys under which crashes of parts are recorded, beside those of requests."""
+
+MAX_ID_LENGTH: Final = 32
+"""Length up to which a part's id is used as it is; of longer ones a hash is used."""
+
+
+class SoundParts:
+    """Parts on which requests have written events through this host."""
+
+    __slots__ = ("_clock", "_until_ms")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until_ms: OrderedDict[str, float] = OrderedDict()
+
+    def note(self, keys: Iterable[str]) -> None:
+        """Record that a request wrote on the parts with these keys."""
+        until_ms = self._clock.now_ms() + SOUND_MS
+        for key in keys:
+            self._until_ms[key] = until_ms
+            self._until_ms.move_to_end(key)
+        while len(self._until_ms) > MAX_SOUND_PARTS:
+            self._until_ms.popitem(last=False)
+
+    def has(self, key: str) -> bool:
+        """Return whether a request has written on a part lately."""
+        return self._until_ms.get(key, 0.0) > self._clock.now_ms()
+
+
+def create_sound_parts(clock: Clock) -> SoundParts:
+    """Return an empty record of sound parts."""
+    return SoundParts(clock)
+
+
+def part_keys(part_ids: Iterable[str]) -> tuple[str, ...]:
+    """Return the keys under which crashes of a prompt's parts are recorded."""
+    return tuple(PREFIX + _shorten(part_id) for part_id in part_ids)
+
+
+def _shorten(part_id: str) -> str:
+    """Return a part's id, or a hash of it if it is long."""
+    if len(part_id) <= MAX_ID_LENGTH and part_id.isascii() and part_id.isalnum():
+        return part_id
+    return hashlib.blake2b(part_id.encode(), digest_size=MAX_ID_LENGTH // 2).hexdigest()
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -41,6 +41,12 @@
 SILENT_POISON: Final = b"silent poison"
 """Body of a request under which its first replica falls silent."""
 
+PROMPT_PARTS: Final = "Pimentodale-Prompt-Prefix"
+"""Header that lists the parts of a prompt, the request's own as the last."""
+
+DEADLY_PART: Final = "dead"
+"""Id of a part of a prompt that crashes whoever begins to write on it, unless it is the last."""
+
 LAST_PART_POISON: Final = b"last part poison"
 """Body of a request that crashes the last replica of its path."""
 
@@ -442,7 +448,10 @@
 
     async def _crashes(self, attempt: str) -> bool:
         """Crash if the request brings that about."""
-        if self.part.is_cured or self.request.body not in (POISON, SILENT_POISON):
+        parts = self.request.headers.get(PROMPT_PARTS, "").split(",")[:-1]
+        has_deadly_part = any(part.partition(":")[0] == DEADLY_PART for part in parts)
+        is_poison = self.request.body in (POISON, SILENT_POISON) or has_deadly_part
+        if self.part.is_cured or not is_poison:
             return False
         is_silent = self.request.body == SILENT_POISON
         self._journal("crash", attempt, "")
