Read what other writers left without ending or losing the rest at one odd entry

Cause: decoders caught wrong types and broken text, but not RecursionError; no field had an upper bound; the host list was decoded as a whole, so that one odd group hid all others, and a deep one ended the task that polls.

Ports out of range were refused already.

--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -17,6 +17,7 @@
 from pimentodale.clients.http_call import CallFault, CallRequest, collect_body, fetch, open_call
 from pimentodale.clients.retry_after import RETRY_AFTER, read_retry_after_ms
 from pimentodale.clock import create_clock
+from pimentodale.foreign_bytes import UNREADABLE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -252,7 +253,7 @@
         return Error(_fault_of(reply.error))
     try:
         return Ok(msgspec.json.decode(reply.ok.body, type=EngineLoad))
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Error(EngineFault(f"load report not in its form: {error}", malformed=True))
 
 
@@ -279,7 +280,7 @@
         return Ok(None)
     try:
         return Ok(msgspec.json.decode(reply.ok.body, type=RequestProgress))
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return Ok(None)
 
 
@@ -314,7 +315,7 @@
     """Read one chunk."""
     try:
         chunk = _chunk_decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Error(EngineFault(f"a chunk is not in its form: {error}", malformed=True))
     note = chunk.pimentodale
     if note is not None and note.stage_lost:
@@ -336,7 +337,7 @@
         return _fault_of(body.error)
     try:
         refusal = _refusal_decoder.decode(body.ok).pimentodale
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return EngineFault(f"answered HTTP {status}", malformed=True)
     if not refusal.concerns(call):
         message = f"it refused attempt {refusal.attempt} of request {refusal.request_id}"
--- a/src/pimentodale/clients/engine_orders.py
+++ b/src/pimentodale/clients/engine_orders.py
@@ -10,6 +10,7 @@
 
 from pimentodale.clients.engine_messages import EngineOrder, EngineStateReport
 from pimentodale.clients.http_call import CallRequest, fetch
+from pimentodale.foreign_bytes import UNREADABLE
 
 if TYPE_CHECKING:
     from pimentodale.addresses import Address
@@ -90,7 +91,7 @@
         return _read_report(reply.ok)
     try:
         fenced = msgspec.json.decode(reply.ok.body, type=_Fenced)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return Error(OrderFault(OrderFaultKind.FAILED, f"its refusal can't be read: {error}"))
     message = f"the engine has followed number {fenced.highest_fencing_number}"
     return Error(OrderFault(OrderFaultKind.FENCED, message, fenced.highest_fencing_number))
@@ -102,5 +103,5 @@
         return Error(OrderFault(OrderFaultKind.FAILED, f"it answered HTTP {reply.status}"))
     try:
         return Ok(msgspec.json.decode(reply.body, type=EngineStateReport))
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return Error(OrderFault(OrderFaultKind.FAILED, f"its report can't be read: {error}"))
--- a/src/pimentodale/clients/etcd_gateway.py
+++ b/src/pimentodale/clients/etcd_gateway.py
@@ -42,6 +42,7 @@
     prefix_end,
 )
 from pimentodale.clock import MS_PER_S
+from pimentodale.foreign_bytes import UNREADABLE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -223,7 +224,7 @@
     """Read the body of an answer that is 200."""
     try:
         return Ok(msgspec.json.decode(reply.body, type=kind))
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return Error(StoreFault(write, f"the service's answer can't be read: {error}"))
 
 
@@ -231,7 +232,7 @@
     """Explain an answer that is not 200; below 500 the service did nothing."""
     try:
         message = msgspec.json.decode(reply.body, type=GatewayError).error
-    except (msgspec.ValidationError, msgspec.DecodeError):
+    except UNREADABLE:
         message = "no reason given"
     text = f"the service answered HTTP {reply.status}: {message}"
     return StoreFault(write and reply.status >= 500, text)
@@ -241,7 +242,7 @@
     """Read one line of a watch."""
     try:
         response = msgspec.json.decode(line, type=WatchLine).result
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return Error(StoreFault(False, f"a line of the watch can't be read: {error}"))
     if response.canceled:
         return Error(_cancelled(response))
--- a/src/pimentodale/clients/host_list.py
+++ b/src/pimentodale/clients/host_list.py
@@ -10,6 +10,7 @@
 from pimentodale.addresses import Address, BadAddressError, parse_address
 from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.clients.targets import EngineTarget, EntryTarget, ServiceTarget, Targets
+from pimentodale.foreign_bytes import MAX_SHOWN_CHARACTERS, UNREADABLE, shorten, split_json_array
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -28,7 +29,9 @@
 JITTER: Final = 0.2
 """Share of the interval by which polls are spread."""
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+_Layer = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -52,9 +55,9 @@
     replica: str
     failure_domain: str
     model: str
-    first_layer: _Count
-    last_layer: _Count
-    tokens_per_s: float
+    first_layer: _Layer
+    last_layer: _Layer
+    tokens_per_s: _Rate
     slots: _Count
     accelerator: str = ""
     state: TargetState = "live"
@@ -150,17 +153,31 @@
     Returns:
         The typed targets, or why the whole can't be read.
     """
+    found = Targets(engines=[], services=[], entries=[], rejected=[])
     try:
         groups = msgspec.json.decode(body, type=list[_Group])
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        return Error(HostListFault(f"the host list is not service discovery JSON: {error}"))
-    found = Targets(engines=[], services=[], entries=[], rejected=[])
+    except UNREADABLE as error:
+        # One odd group must not hide the others.
+        texts = split_json_array(body)
+        if texts is None:
+            return Error(HostListFault(f"the host list is not service discovery JSON: {error}"))
+        groups = [group for text in texts if (group := _read_group(text, found)) is not None]
     for group in groups:
         for target in group.targets:
             _add_target(target, group.labels, found)
     return Ok(found)
 
 
+def _read_group(text: bytes, found: Targets) -> _Group | None:
+    """Read one group; one that can't be read is named among the rejected targets."""
+    try:
+        return msgspec.json.decode(text, type=_Group)
+    except UNREADABLE as error:
+        shown = shorten(text[: 4 * MAX_SHOWN_CHARACTERS].decode(errors="replace"))
+        found.rejected.append(f"{shown}: {shorten(str(error))}")
+        return None
+
+
 def _add_target(target: str, labels: dict[str, str], found: Targets) -> None:
     """Sort one target into the list, or say why it can't be used."""
     kind = labels.get("kind", "")
@@ -174,8 +191,8 @@
             found.entries.append(_entry(address, labels))
         else:
             found.rejected.append(f"{target}: its label kind is not engine, service or entry")
-    except (BadAddressError, msgspec.ValidationError) as error:
-        found.rejected.append(f"{target}: {error}")
+    except (BadAddressError, *UNREADABLE) as error:
+        found.rejected.append(f"{shorten(target)}: {shorten(str(error))}")
 
 
 def _engine(address: Address, labels: dict[str, str]) -> EngineTarget:
--- a/src/pimentodale/clients/weight_store.py
+++ b/src/pimentodale/clients/weight_store.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from pimentodale.clients.http_call import CallRequest, fetch
+from pimentodale.foreign_bytes import UNREADABLE
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -68,7 +69,7 @@
             return Error(WeightStoreFault(f"the weight store answered HTTP {reply.ok.status}"))
         try:
             return Ok(msgspec.json.decode(reply.ok.body, type=Reservation))
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        except UNREADABLE as error:
             return Error(WeightStoreFault(f"the weight store's answer can't be read: {error}"))
 
     return reserve
--- a/src/pimentodale/configuration/snapshots.py
+++ b/src/pimentodale/configuration/snapshots.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from pimentodale.configuration.files import FileProblem
+from pimentodale.foreign_bytes import UNREADABLE
 
 MAX_SNAPSHOT_BYTES: Final = 1_000_000
 """Maximum size of an encoded snapshot; the key-value service limits values to a megabyte."""
@@ -82,5 +83,5 @@
         return Ok(msgspec.convert(msgpack.unpackb(plain), Snapshot))
     except zlib.error as error:
         return Error(f"the snapshot is not compressed as it should be: {error}")
-    except (ValueError, msgpack.UnpackException, RecursionError) as error:
+    except (*UNREADABLE, msgpack.UnpackException) as error:
         return Error(f"the snapshot can't be read: {error}")
--- a/src/pimentodale/ctl/ask_hosts.py
+++ b/src/pimentodale/ctl/ask_hosts.py
@@ -12,6 +12,7 @@
 from pimentodale.addresses import BadAddressError, parse_address
 from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.ctl.exit_codes import ExitCode
+from pimentodale.foreign_bytes import UNREADABLE
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -69,5 +70,5 @@
         return Error(f"answered HTTP {reply.ok.status}")
     try:
         return Ok(msgspec.json.decode(reply.ok.body, type=kind))
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except UNREADABLE as error:
         return Error(f"its answer can't be read: {error}")
--- a/src/pimentodale/gateway/load_exchange.py
+++ b/src/pimentodale/gateway/load_exchange.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.forwarding.load_table import KV_UNIT, ReplicaLoad
 from pimentodale.logs import get_log
 from pimentodale.peers.mesh import rank
@@ -171,7 +172,7 @@
         if reply.is_ok():
             try:
                 return decode_loads(_response_decoder.decode(reply.ok), self.view.replicas)
-            except msgspec.MsgspecError as error:
+            except UNREADABLE as error:
                 problem = f"its answer can't be decoded: {error}"
         self._skipped_until_ms[host] = self.clock.now_ms() + UNRESPONSIVE_SKIP_MS
         _log.info("Skipping an unresponsive host in the load exchange.", host=host, reason=problem)
--- a/src/pimentodale/gateway/state_sharing.py
+++ b/src/pimentodale/gateway/state_sharing.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.logs import get_log
 from pimentodale.quarantine.crash_sharing import CRASH_PREFIX, merge_crashes
 from pimentodale.site.slow_replicas import REPORT_TTL_MS
@@ -50,7 +51,7 @@
     def receive_down(update: EntryUpdate) -> None:
         try:
             replica_id, started_ms, reason = _health_decoder.decode(update.value)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             _log.warning(
                 "A message from a peer can't be decoded.", host=update.owner, problem=str(error)
             )
@@ -64,7 +65,7 @@
     def receive_up(update: EntryUpdate) -> None:
         try:
             replica_id, started_ms, _ = _health_decoder.decode(update.value)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             _log.warning(
                 "A message from a peer can't be decoded.", host=update.owner, problem=str(error)
             )
@@ -88,7 +89,7 @@
     def receive_pace(update: EntryUpdate) -> None:
         try:
             replica_id, started_ms, pace = _pace_decoder.decode(update.value)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             _log.warning(
                 "A message from a peer can't be decoded.", host=update.owner, problem=str(error)
             )
@@ -131,7 +132,7 @@
     def receive_handover(update: EntryUpdate) -> None:
         try:
             receiver, handover = _handover_decoder.decode(update.value)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             _log.warning(
                 "A message from a peer can't be decoded.", host=update.owner, problem=str(error)
             )
--- a/src/pimentodale/ledger/records.py
+++ b/src/pimentodale/ledger/records.py
@@ -9,6 +9,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.foreign_bytes import UNREADABLE
+
 LEDGER_PREFIX: Final = "pimentodale/ledger/"
 """Prefix of all keys of the ledger."""
 
@@ -158,5 +160,5 @@
     """
     try:
         return Ok(msgspec.msgpack.decode(value, type=ClaimRecord))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except UNREADABLE as error:
         return Error(MalformedRecord(str(error)))
--- a/src/pimentodale/mirror/follower.py
+++ b/src/pimentodale/mirror/follower.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.logs import get_log
 from pimentodale.mirror.mirror import MirrorChanges
 from pimentodale.peers.mesh import choose_watchers
@@ -287,7 +288,7 @@
             return None
         try:
             changes = _changes_decoder.decode(reply.ok)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             _log.warning("Another host's reply can't be decoded.", host=host, problem=str(error))
             return None
         # The time that the reply was on its way counts, as the host's mirror aged meanwhile.
--- a/src/pimentodale/platform/configuration.py
+++ b/src/pimentodale/platform/configuration.py
@@ -8,6 +8,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.site.model import (
     AcceleratorKind,
     BackendService,
@@ -142,7 +143,7 @@
     """
     try:
         raw = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except UNREADABLE as error:
         return Error(f"the configuration can't be read: {error}")
     workspaces: dict[str, WorkspaceAccess] = {}
     for tenant in raw.tenants or []:
--- a/src/pimentodale/platform/engine_client.py
+++ b/src/pimentodale/platform/engine_client.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from pimentodale.clients.http_call import CallRequest, fetch
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.placement.messages import (
     EngineReport,
     OrderOutcome,
@@ -169,7 +170,7 @@
     """Decode the body of a report."""
     try:
         return Ok(msgspec.json.decode(body, type=_Report))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except UNREADABLE as error:
         return Error(f"the report of {replica.address} can't be read: {error}")
 
 
--- a/src/pimentodale/platform/replica_records.py
+++ b/src/pimentodale/platform/replica_records.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Final
+
 import msgspec
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import BadAddressError, parse_address
+from pimentodale.foreign_bytes import UNREADABLE, shorten
 from pimentodale.site.model import LayerRange, ReplicaRecord
 
 REPLICA_PREFIX = "servers/"
@@ -15,11 +18,24 @@
 _DRAINING = "draining"
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+"""A number of slots."""
+
+Timestamp = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Unix time in milliseconds."""
+
+MAX_LAYERS: Final = 10_000
+"""Maximum number of layers of a model."""
+
+Layer = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
+"""A layer, or the end of a range of layers."""
+
+
 class LayersRecord(msgspec.Struct):
     """A range of layers in the replicas' format."""
 
-    from_: int = msgspec.field(name="from")
-    to: int
+    from_: Layer = msgspec.field(name="from")
+    to: Layer
     """Exclusive end of the range."""
 
 
@@ -28,9 +44,9 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    # Start time in Unix milliseconds.
-    born: int = 0
+    slots: Count = 1
+    # Start time.
+    born: Timestamp = 0
     kind: str | None = None
     layers: LayersRecord | None = None
 
@@ -48,10 +64,10 @@
     try:
         raw = msgspec.json.decode(value, type=_Replica)
         address = parse_address(raw.address)
-    except (msgspec.MsgspecError, BadAddressError, ValueError) as error:
-        return Error(str(error))
+    except (*UNREADABLE, BadAddressError) as error:
+        return Error(shorten(str(error)))
     if raw.state not in (_READY, _DRAINING):
-        return Error(f"its state '{raw.state}' is not known")
+        return Error(f"its state '{shorten(raw.state)}' is not known")
     return Ok(
         ReplicaRecord(
             replica_id=key.removeprefix(REPLICA_PREFIX),
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -21,6 +21,7 @@
     WatchBatch,
     prefix_end,
 )
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -308,7 +309,7 @@
     """Decode a body regardless of the status."""
     try:
         return Ok(msgspec.json.decode(reply.body, type=kind))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except UNREADABLE as error:
         return Error(StoreFault(True, f"the store's reply can't be read: {error}"))
 
 
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -225,7 +226,7 @@
     """Decode an entry, or return `None` when the data is malformed."""
     try:
         return msgspec.msgpack.decode(octets, type=CrashEntry)
-    except (msgspec.MsgspecError, ValueError):
+    except UNREADABLE:
         return None
 
 
--- a/src/pimentodale/quarantine/entries.py
+++ b/src/pimentodale/quarantine/entries.py
@@ -7,6 +7,8 @@
 import msgpack
 import msgspec
 
+from pimentodale.foreign_bytes import UNREADABLE
+
 SAME_CRASH_MS: Final = 5_000.0
 """Strikes of one replica within this time count as one crash when a boot id is missing."""
 
@@ -111,5 +113,5 @@
     """Decode an entry, or return `None` when the data is malformed."""
     try:
         return msgspec.convert(msgpack.unpackb(octets), QuarantineEntry)
-    except (ValueError, msgpack.UnpackException, msgspec.ValidationError):
+    except (*UNREADABLE, msgpack.UnpackException):
         return None
--- a/src/pimentodale/routing/load_poller.py
+++ b/src/pimentodale/routing/load_poller.py
@@ -10,6 +10,7 @@
 from pimentodale.clients.engine_messages import CacheEvents
 from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.clock import MS_PER_S
+from pimentodale.foreign_bytes import UNREADABLE
 
 if TYPE_CHECKING:
     import random
@@ -90,7 +91,7 @@
             return
         try:
             found = msgspec.json.decode(reply.ok.body, type=CacheEvents)
-        except msgspec.DecodeError:
+        except UNREADABLE:
             return
         self._prefixes.apply_events(engine.replica, found.events)
         self._next_events[engine.replica] = found.next
