Answer what is unfinished as a gateway's time to stop is over

Cause: the end of the stop closed the connections of whatever was in progress. Now a request whose answer has not begun is answered at that moment: 503 where it was never sent, 502 where it may have run. A stream that has begun still breaks off, as no other answer fits into it; its client may resume it elsewhere.

--- a/features/planned_work.feature
+++ b/features/planned_work.feature
@@ -22,3 +22,12 @@
     Given a front server whose streams end 5 ms before their requests do
     When a client sends two requests at once on one connection, and the server stops accepting during the second
     Then both requests have whole answers
+
+  # Guards against requests that are taken late in a stop and cut without an answer at its end, among them
+  # requests that may not be repeated.
+  Scenario: whatever comes during a stop is answered, though no replica has answered by its end
+    Given a site of two gateways, eight replicas and a store
+    And every replica takes 20 s for an answer
+    When a gateway stops, and requests that may not be repeated come each 0.3 s on connections of before and on new ones
+    Then each that was sent on an open connection has an answer, and those after 3 s a promise that they have not run
+    And no answer came later than the stop allows
--- a/features/steps/planned_work.py
+++ b/features/steps/planned_work.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
 import signal
 import threading
 import time
 from typing import TYPE_CHECKING, Any, Final
 
 from behave import given, then, when
-from features.support.gateway_site import KEY
+from features.support.gateway_site import KEY, PLAIN_REPLICAS
 from features.support.site import wait_until
 from tornado.netutil import bind_sockets
 
@@ -22,6 +23,9 @@
 
 REQUEST: Final = b"GET /x HTTP/1.1\r\nHost: lab.example\r\nPimentodale-Attempt-Id: a1\r\n\r\n"
 LAST_CHUNK: Final = b"0\r\n\r\n"
+STOP_TIMEOUT_S: Final = 8.0
+"""Time that the gateways of a scenario's site have to stop."""
+
 STREAM_S: Final = 0.2
 END_S: Final = 0.005
 CLOSE_MS: Final = 1_000.0
@@ -184,3 +188,80 @@
 def check_both(context: Any) -> None:
     assert context.answer.count(b"HTTP/1.1 200 ") == 2, context.answer
     assert context.answer.count(LAST_CHUNK) == 2, context.answer
+
+
+@given("every replica takes {delay_s:d} s for an answer")
+def delay_replicas(context: Any, delay_s: int) -> None:
+    for name in PLAIN_REPLICAS:
+        context.gateways.fault(name, delay_ms=delay_s * 1_000.0)
+
+
+@when(
+    "a gateway stops, and requests that may not be repeated come each {gap_s:g} s on connections of"
+    " before and on new ones"
+)
+def send_during_stop(context: Any, gap_s: float) -> None:
+    site = context.gateways
+    count = int(STOP_TIMEOUT_S / gap_s)
+    context.outcomes = []
+    kept = []
+    for _ in range(count):
+        connection = http.client.HTTPConnection(site.ip("g1"), 7000, timeout=15.0)
+        connection.request("GET", "/lm/unknown-kind", headers=site.headers("no key"))
+        connection.getresponse().read()
+        kept.append(connection)
+    headers = [(site.headers(), site.headers()) for _ in range(count)]
+    site.site.programs["g1"].process.terminate()
+    started_s = time.monotonic()
+    threads = []
+    for number, connection in enumerate(kept):
+        time.sleep(max(0.0, started_s + number * gap_s - time.monotonic()))
+        fresh = http.client.HTTPConnection(site.ip("g1"), 7000, timeout=15.0)
+        for each, is_kept in ((connection, True), (fresh, False)):
+            arguments = (context, each, headers[number][is_kept], is_kept, started_s)
+            threads.append(threading.Thread(target=send_one, args=arguments, daemon=True))
+            threads[-1].start()
+    for thread in threads:
+        thread.join()
+    site.site.programs["g1"].process.wait(10.0)
+
+
+def send_one(
+    context: Any,
+    connection: http.client.HTTPConnection,
+    headers: dict[str, str],
+    is_kept: bool,
+    started_s: float,
+) -> None:
+    """Send one request and record its outcome."""
+    sent_s = time.monotonic() - started_s
+    status = 0
+    try:
+        connection.auto_open = not is_kept
+        connection.request("POST", "/book/x", b"body", headers)
+    except (OSError, http.client.HTTPException):
+        # The connection was closed before the request was sent.
+        return
+    try:
+        status = connection.getresponse().status
+    except (ConnectionResetError, http.client.RemoteDisconnected):
+        status = 0
+    context.outcomes.append((round(sent_s, 2), is_kept, status, time.monotonic() - started_s))
+
+
+@then(
+    "each that was sent on an open connection has an answer, and those after {late_s:d} s a promise"
+    " that they have not run"
+)
+def check_answered(context: Any, late_s: int) -> None:
+    print(sorted(context.outcomes))
+    assert len(context.outcomes) >= 8, context.outcomes
+    unanswered = [each for each in context.outcomes if each[2] == 0 and each[0] < late_s]
+    assert not unanswered, unanswered
+    late = [each for each in context.outcomes if each[0] >= late_s]
+    assert all(status in (0, 503) for _, _, status, _ in late), late
+
+
+@then("no answer came later than the stop allows")
+def check_in_time(context: Any) -> None:
+    assert max(ended_s for *_, ended_s in context.outcomes) <= STOP_TIMEOUT_S + 0.5
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -5,13 +5,14 @@
 import math
 import random
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from pimentodale.logs import get_log
 from pimentodale.quarantine.crash_record import fingerprint_of
 from pimentodale.quarantine.prompt_parts import part_keys
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from pimentodale.background import BackgroundTasks
@@ -66,6 +67,9 @@
 
     rng: random.Random = field(default_factory=random.SystemRandom)
 
+    in_progress: dict[asyncio.Task[Any], RoutedRequest] = field(default_factory=dict)
+    """Admitted requests without a whole answer so far, by the task that serves them."""
+
 
 @dataclass(slots=True)
 class RoutedRequest:
@@ -99,6 +103,9 @@
     """Fingerprint or part's key that is in quarantine for crashes and for which the request was
     granted a trial run; empty without one."""
 
+    is_cut: bool = False
+    """Whether it is answered now, as this host's time to stop is over."""
+
     has_progressed: bool = False
     """Whether a replica has written events of it, or had before the client resumed it."""
 
--- a/src/pimentodale/forwarding/forwarder.py
+++ b/src/pimentodale/forwarding/forwarder.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.forwarding.client_exchange import ClientGoneError
-from pimentodale.forwarding.context import RoutedRequest, log_disconnect, view_age_ms
-from pimentodale.forwarding.error_responses import send_refusal
+from pimentodale.forwarding.context import RoutedRequest, log_disconnect, log_end, view_age_ms
+from pimentodale.forwarding.error_responses import send_failure, send_refusal
 from pimentodale.forwarding.plain_requests import serve_plain
 from pimentodale.forwarding.route_table import choose_service
 from pimentodale.forwarding.streams import serve_stream
@@ -24,6 +24,9 @@
 """Age from which the configuration may be stale: a route or key that it lacks may have been added
 since, and is not reported as unknown. A change must be in force within 2 s."""
 
+STOPPING_RETRY_AFTER_MS: Final = 50.0
+"""Retry-After for clients that a stopping host refuses; the next attempt reaches another host."""
+
 RETRY_AFTER_MS: Final = 1_000.0
 """Retry-After time for clients of a host without a current configuration."""
 
@@ -67,18 +70,48 @@
         return
     ctx.retries.note_request(service.name)
     routed = RoutedRequest(exchange, route, service, workspace, priority)
+    task = asyncio.current_task()
+    assert task is not None
+    ctx.in_progress[task] = routed
     try:
         if route.repeatability is Repeatability.STREAM:
             await serve_stream(ctx, shared_streams, routed)
         else:
             await serve_plain(ctx, routed)
-    except (asyncio.CancelledError, ClientGoneError):
-        log_disconnect(ctx, routed)
-        raise
+    except (asyncio.CancelledError, ClientGoneError) as error:
+        if not routed.is_cut or isinstance(error, ClientGoneError):
+            log_disconnect(ctx, routed)
+            raise
+        task.uncancel()
+        await _answer_unfinished(ctx, routed)
     finally:
+        del ctx.in_progress[task]
         ctx.crashes.note_ended(routed)
 
 
+def end_unfinished(ctx: ForwardingContext) -> None:
+    """Answer the requests whose answers have not begun, as this host's time to stop is over."""
+    for task, routed in list(ctx.in_progress.items()):
+        if routed.exchange.is_begun or routed.is_cut:
+            continue
+        routed.is_cut = True
+        task.cancel()
+
+
+async def _answer_unfinished(ctx: ForwardingContext, routed: RoutedRequest) -> None:
+    """Answer a request that this host can't finish any more."""
+    if routed.sends == 0:
+        log_end(ctx, routed, ResultCode.LEAVING, 503)
+        message = "This host is stopping; it has not run, send to another one."
+        await send_refusal(
+            routed.exchange, ResultCode.LEAVING, message, retry_after_ms=STOPPING_RETRY_AFTER_MS
+        )
+        return
+    log_end(ctx, routed, ResultCode.BACKEND_SERVER_LOST, 502)
+    message = "This host has stopped before its replica answered; it may have run."
+    await send_failure(routed.exchange, ResultCode.BACKEND_SERVER_LOST, message)
+
+
 async def _refuse_unknown(
     ctx: ForwardingContext, exchange: ClientExchange, code: ResultCode, message: str
 ) -> None:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -19,7 +19,7 @@
 from pimentodale.forwarding.context import ForwardingContext
 from pimentodale.forwarding.crash_detector import create_crash_detector
 from pimentodale.forwarding.error_responses import send_refusal
-from pimentodale.forwarding.forwarder import forward
+from pimentodale.forwarding.forwarder import STOPPING_RETRY_AFTER_MS, end_unfinished, forward
 from pimentodale.forwarding.front_server import create_front_server
 from pimentodale.forwarding.load_table import create_load_table
 from pimentodale.forwarding.own_pauses import create_own_pauses
@@ -97,9 +97,6 @@
 METRICS_TYPE: Final = "text/plain; version=0.0.4"
 """Content type of the Prometheus text format; readiness answers carry it too."""
 
-STOPPING_RETRY_AFTER_MS: Final = 50.0
-"""Retry-After for clients that a stopping host refuses; the next attempt reaches another host."""
-
 _log = get_log("gateway")
 
 
@@ -204,7 +201,7 @@
     start(placer.run(), "placement")
     _log.info("The gateway listens.", host=settings.host, address=settings.client_listen)
     await _wait_for_stop()
-    await _stop(gateway, server, peers, placer)
+    await _stop(gateway, server, peers, placer, ctx)
     return 0
 
 
@@ -406,7 +403,9 @@
     await stop.wait()
 
 
-async def _stop(gateway: Gateway, server: FrontServer, peers: Peers, placer: Placer) -> None:
+async def _stop(
+    gateway: Gateway, server: FrontServer, peers: Peers, placer: Placer, ctx: ForwardingContext
+) -> None:
     """Stop gracefully: report not ready, stop accepting, then wait for requests in progress."""
     started_ms = gateway.clock.now_ms()
     end_ms = started_ms + gateway.settings.stop_timeout_s * MS_PER_S - STOP_RESERVE_MS
@@ -420,6 +419,7 @@
     server.stop_accepting()
     while len(gateway.work) and gateway.clock.now_ms() < end_ms:
         await gateway.clock.sleep_ms(STOP_POLL_INTERVAL_MS)
+    end_unfinished(ctx)
     await server.close_when_sent(gateway.clock, FINAL_FLUSH_MS)
     try:
         await asyncio.wait_for(peers.stop(), FINAL_FLUSH_MS / MS_PER_S)
