Answer what is unfinished as an entry host's time to stop is over

Requests whose answer has not begun are now answered as that time is over: with "leaving" where nothing was handed over, with "backend_server_lost" and may_have_run where it was. Streams that have begun break off as before.

Evidence: a scenario of features/services.feature, silent replicas and 3 s to stop: before, the connection closed without an answer; now it has one within 4 s.

--- a/features/services.feature
+++ b/features/services.feature
@@ -40,3 +40,11 @@
     When all replicas of the plain service reject calls for 5 s, and its status is read 30 times
     Then each replica rejected at most two calls
     And the later reads were refused with a retry delay of at most 5 s
+
+  # Guards against calls that are cut without an answer as the time of a planned stop is over, among them calls that may
+  # not be repeated.
+  Scenario: a call that no replica has answered by the end of its host's stop is answered
+    Given entry host 1 has 3 s to stop
+    When all replicas are silent, and a POST to "/notes" is sent through entry host 1, which is stopped 0.3 s later
+    Then the plain service answer is "backend_server_lost" with ran "may_have_run"
+    And it came at most 4 s after the stop began
--- a/features/steps/services.py
+++ b/features/steps/services.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 from features.support.layout import headers_of
 from features.support.resends import ENTRIES, SERVICES, set_service_fault
 from features.support.site import http, read_journal, wait_until
@@ -113,3 +114,45 @@
 @then("the plain service ran {count:d} calls")
 def check_runs(context: Any, count: int) -> None:
     assert len(context.layout.service_runs()) == count, context.layout.service_runs()
+
+
+@given("entry host {entry:d} has {time_s:d} s to stop")
+def limit_stop(context: Any, entry: int, time_s: int) -> None:
+    layout = context.layout
+    layout.site.programs[f"entry-{entry}"].kill()
+    layout.entry = {**layout.entry, "stop_timeout_ms": time_s * 1_000.0}
+    layout.start_entry(entry)
+    url = layout.entry_url(entry, "/services/rigs/status/x")
+    wait_until(lambda: is_served(url), "the host serves", 20.0)
+
+
+def is_served(url: str) -> bool:
+    try:
+        return http(url, headers=headers_of("lab")).status == 200
+    except OSError:
+        return False
+
+
+@when(
+    'all replicas are silent, and a POST to "{path}" is sent through entry host {entry:d}, which is'
+    " stopped {delay_s:g} s later"
+)
+def stop_during_call(context: Any, path: str, entry: int, delay_s: float) -> None:
+    layout = context.layout
+    for name, program in layout.site.programs.items():
+        if name.startswith("rigs-"):
+            program.freeze()
+    url = layout.entry_url(entry, f"/services/rigs{path}")
+    with ThreadPoolExecutor(1) as pool:
+        headers = headers_of("lab") | {"X-Request-Timeout-Ms": "20000"}
+        sent = pool.submit(http, url, {"text": "one"}, headers=headers, timeout_s=25.0)
+        time.sleep(delay_s)
+        began_s = time.monotonic()
+        layout.site.programs[f"entry-{entry}"].process.terminate()
+        context.replies = [sent.result()]
+        context.took_s = time.monotonic() - began_s
+
+
+@then("it came at most {limit_s:d} s after the stop began")
+def check_answer_time(context: Any, limit_s: int) -> None:
+    assert context.took_s <= limit_s, context.took_s
--- a/src/pimentodale/callers/base.py
+++ b/src/pimentodale/callers/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import re
 import uuid
@@ -107,12 +108,14 @@
         self.refused_early = False
         self._body_read = False
         self._counted = False
+        self._is_cut = False
         self._span: Span | None = None
 
     def prepare(self) -> None:
         """Refuse what can be refused by the header alone."""
         self.context.work.enter()
         self._counted = True
+        self.context.end_unfinished.add(self._end_unfinished)
         self.request_id = self._read_request_id()
         self.set_header("X-Request-Id", self.request_id)
         parent = parse_traceparent(self.request.headers.get("traceparent")) or create_trace()
@@ -133,8 +136,29 @@
             self.body.clear()
             self.refuse(self._too_large())
 
+    def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> Future[None]:
+        """Finish the answer; the work of a request that was answered for a stop may end later."""
+        if self._is_cut and self._finished:
+            ended: Future[None] = asyncio.get_running_loop().create_future()
+            ended.set_result(None)
+            return ended
+        return super().finish(chunk)
+
+    def _end_unfinished(self) -> None:
+        """Answer now, as the host's time to stop is over, unless the answer has begun."""
+        if self._headers_written or self._finished or self.refused_early:
+            return
+        if self.handed_over:
+            code, message = ResultCode.BACKEND_SERVER_LOST, "it may have run"
+        else:
+            code, message = ResultCode.LEAVING, "it has not run, send it to another host"
+        message = f"This host has stopped before the work was done; {message}."
+        self.refuse(create_refusal(code, message, ran=self.ran_on_fault()))
+        self._is_cut = True
+
     def count_off(self) -> None:
         """Count the request off; every verb does so at its end."""
+        self.context.end_unfinished.discard(self._end_unfinished)
         if self._counted:
             self._counted = False
             self.context.work.exit()
--- a/src/pimentodale/callers/context.py
+++ b/src/pimentodale/callers/context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -70,3 +70,7 @@
 
     max_body_bytes: int
     """Largest request body."""
+
+    end_unfinished: set[Callable[[], None]] = field(default_factory=set)
+    """Answer each request in progress whose answer has not begun; called as the host's time to stop
+    is over."""
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -188,12 +188,17 @@
     async def flush_outcomes(timeout_ms: float) -> bool:
         return await context.ledger.flush(timeout_ms) == 0
 
+    async def close_connections(timeout_ms: float) -> None:
+        for end in list(context.end_unfinished):
+            end()
+        await server.close_when_sent(host.clock, timeout_ms)
+
     return ShutdownSteps(
         announce_leaving=peers.leave,
         reject_new_requests=server.end_connections_when_answered,
         drain_background=host.work_background.drain,
         flush_outcomes=flush_outcomes,
-        close_connections=lambda timeout_ms: server.close_when_sent(host.clock, timeout_ms),
+        close_connections=close_connections,
         leave_membership=peers.stop,
     )
 
