--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -7,7 +7,7 @@
 import json
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any
 
@@ -50,6 +50,7 @@
     has_progressed: bool = False
     sends: int = 0
     trial_of: str = ""
+    history: list[str] = field(default_factory=list)
 
     @property
     def is_on_trial(self) -> bool:
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -161,7 +161,10 @@
             return False
         if routed.sends == 0 and not routed.is_on_trial and await self.retrials.acquire(suspect):
             routed.trial_of = suspect
-        return routed.sends > 0 or not routed.is_on_trial
+        is_refused = routed.sends > 0 or not routed.is_on_trial
+        if is_refused:
+            routed.history.append(f"in quarantine: {suspect}")
+        return is_refused
 
     def awaits_verdict(self, routed: RoutedRequest) -> bool:
         """Whether the sends without a result yet may put a request into quarantine.
