Play a store's return from a copy with real processes, and set down its calls

Two gateways, eight replicas and the store's stand-in: the new route is served within 2 s, and replicas that restart empty get their layers under a fencing number above that of the era before. Bounds of foreign numbers stand in one place.

--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -5,13 +5,17 @@
 import asyncio
 import json
 import random
+import re
+import time
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 from expression import Ok
 from features.steps.configuration_in_force import APPLY_MS
+from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS
 from features.support.mirror_site import RECORDS, MirrorSite, SimulatedStore
+from features.support.site import http, wait_until
 from features.support.virtual_time import run_virtually
 from structlog.testing import capture_logs
 
@@ -451,3 +455,58 @@
     context.mirrors.run(1_000.0)
     assert not wait_for(context, context.trials[1].acquire("f"))
     context.mirrors.stop()
+
+
+def extra_route(path: str) -> list[dict[str, Any]]:
+    return [{"path_prefix": path, "kind": "idempotent", "service": "plain", "timeout_ms": 2_000}]
+
+
+@when("the store returns from a copy made before the last configuration, and that is written again")
+def return_with_processes(context: Any) -> None:
+    site = context.gateways
+    admin = f"http://{site.site.ip(2)}:9001/admin"
+    assert http(f"{admin}/save", {}).status == 200
+    for _ in range(4):
+        site.configure()
+        time.sleep(0.4)
+    site.store_fault(down=True, down_mode="reset")
+    time.sleep(AWAY_MS / MS_PER_S)
+    assert http(f"{admin}/restore", {}).json()["era"] == 2
+    site.store_fault()
+    site.version -= 1
+    site.configure()
+    time.sleep(0.5)
+
+
+@when("the configuration gets a new route")
+def add_route(context: Any) -> None:
+    context.gateways.configure(extra_route("/fresh/"))
+    context.acknowledged_s = time.monotonic()
+
+
+@then("both gateways serve the new route within 2 s")
+def check_new_route(context: Any) -> None:
+    site = context.gateways
+    time.sleep(max(0.0, context.acknowledged_s + APPLY_MS / MS_PER_S - time.monotonic()))
+    for name in GATEWAYS:
+        assert site.request(name, "/fresh/x", method="GET").status == 200, name
+
+
+@when("the replicas of a copy of the model restart empty")
+def restart_replicas(context: Any) -> None:
+    for name in ENGINE_REPLICAS:
+        if name.startswith("a"):
+            context.gateways.admin(name, "restart")
+
+
+@then(
+    "both gateways serve streams again, and the replicas were ordered under a higher fencing number"
+)
+def check_streams(context: Any) -> None:
+    site = context.gateways
+    for name in GATEWAYS:
+        wait_until(lambda name=name: site.serves(name), f"{name} serves streams", 15.0)
+    lines = [program.log.read_text() for program in site.site.programs.values()]
+    fences = [int(text) for log in lines for text in re.findall(r'"fence": (\d+)', log)]
+    assert max(fences) >= fencing_number(2, 0), max(fences)
+    assert min(fences) < fencing_number(2, 0)
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -84,3 +84,12 @@
     When the store returns from the copy
     Then the host has written the crashes and the trial again within 100 ms
     And no other host takes a trial of the request in the 2 s after the return, or that one after it
+
+  # Guards against replicas that refuse the orders after a return, and hosts that don't serve what is new.
+  Scenario: a site of real processes goes on after its store has returned from a copy
+    Given a site of two gateways, eight replicas and a store
+    When the store returns from a copy made before the last configuration, and that is written again
+    And the configuration gets a new route
+    Then both gateways serve the new route within 2 s
+    When the replicas of a copy of the model restart empty
+    Then both gateways serve streams again, and the replicas were ordered under a higher fencing number
--- a/src/pimentodale/clients/host_list.py
+++ b/src/pimentodale/clients/host_list.py
@@ -10,7 +10,14 @@
 from pimentodale.addresses import Address, BadAddressError, parse_address
 from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.clients.targets import EngineTarget, EntryTarget, ServiceTarget, Targets
-from pimentodale.foreign_bytes import MAX_SHOWN_CHARACTERS, UNREADABLE, shorten, split_json_array
+from pimentodale.foreign_bytes import (
+    MAX_COUNT,
+    MAX_LAYERS,
+    MAX_SHOWN_CHARACTERS,
+    UNREADABLE,
+    shorten,
+    split_json_array,
+)
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -29,9 +36,9 @@
 JITTER: Final = 0.2
 """Share of the interval by which polls are spread."""
 
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _Rate = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
-_Layer = Annotated[int, msgspec.Meta(ge=0, le=10_000)]
+_Layer = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
--- a/src/pimentodale/foreign_bytes.py
+++ b/src/pimentodale/foreign_bytes.py
@@ -10,6 +10,12 @@
 UNREADABLE: Final = (msgspec.MsgspecError, ValueError, OverflowError, RecursionError)
 """What decoding may raise: wrong types, odd text, numbers that are too large, deep nesting."""
 
+MAX_LAYERS: Final = 10_000
+"""Maximum number of layers of a model that is believed."""
+
+MAX_COUNT: Final = 2**31
+"""Maximum of other numbers of things that is believed."""
+
 MAX_SHOWN_CHARACTERS: Final = 80
 """Maximum length of foreign text in a log line or a message."""
 
--- a/src/pimentodale/platform/replica_records.py
+++ b/src/pimentodale/platform/replica_records.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Final
+from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
 
 from pimentodale.addresses import BadAddressError, parse_address
-from pimentodale.foreign_bytes import UNREADABLE, shorten
+from pimentodale.foreign_bytes import MAX_COUNT, MAX_LAYERS, UNREADABLE, shorten
 from pimentodale.site.model import LayerRange, ReplicaRecord
 
 REPLICA_PREFIX = "servers/"
@@ -18,15 +18,12 @@
 _DRAINING = "draining"
 
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 """A number of slots."""
 
 Timestamp = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 """Unix time in milliseconds."""
 
-MAX_LAYERS: Final = 10_000
-"""Maximum number of layers of a model."""
-
 Layer = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
 """A layer, or the end of a range of layers."""
 
