--- a/features/support/mirror_site.py
+++ b/features/support/mirror_site.py
@@ -102,7 +102,10 @@
 
 
 class SimulatedStore(PlatformStore):
-    """The platform's adapter in front of the stand-in's state, without a network."""
+    """The platform's adapter in front of the stand-in's state, without a network.
+
+    Only its lowest layer is replaced, so that what the adapter makes of answers is tested as well.
+    """
 
     __slots__ = ("_host", "_site")
 
@@ -198,6 +201,8 @@
         """Time that a page of a range is on its way."""
 
         self.is_store_down = False
+        """Whether no host reaches the store."""
+
         self.cuts_after_page = False
         """Whether a host loses the store once it has a page."""
 
@@ -283,14 +288,6 @@
         calm_ms = self.clock.now_ms() - self.harmed_ms.get(name, float("-inf"))
         return name not in self.cut_off and name not in self.lost and calm_ms > CONTACT_MS
 
-    def watchers(self, failure_domain: str = "d0") -> list[str]:
-        """Return the hosts of a failure domain that watch the store, as they see it themselves."""
-        return [
-            host.name
-            for host in self.hosts.values()
-            if host.member.failure_domain == failure_domain and host.follower.is_watcher()
-        ]
-
     def configure(self, version: int = 0) -> int:
         """Write a configuration as the operators do; 0 takes the next version."""
         version = version or self.version + 1
