Wait before refusing a request whose replicas may only pause

Cause: a conviction was acted upon while what it rests on could still be withdrawn. A crash is proved once the record of the replica's run is gone or replaced. Until then a request waits for the verdict, 1.5 s at most, as it already did where one more crash would convict it. A stream that is convicted while it waits for a path waits in the same way.

The rows "answer again", "lose their records" and "stay silent" of the new scenario failed before (refused after 0 ms).

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -130,6 +130,20 @@
     Then the same request may be sent at once by another client
     And a client whose own attempt was not answered waits for the decision before a retry
 
+  # Guards against requests that are refused because their replicas paused together: all streams of a
+  # client may be the same request, and three of its replicas may fail a probe in one pause.
+  Scenario Outline: a request whose three replicas <end> is <verdict>
+    Given three replicas that have answered no probe while they ran a request
+    When the request is sent again, and after <after_ms> ms the replicas <end>
+    Then it is <verdict> after <least_ms> to <most_ms> ms
+
+    Examples:
+      | end                     | after_ms | verdict | least_ms | most_ms |
+      | answer again            | 600      | sent    | 550      | 900     |
+      | lose their records      | 600      | refused | 550      | 900     |
+      | start anew              | 0        | refused | 0        | 200     |
+      | stay silent             | 0        | refused | 1400     | 1800    |
+
   # Guards against calls that are considered harmless because a busy replica rejected them.
   Scenario: a call that a replica rejects keeps its crashes
     Given an entry host whose services answer
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import http.client
 import json
 import random
@@ -494,6 +495,66 @@
     assert await context.detector.is_refused(create_routed())
 
 
+@given("three replicas that have answered no probe while they ran a request")
+def make_silent_replicas(context: Any) -> None:
+    context.replicas = {name: replica(name, "a", "fast", None) for name in "abc"}
+
+
+@when("the request is sent again, and after {after_ms:d} ms the replicas {end}")
+def send_again(context: Any, after_ms: int, end: str) -> None:
+    context.verdict = asyncio.run(follow_silence(context.replicas, after_ms, end))
+
+
+async def follow_silence(replicas: dict[str, Any], after_ms: int, end: str) -> tuple[bool, float]:
+    """Send a request whose replicas are silent; return whether it is refused, and after how long."""
+    clock, background = create_clock(), create_background_tasks()
+    record, health = create_crash_record(clock), create_replica_health(clock)
+    detector = create_crash_detector(
+        clock,
+        record,
+        SimpleNamespace(replicas=replicas, has_announced_departure=lambda _incarnation: False),
+        health,
+        background,
+        create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
+    )
+    silent = [detector.list_alive([name])[0] for name in replicas]
+    for incarnation in silent:
+        detector.observe_send(SentRequest(), [incarnation], is_fresh=True)
+        health.note_failed_probe(incarnation, "no answer")
+    await asyncio.sleep(0.2)
+    assert record.is_convicted(POISON), "silent replicas have crashed"
+
+    async def end_silence() -> None:
+        await asyncio.sleep(after_ms / 1_000.0)
+        for incarnation in silent:
+            if end == "answer again":
+                health.mark_up(incarnation)
+                detector.note_alive(incarnation)
+            elif end == "lose their records":
+                del replicas[incarnation[0]]
+            elif end == "start anew":
+                replicas[incarnation[0]] = dataclasses.replace(
+                    replicas[incarnation[0]], started_ms=incarnation[1] + 1
+                )
+
+    if after_ms == 0:
+        await end_silence()
+    else:
+        background.start(end_silence(), "end of the silence")
+    started_s = time.monotonic()
+    refused = await detector.is_refused(create_routed())
+    took_ms = (time.monotonic() - started_s) * 1_000.0
+    background.cancel()
+    return refused, took_ms
+
+
+@then("it is {verdict} after {least_ms:d} to {most_ms:d} ms")
+def check_verdict(context: Any, verdict: str, least_ms: int, most_ms: int) -> None:
+    is_refused, took_ms = context.verdict
+    assert is_refused == (verdict == "refused"), is_refused
+    assert least_ms <= took_ms <= most_ms, took_ms
+
+
 @given("{count:d} unanswered attempts of a request, and replicas that are alive")
 def make_unanswered_attempts(context: Any, count: int) -> None:
     context.count = count
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -154,7 +154,7 @@
             routed: The request; a quarantined one may be granted a trial run.
         """
         end_ms = self.clock.now_ms() + VERDICT_TIMEOUT_MS
-        while self.awaits_verdict(routed) and self.clock.now_ms() < end_ms:
+        while self._is_undecided(routed) and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(POLL_INTERVAL_MS)
         suspect = self._convicted_suspect(routed)
         if suspect is None:
@@ -192,6 +192,22 @@
         """Return the fingerprint of a convicted request, or the key of a convicted part of it."""
         return next((key for key in self._suspects(routed) if self.record.is_convicted(key)), None)
 
+    def _is_undecided(self, routed: RoutedRequest) -> bool:
+        """Whether a request may soon be convicted, or its conviction withdrawn."""
+        if self.awaits_verdict(routed):
+            return True
+        suspect = self._convicted_suspect(routed)
+        if suspect is None:
+            return False
+        # A replica that is silent but still registered may only pause.
+        unproved = filter(self._is_registered, self.record.open_crashes(suspect))
+        return self.record.is_doubtful(suspect, unproved)
+
+    def _is_registered(self, crash: str) -> bool:
+        """Whether the run of a replica that has crashed by its name is still registered."""
+        replica = self.view.replicas.get(crash.rpartition("/")[0])
+        return replica is not None and crash_name(*incarnation_of(replica)) == crash
+
     def _suspects(self, routed: RoutedRequest) -> list[str]:
         """Return what may crash a request's replicas: itself, and the parts not known as sound."""
         parts = [key for key in routed.part_keys if not self.sound_parts.has(key)]
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -89,7 +89,7 @@
         return None
     if ctx.crashes.is_convicted(routed) and not routed.is_on_trial:
         routed.history.append("quarantined while it waited")
-        return None
+        return SendEnd.NOT_SENT
     if routed.sends > 0 and not ctx.retries.try_spend(routed.service.name):
         routed.history.append("no retry budget")
         return None
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -91,8 +91,7 @@
         """Return the unexpired entry of a request, if there is one."""
         if self._expire_ms.get(fingerprint, 0.0) > self._clock.now_ms():
             return self._entries[fingerprint]
-        self._entries.pop(fingerprint, None)
-        self._expire_ms.pop(fingerprint, None)
+        self._remove(fingerprint)
         return None
 
     def is_convicted(self, fingerprint: str) -> bool:
@@ -100,6 +99,24 @@
         entry = self.find(fingerprint)
         return entry is not None and entry.is_convicted
 
+    def open_crashes(self, fingerprint: str) -> set[str]:
+        """Return the names of a request's crashes that have not been cleared."""
+        entry = self.find(fingerprint)
+        return set() if entry is None else entry.open_crashes
+
+    def is_doubtful(self, fingerprint: str, unproved: Iterable[str]) -> bool:
+        """Whether a request is refused for crashes that may not have happened.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            unproved: Names of these crashes.
+        """
+        if not self.is_convicted(fingerprint):
+            return False
+        entry = self._entries[fingerprint]
+        cleared = [*entry.cleared, *unproved]
+        return not CrashEntry(fingerprint, entry.fresh, entry.late, cleared).is_convicted
+
     def has_open_crash(self, fingerprint: str) -> bool:
         """Whether a request has a crash that has not been cleared."""
         entry = self.find(fingerprint)
@@ -175,8 +192,7 @@
         if merged == known:
             return
         if known is None and len(self._entries) >= MAX_REQUESTS:
-            oldest = next(iter(self._entries))
-            del self._entries[oldest], self._expire_ms[oldest]
+            self._remove(next(iter(self._entries)))
         self._entries[entry.fingerprint] = merged
         self._expire_ms[entry.fingerprint] = self._clock.now_ms() + CRASH_RETENTION_MS
         _log.info(
@@ -197,6 +213,11 @@
             for callback in self._receivers:
                 callback(merged)
 
+    def _remove(self, fingerprint: str) -> None:
+        """Remove the entry of a request, if there is one."""
+        self._entries.pop(fingerprint, None)
+        self._expire_ms.pop(fingerprint, None)
+
 
 def crash_name(replica_id: str, started_ms: int) -> str:
     """Return the name of the crash that ends one run of a replica."""
