Try a refused request early where another one may have caused its crashes

Cause: a conviction counts crashes, and a request that many clients repeat is on every replica, so it has the crashes of the one that causes them.

Such a request gets one trial more, 1 s after the last crash, and others of its kind wait for the result within the 1.5 s that a verdict may take. A poison request that shares its crashes with a harmless one gets that trial too: three in all, which is what the users' rule allows after the third crash.

Ruled out by trials: explaining a request's crashes by another one with more of them, without a trial.

The new scenarios failed before (first trial after 30 s; refused).

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -107,6 +107,26 @@
     When it is sent to each of them every second for 300 s and crashes a replica in each trial
     Then it has run in two trials, the first of them 30 s after its last crash
 
+  # Guards against harmless requests that stay refused because they ran beside one that crashes
+  # replicas: they have the same crashes, and only a trial tells them apart.
+  Scenario Outline: a request <shared> of whose three crashes are those of another refused request gets its first trial after <after_s> s
+    Given 6 hosts, one of which can't reach the store, that refuse a request
+    And another request that they refuse has <shared> of its crashes
+    When it is sent to each of them every second for 300 s and crashes a replica in each trial
+    Then it has run in <trials> trials, the first of them after <after_s> s
+
+    Examples:
+      | shared | after_s | trials |
+      | 3      | 1       | 3      |
+      | 1      | 1       | 2      |
+      | 0      | 30      | 2      |
+
+  # Guards against requests that are refused while a trial that is due shows them to be harmless.
+  Scenario: a request that ran beside one that crashes replicas waits for the trial of another client's
+    Given a host that refuses two requests for the same three crashes
+    When one of them is sent by two clients, and is answered in 300 ms where it runs
+    Then both are answered within 2000 ms, one of them in a trial
+
   # Guards against trials that are used up although the request has not reached a replica.
   Scenario Outline: a trial in which <what> is not used up
     Given a host that refuses a request whose trial is due
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -294,6 +294,65 @@
     assert context.trials_s[1] - context.trials_s[0] >= 120, context.trials_s
 
 
+@given("another request that they refuse has {count:d} of its crashes")
+def crash_beside(context: Any, count: int) -> None:
+    shared = [f"replica-{number}" for number in range(count)]
+    own = [f"another-{number}" for number in range(3 - count)]
+    for record in context.records:
+        for crash in (*shared, *own):
+            record.strike(HARMLESS, crash, is_fresh=True)
+
+
+@then("it has run in {trials:d} trials, the first of them after {after_s:d} s")
+def check_first_trial(context: Any, trials: int, after_s: int) -> None:
+    assert len(context.trials_s) == trials, context.trials_s
+    assert context.trials_s[0] == after_s, context.trials_s
+
+
+@given("a host that refuses two requests for the same three crashes")
+def make_sharing(context: Any) -> None:
+    context.clock = create_clock()
+    record = create_crash_record(context.clock)
+    for number in range(3):
+        for fingerprint in (POISON, HARMLESS):
+            record.strike(fingerprint, f"replica-{number}/1", is_fresh=True)
+    context.detector = create_crash_detector(
+        context.clock,
+        record,
+        SimpleNamespace(replicas={}),
+        create_replica_health(context.clock),
+        create_background_tasks(),
+        create_retrials("g1", context.clock, record, MemoryStore(MemoryState(context.clock))),
+    )
+
+
+@when("one of them is sent by two clients, and is answered in {answer_ms:d} ms where it runs")
+def send_harmless(context: Any, answer_ms: int) -> None:
+    context.answers = asyncio.run(send_twice(context.detector, answer_ms))
+
+
+async def send_twice(detector: Any, answer_ms: int) -> list[tuple[bool, bool, float]]:
+    """Send the harmless request twice; return of each whether it was refused, on trial, and its time."""
+    started_s = time.monotonic()
+
+    async def send_one() -> tuple[bool, bool, float]:
+        routed = SentRequest(HARMLESS)
+        is_refused = await detector.is_refused(routed)
+        if not is_refused:
+            await asyncio.sleep(answer_ms / 1_000.0)
+            detector.note_whole(routed, [])
+        return is_refused, routed.is_on_trial, (time.monotonic() - started_s) * 1_000.0
+
+    return await asyncio.gather(send_one(), send_one())
+
+
+@then("both are answered within {most_ms:d} ms, one of them in a trial")
+def check_both_answered(context: Any, most_ms: int) -> None:
+    assert not any(is_refused for is_refused, _, _ in context.answers), context.answers
+    assert sum(is_on_trial for _, is_on_trial, _ in context.answers) == 1, context.answers
+    assert max(took_ms for _, _, took_ms in context.answers) <= most_ms, context.answers
+
+
 @then("both hosts refuse it")
 def check_refused(context: Any) -> None:
     assert all(host.is_convicted(POISON) for host in context.records)
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -154,13 +154,13 @@
             routed: The request; a quarantined one may be granted a trial run.
         """
         end_ms = self.clock.now_ms() + VERDICT_TIMEOUT_MS
-        while self._is_undecided(routed) and self.clock.now_ms() < end_ms:
+        is_granted = await self._acquire_trial(routed)
+        while not is_granted and self._is_undecided(routed) and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(POLL_INTERVAL_MS)
+            is_granted = await self._acquire_trial(routed)
         suspect = self._convicted_suspect(routed)
         if suspect is None:
             return False
-        if routed.sends == 0 and not routed.is_on_trial and await self.retrials.acquire(suspect):
-            routed.trial_of = suspect
         is_refused = routed.sends > 0 or not routed.is_on_trial
         if is_refused:
             routed.history.append(f"in quarantine: {suspect}")
@@ -192,6 +192,16 @@
         """Return the fingerprint of a convicted request, or the key of a convicted part of it."""
         return next((key for key in self._suspects(routed) if self.record.is_convicted(key)), None)
 
+    async def _acquire_trial(self, routed: RoutedRequest) -> bool:
+        """Acquire a trial run of a convicted request that has not been sent, if one is due."""
+        suspect = self._convicted_suspect(routed)
+        if suspect is None or routed.sends > 0 or routed.is_on_trial:
+            return False
+        if not await self.retrials.acquire(suspect):
+            return False
+        routed.trial_of = suspect
+        return True
+
     def _is_undecided(self, routed: RoutedRequest) -> bool:
         """Whether a request may soon be convicted, or its conviction withdrawn."""
         if self.awaits_verdict(routed):
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -70,11 +70,12 @@
 class CrashRecord:
     """Crash entries of one host, by fingerprint."""
 
-    __slots__ = ("_clock", "_entries", "_expire_ms", "_receivers", "_subscribers")
+    __slots__ = ("_clock", "_convicted", "_entries", "_expire_ms", "_receivers", "_subscribers")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, CrashEntry] = {}
+        self._convicted: set[str] = set()
         self._expire_ms: dict[str, float] = {}
         self._subscribers: list[Callable[[CrashEntry], None]] = []
         self._receivers: list[Callable[[CrashEntry], None]] = []
@@ -104,17 +105,21 @@
         entry = self.find(fingerprint)
         return set() if entry is None else entry.open_crashes
 
-    def is_doubtful(self, fingerprint: str, unproved: Iterable[str]) -> bool:
-        """Whether a request is refused for crashes that may not have happened.
+    def is_doubtful(self, fingerprint: str, unproved: Iterable[str] = ()) -> bool:
+        """Whether a request is refused for crashes that may not be its own.
 
         Args:
             fingerprint: Fingerprint of the request.
-            unproved: Names of these crashes.
+            unproved: Names of crashes that may not have happened.
         """
         if not self.is_convicted(fingerprint):
             return False
+        doubtful = set(unproved)
+        for other in [self.find(each) for each in self._convicted - {fingerprint}]:
+            if other is not None:
+                doubtful |= other.open_crashes
         entry = self._entries[fingerprint]
-        cleared = [*entry.cleared, *unproved]
+        cleared = [*entry.cleared, *doubtful]
         return not CrashEntry(fingerprint, entry.fresh, entry.late, cleared).is_convicted
 
     def has_open_crash(self, fingerprint: str) -> bool:
@@ -194,6 +199,10 @@
         if known is None and len(self._entries) >= MAX_REQUESTS:
             self._remove(next(iter(self._entries)))
         self._entries[entry.fingerprint] = merged
+        if merged.is_convicted:
+            self._convicted.add(entry.fingerprint)
+        else:
+            self._convicted.discard(entry.fingerprint)
         self._expire_ms[entry.fingerprint] = self._clock.now_ms() + CRASH_RETENTION_MS
         _log.info(
             "The crash entry of a request has changed.",
@@ -217,6 +226,7 @@
         """Remove the entry of a request, if there is one."""
         self._entries.pop(fingerprint, None)
         self._expire_ms.pop(fingerprint, None)
+        self._convicted.discard(fingerprint)
 
 
 def crash_name(replica_id: str, started_ms: int) -> str:
--- a/src/pimentodale/quarantine/retrials.py
+++ b/src/pimentodale/quarantine/retrials.py
@@ -25,6 +25,10 @@
 """Time since the last crash after which each trial is allowed. There are two because operators
 allow at most three retries of a request that has crashed three replicas."""
 
+EARLY_TRIAL_AFTER_MS: Final = 1_000.0
+"""The same for a further trial, first of all, of a request whose crashes another one may have caused:
+most requests beside one that crashes replicas are harmless."""
+
 RETRIAL_PREFIX: Final = "pimentodale/quarantine/retrial/"
 """Key prefix of trials in use, followed by the fingerprint and the number of the trial."""
 
@@ -66,7 +70,10 @@
     async def acquire(self, fingerprint: str) -> bool:
         """Acquire a trial of a convicted request; returns whether it may run once now."""
         ms_since_change = self._record.ms_since_change(fingerprint)
-        due = sum(ms_since_change >= after_ms for after_ms in TRIALS_AFTER_MS)
+        times_ms: tuple[float, ...] = TRIALS_AFTER_MS
+        if self._record.is_doubtful(fingerprint):
+            times_ms = (EARLY_TRIAL_AFTER_MS, *TRIALS_AFTER_MS)
+        due = sum(ms_since_change >= after_ms for after_ms in times_ms)
         now_ms = self._clock.now_ms()
         if due <= self._taken.get(fingerprint, 0) or now_ms < self._store_retry_at_ms:
             return False
