Let the soak return the store from a copy

It copies the store, goes on for 0.3 to 3 s, takes it away for 0.3 s, returns it from the copy and writes the configuration again, beside stops, kills, pauses, cuts and lost replicas. Draws come from a generator of their own, so that the other faults of a seed stay. At the end both gateways must follow the last era.

--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -16,7 +16,7 @@
 from features.steps.configuration_in_force import APPLY_MS
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS
 from features.support.mirror_site import RECORDS, MirrorSite, SimulatedStore
-from features.support.site import http, wait_until
+from features.support.site import wait_until
 from features.support.virtual_time import run_virtually
 
 from pimentodale.addresses import Address
@@ -477,17 +477,15 @@
 @when("the store returns from a copy made before the last configuration, and that is written again")
 def return_with_processes(context: Any) -> None:
     site = context.gateways
-    admin = f"http://{site.site.ip(2)}:9001/admin"
-    assert http(f"{admin}/save", {}).status == 200
+    site.copy_store()
     for _ in range(4):
         site.configure()
         time.sleep(0.4)
     site.store_fault(down=True, down_mode="reset")
     time.sleep(AWAY_MS / MS_PER_S)
-    assert http(f"{admin}/restore", {}).json()["era"] == 2
+    assert site.return_store() == 2
     site.store_fault()
-    site.version -= 1
-    site.configure()
+    site.write_configuration()
     time.sleep(0.5)
 
 
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -86,6 +86,9 @@
 
     site: Site
     version: int = 0
+    configuration: str = ""
+    """Newest configuration, in base64."""
+
     next_attempt: int = 0
     numbers: dict[str, int] = field(default_factory=dict)
     card_mb: float = SHARED_CARD_MB
@@ -100,6 +103,11 @@
         """Base URL of the store."""
         return f"http://{self.site.ip(2)}:9000"
 
+    @property
+    def store_admin(self) -> str:
+        """Base URL of what the store's stand-in does for tests."""
+        return f"http://{self.site.ip(2)}:9001/admin"
+
     def start_platform(
         self, events: int = 20, event_ms: float = 10.0, *, is_split: bool = False
     ) -> None:
@@ -233,11 +241,24 @@
             "tenants": [{"name": "w1", "api_keys": [KEY]}],
         }
         change(value)
-        text = base64.b64encode(json.dumps(value).encode()).decode()
-        put = {"puts": [{"key": "op/config", "value": text}]}
+        self.configuration = base64.b64encode(json.dumps(value).encode()).decode()
+        self.write_configuration()
+        return self.version
+
+    def write_configuration(self) -> None:
+        """Write the newest configuration to the store, which may have lost it."""
+        put = {"puts": [{"key": "op/config", "value": self.configuration}]}
         # Bounded, as whoever calls may have faults to mend meanwhile.
         call(f"{self.store}/api/kv-txn", put, timeout_s=OPERATOR_TIMEOUT_S)
-        return self.version
+
+    def copy_store(self) -> None:
+        """Make a copy of what the store holds."""
+        call(f"{self.store_admin}/save", {}, timeout_s=OPERATOR_TIMEOUT_S)
+
+    def return_store(self) -> int:
+        """Let the store return from its copy; returns its era."""
+        reply = call(f"{self.store_admin}/restore", {}, timeout_s=OPERATOR_TIMEOUT_S)
+        return int(reply.json()["era"])
 
     def headers(self, key: str = KEY) -> dict[str, str]:
         """Return the headers of a new attempt."""
@@ -303,7 +324,7 @@
 
     def store_fault(self, **faults: object) -> None:
         """Set the store's faults."""
-        call(f"http://{self.site.ip(2)}:9001/admin/faults", faults)
+        call(f"{self.store_admin}/faults", faults)
 
     def admin(self, name: str, what: str) -> None:
         """Bring something about at a replica."""
@@ -319,6 +340,12 @@
         entries = read_journal(self.site.folder / "journal")
         return [entry for entry in entries if entry["what"] == what]
 
+    def read_gauge(self, gateway: str, name: str) -> float:
+        """Return a gauge of a gateway."""
+        text = call(f"http://{self.ip(gateway)}:7001/metrics").body.decode()
+        lines = [line.split() for line in text.splitlines()]
+        return next(float(line[1]) for line in lines if line[0] == f"pimentodale_{name}")
+
     def is_ready(self, gateway: str) -> bool:
         """Whether a gateway says that it is ready."""
         try:
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -62,6 +62,12 @@
 SPLIT_SHARE: Final = 0.5
 """Share of the seeds whose replicas run in two processes, of which one may pause alone."""
 
+RETURNS_SHARE: Final = 0.15
+"""Share of the rounds of faults in which the store is copied, to return from that copy."""
+
+AWAY_S: Final = 0.3
+"""Time for which the store is away before it returns from a copy."""
+
 MAX_CRASHES: Final = 6
 """Replicas that may end under one request: three, and three further sendings that the users' rule bears."""
 
@@ -94,6 +100,15 @@
     log: FaultLog
     pauses: ReplicaPauses
 
+    return_rng: random.Random
+    """Draws when the store returns from a copy, apart from the rest."""
+
+    era: int = 1
+    """Era of the store."""
+
+    is_copied: bool = False
+    """Whether the store will return from a copy that was made."""
+
     stop: threading.Event = field(default_factory=threading.Event)
     lock: threading.Lock = field(default_factory=threading.Lock)
     bookings: dict[str, int] = field(default_factory=dict)
@@ -137,6 +152,7 @@
             pause_rng,
             log,
             ReplicaPauses(replicas, pause_rng, log),
+            random.Random(f"returns {seed}"),
         )
         clients = [
             threading.Thread(target=work, args=(run, name))
@@ -285,6 +301,9 @@
         if run.pause_rng.random() < PAUSES_SHARE:
             run.result.counts["pause"] += 1
             run.pauses.start()
+        if run.return_rng.random() < RETURNS_SHARE and not run.is_copied:
+            run.result.counts["return_store"] += 1
+            mends.append((time.monotonic() + run.return_rng.uniform(*LAST_S), _return_store(run)))
     for _, mend in mends:
         mend()
 
@@ -467,6 +486,22 @@
     return run.site.store_fault
 
 
+def _return_store(run: _Run) -> Callable[[], None]:
+    """Copy what the store holds; it returns from that copy, and the operator writes again."""
+    run.site.copy_store()
+    run.is_copied = True
+
+    def mend() -> None:
+        run.site.store_fault(down=True, down_mode="reset")
+        time.sleep(AWAY_S)
+        run.era = run.site.return_store()
+        run.site.store_fault()
+        run.site.write_configuration()
+        run.is_copied = False
+
+    return mend
+
+
 def _change_configuration(run: _Run) -> Callable[[], None]:
     """Write a configuration, if the store takes it."""
     route = {"path_prefix": f"/new{run.rng.randrange(3)}/", "kind": "idempotent"}
@@ -496,7 +531,7 @@
 
 
 def _serves_all(run: _Run, name: str) -> bool:
-    """Whether a gateway serves streams and the newest route."""
+    """Whether a gateway serves streams and the newest route, and follows the store's last era."""
     with run.lock:
         headers = [run.site.headers(), run.site.headers()]
     try:
@@ -506,7 +541,8 @@
         ]
     except Exception:  # a connection that was open to a killed gateway
         return False
-    return all(reply.status == 200 for reply in replies)
+    is_followed = run.site.read_gauge(name, "mirror_era") == run.era
+    return is_followed and all(reply.status == 200 for reply in replies)
 
 
 def _judge(run: _Run) -> None:
