Take back what a transaction wrote at a lease of before the store's return

A transaction that was under way as the store returned from a copy could attach its key to the lease of another host, as lease ids are given out again: the adapter knew the era of its lease only afterwards. A duty's key would then have lasted as long as that host, with no holder.

The answer tells the new era. The adapter removes the leased keys that it wrote, if they are still at that revision, and reports the fault that its lease has ended; a line in the log tells whether they could be removed.

--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -291,6 +291,20 @@
     assert "j" in context.mirrors.state.items
 
 
+@then("what the first host writes by its lease, not knowing of the return, fails and is not kept")
+def check_taken_back(context: Any) -> None:
+    written = wait_for(context, context.first.txn([], [Put("k", b"1", context.lease)]))
+    assert written.is_error(), written.ok
+    assert written.error.may_have_applied
+    assert "k" not in context.mirrors.state.items
+
+
+@then("the other host's keys are kept")
+def check_kept(context: Any) -> None:
+    assert "j" in context.mirrors.state.items
+    assert wait_for(context, context.second.keep_lease(context.other_lease)).ok > 0.0
+
+
 @then("a transaction after the return has a higher fencing number than one before it")
 def check_fences(context: Any) -> None:
     assert context.fence_after > context.fence_before
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -53,6 +53,13 @@
     Then the first host's lease has ended, and it can't write by it or end the other one
     And a transaction after the return has a higher fencing number than one before it
 
+  # Guards against keys that last as long as another host's lease: a duty with such a key has no holder.
+  Scenario: a transaction under way over the return leaves no key at another host's lease
+    Given two hosts at a store that has been copied
+    When one of them gets a lease, the store returns, and the other one gets a lease with the same id
+    Then what the first host writes by its lease, not knowing of the return, fails and is not kept
+    And the other host's keys are kept
+
   # Guards against duties with two holders, and against orders that engines refuse for good, as their
   # fencing numbers fell.
   Scenario Outline: one host at a time places layers over a return of the store, <case>
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -174,9 +174,10 @@
             return Error(reply.error)
         era = self._note_era(reply.ok)
         if reply.ok.status == OK:
-            return _decode(reply.ok, _TxnApplied).map(
-                lambda done: TxnReply(done.revision, True, era=era)
-            )
+            applied = _decode(reply.ok, _TxnApplied)
+            if applied.is_ok() and any(_lease_era(lease) < era for lease in leases):
+                return await self._take_back(puts, applied.ok.revision)
+            return applied.map(lambda done: TxnReply(done.revision, True, era=era))
         if reply.ok.status == CONDITION_FAILED:
             return _parse(reply.ok, _TxnConflict).map(
                 lambda conflict: TxnReply(
@@ -188,6 +189,26 @@
             )
         return Error(_status_fault(reply.ok))
 
+    async def _take_back(
+        self, puts: Sequence[dict[str, Any]], revision: int
+    ) -> Result[TxnReply, StoreFault]:
+        """Remove leased keys that a transaction wrote as the store had just returned from a copy.
+
+        Their lease ended with the return, and its id may belong to another host's lease by now.
+        """
+        written = [put["key"] for put in puts if put["lease"]]
+        expected = [{"key": key, "revision": revision} for key in written]
+        body = {"expected": expected, "puts": [], "remove": written}
+        reply = await self._call("transaction", "POST", "/api/kv-txn", body)
+        is_removed = reply.is_ok() and reply.ok.status == OK
+        _log.warning(
+            "A transaction was under way as the store returned from a copy.",
+            keys=written,
+            revision=revision,
+            removed=is_removed,
+        )
+        return Error(StoreFault(True, "the lease ended as the store returned from a copy"))
+
     async def grant_lease(self, ttl_ms: float) -> Result[int, StoreFault]:
         """Create a lease and return its id, which is not given out again in a later era."""
         reply = await self._call("lease", "POST", "/api/kv-lease", {"ttl_ms": int(ttl_ms)})
