Take no lease just after a return of the store that this host hadn't seen

Two hosts could place layers at once: after the store's return from a copy that lacks the lease, a host waits for as long as a lease lasts before it takes it, but not one that started just after the return, nor one whose copy of the store was still that of before. A holder that is cut off from the store goes by its lease meanwhile.

Cause: the time of the return was known only to hosts whose mirror had been through it. The first content that a host reads in an era after the first counts as a return now, and nothing is acquired in an era that the mirror hasn't reached.

The machine without an era is found wrong within its runs. A first find of the machine was its own fault: it never probed replicas whose reports were lost, so that none was left to place layers on; its recovery does now.

--- a/features/steps/placement_machine.py
+++ b/features/steps/placement_machine.py
@@ -6,6 +6,7 @@
 from unittest.mock import patch
 
 from behave import then, when
+from features.support import memory_store
 from features.support.gated_machine import run_machine
 from features.support.placement_machine import PlacementMachine
 
@@ -32,6 +33,12 @@
         context.machine_fault = run_machine(PlacementMachine, runs, rules)
 
 
+@when("{runs:d} runs of {rules:d} rules each are made with a store that doesn't tell of its return")
+def run_without_era(context: Any, runs: int, rules: int) -> None:
+    with patch.object(memory_store, "ERA_STEP", 0):
+        context.machine_fault = run_machine(PlacementMachine, runs, rules)
+
+
 @then("the placement machine detects a violated invariant")
 def check_found(context: Any) -> None:
     assert isinstance(context.machine_fault, AssertionError), context.machine_fault
--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -15,7 +15,7 @@
 from expression import Ok
 from features.steps.configuration_in_force import APPLY_MS
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS
-from features.support.mirror_site import RECORDS, MirrorSite, SimulatedStore
+from features.support.mirror_site import RECORDS, MirrorHost, MirrorSite, SimulatedStore
 from features.support.site import wait_until
 from features.support.virtual_time import run_virtually
 
@@ -366,20 +366,9 @@
 def placing_site(context: Any, domains: int, hosts: int) -> None:
     registering_site(context, domains, hosts)
     site = context.mirrors
-    engines: Any = None
     context.placers = []
     for rank, host in enumerate(site.hosts.values()):
-        placer = Placer(
-            host.name,
-            host.store,
-            engines,
-            host.view,
-            create_replica_health(site.clock),
-            site.clock,
-            random.Random(site.rng.random()),
-            lambda rank=rank: rank,
-        )
-        context.placers.append(placer)
+        context.placers.append(create_placer(site, host, rank))
     context.without_lease = site.copy()
     for placer in context.placers:
         site.loop.create_task(placer.run())
@@ -387,6 +376,21 @@
     context.with_lease = site.copy()
 
 
+def create_placer(site: MirrorSite, host: MirrorHost, rank: int) -> Placer:
+    """Return the placer of a host, with its rank among those that may take the lease."""
+    engines: Any = None
+    return Placer(
+        host.name,
+        host.store,
+        engines,
+        host.view,
+        create_replica_health(site.clock),
+        site.clock,
+        random.Random(site.rng.random()),
+        lambda: rank,
+    )
+
+
 def ordering(context: Any) -> list[Placer]:
     """Return the hosts that may order now."""
     return [placer for placer in context.placers if placer._may_order()]
@@ -405,6 +409,8 @@
     site.restore(copy, AWAY_MS)
     assert (LEASE_PREFIX + LEASE_NAME in site.state.items) == case.startswith("has")
     context.returned_ms = site.clock.now_ms()
+    if case.endswith("starts"):
+        start_placing_host(context, next(name for name in site.hosts if name != holder.host))
     context.at_once, context.placed_ms = 0, 0.0
     while site.clock.now_ms() < context.returned_ms + 12_000.0:
         site.run(25.0)
@@ -416,6 +422,15 @@
     site.stop()
 
 
+def start_placing_host(context: Any, name: str) -> None:
+    """Start a host again, first in rank for the lease."""
+    site = context.mirrors
+    context.placers = [placer for placer in context.placers if placer.host != name]
+    site.start_host(name)
+    context.placers.append(create_placer(site, site.hosts[name], 0))
+    site.loop.create_task(context.placers[-1].run())
+
+
 @then("no two hosts could order at the same time")
 def check_one_holder(context: Any) -> None:
     assert context.at_once == 1, context.at_once
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -73,6 +73,7 @@
       | has the holder's lease                 | 7000  |
       | lacks the holder's lease               | 7000  |
       | lacks it, while the holder is cut off  | 7000  |
+      | lacks it, while the holder is cut off and another host starts | 7000 |
 
   # Guards against hosts that can't be found after a return, and against all of them writing at once.
   Scenario Outline: what hosts wrote is in the store again within 2 s of its return
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -24,6 +24,9 @@
     from pimentodale.clients.key_value import WatchBatch
     from pimentodale.clock import Clock
 
+ERA_STEP = 1
+"""By how much the era rises as the service returns from a copy."""
+
 Gate = Callable[[str], Awaitable[StoreFault | None]]
 """Awaited with "request" before a call takes effect and with "reply" after it."""
 
@@ -37,7 +40,18 @@
 class MemoryState:
     """What the service holds; shared by the stores of several hosts."""
 
-    __slots__ = ("clock", "items", "late_effects", "leases", "next_lease", "revision", "ttls_ms")
+    __slots__ = (
+        "clock",
+        "era",
+        "items",
+        "late_effects",
+        "lease_eras",
+        "leases",
+        "next_lease",
+        "revision",
+        "saved",
+        "ttls_ms",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -50,6 +64,29 @@
         """Times to live that leases were granted for."""
         self.next_lease = 1
         self.revision = 1
+        self.era = 0
+        self.lease_eras: dict[int, int] = {}
+        """Era in which each lease was granted."""
+        self.saved: tuple[dict[str, KeyValue], dict[int, float], int] | None = None
+        """Items, leases and revision of the copy from which the service may return."""
+
+    def save(self) -> None:
+        """Copy what the service holds."""
+        self.saved = (dict(self.items), dict(self.leases), self.revision)
+
+    def restore(self) -> None:
+        """Return from the copy: revisions are given out again, ids of leases too.
+
+        A platform's adapter tells leases of different eras apart, so that their ids differ here.
+        """
+        assert self.saved is not None
+        items, leases, self.revision = self.saved
+        self.items, self.leases = dict(items), dict(leases)
+        self.era += ERA_STEP
+
+    def is_of_this_era(self, lease_id: int) -> bool:
+        """Whether a lease was granted since the service last returned from a copy."""
+        return self.lease_eras.get(lease_id, 0) == self.era
 
     def expire(self) -> None:
         """Remove lapsed leases and their keys."""
@@ -70,9 +107,11 @@
         for compare in compares:
             item = self.items.get(compare.key)
             if (item.mod_revision if item else 0) != compare.mod_revision:
-                return Ok(TxnReply(self.revision, False, found))
+                return Ok(TxnReply(self.revision, False, found, self.era))
         for write in writes:
-            if isinstance(write, Put) and write.lease_id and write.lease_id not in self.leases:
+            if not isinstance(write, Put) or not write.lease_id:
+                continue
+            if write.lease_id not in self.leases or not self.is_of_this_era(write.lease_id):
                 return Error(StoreFault(False, "requested lease not found"))
         self.revision += 1
         for write in writes:
@@ -84,7 +123,7 @@
             self.items[write.key] = KeyValue(
                 write.key, write.value, created, self.revision, write.lease_id
             )
-        return Ok(TxnReply(self.revision, True))
+        return Ok(TxnReply(self.revision, True, era=self.era))
 
 
 class MemoryStore:
@@ -105,7 +144,8 @@
         def read_now() -> Result[RangeReply, StoreFault]:
             self._state.expire()
             item = self._state.items.get(key)
-            return Ok(RangeReply(self._state.revision, [] if item is None else [item]))
+            found = [] if item is None else [item]
+            return Ok(RangeReply(self._state.revision, found, self._state.era))
 
         return await self._through_gates(read_now)
 
@@ -123,6 +163,7 @@
             self._state.next_lease += 1
             self._state.leases[lease_id] = self._state.clock.now_ms() + ttl_ms
             self._state.ttls_ms[lease_id] = ttl_ms
+            self._state.lease_eras[lease_id] = self._state.era
             return Ok(lease_id)
 
         return await self._through_gates(grant_now)
@@ -132,7 +173,7 @@
 
         def keep_now() -> Result[float, StoreFault]:
             self._state.expire()
-            if lease_id not in self._state.leases:
+            if lease_id not in self._state.leases or not self._state.is_of_this_era(lease_id):
                 return Ok(0.0)
             ttl_ms = self._state.ttls_ms[lease_id]
             self._state.leases[lease_id] = self._state.clock.now_ms() + ttl_ms
@@ -142,6 +183,8 @@
 
     async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
         """End a lease."""
+        if not self._state.is_of_this_era(lease_id):
+            return Ok(None)
         self._state.leases[lease_id] = 0.0
         self._state.expire()
         return Ok(None)
--- a/features/support/placement_machine.py
+++ b/features/support/placement_machine.py
@@ -23,7 +23,7 @@
 from pimentodale.placement.messages import EngineReport, OrderOutcome
 from pimentodale.placement.placer import Placer
 from pimentodale.placement.planner import LayerHolder, find_gaps, max_layers
-from pimentodale.site.replica_health import create_replica_health
+from pimentodale.site.replica_health import create_replica_health, incarnation_of
 
 if TYPE_CHECKING:
     import asyncio
@@ -31,6 +31,7 @@
 
     from pimentodale.clients.key_value import StoreFault
     from pimentodale.site.model import LayerRange, ReplicaRecord
+    from pimentodale.site.replica_health import ReplicaHealth
     from pimentodale.steward.lease import LeaseHandover
 
 REPLICAS: Final = 4
@@ -149,6 +150,9 @@
         state = self._machine.state
         state.expire()
         self._copied_ms = self._machine.clock.now_ms()
+        if state.era > self.mirror.era:
+            # Also at a host that has just started, as the store may have returned just before.
+            self.mirror.era, self.mirror.era_entered_ms = state.era, self._copied_ms
         self.mirror.items = dict(state.items)
         self.replicas = {model.name: model.record() for model in self._machine.models.values()}
 
@@ -199,6 +203,18 @@
         """Update a host's view from the store."""
         self._view(self.hosts[number]).copy()
 
+    @rule()
+    def save_store(self) -> None:
+        """Make a copy of the store, from which it may return."""
+        self.state.expire()
+        self.state.save()
+
+    @precondition(lambda self: self.state.saved is not None)
+    @rule()
+    def return_store(self) -> None:
+        """Return the store from its copy."""
+        self.state.restore()
+
     @rule(name=st.sampled_from([f"r{n}" for n in range(REPLICAS)]))
     def restart_replica(self, name: str) -> None:
         """Restart a replica under the same name."""
@@ -309,6 +325,11 @@
         assert host.placer is not None
         return host.placer.view
 
+    def _health(self, host: PlacingHost) -> ReplicaHealth:
+        """Return what a host knows of the replicas' health."""
+        assert host.placer is not None
+        return host.placer.replica_health
+
     def _is_sure(self, host: PlacingHost) -> bool:
         """Return whether a host holds a valid lease by its own clock."""
         lease = host.placer.lease if host.placer is not None else None
@@ -320,6 +341,10 @@
             host.frozen = False
             if host.is_stopping:
                 self.kill(host.number)
+        for host in self.hosts:
+            # Hosts probe replicas whose reports were lost.
+            for model in self.models.values():
+                self._health(host).mark_up(incarnation_of(model.record()))
         for _ in range(RECOVERY_ROUNDS):
             for host in self.hosts:
                 self._view(host).copy()
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -25,6 +25,9 @@
 REWRITE_GRACE_MS: Final = 2_000.0
 """Time in which replicas, operators and hosts write again what the store has lost."""
 
+FIRST_ERA: Final = 1
+"""Highest era of a store that has never returned from a copy."""
+
 STORE: Final = "store"
 """Source of what this host read from the store itself; other sources are names of hosts."""
 
@@ -90,7 +93,7 @@
     """Number of answers that were ignored because they are older than this mirror."""
 
     era_entered_ms: float = float("-inf")
-    """Time at which this host saw that the store had returned from an older copy."""
+    """Time at which this host saw that the store had returned from an older copy, or may have."""
 
     unsettled_until_ms: dict[str, float] = field(default_factory=dict)
     """Keys of which the store's copy may lack the newest state, and the time until which their
@@ -135,6 +138,9 @@
         if (era, revision) < (self.era, self.revision):
             self._note_ignored(era, revision, source)
             return
+        if self.revision == 0 and era > FIRST_ERA:
+            # The store may have returned from a copy just before this host started.
+            self.era_entered_ms = self.clock.now_ms()
         self.era = era
         present = {item.key for item in items}
         gone = [
--- a/src/pimentodale/placement/placer.py
+++ b/src/pimentodale/placement/placer.py
@@ -159,13 +159,12 @@
 
     async def _try_acquire_lease(self) -> None:
         """Acquire the lease if no host holds it and this host's delay has passed."""
-        # A store that has returned from a copy may lack the lease of a host that still relies on it.
-        held_until_ms = self.view.mirror.era_entered_ms + LEASE_TTL_MS
-        is_held = _LEASE_KEY in self.view.mirror.items or self.clock.now_ms() < held_until_ms
+        is_held = _LEASE_KEY in self.view.mirror.items or self._may_store_lack_lease()
         if self._is_released or not self.candidacy.is_due(is_held=is_held):
             return
+        era = self.view.mirror.era
         taken = await acquire_lease(
-            self.store, self.clock, LEASE_NAME, self.host, LEASE_TTL_MS, LEASE_MARGIN_MS
+            self.store, self.clock, LEASE_NAME, self.host, LEASE_TTL_MS, LEASE_MARGIN_MS, era
         )
         if taken.is_error() or taken.ok is None:
             return
@@ -174,6 +173,10 @@
         self._orders.clear()
         _log.info("This host places layers now.", fence=self.lease.fencing_number)
 
+    def _may_store_lack_lease(self) -> bool:
+        """Return whether the store, which has just returned from a copy, may lack a valid lease."""
+        return self.clock.now_ms() < self.view.mirror.era_entered_ms + LEASE_TTL_MS
+
     async def _keep_lease(self) -> bool:
         """Renew the lease when due; return whether this host may give orders."""
         lease = self.lease
--- a/src/pimentodale/steward/lease.py
+++ b/src/pimentodale/steward/lease.py
@@ -163,9 +163,13 @@
     host: str,
     ttl_ms: float,
     margin_ms: float,
+    era: int = 0,
 ) -> Result[HeldLease | None, StoreFault]:
     """Acquire a failure domain's lease if no host holds it.
 
+    A store that has returned from an older copy may lack the lease of a host that relies on it. So
+    nothing is acquired in an era that the caller didn't know.
+
     Args:
         store: The key-value store.
         clock: Measures the lease's time to live.
@@ -173,9 +177,10 @@
         host: This host's name, stored for operators.
         ttl_ms: Time to live.
         margin_ms: How much earlier than its time to live the lease counts as expired.
+        era: The store's era as the caller knows it.
 
     Returns:
-        The lease, `None` if another host holds it, or the fault.
+        The lease, `None` if another host holds it or may hold it, or the fault.
     """
     key = LEASE_PREFIX + failure_domain
     held = await store.read(key, keys_only=True)
@@ -188,7 +193,7 @@
     if granted.is_error():
         return Error(granted.error)
     taken = await store.txn([Compare(key, 0)], [Put(key, host.encode(), granted.ok)])
-    if taken.is_ok() and taken.ok.succeeded:
+    if taken.is_ok() and taken.ok.succeeded and taken.ok.era == era:
         revision = taken.ok.revision
         # Read after acquiring the lease, as no other host can raise the number any more.
         raised = await store.read(key + FENCING_NUMBER_SUFFIX)
