Ask for the era of a lease before it is ended

A host that stopped just after the store's return from a copy could end the lease of another host, whose id had been its own: it had not heard of the new era yet. It renews its lease first, whose answer tells the era.

The new scenario failed before: the other host's key was gone.

--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -299,6 +299,11 @@
     assert "k" not in context.mirrors.state.items
 
 
+@when("the first host ends its lease, not knowing of the return")
+def end_lease(context: Any) -> None:
+    assert wait_for(context, context.first.revoke_lease(context.lease)).is_ok()
+
+
 @then("the other host's keys are kept")
 def check_kept(context: Any) -> None:
     assert "j" in context.mirrors.state.items
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -60,6 +60,13 @@
     Then what the first host writes by its lease, not knowing of the return, fails and is not kept
     And the other host's keys are kept
 
+  # Guards against a host that stops just after the return and ends another host's lease.
+  Scenario: a lease that is ended over the return is not another host's
+    Given two hosts at a store that has been copied
+    When one of them gets a lease, the store returns, and the other one gets a lease with the same id
+    And the first host ends its lease, not knowing of the return
+    Then the other host's keys are kept
+
   # Guards against duties with two holders, and against orders that engines refuse for good, as their
   # fencing numbers fell.
   Scenario Outline: one host at a time places layers over a return of the store, <case>
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -233,8 +233,12 @@
         return _decode(reply.ok, _Lease).map(lambda lease: lease.ttl_ms)
 
     async def revoke_lease(self, lease_id: int) -> Result[None, StoreFault]:
-        """End a lease and remove its keys."""
-        if _lease_era(lease_id) < self.era:
+        """End a lease and remove its keys; one that has expired is left alone."""
+        # The answer tells the era, in which the id may be another host's.
+        kept = await self.keep_lease(lease_id)
+        if kept.is_error():
+            return Error(kept.error)
+        if kept.ok <= 0.0:
             return Ok(None)
         path = f"/api/kv-lease-end/{_lease_number(lease_id)}"
         reply = await self._call("lease end", "DELETE", path, None)
