Refuse a doubtful request at once when no trial can clear it any more

After the early trial of a request in doubt had crashed a replica, each repeat of it was held for 1.5 s before it was refused, for as long as another refused request shared its crashes. A conviction counts as undecided for 2.5 s after its last crash now: the early trial begins within 1 s, and 1.5 s is what any verdict may take.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -127,6 +127,12 @@
     When one of them is sent by two clients, and is answered in 300 ms where it runs
     Then both are answered within 2000 ms, one of them in a trial
 
+  # Guards against callers that are kept waiting for a result that no trial will give.
+  Scenario: a request whose early trial has crashed a replica is refused at once later on
+    Given a host that refuses two requests for the same three crashes
+    When one of them crashes a replica in its trial, and is sent again after 2600 ms
+    Then it is refused within 100 ms
+
   # Guards against trials that are used up although the request has not reached a replica.
   Scenario Outline: a trial in which <what> is not used up
     Given a host that refuses a request whose trial is due
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -353,6 +353,30 @@
     assert max(took_ms for _, _, took_ms in context.answers) <= most_ms, context.answers
 
 
+@when("one of them crashes a replica in its trial, and is sent again after {after_ms:d} ms")
+def crash_in_trial(context: Any, after_ms: int) -> None:
+    context.verdict = asyncio.run(send_after_trial(context.detector, after_ms))
+
+
+async def send_after_trial(detector: Any, after_ms: int) -> tuple[bool, float]:
+    """Send a request in a trial that crashes a replica, and again; return the second verdict and its time."""
+    on_trial = SentRequest(POISON)
+    assert not await detector.is_refused(on_trial)
+    assert on_trial.is_on_trial
+    detector.record.strike(POISON, "replica-3/1", is_fresh=True)
+    await asyncio.sleep(after_ms / 1_000.0)
+    started_s = time.monotonic()
+    is_refused = await detector.is_refused(SentRequest(POISON))
+    return is_refused, (time.monotonic() - started_s) * 1_000.0
+
+
+@then("it is refused within {most_ms:d} ms")
+def check_refused_at_once(context: Any, most_ms: int) -> None:
+    is_refused, took_ms = context.verdict
+    assert is_refused
+    assert took_ms <= most_ms, took_ms
+
+
 @then("both hosts refuse it")
 def check_refused(context: Any) -> None:
     assert all(host.is_convicted(POISON) for host in context.records)
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -13,6 +13,7 @@
 
 from pimentodale.quarantine.crash_record import crash_name
 from pimentodale.quarantine.prompt_parts import create_sound_parts
+from pimentodale.quarantine.retrials import EARLY_TRIAL_AFTER_MS
 from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
@@ -37,6 +38,10 @@
 """Longest time for which a request that one more crash would quarantine waits for the result of its
 last send: an unresponsive replica is known to be lost after two probes of 0.5 s."""
 
+DOUBT_MS: Final = EARLY_TRIAL_AFTER_MS + VERDICT_TIMEOUT_MS
+"""Time since the last crash in which a conviction may soon be withdrawn: by the result of a trial, or
+as replicas answer that only paused."""
+
 OBSERVATION_MS: Final = 6_000.0
 """How long the replicas of a send are observed: the record of a crashed replica expires after three
 heartbeats of 1.2 s, and a restarted replica registers again within seconds."""
@@ -207,7 +212,7 @@
         if self.awaits_verdict(routed):
             return True
         suspect = self._convicted_suspect(routed)
-        if suspect is None:
+        if suspect is None or self.record.ms_since_change(suspect) > DOUBT_MS:
             return False
         # A replica that is silent but still registered may only pause.
         unproved = filter(self._is_registered, self.record.open_crashes(suspect))
