--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -37,7 +37,7 @@
 from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.site.replica_health import create_replica_health
 from pimentodale.site.view import HOST_PREFIX, create_site_view
-from pimentodale.steward.lease import LEASE_PREFIX
+from pimentodale.steward.lease import LEASE_PREFIX, LeaseHandover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -410,10 +410,13 @@
     site.run(2_000.0)
     if "cut off" in case:
         site.cut_off.add(holder.host)
+    handed = hand_over(site, holder) if case.endswith("hands it over") else None
     copy = context.with_lease if case.startswith("has") else context.without_lease
     site.restore(copy, AWAY_MS)
     assert (LEASE_PREFIX + LEASE_NAME in site.state.items) == case.startswith("has")
     context.returned_ms = site.clock.now_ms()
+    if handed is not None:
+        next(placer for placer in context.placers if placer is not holder).take_over(handed)
     if case.endswith("starts"):
         start_placing_host(context, next(name for name in site.hosts if name != holder.host))
     context.at_once, context.placed_ms = 0, 0.0
@@ -427,6 +430,19 @@
     site.stop()
 
 
+def hand_over(site: MirrorSite, holder: Placer) -> LeaseHandover:
+    """Let the holder of the lease stop, and return what it hands over to another host."""
+    handed: list[LeaseHandover] = []
+
+    def keep(handover: LeaseHandover) -> bool:
+        handed.append(handover)
+        return True
+
+    holder.hand_over = keep
+    run_virtually(site.loop, holder.release())
+    return handed[0]
+
+
 def start_placing_host(context: Any, name: str) -> None:
     """Start a host again, first in rank for the lease."""
     site = context.mirrors
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -81,6 +81,7 @@
       | lacks the holder's lease               | 7000  |
       | lacks it, while the holder is cut off  | 7000  |
       | lacks it, while the holder is cut off and another host starts | 7000 |
+      | lacks it, while the holder hands it over | 7000 |
 
   # Guards against hosts that can't be found after a return, and against all of them writing at once.
   Scenario Outline: what hosts wrote is in the store again within 2 s of its return
