--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -15,6 +15,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -28,6 +29,7 @@
 KEY = "key-1"
 LAYERS = 8
 PREFIX = "Pimentodale-"
+STORE_ANSWER_S = 0.004
 
 
 class Record:
@@ -126,6 +128,13 @@
     return f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode("latin-1") + body
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Store:
     """The platform's metadata store."""
 
@@ -140,7 +149,9 @@
         self._events: list[dict[str, Any]] = []
         self._changed = asyncio.Event()
         self.modes: dict[str, str] = {}
-        """Trouble by the caller's IP: `busy`, `reset` or `silent`."""
+        """Trouble by the caller's IP: `busy` or `silent`."""
+        self.cut_at = -1
+        """Revision up to which watches that wait are cut."""
 
     async def start(self) -> None:
         """Listen."""
@@ -162,6 +173,11 @@
             self._delete(key)
             self._notify()
 
+    def cut_waiting_watches(self) -> None:
+        """Cut the watches that wait, before they hear of the next change."""
+        self.cut_at = self.revision
+        self._notify()
+
     def _write(self, key: str, value: bytes, lease: int) -> None:
         created = self.items[key]["created"] if key in self.items else self.revision
         item = {
@@ -205,6 +221,7 @@
                 mode = self.modes.get(writer.get_extra_info("peername")[0], "")
                 if mode == "silent":
                     await asyncio.sleep(3600)
+                await asyncio.sleep(STORE_ANSWER_S)
                 status, value = (503, {}) if mode == "busy" else await self._answer(request)
                 body = json.dumps(value).encode()
                 headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
@@ -258,6 +275,8 @@
                 return 200, {"events": events, "at": self.revision}
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), left)
+            if after <= self.cut_at:
+                raise ConnectionAbortedError("the watch is cut")
 
     def _txn(self, body: dict[str, Any]) -> tuple[int, Any]:
         expected = body.get("expected", [])
@@ -330,6 +349,15 @@
             entry |= self._held()
         self.store.put(f"servers/{self.replica_id}", json.dumps(entry).encode())
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the store has the replica's entry."""
+        return f"servers/{self.replica_id}" in self.store.items
+
+    def leave(self) -> None:
+        """Remove the replica's entry without reporting that it drains; it serves on."""
+        self.store.remove(f"servers/{self.replica_id}")
+
     def _held(self) -> dict[str, Any]:
         first, end = self.layers
         return {"kind": "card", "layers": {"from": first, "to": end, "version": 1}, "models": []}
@@ -553,6 +581,8 @@
         self.gateways: dict[str, Gateway] = {}
         self._attempts = itertools.count(1)
         self.seed_addresses: list[str] | None = None
+        self.through: dict[str, str] = {}
+        """Name of the gateway of each attempt."""
         self.tasks: list[asyncio.Task[None]] = []
 
     def settings(self, gateway: Gateway) -> dict[str, Any]:
@@ -681,6 +711,7 @@
         """Send a request and read its answer."""
         headers = site.headers() | extra
         reply = Reply(headers[PREFIX + "Attempt-Id"])
+        site.through[reply.attempt] = self.gateway.name
         site.record.write("sent", gateway=self.gateway.name, attempt=reply.attempt, path=path)
         try:
             async with asyncio.timeout(patience_s):
