--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -21,9 +21,12 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, urlsplit
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "lab.example"
 KEY = "key-1"
@@ -138,8 +141,7 @@
 class Store:
     """The platform's metadata store."""
 
-    def __init__(self, address: str) -> None:
-        self.address = address
+    def __init__(self) -> None:
         self.items: dict[str, dict[str, Any]] = {}
         self.revision = 10
         self.era = 1
@@ -149,14 +151,16 @@
         self._events: list[dict[str, Any]] = []
         self._changed = asyncio.Event()
         self.modes: dict[str, str] = {}
-        """Trouble by the caller's IP: `busy` or `silent`."""
+        """Trouble by the address that is called: `busy` or `silent`."""
         self.cut_at = -1
         """Revision up to which watches that wait are cut."""
 
-    async def start(self) -> None:
-        """Listen."""
-        ip, _, port = self.address.partition(":")
-        self._server = await asyncio.start_server(self._serve, ip, int(port))
+    async def start(self, addresses: Sequence[str]) -> None:
+        """Listen; each machine has an address of its own, so that some may be turned away."""
+        self._servers = []
+        for address in addresses:
+            ip, _, port = address.partition(":")
+            self._servers.append(await asyncio.start_server(self._serve, ip, int(port)))
         asyncio.ensure_future(self._expire())
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -218,7 +222,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             while (request := await read_request(reader)) is not None:
-                mode = self.modes.get(writer.get_extra_info("peername")[0], "")
+                mode = self.modes.get(writer.get_extra_info("sockname")[0], "")
                 if mode == "silent":
                     await asyncio.sleep(3600)
                 await asyncio.sleep(STORE_ANSWER_S)
@@ -519,6 +523,12 @@
     peak_mb: float = 0.0
     is_kept_up: bool = True
 
+    @property
+    def store(self) -> str:
+        """Address at which this gateway calls the store."""
+        ip, _, number = self.ip.rpartition(".")
+        return f"{ip}.{int(number) + 100}:9000"
+
     def start(self) -> None:
         """Start the process."""
         path = self.site.folder / f"{self.name}.yaml"
@@ -576,7 +586,7 @@
         self.record = Record(folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = free_network()
-        self.store = Store(f"{self.network}.2:9000")
+        self.store = Store()
         self.replicas: dict[str, Replica] = {}
         self.gateways: dict[str, Gateway] = {}
         self._attempts = itertools.count(1)
@@ -596,7 +606,7 @@
             "ready_listen": f"{gateway.ip}:7001",
             "peer_listen": f"{gateway.ip}:7002",
             "seeds": seeds if self.seed_addresses is None else self.seed_addresses,
-            "store": self.store.address,
+            "store": gateway.store,
             "drain_ms": 2000,
             "stop_timeout_s": 8,
             "stall_ms": 2500,
@@ -624,7 +634,7 @@
 
     async def start(self, *, is_supervised: bool = True) -> None:
         """Start everything and wait until each gateway serves."""
-        await self.store.start()
+        await self.store.start([each.store for each in self.gateways.values()])
         self.store.put("op/config", configuration())
         for replica in self.replicas.values():
             await replica.start()
