--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,63 +1,83 @@
-"""The settings change, and the platform says so with SIGHUP, while gateways start."""
+"""A part of prompts crashes each replica that begins to write on it, a few events into the answer."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 
-from standins import Gateway, Site, has_trouble, run_case  # noqa: E402
+from standins import HttpRequest, Replica, Site, has_trouble, run_case  # noqa: E402
 
-STARTS = 4
-SIGHUP_AFTER_S = 0.15
-
-
-async def start_and_signal(site: Site, gateway: Gateway) -> None:
-    """Stop a gateway as planned, and send SIGHUP a moment after each of its next starts."""
-    assert gateway.process is not None
-    gateway.is_kept_up = False
-    gateway.send(signal.SIGTERM)
-    while gateway.process.poll() is None:
-        await asyncio.sleep(0.05)
-    site.record.write("stopped as planned", gateway=gateway.name, code=gateway.process.returncode)
-    gateway.is_kept_up = True
-    gateway.start()
-    watch = asyncio.ensure_future(gateway.supervise())
-    for _ in range(STARTS):
-        started = gateway.process
-        await asyncio.sleep(SIGHUP_AFTER_S)
-        site.seed_addresses = [f"{each.ip}:7002" for each in site.gateways.values()][::-1]
-        (site.folder / f"{gateway.name}.yaml").write_text(site.settings_text(gateway))
-        if has_trouble():
-            gateway.send(signal.SIGHUP)
-        for _ in range(150):
-            await asyncio.sleep(0.01)
-            if gateway.process is not started:
-                break
-        else:
-            break
-    site.tasks.append(watch)
+CONTACT_S = 3.0
+COUNTED_CRASHES = 5
+STREAMS_PER_S = 20
+POISONED_EVERY = 20
+POISONED_FOR_S = 22.0
+AWAY_S = 2.0
+EVENTS_BEFORE_CRASH = 3
+PARTS = "Pimentodale-Prompt-Prefix"
 
 
 async def case(site: Site) -> str:
     """Return what broke the rule; empty if it held."""
     for zone in ("a", "b"):
-        site.add_replica(f"p{zone}", "plain", zone)
-        site.add_gateway(f"g{zone}1", zone)
-        site.add_gateway(f"g{zone}2", zone)
+        for number in range(1, 6):
+            site.add_replica(f"{zone}{number}", "lm", zone, is_engine=True)
+        site.add_gateway(f"g{zone}", zone)
     await site.start()
-    rolled = [site.gateways["ga1"], site.gateways["gb1"]]
-    await asyncio.gather(*(start_and_signal(site, each) for each in rolled))
-    for gateway in rolled:
-        await site.wait_serving(gateway)
-    ends = {gateway.name: gateway.ends for gateway in rolled}
-    site.record.write("summary", ends=ends)
-    if all(len(each) >= 3 for each in ends.values()):
-        return f"processes ended by themselves: {ends}"
+    await asyncio.sleep(3.0)
+    crashes: list[float] = []
+    reached: list[tuple[float, str]] = []
+    serving: dict[Replica, set[asyncio.StreamWriter]] = {}
+
+    async def crash(replica: Replica) -> None:
+        """End a replica's process, and start it again after some seconds."""
+        crashes.append(time.monotonic())
+        site.record.write("crashes", replica=replica.replica_id, number=len(crashes))
+        await replica.crash(AWAY_S)
+
+    async def maybe_crash(
+        replica: Replica, request: HttpRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        parts = [part.partition(":")[0] for part in request.header(PARTS).split(",")]
+        if "dead" not in parts[:-1]:
+            return False
+        attempt = request.header("Pimentodale-Attempt-Id")
+        reached.append((time.monotonic(), attempt))
+        if has_trouble():
+            after_s = EVENTS_BEFORE_CRASH * replica.event_s + replica.event_s / 2
+            born = replica.born
+            await replica.stream(request, writer, limit_s=after_s)
+            if replica.born == born and not replica.is_away:
+                await crash(replica)
+            raise ConnectionAbortedError("the replica has crashed")
+        return False
+
+    for replica in site.replicas.values():
+        replica.answer = maybe_crash
+    gateways = list(site.gateways.values())
+    asking = []
+    begun = time.monotonic()
+    for number in range(int(POISONED_FOR_S * STREAMS_PER_S)):
+        is_poisoned = number % POISONED_EVERY == POISONED_EVERY - 1
+        own = f"{number:x}f:600"
+        parts = f"a1:40,dead:50,{own}" if is_poisoned else f"a1:40,b{number % 7}:50,{own}"
+        work = site.ask(gateways[number % 2], "/lm/x", body=b"prompt %d" % number, **{PARTS: parts})
+        asking.append(asyncio.ensure_future(work))
+        await asyncio.sleep(begun + (number + 1) / STREAMS_PER_S - time.monotonic())
+    replies = await asyncio.gather(*asking)
+    late: set[str] = set()
+    if len(crashes) >= COUNTED_CRASHES:
+        bound = crashes[COUNTED_CRASHES - 1] + CONTACT_S
+        late = {attempt for at, attempt in reached if at > bound}
+    whole = sum(reply.status == 200 and reply.is_whole for reply in replies)
+    site.record.write("summary", crashes=len(crashes), late=len(late), whole=whole, of=len(replies))
+    if len(late) > 3:
+        return f"{len(late)} requests with the part reached replicas after {len(crashes)} crashes"
     return ""
 
 
--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -331,11 +331,36 @@
         """IP:PORT."""
         return f"{self.ip}:{self.port}"
 
+    is_away: bool = False
+    """Whether the replica has crashed and isn't back."""
+
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def __hash__(self) -> int:
+        """Return a hash by identity."""
+        return id(self)
+
     async def start(self) -> None:
         """Listen and register."""
         self._server = await asyncio.start_server(self._serve, self.ip, self.port)
         self.register()
 
+    async def crash(self, away_s: float) -> None:
+        """End with all connections; start again later, empty, under the same id."""
+        self.is_away = True
+        self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+        asyncio.get_running_loop().call_later(
+            away_s, lambda: asyncio.ensure_future(self._restart())
+        )
+
+    async def _restart(self) -> None:
+        self.born = int(time.time() * 1000)
+        self.layers, self.sequence, self.fence, self.active = (0, 0), 0, 0, 0
+        self.is_away = False
+        await self.start()
+
     def register(self) -> None:
         """Write the replica's entry."""
         entry: dict[str, Any] = {
@@ -367,6 +392,15 @@
         return {"kind": "card", "layers": {"from": first, "to": end, "version": 1}, "models": []}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_request(reader)) is not None:
                 expected = request.header(PREFIX + "Expect-Replica")
@@ -435,7 +469,7 @@
             if self.answer is not None and await self.answer(self, request, writer):
                 return
             if self.is_engine:
-                await self._stream(request, writer)
+                await self.stream(request, writer)
             else:
                 await asyncio.sleep(self.work_s)
                 self.record.write("ran", replica=self.replica_id, attempt=attempt)
@@ -443,7 +477,11 @@
         finally:
             self.active -= 1
 
-    async def _stream(self, request: HttpRequest, writer: asyncio.StreamWriter) -> None:
+    async def stream(
+        self, request: HttpRequest, writer: asyncio.StreamWriter, limit_s: float | None = None
+    ) -> None:
+        """Answer with a stream of events, for a limited time if there is a limit."""
+        started = time.monotonic()
         attempt = request.header(PREFIX + "Attempt-Id")
         headers = {
             **self.stamped(request),
@@ -454,6 +492,8 @@
         writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
         for number in range(int(request.header("Last-Event-Id", "0")) + 1, self.events + 1):
             await asyncio.sleep(self.event_s)
+            if limit_s is not None and time.monotonic() - started > limit_s:
+                return
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
@@ -647,7 +687,9 @@
 
     async def wait_serving(self, gateway: Gateway, timeout_s: float = 30.0) -> None:
         """Wait until a gateway serves streams, or whatever services there are."""
-        path = "/lm/warm" if any(each.is_engine for each in self.replicas.values()) else "/read/warm"
+        path = (
+            "/lm/warm" if any(each.is_engine for each in self.replicas.values()) else "/read/warm"
+        )
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
             reply = await self.ask(gateway, path)
@@ -781,6 +823,9 @@
     site.record.write("trouble", on=has_trouble())
 
     async def run() -> str:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return str(await case(site))
