--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -13,6 +13,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -734,6 +735,7 @@
             if gateway.process is not None and gateway.process.poll() is None:
                 gateway.process.kill()
                 gateway.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 @dataclass
