--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
@@ -13,21 +12,16 @@
 
 from standins import Connection, HttpRequest, Replica, Site, has_trouble, run_case  # noqa: E402
 
-RUN_S = 55.0
-STREAM_CLIENTS = 40
+RUN_S = 25.0
+STREAM_CLIENTS = 25
 READERS = 6
-REPLICAS_PER_ZONE = 5
-FAULTY_PER_ZONE = 3
-FAULTY_FRACTION = 0.4
 BLOCK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 
 
 async def answer_without_end(
     replica: Replica, request: HttpRequest, writer: asyncio.StreamWriter
 ) -> bool:
-    """Send a failure to a part of the streams, and bytes until the caller closes."""
-    if random.random() >= FAULTY_FRACTION:
-        return False
+    """Send a failure, and bytes until the caller closes."""
     headers = {
         **replica.stamped(request),
         "Content-Type": "application/json",
@@ -63,16 +57,15 @@
 async def case(site: Site) -> str:
     """Return what broke the rule; empty if it held."""
     for zone in ("a", "b"):
-        for number in range(1, REPLICAS_PER_ZONE + 1):
-            site.add_replica(f"{zone}{number}", "lm", zone, is_engine=True, events=60)
+        for number in (1, 2, 3):
+            site.add_replica(f"{zone}{number}", "lm", zone, is_engine=True)
         site.add_replica(f"p{zone}", "plain", zone, work_s=0.3)
     site.add_gateway("g1", "a")
     site.add_gateway("g2", "b")
     await site.start()
     if has_trouble():
-        for zone in ("a", "b"):
-            for number in range(1, FAULTY_PER_ZONE + 1):
-                site.replicas[f"{zone}{number}"].answer = answer_without_end
+        site.replicas["a1"].answer = answer_without_end
+        site.replicas["b1"].answer = answer_without_end
     end = time.monotonic() + RUN_S
     clients = [
         keep_asking(site, name, path, end)
