Collect a replica's failure to a stream within the bounds of all bodies

Cause: stream_relay._relay_failure added up the body itself, bounded only by the 64 MB of one response. All other readers use collect_body, which bounds each body and all together.

Ruled out: bounds that are too high (no body was abandoned) and the queue of chunks (memory rose with time, not with the number of calls). The log line and the two gauges added here tell these apart.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -18,6 +18,22 @@
       | chunks                       |
       | a chunk size                 |
 
+  # Guards against replicas whose failures to streams have no end and take the memory of the gateway.
+  Scenario: failures without end to streams and reads leave a gateway's memory and other clients alone
+    Given a site of two gateways, eight replicas and a store
+    When 25 clients ask a gateway for nothing but failures without end for 6 s
+    Then the gateway takes at most 200 MB, and answers each of those clients with a failure
+    And each sound stream and read beside them was whole
+    And the gateway counts the bodies that it abandoned
+
+  # Guards against engines whose refusals have no end and take the memory of an entry host.
+  Scenario: a refusal without end of an engine is abandoned
+    Given a server that sends a failure without end
+    When 12 streams are opened at it as at an engine
+    Then each call fails within 8 s as one that may have run
+    And the process grew by less than 96 MB
+    And the server saw each connection close
+
   Scenario: short responses are read while endless ones use up the shared buffer space
     Given a server that sends chunks without end
     When 12 concurrent calls wait for a complete response
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import http.client
+import threading
 import time
+from collections import Counter
 from itertools import repeat
 from typing import TYPE_CHECKING, Any, Final
 
@@ -12,9 +15,11 @@
 from behave import given, then, when
 
 from pimentodale.addresses import Address
-from pimentodale.clients.engine_client import EngineStream
+from pimentodale.clients.engine_client import EngineStream, open_stream
+from pimentodale.clients.engine_messages import EngineCall
 from pimentodale.clients.http_call import CallRequest, fetch, open_call
 from pimentodale.forwarding.event_stream import EventSplitter, InvalidEventStreamError
+from pimentodale.standin.platform_replica import ENDLESS_FAILURE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,6 +28,7 @@
 BLOCK: Final = b"x" * 16_384
 OK_HEADER: Final = b"HTTP/1.1 200 OK\r\n"
 CHUNKED: Final = OK_HEADER + b"Transfer-Encoding: chunked\r\n\r\n"
+FAILED: Final = b"HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n"
 SHORT: Final = OK_HEADER + b"Content-Length: 5\r\n\r\nshort"
 
 PAYLOADS: Final = {
@@ -30,6 +36,7 @@
     "a header line": (OK_HEADER + b"X-More: ", BLOCK),
     "informational answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
     "a body without a length": (OK_HEADER + b"\r\n", BLOCK),
+    "a failure": (FAILED, b"4000\r\n" + BLOCK + b"\r\n"),
     "chunks": (CHUNKED, b"4000\r\n" + BLOCK + b"\r\n"),
     "a chunk size": (CHUNKED, b"0" * 512),
 }
@@ -43,6 +50,7 @@
     context.opened = context.closed = 0
     context.short = []
     context.wants_short = False
+    context.call_endless = fetch_endless
 
 
 async def answer(context: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -71,6 +79,23 @@
     context.count = count
 
 
+@when("{count:d} streams are opened at it as at an engine")
+def open_streams(context: Any, count: int) -> None:
+    context.count = count
+    context.call_endless = open_endless
+
+
+async def fetch_endless(address: Address) -> Any:
+    """Wait for a complete response."""
+    return await fetch(address, CallRequest(method="GET", path="/endless"), TIMEOUT_MS)
+
+
+async def open_endless(address: Address) -> Any:
+    """Open an engine's stream."""
+    call = EngineCall(request_id="r", attempt=1, route=[])
+    return await open_stream(address, "/v1/completions", {}, call, {}, TIMEOUT_MS)
+
+
 @when("short responses are requested repeatedly meanwhile")
 def ask_short(context: Any) -> None:
     context.wants_short = True
@@ -81,7 +106,7 @@
 
     async def call_endless() -> tuple[Any, float]:
         started_s = time.monotonic()
-        reply = await fetch(context.address, CallRequest(method="GET", path="/endless"), TIMEOUT_MS)
+        reply = await context.call_endless(context.address)
         return reply, time.monotonic() - started_s
 
     async def watch_memory(process: psutil.Process) -> None:
@@ -150,6 +175,57 @@
         assert reply.ok.body == b"short", reply
 
 
+@when("{count:d} clients ask a gateway for nothing but failures without end for {seconds:g} s")
+def ask_for_failures(context: Any, count: int, seconds: float) -> None:
+    site = context.gateways
+    gateway = psutil.Process(context.site.programs["g1"].process.pid)
+    end_s = time.monotonic() + seconds
+    context.failures, context.sound, context.most_bytes = [], [], 0
+
+    def ask(path: str, body: bytes, statuses: list[int]) -> None:
+        while time.monotonic() < end_s:
+            with context.number_lock:
+                headers = site.headers()
+            try:
+                reply = site.request("g1", path, headers=headers, body=body)
+                is_whole = reply.status != 200 or bool(reply.body)
+                statuses.append(reply.status if is_whole else 0)
+            except (OSError, http.client.HTTPException):
+                statuses.append(0)
+
+    context.number_lock = threading.Lock()
+    calls = [("/lm/x", ENDLESS_FAILURE, context.failures)] * (count - 5)
+    calls += [("/read/x", ENDLESS_FAILURE, context.failures)] * 5
+    calls += [("/lm/x", b"sound", context.sound), ("/read/x", b"sound", context.sound)] * 3
+    threads = [threading.Thread(target=ask, args=each) for each in calls]
+    for thread in threads:
+        thread.start()
+    while any(thread.is_alive() for thread in threads):
+        with contextlib.suppress(psutil.Error):
+            context.most_bytes = max(context.most_bytes, gateway.memory_info().rss)
+        time.sleep(0.01)
+
+
+@then("the gateway takes at most {limit_mb:d} MB, and answers each of those clients with a failure")
+def check_memory(context: Any, limit_mb: int) -> None:
+    print(f"{context.most_bytes / 1e6:.0f} MB; {Counter(context.failures)}")
+    assert context.most_bytes <= limit_mb * 1e6, context.most_bytes
+    assert len(context.failures) >= 25, context.failures
+    assert all(status >= 500 for status in context.failures), Counter(context.failures)
+
+
+@then("each sound stream and read beside them was whole")
+def check_sound(context: Any) -> None:
+    print(Counter(context.sound))
+    assert len(context.sound) >= 6, context.sound
+    assert set(context.sound) == {200}, Counter(context.sound)
+
+
+@then("the gateway counts the bodies that it abandoned")
+def check_abandoned(context: Any) -> None:
+    assert context.gateways.read_gauge("g1", "abandoned_bodies") > 0
+
+
 @when("{size:d} bytes of {form} arrive repeatedly")
 def feed_invalid(context: Any, size: int, form: str) -> None:
     block = b": " + b"c" * (size - 4) + b"\n\n" if form == "comments" else b"e" * size
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -18,7 +18,9 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from pimentodale.clients.body_memory import FREE_BYTES, MAX_COLLECTED_BYTES, body_memory
 from pimentodale.clock import MS_PER_S
+from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -34,21 +36,14 @@
 MAX_BODY_BYTES: Final = 64 * 1024 * 1024
 """Longest response body that is passed on chunk by chunk."""
 
-MAX_COLLECTED_BYTES: Final = 16 * 1024 * 1024
-"""Longest response body that is kept until it is whole."""
-
-MAX_ALL_COLLECTED_BYTES: Final = 24 * 1024 * 1024
-"""All such bodies together, so that servers which answer without end can't take a host's memory."""
-
-FREE_BYTES: Final = 64 * 1024
-"""Part of each body that doesn't count there: short answers pass whatever the others do."""
-
 CONNECT_TIMEOUT_MS: Final = 1000.0
 """How long a connection may take to open."""
 
 _QUEUED_CHUNKS: Final = 64
 """Chunks kept between the connection and its reader before the connection waits."""
 
+_log = get_log("http")
+
 
 class CallFault(msgspec.Struct, frozen=True):
     """Why an exchange failed."""
@@ -98,9 +93,11 @@
     Use `open_call`, then `chunks`; `close` drops the connection at once and may be repeated.
     """
 
-    __slots__ = ("_connection", "_reader", "_response", "_stream")
+    __slots__ = ("_connection", "_reader", "_response", "_stream", "address")
 
-    def __init__(self, stream: IOStream, connection: HTTP1Connection) -> None:
+    def __init__(self, stream: IOStream, connection: HTTP1Connection, address: Address) -> None:
+        self.address = address
+        """The server that was called."""
         self._stream = stream
         self._connection = connection
         self._response = _Response(stream)
@@ -166,11 +163,11 @@
         if self._reader is not None and not self._reader.done():
             self._reader.cancel()
 
-    async def _send(self, request: CallRequest, address: Address) -> None:
+    async def _send(self, request: CallRequest) -> None:
         """Write the request and wait for the response's header."""
         headers = HTTPHeaders(request.headers)
         if "Host" not in headers:
-            headers["Host"] = str(address)
+            headers["Host"] = str(self.address)
         headers["Content-Length"] = str(len(request.body))
         headers["Connection"] = "close"
         start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
@@ -214,10 +211,10 @@
     parameters = HTTP1ConnectionParameters(
         no_keep_alive=True, max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
     )
-    call = HttpCall(stream, HTTP1Connection(stream, True, parameters))
+    call = HttpCall(stream, HTTP1Connection(stream, True, parameters), address)
     try:
         async with asyncio.timeout(header_timeout_ms / MS_PER_S):
-            await call._send(request, address)
+            await call._send(request)
     except TimeoutError:
         call.close()
         return Error(CallFault(True, True, f"{address} sent no header in time"))
@@ -230,30 +227,6 @@
     return Ok(call)
 
 
-class _CollectedBytes:
-    """Counts what all bodies take that are being collected."""
-
-    __slots__ = ("_taken",)
-
-    def __init__(self) -> None:
-        self._taken = 0
-
-    def try_take(self, count: int) -> bool:
-        """Take memory for some more bytes; False if there is none left."""
-        if self._taken + count > MAX_ALL_COLLECTED_BYTES:
-            return False
-        self._taken += count
-        return True
-
-    def give_back(self, count: int) -> None:
-        """Give memory back."""
-        self._taken -= count
-
-
-_collected_bytes = _CollectedBytes()
-"""Of all calls of this process, since they share its memory."""
-
-
 async def collect_body(call: HttpCall, silence_timeout_ms: float) -> Result[bytes, CallFault]:
     """Read a response's body until it is whole; the call is closed in any case.
 
@@ -272,11 +245,18 @@
                 return Error(chunk.error)
             body += chunk.ok
             beyond = max(0, len(body) - FREE_BYTES) - counted
-            if len(body) > MAX_COLLECTED_BYTES or not _collected_bytes.try_take(beyond):
+            if len(body) > MAX_COLLECTED_BYTES or not body_memory.try_take(beyond):
+                body_memory.abandoned += 1
+                _log.warning(
+                    "A response body was abandoned because it is too long.",
+                    address=str(call.address),
+                    body_bytes=len(body),
+                    collected_bytes=body_memory.taken_bytes,
+                )
                 return Error(CallFault(True, False, f"a response of over {len(body)} bytes"))
             counted += beyond
     finally:
-        _collected_bytes.give_back(counted)
+        body_memory.give_back(counted)
         call.close()
     return Ok(bytes(body))
 
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -16,6 +16,7 @@
 from pimentodale.callers.authentication import create_authenticator
 from pimentodale.callers.context import CallerContext
 from pimentodale.callers.reads import ConfigurationHandler
+from pimentodale.clients.body_memory import add_body_gauges
 from pimentodale.clients.etcd_gateway import create_etcd_gateway
 from pimentodale.clients.host_list import create_host_list_poller, create_host_list_reader
 from pimentodale.clock import create_clock
@@ -214,6 +215,7 @@
     settings, fleet, budget = host.settings, routing.fleet, routing.budget
     tracer = create_tracer(host.clock, settings.host, settings.trace_spans)
     metrics = create_metrics()
+    add_body_gauges(metrics.add_gauge)
     pipelines = PipelineContext(
         clock=host.clock,
         tracer=tracer,
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.clients.http_call import CallFault, CallRequest, open_call
+from pimentodale.clients.http_call import CallFault, CallRequest, collect_body, open_call
 from pimentodale.forwarding.crash_detector import MIN_PROGRESS_EVENTS
 from pimentodale.forwarding.event_stream import EventSplitter, InvalidEventStreamError, follows
 from pimentodale.forwarding.passive_health import record_answer
@@ -198,14 +198,13 @@
     """Relay the replica's own error response, unless another send may still answer the request."""
     if not answer.is_genuine or answer.claims_not_run:
         return SendEnd.BROKEN
-    body = bytearray()
-    async for chunk in call.chunks(silence_ms):
-        if chunk.is_error():
-            return SendEnd.BROKEN
-        body += chunk.ok
+    body = await collect_body(call, silence_ms)
+    if body.is_error():
+        routed.history.append(body.error.message)
+        return SendEnd.BROKEN
     if routed.exchange.is_begun or len(state.active) > 1 or not state.claim(send):
         return SendEnd.BROKEN
     state.status = answer.status
     send.is_writing = state.is_over = True
-    await routed.exchange.answer(answer.status, answer.headers, bytes(body))
+    await routed.exchange.answer(answer.status, answer.headers, body.ok)
     return SendEnd.PASSED_ON
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -15,6 +15,7 @@
 
 from pimentodale.addresses import parse_address
 from pimentodale.background import BackgroundTasks, create_background_tasks
+from pimentodale.clients.body_memory import add_body_gauges
 from pimentodale.clock import MS_PER_S, Clock, create_clock
 from pimentodale.forwarding.context import ForwardingContext
 from pimentodale.forwarding.crash_detector import create_crash_detector
@@ -263,6 +264,7 @@
     metrics.add_gauge("mirror_ignored_answers", lambda: view.mirror.ignored_answers)
     metrics.add_gauge("configuration_version", lambda: _configuration_version(view))
     metrics.add_gauge("convicted_requests", record.count_convicted)
+    add_body_gauges(metrics.add_gauge)
 
     own_pauses = create_own_pauses(clock)
     metrics.add_gauge("own_pauses", lambda: own_pauses.count)
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -50,6 +50,12 @@
 LAST_PART_POISON: Final = b"last part poison"
 """Body of a request that crashes the last replica of its path."""
 
+ENDLESS_FAILURE: Final = b"endless failure"
+"""Body of a request that gets a failure whose body goes on until the caller closes."""
+
+ENDLESS_BLOCK: Final = b"x" * 16_384
+"""What such a body repeats."""
+
 CRASHED_MS: Final = 1_000.0
 """How long a crashed replica is away."""
 
@@ -391,6 +397,9 @@
             return
         self.set_header("Pimentodale-Attempt-Id", attempt)
         self.set_header("Pimentodale-Replica-Stamp", f"stamp.{self.part.settings.replica_id}")
+        if self.request.body == ENDLESS_FAILURE:
+            await self._fail_without_end(attempt)
+            return
         hops = self.request.headers.get("Pimentodale-Hop-Count")
         if hops is not None:
             await self._stream(attempt, parse_path(hops))
@@ -407,6 +416,15 @@
         with contextlib.suppress(StreamClosedError):
             await self.finish(b"body of " + self.request.uri.encode() + b" " + self.request.body)
 
+    async def _fail_without_end(self, attempt: str) -> None:
+        """Answer with a failure whose body goes on until the caller closes."""
+        self._journal("endless failure", attempt, "")
+        self.set_status(500)
+        with contextlib.suppress(StreamClosedError):
+            while True:
+                self.write(ENDLESS_BLOCK)
+                await self.flush()
+
     async def _stream(self, attempt: str, path: list[PathStep]) -> None:
         """Write the events of a stream; each needs every part of the path."""
         part = self.part
