Let only whole requests vindicate the parts of their prompt

Cause: three events, counted over all sends of a stream, cleared the parts of its prompt for ten minutes, so that the part's victims vouched for it; a crash under a send with three events struck only the request's own fingerprint. Events show that a replica runs a request, not that it survives it. Another number of events moves the fault.

Now a part is vindicated by a request that a single run brought to its end and whose replicas live on for 1.5 s; crashes under streams that had been writing count against the parts as late ones, of which five convict. A part isn't refused while as many streams write on it as replicas have crashed under it, or one has written past all of those crashes; of parts with the same crashes the rarer one is refused first. Hosts exchange how far the crashed sends had come.

Ruled out: crashes that aren't counted (entries of the deadly part had them, and were cleared).

Replaced checks: 'a part is vindicated once a request has written on it' took the fault for the rule and asks for a whole request now; three streams that lost their replica after they had written are four now, and the fifth is convicted. The scenario of the trial asks besides that writing alone doesn't clear.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -10,6 +10,19 @@
     And 19 of 20 sound requests with the same first part are served, beside 6 more with the deadly part
     And at most 5 replicas have crashed and the last 3 requests with the part were refused
 
+  # Guards against a deadly part that is vindicated by the events its victims write before they crash.
+  Scenario Outline: such a part is convicted too if its requests write <events> events before the crash
+    Given a site of two gateways, eight replicas and a store
+    When 16 requests with a part that is deadly after <events> events come 0.4 s apart, beside sound ones with the same first part
+    Then at most 3 requests with it reached replicas later than 3 s after the fifth crash, and the last 3 were refused
+    And 19 of 20 sound requests with the same first part are served, beside 6 more with the deadly part
+
+    Examples:
+      | events |
+      | 1      |
+      | 3      |
+      | 12     |
+
   # Guards against a conviction that is lost when the hosts that know of it have restarted.
   Scenario: such a part stays refused after all gateways were killed at once
     Given a site of two gateways, eight replicas and a store
@@ -19,37 +32,85 @@
     Then at most 5 replicas have crashed and the last 3 requests with the part were refused
 
   Scenario: a part is convicted by crashes under different requests, and the parts of sound ones are not
-    Given a host at which sound requests have written on the parts a and b
+    Given a host at which a sound request has run to its end on the parts a and b
     When three requests with the parts a, b and x crash a replica each
     Then a request with the parts a, x and c is refused, and one with a, b and c is not
 
   # Guards against a first part that is convicted where many replicas are lost at once.
-  Scenario: a part on which requests had written isn't suspected when many replicas are lost at once
-    Given a host at which sound requests have written on the parts a and b
+  Scenario: a part on which a request has run to its end isn't suspected when many replicas are lost at once
+    Given a host at which a sound request has run to its end on the parts a and b
     When five replicas are lost at once, each under a request with the parts a and b
     Then a request with the parts a, x and c is not refused
 
   # Guards against hosts that have just started and convict what all others know as sound.
-  Scenario: a part that another host convicts is vindicated by a host through which requests write on it
-    Given a host at which sound requests have written on the parts a and b
+  Scenario: a part that another host convicts is vindicated by a host through which requests run to their end on it
+    Given a host at which a sound request has run to its end on the parts a and b
     When another host convicts part a
     Then this host doesn't refuse requests with it, and tells the other that it is sound
 
-  Scenario: a part is vindicated once a request has written on it after the crashes
-    Given a host at which sound requests have written on the parts a and b
-    When two requests with the parts a and x crash a replica each, a third one writes, and a fourth one crashes one
+  # Guards against two hosts that saw different halves: one the crashes, the other the sound requests.
+  Scenario: a host that saw only crashes convicts the deadly part alone once it has heard of the others' sound requests
+    Given a host at which a sound request has run to its end on the parts a and b
+    And another host at which five requests with the parts a and x wrote before they crashed a replica each
+    When the hosts exchange what they know
+    Then requests with the part x are refused at both hosts, and those with a and b at neither
+
+  Scenario: a part is vindicated once a request has run to its end on it after the crashes
+    Given a host at which a sound request has run to its end on the parts a and b
+    When two requests with the parts a and x crash a replica each, a third one is whole, and a fourth one crashes one
     Then a request with the parts a, x and c is not refused
 
+  # Guards against a deadly part that is vindicated by those that die on it.
+  Scenario Outline: a part is not vindicated by <what>
+    Given a host at which a sound request has run to its end on the parts a and b
+    When two requests with the parts a and x crash a replica each
+    And a third one <what>
+    And a fourth one crashes a replica
+    Then a request with the parts a, x and c is refused, and one with a, b and c is not
+
+    Examples:
+      | what                                            |
+      | writes                                          |
+      | is whole by the second of its sends             |
+      | is whole and its replica crashes 1.2 s later    |
+
   # Guards against streams that had been writing when their replica crashed, and suffer for it.
-  Scenario: the parts of a stream that had written are no suspects of its replica's crash
-    Given a host at which sound requests have written on the parts a and b
-    When three streams with the parts a and y lose their replica after they have written
+  Scenario: the parts of a stream that had written are not refused for few crashes
+    Given a host at which a sound request has run to its end on the parts a and b
+    When 4 streams with the parts a and y lose their replica after they have written 12 events
     Then a request with the parts a, y and c is not refused
+    When 1 stream with the parts a and y loses its replica after it has written 12 events
+    Then a request with the parts a, y and c is refused, and one with a, b and c is not
+
+  # Guards against a host that has just started and refuses what all requests share.
+  Scenario Outline: a part on which <what> is not refused
+    Given a host that has just started
+    When <what>
+    And 5 streams with the parts a lose their replica after they have written 12 events
+    Then a request with the parts a and b is not refused
+    When the streams that write on the part a have ended, none of them whole
+    Then a request with the parts a and b is refused
+
+    Examples:
+      | what                                          |
+      | 6 streams have written 4 events on the part a |
+      | 1 stream has written 15 events on the part a  |
+
+  # Guards against a site that has just started and refuses a common part for the crashes of a deadly one beside it.
+  Scenario: of two parts with the same crashes the rarer one is refused, and the other one for its own crashes alone
+    Given a host that has just started
+    When a request with the parts a and b comes
+    And 5 streams with the parts a and x lose their replica after they have written 12 events
+    Then a request with the parts a and b is not refused, and one with a and x is
+    When 5 streams with the parts a lose their replica after they have written 12 events
+    Then a request with the parts a and b is refused
 
   # Guards against a part that stays refused for good although it crashes nothing any more.
-  Scenario: a refused part runs in two trials on the whole site, and is served once one has written
+  Scenario: a refused part runs in two trials on the whole site, and is served once one is whole
     Given a host that refuses part x, and another host
     When 30 s pass
     Then one request with it may run, at one of the hosts
     When it writes
+    Then further requests with it are refused at both hosts
+    When it is whole
     Then requests with it are served at both hosts
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -340,7 +340,7 @@
         is_refused = await detector.is_refused(routed)
         if not is_refused:
             await asyncio.sleep(answer_ms / 1_000.0)
-            detector.note_whole(routed, [])
+            detector.note_whole(routed, [], is_single_run=True)
         return is_refused, routed.is_on_trial, (time.monotonic() - started_s) * 1_000.0
 
     return await asyncio.gather(send_one(), send_one())
@@ -467,7 +467,7 @@
     elif ends.startswith("says"):
         context.view.note_leaving(context.view.replicas["r1"])
     if ends.startswith("answers no probe"):
-        detector.observe_send(SentRequest(), executed_on, is_fresh=True)
+        detector.observe_send(SentRequest(), executed_on)
         health.note_failed_probe(executed_on[0], "no answer")
         await asyncio.sleep(0.2)
         assert context.record.has_open_crash(POISON), "a replica that stays away has crashed"
@@ -477,11 +477,11 @@
             background.cancel()
             return
     if ends.startswith("lapses"):
-        detector.observe_send(SentRequest(), executed_on, is_fresh=True)
+        detector.observe_send(SentRequest(), executed_on)
         await asyncio.sleep(2.0)
     put_replica(context, "ready" if "anew" in ends else "", 2)
     if not ends.startswith(("lapses", "answers no probe")):
-        detector.observe_send(SentRequest(), executed_on, is_fresh=True)
+        detector.observe_send(SentRequest(), executed_on)
     await asyncio.sleep(0.7)
     background.cancel()
 
@@ -602,7 +602,7 @@
     )
     silent = [detector.list_alive([name])[0] for name in replicas]
     for incarnation in silent:
-        detector.observe_send(SentRequest(), [incarnation], is_fresh=True)
+        detector.observe_send(SentRequest(), [incarnation])
         health.note_failed_probe(incarnation, "no answer")
     await asyncio.sleep(0.2)
     assert record.is_convicted(POISON), "silent replicas have crashed"
@@ -672,7 +672,7 @@
         create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
     )
     for name in list(replicas)[:count]:
-        detector.observe_send(SentRequest(), detector.list_alive([name]), is_fresh=True)
+        detector.observe_send(SentRequest(), detector.list_alive([name]))
     routed = create_routed()
     routed.sends = sends
     started_s = time.monotonic()
--- a/features/steps/slow_clients.py
+++ b/features/steps/slow_clients.py
@@ -109,9 +109,10 @@
         view=SimpleNamespace(replicas={}, mirror=mirror),
         crashes=SimpleNamespace(
             is_convicted=lambda _routed: False,
-            note_progress=lambda _routed: None,
+            note_writing=lambda *_: None,
+            note_writing_ended=lambda *_: None,
             list_alive=list,
-            note_whole=lambda *_: None,
+            note_whole=lambda *_, **_named: None,
             observe_send=lambda *_, **_named: None,
         ),
         failure_domain="a",
--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -284,7 +284,7 @@
         codec=codec,
         metrics=create_gateway_metrics(),
         view=SimpleNamespace(replicas={}),
-        crashes=SimpleNamespace(note_progress=lambda _routed: None),
+        crashes=SimpleNamespace(note_writing=lambda *_: None),
     )
     path = Path((PathPart("h1", Address("127.0.0.1", port), LayerRange(0, 8)),), 1.0)
     shared_streams = create_shared_stream_state(ctx.clock)
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -7,21 +7,23 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
+from pimentodale.logs import get_log
 from pimentodale.quarantine.crash_record import crash_name
-from pimentodale.quarantine.prompt_parts import create_sound_parts
+from pimentodale.quarantine.prompt_parts import create_sound_parts, is_part_key
 from pimentodale.quarantine.retrials import EARLY_TRIAL_AFTER_MS
 from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from pimentodale.background import BackgroundTasks
     from pimentodale.clock import Clock
     from pimentodale.forwarding.context import RoutedRequest
+    from pimentodale.forwarding.stream_state import StreamSend
     from pimentodale.quarantine.crash_record import CrashEntry, CrashRecord
     from pimentodale.quarantine.prompt_parts import SoundParts
     from pimentodale.quarantine.retrials import Retrials
@@ -56,6 +58,20 @@
 MIN_PROGRESS_EVENTS: Final = 3
 """Number of events of one send from which its replicas are past the start of the request."""
 
+SURVIVAL_MS: Final = 1_500.0
+"""How long the replicas of a whole request have to live on before it vindicates the parts of its
+prompt: one that crashes under it is known by then, as a probe of an unresponsive replica takes less."""
+
+_log = get_log("crashes")
+
+
+class _Survivor(NamedTuple):
+    """A whole request whose replicas may yet crash."""
+
+    due_ms: float
+    part_keys: tuple[str, ...]
+    executed_on: tuple[Incarnation, ...]
+
 
 @dataclass(slots=True)
 class CrashDetector:
@@ -72,7 +88,7 @@
     """Grants quarantined requests one further run."""
 
     sound_parts: SoundParts = field(init=False)
-    """Parts of prompts on which requests have written events."""
+    """Parts of prompts whose requests crash nothing."""
 
     _pending: Counter[str] = field(default_factory=Counter)
     """Number of sends without a result yet, by suspect: a request's fingerprint or a part's key."""
@@ -81,6 +97,12 @@
     """Suspects to which crashes were attributed because a replica answered no probe, by replica;
     the oldest first."""
 
+    _writing: dict[str, list[StreamSend]] = field(default_factory=dict)
+    """Sends that are past the start of their request, by key of a part."""
+
+    _survivors: deque[_Survivor] = field(default_factory=deque)
+    """Whole requests that vindicate their parts once their replicas have lived on; oldest first."""
+
     def __post_init__(self) -> None:
         """Create the empty record of sound parts."""
         self.sound_parts = create_sound_parts(self.clock)
@@ -107,49 +129,68 @@
         replica = self.view.replicas.get(incarnation[0])
         return replica is not None and incarnation_of(replica) != incarnation
 
-    def note_whole(self, routed: RoutedRequest, executed_on: Iterable[Incarnation]) -> None:
+    def note_whole(
+        self, routed: RoutedRequest, executed_on: Collection[Incarnation], *, is_single_run: bool
+    ) -> None:
         """Clear the crashes of a request that has completed, except those of this attempt.
 
         Args:
             routed: The request.
             executed_on: Replicas of all sends of the attempt.
+            is_single_run: Whether one run brought the answer from its start to its end. Only that
+                vindicates the parts of the prompt: the last of several sends may have been too
+                short for a crash.
         """
         kept = [crash_name(*incarnation) for incarnation in executed_on]
         self.record.clear(routed.fingerprint, kept)
-        self.note_progress(routed)
+        if not is_single_run or not executed_on or not routed.part_keys:
+            return
+        due_ms = self.clock.now_ms() + SURVIVAL_MS
+        self._survivors.append(_Survivor(due_ms, routed.part_keys, tuple(executed_on)))
+        self._settle_survivors()
+        if any(map(self.record.has_open_crash, routed.part_keys)):
+            self.background.start(self._settle_later(), "vindication of a part")
 
     def is_convicted(self, routed: RoutedRequest) -> bool:
         """Whether a request, or a part of its prompt, has crashed too many replicas."""
         return self._convicted_suspect(routed) is not None
 
-    def note_progress(self, routed: RoutedRequest) -> None:
-        """Vindicate the parts of a request's prompt: a replica has written on all of them."""
+    def note_writing(self, routed: RoutedRequest, send: StreamSend) -> None:
+        """Note that a send is past the start of its request; call `note_writing_ended` at its end."""
         routed.has_progressed = True
-        self.sound_parts.note(routed.part_keys)
         for key in routed.part_keys:
-            if self.record.has_open_crash(key):
-                self.record.clear(key)
+            self._writing.setdefault(key, []).append(send)
+
+    def note_writing_ended(self, routed: RoutedRequest, send: StreamSend) -> None:
+        """Note the end of a send that `note_writing` was called for."""
+        for key in routed.part_keys:
+            sends = self._writing[key]
+            sends.remove(send)
+            if not sends:
+                del self._writing[key]
 
     def observe_send(
-        self, routed: RoutedRequest, executed_on: Sequence[Incarnation], *, is_fresh: bool
+        self, routed: RoutedRequest, executed_on: Sequence[Incarnation], *, events: int = 0
     ) -> None:
         """Check in the background whether a send without a complete response crashed a replica.
 
         Args:
             routed: The request.
             executed_on: Replicas on the path that were alive when the request was sent.
-            is_fresh: Whether they had only started to run the request.
+            events: Number of events that the send had.
         """
         if not executed_on:
             return
         # If the caller disconnects, nothing else detects a head replica that has become
         # unresponsive.
         self.replica_health.request_probe_unless_answered(executed_on[0])
-        suspects = self._suspects(routed)
-        if routed.has_progressed or not is_fresh:
-            suspects = [routed.fingerprint]
-        self._pending.update(suspects)
-        work = self._observe(suspects, executed_on, is_fresh=is_fresh)
+        is_fresh = events < MIN_PROGRESS_EVENTS
+        suspects = {routed.fingerprint: is_fresh}
+        for key in self._doubted_parts(routed):
+            # A stream that had been writing tells less of the parts that it shares with others.
+            suspects[key] = is_fresh and not routed.has_progressed
+        self._pending.update(suspects.keys())
+        work = self._observe(suspects, executed_on, events)
         self.background.start(work, "crash detector")
 
     async def is_refused(self, routed: RoutedRequest) -> bool:
@@ -158,6 +199,8 @@
         Args:
             routed: The request; a quarantined one may be granted a trial run.
         """
+        if routed.sends == 0:
+            self.sound_parts.note_request(routed.part_keys)
         end_ms = self.clock.now_ms() + VERDICT_TIMEOUT_MS
         is_granted = await self._acquire_trial(routed)
         while not is_granted and self._is_undecided(routed) and self.clock.now_ms() < end_ms:
@@ -177,7 +220,12 @@
         Many requests may share a fingerprint, and slow replicas leave many of them without a
         response. So a new request waits only if a crash is already recorded for its fingerprint.
         """
-        return any(self._awaits_verdict_on(key, routed.sends) for key in self._suspects(routed))
+        if self._awaits_verdict_on(routed.fingerprint, routed.sends):
+            return True
+        return any(
+            self._awaits_verdict_on(key, routed.sends) and not self._is_written_on(key)
+            for key in self._doubted_parts(routed)
+        )
 
     def note_alive(self, incarnation: Incarnation) -> None:
         """Withdraw the crash of a replica that answers again as the same run: it only paused."""
@@ -195,7 +243,26 @@
 
     def _convicted_suspect(self, routed: RoutedRequest) -> str | None:
         """Return the fingerprint of a convicted request, or the key of a convicted part of it."""
-        return next((key for key in self._suspects(routed) if self.record.is_convicted(key)), None)
+        if self.record.is_convicted(routed.fingerprint):
+            return routed.fingerprint
+        return next(filter(self._is_refused_part, self._doubted_parts(routed)), None)
+
+    def _is_refused_part(self, key: str) -> bool:
+        """Whether requests with a part have to be refused.
+
+        Requests with a deadly part have common parts too, with the same crashes. Of these the rarer
+        part is refused first: if the common one is the cause, more crashes follow without the other.
+        """
+        if not self.record.is_convicted(key) or self._is_written_on(key):
+            return False
+        rarer = [
+            other
+            for other in self.record.list_convicted()
+            if is_part_key(other)
+            and self.sound_parts.is_rarer(other, key)
+            and not self.sound_parts.has(other)
+        ]
+        return not self.record.is_explained(key, rarer)
 
     async def _acquire_trial(self, routed: RoutedRequest) -> bool:
         """Acquire a trial run of a convicted request that has not been sent, if one is due."""
@@ -223,10 +290,51 @@
         replica = self.view.replicas.get(crash.rpartition("/")[0])
         return replica is not None and crash_name(*incarnation_of(replica)) == crash
 
-    def _suspects(self, routed: RoutedRequest) -> list[str]:
-        """Return what may crash a request's replicas: itself, and the parts not known as sound."""
-        parts = [key for key in routed.part_keys if not self.sound_parts.has(key)]
-        return [routed.fingerprint, *parts]
+    def _doubted_parts(self, routed: RoutedRequest) -> list[str]:
+        """Return the parts of a request's prompt that are not known as sound."""
+        self._settle_survivors()
+        return [key for key in routed.part_keys if not self.sound_parts.has(key)]
+
+    def _is_written_on(self, key: str) -> bool:
+        """Whether requests go on with a part on which replicas have crashed.
+
+        After a start of this host no request is whole for a while. Until then this tells a part that
+        all requests share from one that each of its requests crashes a replica on.
+        """
+        if any(key in each.part_keys and self._lives_on(each) for each in self._survivors):
+            return True
+        writing = self._writing.get(key, ())
+        crashes = len(self.record.open_crashes(key)) + self._pending[key]
+        outlived = self.record.most_events(key) + MIN_PROGRESS_EVENTS
+        return len(writing) >= max(1, crashes) or any(send.events >= outlived for send in writing)
+
+    def _lives_on(self, survivor: _Survivor) -> bool:
+        """Whether no replica of a whole request has ended since."""
+        return not any(map(self.has_ended, survivor.executed_on))
+
+    def _settle_survivors(self) -> None:
+        """Vindicate the parts of whole requests whose replicas have lived on."""
+        now_ms = self.clock.now_ms()
+        while self._survivors and self._survivors[0].due_ms <= now_ms:
+            survivor = self._survivors.popleft()
+            if not self._lives_on(survivor):
+                continue
+            self.sound_parts.note(survivor.part_keys)
+            for key in survivor.part_keys:
+                if not self.record.has_open_crash(key):
+                    continue
+                _log.info(
+                    "A whole request vindicates a part of prompts.",
+                    part=key,
+                    crashes=sorted(self.record.open_crashes(key)),
+                    replicas=[crash_name(*each) for each in survivor.executed_on],
+                )
+                self.record.clear(key)
+
+    async def _settle_later(self) -> None:
+        """Settle what is due after `SURVIVAL_MS`, so that other hosts hear of it without delay."""
+        await self.clock.sleep_ms(SURVIVAL_MS)
+        self._settle_survivors()
 
     def _vindicate(self, entry: CrashEntry) -> None:
         """Clear a part that another host convicts, if requests write on it through this one."""
@@ -241,9 +349,16 @@
         return sends > 0 or self.record.has_open_crash(suspect)
 
     async def _observe(
-        self, suspects: Sequence[str], executed_on: Sequence[Incarnation], *, is_fresh: bool
+        self, suspects: Mapping[str, bool], executed_on: Sequence[Incarnation], events: int
     ) -> None:
-        """Check until a replica has crashed or time is up; a send counts at most one crash."""
+        """Check until a replica has crashed or time is up; a send counts at most one crash.
+
+        Args:
+            suspects: The request's fingerprint and the keys of parts, each with whether a crash
+                counts as one shortly after the start.
+            executed_on: Replicas on the path.
+            events: Number of events that the send had.
+        """
         started_ms = self.clock.now_ms()
         departed: set[Incarnation] = set()
         is_pending = True
@@ -252,8 +367,9 @@
                 waited_ms = self.clock.now_ms() - started_ms
                 ended = self._find_crashed(executed_on, departed, waited_ms)
                 if ended is not None:
-                    for suspect in suspects:
-                        self.record.strike(suspect, crash_name(*ended), is_fresh=is_fresh)
+                    for suspect, is_fresh in suspects.items():
+                        crash = crash_name(*ended)
+                        self.record.strike(suspect, crash, is_fresh=is_fresh, events=events)
                         self._note_presumed(ended, suspect)
                     return
                 if is_pending and waited_ms >= VERDICT_TIMEOUT_MS:
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -310,9 +310,12 @@
 
     def _note_crash_evidence(self, send: StreamSend, end: SendEnd | None) -> None:
         """Clear the crash record of a complete request; otherwise observe the replicas of a send."""
-        ctx = self._ctx
+        ctx, state = self._ctx, self._state
+        if send.is_past_start:
+            ctx.crashes.note_writing_ended(self._routed, send)
         if end in (SendEnd.WHOLE, SendEnd.PASSED_ON):
-            ctx.crashes.note_whole(self._routed, self._state.executed_on)
+            is_single_run = end is SendEnd.WHOLE and send.events > 0 and state.possible_runs == 1
+            ctx.crashes.note_whole(self._routed, state.executed_on, is_single_run=is_single_run)
             return
         waited_ms = ctx.clock.now_ms() - send.active_ms
         if end is SendEnd.NOT_SENT or _is_healthy_end(ctx, send, end, waited_ms):
--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -269,7 +269,7 @@
         if send.is_observed:
             return
         send.is_observed = True
-        self._ctx.crashes.observe_send(self._routed, send.executed_on, is_fresh=True)
+        self._ctx.crashes.observe_send(self._routed, send.executed_on)
 
 
 def choose_replica(ctx: ForwardingContext, service: str, tried: set[str]) -> ReplicaRecord | None:
--- a/src/pimentodale/forwarding/stream_monitor.py
+++ b/src/pimentodale/forwarding/stream_monitor.py
@@ -5,7 +5,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.crash_detector import MIN_PROGRESS_EVENTS
 from pimentodale.forwarding.path_selection import note_prefill
 from pimentodale.forwarding.slow_streams import search_slow_replicas
 from pimentodale.forwarding.stalls import StallVerdict, check_stall, find_down_part
@@ -132,8 +131,7 @@
     if send.is_observed:
         return
     send.is_observed = True
-    is_fresh = send.events < MIN_PROGRESS_EVENTS
-    ctx.crashes.observe_send(routed, send.executed_on, is_fresh=is_fresh)
+    ctx.crashes.observe_send(routed, send.executed_on, events=send.events)
 
 
 async def _investigate(
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -183,8 +183,9 @@
     send.active_ms = routed.last_event_ms = now_ms
     state.events += count
     send.events += count
-    if not routed.has_progressed and state.events >= MIN_PROGRESS_EVENTS:
-        ctx.crashes.note_progress(routed)
+    if not send.is_past_start and send.events >= MIN_PROGRESS_EVENTS:
+        send.is_past_start = True
+        ctx.crashes.note_writing(routed, send)
 
 
 async def _relay_failure(
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -79,6 +79,9 @@
     events: int = 0
     """Number of events relayed from it."""
 
+    is_past_start: bool = False
+    """Whether it had so many events that its replicas are past the start of the request."""
+
     executed_on: list[Incarnation] = field(default_factory=list)
     """Replicas of the path that were alive when it was sent."""
 
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -280,6 +280,10 @@
         settings.retry_window_s * MS_PER_S,
         count_hosts,
     )
+    crashes = create_crash_detector(
+        clock, record, view, replica_health, gateway.background, retrials
+    )
+    metrics.add_gauge("sound_parts", lambda: len(crashes.sound_parts))
     return ForwardingContext(
         clock=clock,
         codec=gateway.platform.codec,
@@ -289,9 +293,7 @@
         slow_replicas=slow_replicas,
         loads=create_load_table(clock),
         retries=retries,
-        crashes=create_crash_detector(
-            clock, record, view, replica_health, gateway.background, retrials
-        ),
+        crashes=crashes,
         metrics=metrics,
         own_pauses=own_pauses,
         failure_domain=settings.failure_domain,
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -54,6 +54,9 @@
     cleared: list[str] = []
     """Crashes that no longer count because the request has since completed elsewhere."""
 
+    most_events: int = 0
+    """Most events of a send under which a replica crashed."""
+
     @property
     def open_crashes(self) -> set[str]:
         """Crashes that have not been cleared."""
@@ -100,6 +103,27 @@
         entry = self.find(fingerprint)
         return entry is not None and entry.is_convicted
 
+    def list_convicted(self) -> list[str]:
+        """Return the fingerprints of the convicted requests, and the keys of the convicted parts."""
+        return [fingerprint for fingerprint in list(self._convicted) if self.find(fingerprint)]
+
+    def is_explained(
+        self, fingerprint: str, others: Iterable[str], unproved: Iterable[str] = ()
+    ) -> bool:
+        """Whether a request would not be convicted without the crashes that others may have caused.
+
+        Args:
+            fingerprint: Fingerprint of a convicted request.
+            others: Fingerprints of others.
+            unproved: Names of crashes that may not have happened.
+        """
+        entry = self.find(fingerprint)
+        if entry is None:
+            return False
+        shared = set(unproved).union(*map(self.open_crashes, others))
+        cleared = [*entry.cleared, *shared]
+        return not CrashEntry(fingerprint, entry.fresh, entry.late, cleared).is_convicted
+
     def open_crashes(self, fingerprint: str) -> set[str]:
         """Return the names of a request's crashes that have not been cleared."""
         entry = self.find(fingerprint)
@@ -114,13 +138,7 @@
         """
         if not self.is_convicted(fingerprint):
             return False
-        doubtful = set(unproved)
-        for other in [self.find(each) for each in self._convicted - {fingerprint}]:
-            if other is not None:
-                doubtful |= other.open_crashes
-        entry = self._entries[fingerprint]
-        cleared = [*entry.cleared, *doubtful]
-        return not CrashEntry(fingerprint, entry.fresh, entry.late, cleared).is_convicted
+        return self.is_explained(fingerprint, self._convicted - {fingerprint}, unproved)
 
     def has_open_crash(self, fingerprint: str) -> bool:
         """Whether a request has a crash that has not been cleared."""
@@ -144,16 +162,22 @@
         """Return the number of convicted requests."""
         return sum(1 for fingerprint in list(self._entries) if self.is_convicted(fingerprint))
 
-    def strike(self, fingerprint: str, crash: str, *, is_fresh: bool) -> None:
+    def most_events(self, fingerprint: str) -> int:
+        """Return the most events of a send of a request under which a replica crashed."""
+        entry = self.find(fingerprint)
+        return 0 if entry is None else entry.most_events
+
+    def strike(self, fingerprint: str, crash: str, *, is_fresh: bool, events: int = 0) -> None:
         """Attribute a crash to a request.
 
         Args:
             fingerprint: Fingerprint of the request.
             crash: Name of the crash, the same on every host.
             is_fresh: Whether the replica had just started to run the request.
+            events: Number of events that it had written.
         """
-        addition = CrashEntry(fingerprint, [crash] if is_fresh else [], [] if is_fresh else [crash])
-        self._apply(addition, told_by="")
+        fresh, late = ([crash], []) if is_fresh else ([], [crash])
+        self._apply(CrashEntry(fingerprint, fresh, late, most_events=events), told_by="")
 
     def clear(self, fingerprint: str, kept: Collection[str] = ()) -> None:
         """Clear the crashes of a request that has completed: it did not cause them.
@@ -208,6 +232,8 @@
             "The crash entry of a request has changed.",
             fingerprint=entry.fingerprint,
             crashes=sorted(merged.open_crashes),
+            late=len(merged.late),
+            most_events=merged.most_events,
             cleared=len(merged.cleared),
             convicted=merged.is_convicted,
             told_by=told_by,
@@ -268,6 +294,7 @@
         _union(one.fresh, other.fresh),
         _union(one.late, other.late),
         _union(one.cleared, other.cleared),
+        max(one.most_events, other.most_events),
     )
 
 
--- a/src/pimentodale/quarantine/prompt_parts.py
+++ b/src/pimentodale/quarantine/prompt_parts.py
@@ -1,7 +1,9 @@
 """Parts of prompts as suspects of crashes, and the parts that sound requests have vindicated.
 
 A part that crashes replicas comes in requests that are all different, beside parts that sound
-requests have too. Whatever a request wrote on before any crash, or after it, is not the cause.
+requests have too. Its requests may write for a while before they crash a replica, and may be whole
+by the sends that resume them. So what vindicates a part is a request that a single run brought to
+its end, and whose replicas live on.
 """
 
 from __future__ import annotations
@@ -16,11 +18,14 @@
     from pimentodale.clock import Clock
 
 SOUND_MS: Final = 600_000.0
-"""How long a part counts as sound after the last request that wrote on it."""
+"""How long a part counts as sound after the last request that vindicated it."""
 
 MAX_SOUND_PARTS: Final = 20_000
 """Maximum number of sound parts that are remembered; the least recently used go first."""
 
+MAX_COUNTED_PARTS: Final = 20_000
+"""Maximum number of parts whose requests are counted; the least recently used go first."""
+
 PREFIX: Final = "part-"
 """Prefix of the keys under which crashes of parts are recorded, beside those of requests."""
 
@@ -29,16 +34,21 @@
 
 
 class SoundParts:
-    """Parts on which requests have written events through this host."""
+    """Parts on which requests have run to their end through this host, and how common parts are."""
 
-    __slots__ = ("_clock", "_until_ms")
+    __slots__ = ("_clock", "_requests", "_until_ms")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._requests: OrderedDict[str, int] = OrderedDict()
         self._until_ms: OrderedDict[str, float] = OrderedDict()
 
+    def __len__(self) -> int:
+        """Return the number of parts that are remembered."""
+        return len(self._until_ms)
+
     def note(self, keys: Iterable[str]) -> None:
-        """Record that a request wrote on the parts with these keys."""
+        """Record that a request with these parts ran to its end, and its replicas live on."""
         until_ms = self._clock.now_ms() + SOUND_MS
         for key in keys:
             self._until_ms[key] = until_ms
@@ -47,9 +57,21 @@
             self._until_ms.popitem(last=False)
 
     def has(self, key: str) -> bool:
-        """Return whether a request has written on a part lately."""
+        """Return whether a request with a part has run to its end lately."""
         return self._until_ms.get(key, 0.0) > self._clock.now_ms()
 
+    def note_request(self, keys: Iterable[str]) -> None:
+        """Count a request with these parts."""
+        for key in keys:
+            self._requests[key] = self._requests.get(key, 0) + 1
+            self._requests.move_to_end(key)
+        while len(self._requests) > MAX_COUNTED_PARTS:
+            self._requests.popitem(last=False)
+
+    def is_rarer(self, key: str, other: str) -> bool:
+        """Return whether fewer requests had a part than another one."""
+        return self._requests.get(key, 0) < self._requests.get(other, 0)
+
 
 def create_sound_parts(clock: Clock) -> SoundParts:
     """Return an empty record of sound parts."""
@@ -61,6 +83,11 @@
     return tuple(PREFIX + _shorten(part_id) for part_id in part_ids)
 
 
+def is_part_key(suspect: str) -> bool:
+    """Return whether a suspect of crashes is a part of prompts, not a request."""
+    return suspect.startswith(PREFIX)
+
+
 def _shorten(part_id: str) -> str:
     """Return a part's id, or a hash of it if it is long."""
     if len(part_id) <= MAX_ID_LENGTH and part_id.isascii() and part_id.isalnum():
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import contextlib
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
@@ -44,8 +45,9 @@
 PROMPT_PARTS: Final = "Pimentodale-Prompt-Prefix"
 """Header that lists the parts of a prompt, the request's own as the last."""
 
-DEADLY_PART: Final = "dead"
-"""Id of a part of a prompt that crashes whoever begins to write on it, unless it is the last."""
+DEADLY_PART: Final = re.compile(r"dead(\d*)")
+"""Id of a part of a prompt that crashes whoever writes on it, unless it is the last; a number in it
+is that of the events of a run before the crash."""
 
 LAST_PART_POISON: Final = b"last part poison"
 """Body of a request that crashes the last replica of its path."""
@@ -452,8 +454,14 @@
             self._refuse_unrun(503, fault)
             return
         self.set_header("Content-Type", "text/event-stream")
-        last = self.request.headers.get("Last-Event-Id", "0")
-        for number in range(int(last) + 1, self.part.settings.events + 1):
+        last = int(self.request.headers.get("Last-Event-Id", "0"))
+        crash_before = last + 1 + (self._events_before_crash() or self.part.settings.events)
+        for number in range(last + 1, self.part.settings.events + 1):
+            if number == crash_before and not self.part.outage.faults.down:
+                self._journal("crash", attempt, "")
+                spawn(self.part.crash("refuse"), "crash")
+                self.reset_connection()
+                return
             if not await self._wait_for_path(run):
                 self.reset_connection()
                 return
@@ -466,8 +474,7 @@
 
     async def _crashes(self, attempt: str) -> bool:
         """Crash if the request brings that about."""
-        parts = self.request.headers.get(PROMPT_PARTS, "").split(",")[:-1]
-        has_deadly_part = any(part.partition(":")[0] == DEADLY_PART for part in parts)
+        has_deadly_part = self._events_before_crash() == 0
         is_poison = self.request.body in (POISON, SILENT_POISON) or has_deadly_part
         if self.part.is_cured or not is_poison:
             return False
@@ -480,6 +487,14 @@
             self.reset_connection()
         return True
 
+    def _events_before_crash(self) -> int | None:
+        """Return after how many events a part of the prompt crashes the replica, if one does."""
+        if self.part.is_cured:
+            return None
+        parts = self.request.headers.get(PROMPT_PARTS, "").split(",")[:-1]
+        deadly = (DEADLY_PART.fullmatch(part.partition(":")[0]) for part in parts)
+        return next((int(found[1] or 0) for found in deadly if found), None)
+
     async def _write_event(self, number: int) -> None:
         """Write one event."""
         self.write(f"id: {number}\ndata: piece {number}\n\n")
