Count a replica whose record is gone until it is known to have ended

Cause: the record was taken for the process. has_ended counted a missing record as an end, so the limit of attempts left the replica out; record_send_outcome returned early without a record, so the send wasn't counted; and a silent send at such a replica wasn't counted beside its successor. A record that went later than 1.5 s after a send also counted as a crash of the request.

Now the last record is kept (site/departed_replicas); the replica counts until a probe of it fails or another replica stands at its address, and whoever depends on it asks for that probe. A send keeps its head's incarnation. Probes are in forwarding/probes.

Ruled out: resets that make a probe fail (resets alone break nothing).

Changed check: 'lapses after 2 s' is a replica that fails its probe, as a crashed one does; a row beside it is one that serves on, which is no crash.

Also names the part in the log line about its vindication by the field that other lines use.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -73,6 +73,7 @@
     Examples:
       | ends                                            | times |
       | lapses after 2 s                                | 1     |
+      | is removed after 2 s and serves on              | 0     |
       | takes its record back                           | 0     |
       | starts anew without a word                      | 1     |
       | announces that it leaves and goes               | 0     |
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -16,6 +16,7 @@
 from features.support.engine_fleet import replica
 from features.support.gateway_site import ENGINE_REPLICAS, GATEWAYS, PLAIN_REPLICAS
 from features.support.memory_store import MemoryState, MemoryStore
+from features.support.replica_view import create_replica_view
 from features.support.site import wait_until
 
 from pimentodale.background import create_background_tasks
@@ -319,7 +320,7 @@
     context.detector = create_crash_detector(
         context.clock,
         record,
-        SimpleNamespace(replicas={}),
+        create_replica_view(context.clock),
         create_replica_health(context.clock),
         create_background_tasks(),
         create_retrials("g1", context.clock, record, MemoryStore(MemoryState(context.clock))),
@@ -443,7 +444,8 @@
 async def follow_end(context: Any, ends: str) -> None:
     """Let a replica end while it runs a request, in one of several ways.
 
-    If the replica lapses, its record disappears 2 s after the request was sent. Otherwise its
+    If the replica lapses or is removed, its record disappears 2 s after the request was sent, and it
+    fails or answers a probe then. Otherwise its
     record has already changed when the request is recorded as sent: it is deleted, or replaced by
     one with a later start time if the replica starts anew. A replica that leaves has announced that
     before, by the state `draining` in its record or in an answer. One that answers no probe for a
@@ -476,11 +478,15 @@
             detector.note_alive(executed_on[0])
             background.cancel()
             return
-    if ends.startswith("lapses"):
+    if "after 2 s" in ends:
         detector.observe_send(SentRequest(), executed_on)
         await asyncio.sleep(2.0)
     put_replica(context, "ready" if "anew" in ends else "", 2)
-    if not ends.startswith(("lapses", "answers no probe")):
+    if ends.startswith("lapses"):
+        health.note_failed_probe(executed_on[0], "no answer")
+    elif ends.startswith("is removed"):
+        health.mark_up(executed_on[0])
+    if "after 2 s" not in ends and not ends.startswith("answers no probe"):
         detector.observe_send(SentRequest(), executed_on)
     await asyncio.sleep(0.7)
     background.cancel()
@@ -511,7 +517,7 @@
     context.detector = create_crash_detector(
         context.clock,
         record,
-        SimpleNamespace(replicas={}),
+        create_replica_view(context.clock),
         create_replica_health(context.clock),
         create_background_tasks(),
         create_retrials("g1", context.clock, record, store),
@@ -595,7 +601,7 @@
     detector = create_crash_detector(
         clock,
         record,
-        SimpleNamespace(replicas=replicas, has_announced_departure=lambda _incarnation: False),
+        create_replica_view(clock, replicas),
         health,
         background,
         create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
@@ -666,7 +672,7 @@
     detector = create_crash_detector(
         clock,
         record,
-        SimpleNamespace(replicas=replicas),
+        create_replica_view(clock, replicas),
         create_replica_health(clock),
         background,
         create_retrials("g1", clock, record, MemoryStore(MemoryState(clock))),
--- a/features/steps/deadly_parts.py
+++ b/features/steps/deadly_parts.py
@@ -14,6 +14,7 @@
 from features.support.engine_fleet import replica
 from features.support.gateway_site import GATEWAYS
 from features.support.memory_store import MemoryState, MemoryStore
+from features.support.replica_view import create_replica_view
 
 from pimentodale.background import create_background_tasks
 from pimentodale.clock import ManualClock
@@ -167,9 +168,7 @@
         self.replicas = {name: replica(name, "a", "card", None) for name in names}
         self.record = create_crash_record(clock)
         self.background = create_background_tasks()
-        view: Any = SimpleNamespace(
-            replicas=self.replicas, has_announced_departure=lambda _incarnation: False
-        )
+        view: Any = create_replica_view(clock, self.replicas)
         self.detector = create_crash_detector(
             clock,
             self.record,
@@ -188,11 +187,13 @@
         self.detector.note_whole(request, executed_on, is_single_run=is_single_run)
         self.clock.advance(SURVIVAL_MS - 300.0)
         if is_lost:
-            del self.replicas[name]
+            self.replicas[name] = replica(name, "a", "card", None, started_ms=99)
         self.clock.advance(300.0)
         for _ in range(30):
             await asyncio.sleep(0)
         self.detector.is_convicted(request)
+        if is_lost:
+            del self.replicas[name]
 
     async def crash_under(self, requests: list[SentRequest], *, has_written: bool = False) -> None:
         """Crash one replica under each request, all at once."""
--- a/features/steps/overlapping_sends.py
+++ b/features/steps/overlapping_sends.py
@@ -70,7 +70,9 @@
     context.ctx = SimpleNamespace(
         clock=clock,
         loads=create_load_table(clock),
-        view=SimpleNamespace(replicas={}, mirror=SimpleNamespace(age_ms=lambda: 0.0)),
+        view=SimpleNamespace(
+            replicas={}, find_last=ignore, mirror=SimpleNamespace(age_ms=lambda: 0.0)
+        ),
         retries=SimpleNamespace(has_budget=lambda *_: True, try_spend=lambda *_: True),
         crashes=SimpleNamespace(
             list_alive=lambda _ids: [],
--- a/features/steps/slow_clients.py
+++ b/features/steps/slow_clients.py
@@ -106,7 +106,7 @@
         metrics=context.metrics,
         loads=create_load_table(clock),
         replica_health=create_replica_health(clock),
-        view=SimpleNamespace(replicas={}, mirror=mirror),
+        view=SimpleNamespace(replicas={}, find_last=lambda _id: None, mirror=mirror),
         crashes=SimpleNamespace(
             is_convicted=lambda _routed: False,
             note_writing=lambda *_: None,
--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 from behave import given, then, when
+from expression import Error, Ok
 from features.support.engine_fleet import create_small_engine, replica
 from features.support.memory_store import MemoryState, MemoryStore
+from features.support.replica_view import create_replica_view
 
 from pimentodale.addresses import Address
 from pimentodale.background import create_background_tasks
@@ -19,7 +21,9 @@
 from pimentodale.forwarding.crash_detector import create_crash_detector
 from pimentodale.forwarding.load_table import create_load_table
 from pimentodale.forwarding.messages import RefusalReason
+from pimentodale.forwarding.overlapping_sends import create_send, plan_successor
 from pimentodale.forwarding.passive_health import record_send_outcome
+from pimentodale.forwarding.probes import probe_due_replicas
 from pimentodale.forwarding.stream_relay import relay_stream
 from pimentodale.forwarding.stream_state import (
     SendEnd,
@@ -48,7 +52,7 @@
         clock=clock,
         stall_ms=STALL_MS,
         replica_health=create_replica_health(clock),
-        view=SimpleNamespace(replicas=replicas),
+        view=create_replica_view(clock, replicas),
         loads=create_load_table(clock),
     )
     record = create_crash_record(clock)
@@ -67,9 +71,11 @@
 
 def end_send(context: Any, head: str, end: SendEnd, *, is_head_at_fault: bool = True) -> None:
     """Record the end of a send at a head replica."""
-    known = context.ctx.view.replicas[head]
+    known = context.ctx.view.find_last(head)
     part = PathPart(head, known.address, LayerRange(0, 8))
-    send = StreamSend(Path((part,), 1.0), is_head_at_fault=is_head_at_fault)
+    send = StreamSend(
+        Path((part,), 1.0), head_started_ms=known.started_ms, is_head_at_fault=is_head_at_fault
+    )
     record_send_outcome(context.ctx, context.service, context.state, send, end)
 
 
@@ -93,6 +99,64 @@
     end_send(context, second, SendEnd.REFUSED)
 
 
+@when('"{name}" is removed from the store')
+def remove(context: Any, name: str) -> None:
+    context.ctx.view.remove(name)
+
+
+@when('its head replica "{first}" is removed from the store, and then its connection breaks')
+def remove_and_break(context: Any, first: str) -> None:
+    remove(context, first)
+    end_send(context, first, SendEnd.BROKEN)
+
+
+@when('the connection to its head replica "{name}" breaks')
+def break_connection(context: Any, name: str) -> None:
+    end_send(context, name, SendEnd.BROKEN)
+
+
+@when("a probe of it {ends}")
+def probe_departed(context: Any, ends: str) -> None:
+    answers = {
+        "is answered": Ok(context.ctx.view.find_last("h1").started_ms),
+        "is answered by another replica": Ok(99),
+        "fails": Error("no answer"),
+    }
+
+    async def probe(_replica: object) -> Any:
+        return answers[ends]
+
+    async def ask(question: Any) -> Any:
+        return await question()
+
+    context.ctx.engines = SimpleNamespace(probe=probe)
+    context.ctx.own_pauses = SimpleNamespace(ask=ask)
+    # The limit of attempts asks for the probe.
+    allowed_heads(context)
+    asyncio.run(probe_due_replicas(context.ctx))
+
+
+@when('a silent send goes on at "{name}"')
+def go_on_silent(context: Any, name: str) -> None:
+    known = context.ctx.view.replicas[name]
+    path = Path((PathPart(name, known.address, LayerRange(0, 8)),), 1.0)
+    send = create_send(context.ctx, path)
+    context.state.active.append(send)
+
+
+@then("its successor may go nowhere")
+def check_no_successor(context: Any) -> None:
+    route = SimpleNamespace(is_resumable=True, max_attempts=context.most)
+    crashes = context.ctx.crashes
+    context.ctx.retries = SimpleNamespace(has_budget=lambda _service: True)
+    routed = SimpleNamespace(
+        route=route, sends=1, service=SimpleNamespace(name="lm"), fingerprint="f", part_keys=()
+    )
+    assert not crashes.is_convicted(routed)
+    plan = plan_successor(context.ctx, routed, context.state)
+    assert plan == "it may have run at as many replicas as the route allows", plan
+
+
 @when('"{name}" fails a probe')
 def fail_probe(context: Any, name: str) -> None:
     known = context.ctx.view.replicas[name]
--- a/features/stream_repeats.feature
+++ b/features/stream_repeats.feature
@@ -24,6 +24,37 @@
     And "h2" restarts
     Then its next send may go anywhere
 
+  # Guards against a stream that runs at more replicas than its route allows as one leaves without a word.
+  Scenario Outline: a replica whose record is gone counts until it has ended
+    Given a stream whose route allows 2 replicas
+    When the connection to its head replica "h1" breaks
+    And "h1" is removed from the store
+    And the connection to its head replica "h2" breaks
+    Then its next send may go nowhere
+    When a probe of it <ends>
+    Then its next send may go <where>
+
+    Examples:
+      | ends                           | where    |
+      | is answered                    | nowhere  |
+      | fails                          | anywhere |
+      | is answered by another replica | anywhere |
+
+  # Guards against a send that isn't counted because its replica was removed while it ran.
+  Scenario: a replica that is removed before its send ends counts as well
+    Given a stream whose route allows 2 replicas
+    When its head replica "h1" is removed from the store, and then its connection breaks
+    And the connection to its head replica "h2" breaks
+    Then its next send may go nowhere
+
+  # Guards against a silent send that isn't counted because its replica was removed while it ran.
+  Scenario: a silent send at a replica that is removed counts
+    Given a stream whose route allows 2 replicas
+    When the connection to its head replica "h2" breaks
+    And a silent send goes on at "h1"
+    And "h1" is removed from the store
+    Then its successor may go nowhere
+
   Scenario: a replica that was tried and refused does not count
     Given a stream whose route allows 2 replicas
     When its head replica "h1" is unresponsive, and then "h2" refuses it
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -110,16 +110,27 @@
 
     def list_alive(self, replica_ids: Iterable[str]) -> list[Incarnation]:
         """Return the replicas believed to be alive; call it as a request is sent to them."""
-        known = (self.view.replicas.get(replica_id) for replica_id in replica_ids)
+        known = map(self.view.find_last, replica_ids)
         alive = [incarnation_of(replica) for replica in known if replica is not None]
         return [incarnation for incarnation in alive if not self.has_ended(incarnation)]
 
     def has_ended(self, incarnation: Incarnation) -> bool:
-        """Whether a replica has stopped, restarted or become unreachable."""
-        replica = self.view.replicas.get(incarnation[0])
-        if replica is None or incarnation_of(replica) != incarnation:
+        """Whether a replica has stopped, restarted or become unreachable.
+
+        That its record is gone doesn't show it, as it may serve on: a probe is requested then.
+        """
+        departed = self.view.departed
+        replica = self.view.find_last(incarnation[0])
+        if replica is None:
+            return departed.has_ended(incarnation)
+        if incarnation_of(replica) != incarnation or self.replica_health.is_confirmed_down(replica):
+            return True
+        if departed.gone_since_ms(incarnation) is None:
+            return False
+        if departed.has_ended(incarnation):
             return True
-        return self.replica_health.is_confirmed_down(replica)
+        self.replica_health.request_probe_unless_answered(incarnation)
+        return False
 
     def has_restarted(self, incarnation: Incarnation) -> bool:
         """Whether a replica is registered with another start time, so that its work is lost.
@@ -325,7 +336,7 @@
                     continue
                 _log.info(
                     "A whole request vindicates a part of prompts.",
-                    part=key,
+                    fingerprint=key,
                     crashes=sorted(self.record.open_crashes(key)),
                     replicas=[crash_name(*each) for each in survivor.executed_on],
                 )
@@ -396,14 +407,27 @@
     ) -> Incarnation | None:
         """Return the first replica that has crashed; add planned shutdowns to `departed`."""
         for incarnation in executed_on:
-            if incarnation in departed or not self.has_ended(incarnation):
+            if incarnation in departed:
+                continue
+            if self._has_withdrawn(incarnation, waited_ms):
+                departed.add(incarnation)
+                continue
+            if not self.has_ended(incarnation):
                 continue
-            is_withdrawn = incarnation[0] not in self.view.replicas and waited_ms < WITHDRAWAL_MS
-            if not is_withdrawn and not self.view.has_announced_departure(incarnation):
+            if not self.view.has_announced_departure(incarnation):
                 return incarnation
             departed.add(incarnation)
         return None
 
+    def _has_withdrawn(self, incarnation: Incarnation, waited_ms: float) -> bool:
+        """Whether a replica's record is gone without a crash: too soon for one, or it answers still."""
+        if incarnation[0] in self.view.replicas:
+            return False
+        since_ms = self.view.departed.gone_since_ms(incarnation)
+        if waited_ms < WITHDRAWAL_MS or since_ms is None:
+            return waited_ms < WITHDRAWAL_MS
+        return self.replica_health.has_answered_since(incarnation, since_ms)
+
     def _settle(self, suspects: Iterable[str]) -> None:
         """Remove a send from the pending counts."""
         for suspect in suspects:
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -30,7 +30,6 @@
 )
 from pimentodale.forwarding.stream_relay import relay_stream
 from pimentodale.forwarding.stream_state import SendEnd, SharedStreamState, StreamSend, StreamState
-from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
@@ -62,7 +61,14 @@
     """
     now_ms = ctx.clock.now_ms()
     executed_on = ctx.crashes.list_alive(part.replica_id for part in path.parts)
-    return StreamSend(path, sent_ms=now_ms, active_ms=now_ms, executed_on=executed_on)
+    head = ctx.view.find_last(path.parts[0].replica_id)
+    return StreamSend(
+        path,
+        head_started_ms=0 if head is None else head.started_ms,
+        sent_ms=now_ms,
+        active_ms=now_ms,
+        executed_on=executed_on,
+    )
 
 
 async def run_sends(
@@ -130,9 +136,7 @@
     def start(self, send: StreamSend) -> None:
         """Start a send; the first of those in progress to have the next event relays it."""
         ctx, routed, state = self._ctx, self._routed, self._state
-        head = ctx.view.replicas.get(send.head_id)
-        if head is not None:
-            ctx.replica_health.hold_offs.note_sent(incarnation_of(head))
+        ctx.replica_health.hold_offs.note_sent(send.head)
         self._shared.queue.started(routed.workspace or "", state.tokens)
         ctx.loads.add(send.path.parts, state.tokens)
         note_prefill(ctx, routed.service, send.path.parts, state.tokens)
@@ -256,10 +260,7 @@
             self._note_kept(silent, "no retry budget")
             return
         log_successor(ctx, routed, silent.head_id, path.parts[0].replica_id, silent.active_ms)
-        head = ctx.view.replicas.get(silent.head_id)
-        if head is not None:
-            may_run_again = not silent.is_head_at_fault
-            state.used_heads.note(incarnation_of(head), may_run_again=may_run_again)
+        state.used_heads.note(silent.head, may_run_again=not silent.is_head_at_fault)
         self.start(create_send(ctx, path))
 
     def _note_kept(self, silent: StreamSend, reason: str) -> None:
@@ -344,7 +345,7 @@
         return "it may crash its replicas"
     running_on = {send.head_id for send in state.active}
     heads = state.used_heads.allowed_beside(
-        routed.route.max_attempts, ctx.crashes.has_ended, _incarnations(ctx, running_on)
+        routed.route.max_attempts, ctx.crashes.has_ended, {send.head for send in state.active}
     )
     if heads is not None:
         heads -= running_on
@@ -380,9 +381,3 @@
     if end is SendEnd.SUPERSEDED:
         return waited_ms < PAUSE_MS
     return end in (None, SendEnd.TIMED_OUT) and send.events > 0 and waited_ms < PAUSE_MS
-
-
-def _incarnations(ctx: ForwardingContext, replica_ids: set[str]) -> set[tuple[str, int]]:
-    """Return the current incarnations of replicas that have a record."""
-    known = (ctx.view.replicas.get(replica_id) for replica_id in replica_ids)
-    return {incarnation_of(replica) for replica in known if replica is not None}
--- a/src/pimentodale/forwarding/passive_health.py
+++ b/src/pimentodale/forwarding/passive_health.py
@@ -41,21 +41,20 @@
     """
     if end is SendEnd.TIMED_OUT:
         return
-    head = ctx.view.replicas.get(send.head_id)
-    if head is None:
-        return
-    incarnation = incarnation_of(head)
+    # The replica that ran the send, also if its record is gone or it has restarted since.
+    incarnation = send.head
     if end is SendEnd.NOT_SENT:
         if record_unreachable(ctx, incarnation, send.sent_ms):
-            state.avoid.add(head.replica_id)
+            state.avoid.add(send.head_id)
     elif end is SendEnd.BROKEN:
         ctx.replica_health.note_result(incarnation, False)
         ctx.replica_health.request_probe(incarnation)
-        state.avoid.add(head.replica_id)
+        state.avoid.add(send.head_id)
         state.used_heads.note(incarnation, may_run_again=False)
     elif end is SendEnd.REFUSED:
-        named = ctx.view.replicas.get(faulty_replica_id(send) or head.replica_id)
-        if named is not None:
+        head = ctx.view.replicas.get(send.head_id)
+        named = ctx.view.replicas.get(faulty_replica_id(send) or send.head_id)
+        if head is not None and named is not None:
             state.avoid.add(named.replica_id)
             waited_ms = ctx.clock.now_ms() - send.active_ms
             is_stall = has_stalled(ctx, waited_ms)
@@ -64,7 +63,7 @@
                 capacity = kv_fill_capacity(service.engine, named)
                 ctx.loads.note_full(named.replica_id, capacity)
     elif end is SendEnd.LOST:
-        state.avoid.add(head.replica_id)
+        state.avoid.add(send.head_id)
         state.used_heads.note(incarnation, may_run_again=not send.is_head_at_fault)
     elif end is SendEnd.SUPERSEDED:
         # If an older send goes on, this one had too little time to show a fault.
@@ -72,7 +71,7 @@
         is_newer = winner is not None and winner.sent_ms < send.sent_ms
         is_at_fault = send.is_head_at_fault and not is_newer
         if is_at_fault:
-            state.avoid.add(head.replica_id)
+            state.avoid.add(send.head_id)
         state.used_heads.note(incarnation, may_run_again=not is_at_fault)
     else:
         ctx.replica_health.note_result(incarnation, True)
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -70,6 +70,9 @@
     path: Path
     """The path of replicas; it changes if the send is moved."""
 
+    head_started_ms: int = 0
+    """Start time of the head replica; 0 if it is unknown."""
+
     sent_ms: float = 0.0
     """When it was sent."""
 
@@ -108,6 +111,11 @@
         """Id of the head replica."""
         return self.path.parts[0].replica_id
 
+    @property
+    def head(self) -> Incarnation:
+        """The head replica."""
+        return self.head_id, self.head_started_ms
+
 
 @dataclass(slots=True)
 class StreamState:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -24,6 +24,7 @@
 from pimentodale.forwarding.front_server import create_front_server
 from pimentodale.forwarding.load_table import create_load_table
 from pimentodale.forwarding.own_pauses import create_own_pauses
+from pimentodale.forwarding.probes import probe_due_replicas
 from pimentodale.forwarding.retry_budget_share import create_retry_budget_share
 from pimentodale.forwarding.slow_streams import recheck_slow_replicas
 from pimentodale.forwarding.stream_state import SharedStreamState, create_shared_stream_state
@@ -52,14 +53,13 @@
 from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.results import ResultCode
 from pimentodale.site.domain_outages import detect_domain_outages
-from pimentodale.site.replica_health import create_replica_health, incarnation_of
+from pimentodale.site.replica_health import create_replica_health
 from pimentodale.site.slow_replicas import create_slow_replicas
 from pimentodale.site.view import HOST_PREFIX, create_site_view
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from expression import Result
     from tornado.httputil import HTTPServerRequest
 
     from pimentodale.addresses import Address
@@ -71,7 +71,6 @@
     from pimentodale.gateway.settings import GatewaySettings
     from pimentodale.peers.peers import Peers
     from pimentodale.placement.messages import EngineClient
-    from pimentodale.site.model import ReplicaRecord
     from pimentodale.site.view import SiteRecords, SiteView
 
 UNREADY_GRACE_MS: Final = 2_500.0
@@ -363,29 +362,10 @@
 
 
 async def _probe_replicas(ctx: ForwardingContext) -> None:
-    """Probe replicas marked as down until cancelled, to notice when they answer again."""
+    """Probe replicas that are due until cancelled."""
     while True:
         await ctx.clock.sleep_ms(HEALTH_TICK_MS)
-        known = {incarnation_of(replica): replica for replica in ctx.view.replicas.values()}
-        due = ctx.replica_health.due_probes()
-        for incarnation in due:
-            if incarnation not in known:
-                ctx.replica_health.forget(incarnation)
-        probes = [known[incarnation] for incarnation in due if incarnation in known]
-        found = await asyncio.gather(*(_probe(ctx, replica) for replica in probes))
-        for replica, started_ms in zip(probes, found, strict=True):
-            if started_ms.is_error():
-                ctx.replica_health.note_failed_probe(incarnation_of(replica), started_ms.error)
-                continue
-            if started_ms.ok in (0, replica.started_ms):
-                ctx.replica_health.mark_up(incarnation_of(replica))
-            if replica.started_ms and started_ms.ok == replica.started_ms:
-                ctx.crashes.note_alive(incarnation_of(replica))
-
-
-async def _probe(ctx: ForwardingContext, replica: ReplicaRecord) -> Result[int, str]:
-    """Probe one replica; a pause of this process is not held against it."""
-    return await ctx.own_pauses.ask(lambda: ctx.engines.probe(replica))
+        await probe_due_replicas(ctx)
 
 
 async def _recheck_slow_replicas(ctx: ForwardingContext, reports: StallReports) -> None:
--- a/src/pimentodale/site/replica_health.py
+++ b/src/pimentodale/site/replica_health.py
@@ -144,6 +144,10 @@
         if incarnation not in self._down and self.hold_offs.left_ms(incarnation) <= 0.0:
             self._pending_probes.add(incarnation)
 
+    def has_answered_since(self, incarnation: Incarnation, since_ms: float) -> bool:
+        """Return whether a replica has answered a probe of this host since a time."""
+        return self._answered_ms.get(incarnation, float("-inf")) >= since_ms
+
     def request_probe_unless_answered(self, incarnation: Incarnation) -> None:
         """Request a probe of a replica, unless it has just answered one."""
         answered_ms = self._answered_ms.get(incarnation, float("-inf"))
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final
 
@@ -10,6 +9,7 @@
 from pimentodale.clock import whole_ms
 from pimentodale.forwarding.route_table import RouteTable
 from pimentodale.logs import get_log
+from pimentodale.site.departed_replicas import create_departed_replicas
 from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
@@ -21,6 +21,7 @@
     from pimentodale.clock import Clock
     from pimentodale.leaving.leaving_servers import LeavingServers
     from pimentodale.mirror.mirror import Mirror
+    from pimentodale.site.departed_replicas import DepartedReplicas
     from pimentodale.site.model import ReplicaRecord, SiteConfiguration
     from pimentodale.site.replica_health import Incarnation
 
@@ -30,9 +31,6 @@
 REREGISTRATION_GRACE_MS: Final = 2_000.0
 """How long a replica whose record expired in a store outage may take to register again."""
 
-MAX_DEPARTED: Final = 1_024
-"""Maximum number of replicas remembered as departed after an announcement."""
-
 _log = get_log("site")
 
 
@@ -85,11 +83,15 @@
     leaving: LeavingServers | None = None
     """Departure notices outside the records: from answers and from other hosts."""
 
-    _departed: OrderedDict[Incarnation, None] = field(default_factory=OrderedDict)
-    """Replicas that departed after announcing it."""
+    departed: DepartedReplicas = field(init=False)
+    """Replicas whose record is gone."""
 
     _subscribers: list[Callable[[], None]] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Create the empty memory of departed replicas."""
+        self.departed = create_departed_replicas(self.clock)
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Register a callback that is called after each change."""
         self._subscribers.append(callback)
@@ -108,7 +110,11 @@
         replica = self.replicas.get(incarnation[0])
         if replica is not None and incarnation_of(replica) == incarnation:
             return replica.is_draining
-        return incarnation in self._departed
+        return self.departed.has_announced(incarnation)
+
+    def find_last(self, replica_id: str) -> ReplicaRecord | None:
+        """Return a replica's record, or the last one if it is gone: the replica may serve on."""
+        return self.replicas.get(replica_id) or self.departed.find(replica_id)
 
     def note_leaving(self, replica: ReplicaRecord) -> None:
         """Record that a replica announced its own departure."""
@@ -185,11 +191,12 @@
             return
         if decoded.is_error():
             _log.warning("A replica's record can't be used.", key=key, reason=decoded.error)
-            self.replicas.pop(replica_id, None)
+            self._forget_replica(replica_id)
             return
         self.missing_since_outage.pop(replica_id, None)
         known = self.replicas.get(replica_id)
         record = self.replicas[replica_id] = self._with_departure_notice(decoded.ok)
+        self.departed.note_registered(record)
         if known is not None and incarnation_of(known) != incarnation_of(record):
             self._remember_departed(known)
         if known is None or known.is_draining != record.is_draining:
@@ -227,18 +234,22 @@
                 "A replica's record expired in a store outage; it is kept.", replica=replica_id
             )
             return
-        known = self.replicas.pop(replica_id, None)
-        if known is not None:
-            self._remember_departed(known)
+        if self._forget_replica(replica_id):
             _log.info("A replica is gone.", replica=replica_id, revision=self.mirror.revision)
 
     def _remember_departed(self, replica: ReplicaRecord) -> None:
         """Remember a departed replica if it had announced its departure."""
-        if not replica.is_draining:
-            return
-        self._departed[incarnation_of(replica)] = None
-        if len(self._departed) > MAX_DEPARTED:
-            self._departed.popitem(last=False)
+        if replica.is_draining:
+            self.departed.note_announced(incarnation_of(replica))
+
+    def _forget_replica(self, replica_id: str) -> bool:
+        """Move a replica to the departed ones; return whether it was known."""
+        known = self.replicas.pop(replica_id, None)
+        if known is None:
+            return False
+        self._remember_departed(known)
+        self.departed.note_gone(known)
+        return True
 
     def _drop_expired(self) -> None:
         """Remove replicas that did not register again in time."""
@@ -251,9 +262,7 @@
             if key in self.mirror.items:
                 self._apply_replica(key)
                 continue
-            known = self.replicas.pop(replica_id, None)
-            if known is not None:
-                self._remember_departed(known)
+            self._forget_replica(replica_id)
             _log.info("A replica did not register again; it is gone.", replica=replica_id)
 
     def _apply_host(self, key: str) -> None:
