Convict a part of prompts only by crashes under two requests or more

Cause: of parts with the same crashes the rarer one is blamed. A part that only one stream has, and that lost three replicas at its start beside the deadly part, was convicted as well, and as the rarer one it excused the deadly part. The crashes of a single request are counted against that request.

Evidence: features/deadly_parts.feature, the new scenario, fails with one request and holds with two.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -105,6 +105,14 @@
     When 5 streams with the parts a lose their replica after they have written 12 events
     Then a request with the parts a and b is refused
 
+  # Guards against a rare part of one unlucky request that excuses the deadly part beside it.
+  Scenario: a part whose crashes were all under one request is neither refused nor blamed for those of another part
+    Given a host that has just started
+    When one request with the parts a and r loses three replicas at its start
+    Then no part is convicted
+    When two requests with the parts a and x crash replicas together with the one with a and r
+    Then a request with the parts r and b is not refused, and one with x and c is
+
   # Guards against a part that stays refused for good although it crashes nothing any more.
   Scenario: a refused part runs in two trials on the whole site, and is served once one is whole
     Given a host that refuses part x, and another host
--- a/features/steps/deadly_parts.py
+++ b/features/steps/deadly_parts.py
@@ -20,7 +20,7 @@
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.crash_detector import SURVIVAL_MS, create_crash_detector
 from pimentodale.quarantine.crash_record import CrashEntry, create_crash_record
-from pimentodale.quarantine.prompt_parts import part_keys
+from pimentodale.quarantine.prompt_parts import is_part_key, part_keys
 from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.site.replica_health import create_replica_health
 
@@ -195,6 +195,15 @@
         if is_lost:
             del self.replicas[name]
 
+    async def crash_both(self, requests: list[SentRequest], name: str, executed_on: Any) -> None:
+        """Crash one replica under several requests."""
+        for request in requests:
+            self.detector.observe_send(request, executed_on)
+        self.replicas[name] = replica(name, "a", "card", None, started_ms=99)
+        for _ in range(30):
+            await asyncio.sleep(0)
+        del self.replicas[name]
+
     async def crash_under(self, requests: list[SentRequest], *, has_written: bool = False) -> None:
         """Crash one replica under each request, all at once."""
         names = list(self.replicas)[: len(requests)]
@@ -382,6 +391,27 @@
     asyncio.run(context.host.crash_under([create_request("a x", 3)]))
 
 
+@when("one request with the parts {parts} loses three replicas at its start")
+def lose_three(context: Any, parts: str) -> None:
+    context.unlucky = create_request(as_ids(parts), 1)
+    for _ in range(3):
+        asyncio.run(context.host.crash_under([context.unlucky]))
+
+
+@then("no part is convicted")
+def check_none_convicted(context: Any) -> None:
+    assert not any(map(is_part_key, context.host.record.list_convicted()))
+
+
+@when("two requests with the parts a and x crash replicas together with the one with a and r")
+def crash_together(context: Any) -> None:
+    for number in (2, 3, 2):
+        host, request = context.host, create_request("a x", number)
+        name = next(iter(host.replicas))
+        executed_on = host.detector.list_alive([name])
+        asyncio.run(host.crash_both([request, context.unlucky], name, executed_on))
+
+
 @when("a request with the parts {parts} comes")
 def come(context: Any, parts: str) -> None:
     assert not is_refused(context.host, as_ids(parts))
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -201,7 +201,7 @@
             # A stream that had been writing tells less of the parts that it shares with others.
             suspects[key] = is_fresh and not routed.has_progressed
         self._pending.update(suspects.keys())
-        work = self._observe(suspects, executed_on, events)
+        work = self._observe(routed.fingerprint, suspects, executed_on, events)
         self.background.start(work, "crash detector")
 
     async def is_refused(self, routed: RoutedRequest) -> bool:
@@ -360,11 +360,16 @@
         return sends > 0 or self.record.has_open_crash(suspect)
 
     async def _observe(
-        self, suspects: Mapping[str, bool], executed_on: Sequence[Incarnation], events: int
+        self,
+        fingerprint: str,
+        suspects: Mapping[str, bool],
+        executed_on: Sequence[Incarnation],
+        events: int,
     ) -> None:
         """Check until a replica has crashed or time is up; a send counts at most one crash.
 
         Args:
+            fingerprint: Fingerprint of the request.
             suspects: The request's fingerprint and the keys of parts, each with whether a crash
                 counts as one shortly after the start.
             executed_on: Replicas on the path.
@@ -380,7 +385,10 @@
                 if ended is not None:
                     for suspect, is_fresh in suspects.items():
                         crash = crash_name(*ended)
-                        self.record.strike(suspect, crash, is_fresh=is_fresh, events=events)
+                        request = "" if suspect == fingerprint else fingerprint
+                        self.record.strike(
+                            suspect, crash, is_fresh=is_fresh, events=events, request=request
+                        )
                         self._note_presumed(ended, suspect)
                     return
                 if is_pending and waited_ms >= VERDICT_TIMEOUT_MS:
