Let a rarer part excuse another one only while it shares most of its crashes

Cause: of parts with the same crashes the rarer one is blamed. In the storm of crashes some 60 parts of the streams beside it were convicted too, most of them rarer, and together they explained the deadly part's crashes. Now one part excuses another only by itself, and only if it was at three quarters of its crashes.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -105,13 +105,17 @@
     When 5 streams with the parts a lose their replica after they have written 12 events
     Then a request with the parts a and b is refused
 
-  # Guards against a rare part of one unlucky request that excuses the deadly part beside it.
-  Scenario: a part whose crashes were all under one request is neither refused nor blamed for those of another part
+  # Guards against a rare part of streams that crashed beside a deadly part, and excuses it.
+  Scenario: a rarer part with most of the crashes excuses a deadly one only until more crashes follow
     Given a host that has just started
-    When one request with the parts a and r loses three replicas at its start
-    Then no part is convicted
-    When two requests with the parts a and x crash replicas together with the one with a and r
-    Then a request with the parts r and b is not refused, and one with x and c is
+    When a request with the parts a and b comes
+    And a request with the parts x comes
+    And 3 requests with the part x crash a replica each together with one with the part r
+    Then a request with the parts x and c is not refused
+    When 2 requests with the part x crash a replica each
+    Then a request with the parts x and c is refused
+    When 5 requests with the parts a and x crash a replica each
+    Then a request with the parts a and b is not refused, and one with x and c is
 
   # Guards against a part that stays refused for good although it crashes nothing any more.
   Scenario: a refused part runs in two trials on the whole site, and is served once one is whole
--- a/features/steps/deadly_parts.py
+++ b/features/steps/deadly_parts.py
@@ -20,7 +20,7 @@
 from pimentodale.clock import ManualClock
 from pimentodale.forwarding.crash_detector import SURVIVAL_MS, create_crash_detector
 from pimentodale.quarantine.crash_record import CrashEntry, create_crash_record
-from pimentodale.quarantine.prompt_parts import is_part_key, part_keys
+from pimentodale.quarantine.prompt_parts import part_keys
 from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.site.replica_health import create_replica_health
 
@@ -195,8 +195,10 @@
         if is_lost:
             del self.replicas[name]
 
-    async def crash_both(self, requests: list[SentRequest], name: str, executed_on: Any) -> None:
+    async def crash_together(self, requests: list[SentRequest]) -> None:
         """Crash one replica under several requests."""
+        name = next(iter(self.replicas))
+        executed_on = self.detector.list_alive([name])
         for request in requests:
             self.detector.observe_send(request, executed_on)
         self.replicas[name] = replica(name, "a", "card", None, started_ms=99)
@@ -299,6 +301,7 @@
 
 @then("a request with the parts {parts} is not refused")
 def check_not_refused(context: Any, parts: str) -> None:
+    assert not is_convicted(context.host, as_ids(parts))
     assert not is_refused(context.host, as_ids(parts))
 
 
@@ -391,25 +394,23 @@
     asyncio.run(context.host.crash_under([create_request("a x", 3)]))
 
 
-@when("one request with the parts {parts} loses three replicas at its start")
-def lose_three(context: Any, parts: str) -> None:
-    context.unlucky = create_request(as_ids(parts), 1)
-    for _ in range(3):
-        asyncio.run(context.host.crash_under([context.unlucky]))
+@when("{count:d} requests with the part x crash a replica each together with one with the part r")
+def crash_together(context: Any, count: int) -> None:
+    for number in range(count):
+        host, requests = context.host, [create_request("x", number), create_request("r", number)]
+        asyncio.run(host.crash_together(requests))
 
 
-@then("no part is convicted")
-def check_none_convicted(context: Any) -> None:
-    assert not any(map(is_part_key, context.host.record.list_convicted()))
+@when("{count:d} requests with the part x crash a replica each")
+def crash_alone(context: Any, count: int) -> None:
+    for number in range(count):
+        asyncio.run(context.host.crash_under([create_request("x", 10 + number)]))
 
 
-@when("two requests with the parts a and x crash replicas together with the one with a and r")
-def crash_together(context: Any) -> None:
-    for number in (2, 3, 2):
-        host, request = context.host, create_request("a x", number)
-        name = next(iter(host.replicas))
-        executed_on = host.detector.list_alive([name])
-        asyncio.run(host.crash_both([request, context.unlucky], name, executed_on))
+@when("{count:d} requests with the parts a and x crash a replica each")
+def crash_both_parts(context: Any, count: int) -> None:
+    for number in range(count):
+        asyncio.run(context.host.crash_under([create_request("a x", 20 + number)]))
 
 
 @when("a request with the parts {parts} comes")
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -62,6 +62,9 @@
 """How long the replicas of a whole request have to live on before it vindicates the parts of its
 prompt: one that crashes under it is known by then, as a probe of an unresponsive replica takes less."""
 
+MIN_SHARED_FRACTION: Final = 0.75
+"""Fraction of a part's crashes at which a rarer part has to be present to be blamed for them."""
+
 _log = get_log("crashes")
 
 
@@ -201,7 +204,7 @@
             # A stream that had been writing tells less of the parts that it shares with others.
             suspects[key] = is_fresh and not routed.has_progressed
         self._pending.update(suspects.keys())
-        work = self._observe(routed.fingerprint, suspects, executed_on, events)
+        work = self._observe(suspects, executed_on, events)
         self.background.start(work, "crash detector")
 
     async def is_refused(self, routed: RoutedRequest) -> bool:
@@ -266,14 +269,23 @@
         """
         if not self.record.is_convicted(key) or self._is_written_on(key):
             return False
-        rarer = [
-            other
-            for other in self.record.list_convicted()
-            if is_part_key(other)
-            and self.sound_parts.is_rarer(other, key)
-            and not self.sound_parts.has(other)
-        ]
-        return not self.record.is_explained(key, rarer)
+        return not any(self._explains(other, key) for other in self.record.list_convicted())
+
+    def _explains(self, other: str, key: str) -> bool:
+        """Whether a rarer part is the likelier cause of the crashes under another one.
+
+        A deadly part is present at nearly all of them. The parts of streams that crashed beside it
+        are rarer still, but missed more of them.
+        """
+        if not is_part_key(other) or not self.sound_parts.is_rarer(other, key):
+            return False
+        if self.sound_parts.has(other):
+            return False
+        crashes = self.record.open_crashes(key)
+        shared = crashes & self.record.open_crashes(other)
+        return len(shared) >= MIN_SHARED_FRACTION * len(crashes) and self.record.is_explained(
+            key, [other]
+        )
 
     async def _acquire_trial(self, routed: RoutedRequest) -> bool:
         """Acquire a trial run of a convicted request that has not been sent, if one is due."""
@@ -360,16 +372,11 @@
         return sends > 0 or self.record.has_open_crash(suspect)
 
     async def _observe(
-        self,
-        fingerprint: str,
-        suspects: Mapping[str, bool],
-        executed_on: Sequence[Incarnation],
-        events: int,
+        self, suspects: Mapping[str, bool], executed_on: Sequence[Incarnation], events: int
     ) -> None:
         """Check until a replica has crashed or time is up; a send counts at most one crash.
 
         Args:
-            fingerprint: Fingerprint of the request.
             suspects: The request's fingerprint and the keys of parts, each with whether a crash
                 counts as one shortly after the start.
             executed_on: Replicas on the path.
@@ -385,10 +392,7 @@
                 if ended is not None:
                     for suspect, is_fresh in suspects.items():
                         crash = crash_name(*ended)
-                        request = "" if suspect == fingerprint else fingerprint
-                        self.record.strike(
-                            suspect, crash, is_fresh=is_fresh, events=events, request=request
-                        )
+                        self.record.strike(suspect, crash, is_fresh=is_fresh, events=events)
                         self._note_presumed(ended, suspect)
                     return
                 if is_pending and waited_ms >= VERDICT_TIMEOUT_MS:
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -33,10 +33,6 @@
 MAX_REQUESTS: Final = 5_000
 """Maximum number of entries; the oldest are evicted first."""
 
-CONVICTING_REQUESTS: Final = 2
-"""Different requests under which a part of prompts has to crash replicas: the crashes of a single one
-are its own."""
-
 MAX_CRASHES: Final = 32
 """Maximum number of crashes of each kind kept for a request; the oldest are dropped first."""
 
@@ -61,9 +57,6 @@
     most_events: int = 0
     """Most events of a send under which a replica crashed."""
 
-    requests: list[str] = []
-    """For a part of prompts, fingerprints of the first requests under which replicas crashed."""
-
     @property
     def open_crashes(self) -> set[str]:
         """Crashes that have not been cleared."""
@@ -71,9 +64,7 @@
 
     @property
     def is_convicted(self) -> bool:
-        """Whether the request, or all requests with the part, have to be refused."""
-        if self.requests and len(self.requests) < CONVICTING_REQUESTS:
-            return False
+        """Whether the request has enough crashes to be refused."""
         fresh = set(self.fresh).difference(self.cleared)
         enough_late = len(self.open_crashes) >= CONVICTING_LATE_CRASHES
         return len(fresh) >= CONVICTING_CRASHES or enough_late
@@ -176,22 +167,17 @@
         entry = self.find(fingerprint)
         return 0 if entry is None else entry.most_events
 
-    def strike(
-        self, fingerprint: str, crash: str, *, is_fresh: bool, events: int = 0, request: str = ""
-    ) -> None:
+    def strike(self, fingerprint: str, crash: str, *, is_fresh: bool, events: int = 0) -> None:
         """Attribute a crash to a request.
 
         Args:
-            fingerprint: Fingerprint of the request, or the key of a part of its prompt.
+            fingerprint: Fingerprint of the request.
             crash: Name of the crash, the same on every host.
             is_fresh: Whether the replica had just started to run the request.
             events: Number of events that it had written.
-            request: For a part, the fingerprint of the request.
         """
         fresh, late = ([crash], []) if is_fresh else ([], [crash])
-        requests = [request] if request else []
-        addition = CrashEntry(fingerprint, fresh, late, [], events, requests)
-        self._apply(addition, told_by="")
+        self._apply(CrashEntry(fingerprint, fresh, late, most_events=events), told_by="")
 
     def clear(self, fingerprint: str, kept: Collection[str] = ()) -> None:
         """Clear the crashes of a request that has completed: it did not cause them.
@@ -309,7 +295,6 @@
         _union(one.late, other.late),
         _union(one.cleared, other.cleared),
         max(one.most_events, other.most_events),
-        sorted({*one.requests, *other.requests})[:CONVICTING_REQUESTS],
     )
 
 
