Bound by bytes what is read ahead of a client that doesn't read

Cause: the queue between a connection and its reader was bounded by 64 chunks, of up to 64 KB each. It is bounded by 128 KB now, and small chunks pass without waiting. A closed call drops what its connection still delivers, so that nothing waits for a reader that has left.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -34,6 +34,19 @@
     And the process grew by less than 96 MB
     And the server saw each connection close
 
+  # Guards against responses without end whose readers wait, as their clients don't read.
+  Scenario Outline: what is read ahead of a reader that doesn't read is bounded
+    Given a server that sends <bytes> without end
+    When 40 responses are opened and none is read for 1 s
+    Then the process grew by less than 32 MB
+    And the server saw each connection close
+
+    Examples:
+      | bytes                   |
+      | a body without a length |
+      | chunks                  |
+      | chunks of one byte      |
+
   Scenario: short responses are read while endless ones use up the shared buffer space
     Given a server that sends chunks without end
     When 12 concurrent calls wait for a complete response
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -38,6 +38,7 @@
     "a body without a length": (OK_HEADER + b"\r\n", BLOCK),
     "a failure": (FAILED, b"4000\r\n" + BLOCK + b"\r\n"),
     "chunks": (CHUNKED, b"4000\r\n" + BLOCK + b"\r\n"),
+    "chunks of one byte": (CHUNKED, b"1\r\nx\r\n"),
     "a chunk size": (CHUNKED, b"0" * 512),
 }
 """Bytes sent first and bytes sent repeatedly, by name."""
@@ -79,6 +80,20 @@
     context.count = count
 
 
+@when("{count:d} responses are opened and none is read for 1 s")
+def open_unread(context: Any, count: int) -> None:
+    context.count = count
+    context.call_endless = open_without_reading
+    run_calls(context)
+
+
+async def open_without_reading(address: Address) -> None:
+    """Open a response, and don't read it."""
+    opened = await open_call(address, CallRequest(method="GET", path="/endless"), TIMEOUT_MS)
+    await asyncio.sleep(1.0)
+    opened.ok.close()
+
+
 @when("{count:d} streams are opened at it as at an engine")
 def open_streams(context: Any, count: int) -> None:
     context.count = count
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -39,8 +39,12 @@
 CONNECT_TIMEOUT_MS: Final = 1000.0
 """How long a connection may take to open."""
 
-_QUEUED_CHUNKS: Final = 64
-"""Chunks kept between the connection and its reader before the connection waits."""
+MAX_QUEUED_BYTES: Final = 128 * 1024
+"""Bytes kept between a connection and its reader before the connection waits. Hundreds of streams may
+wait for clients that don't read, on hosts of 200 MB."""
+
+_CHUNK_OVERHEAD_BYTES: Final = 128
+"""What a queued chunk takes besides its content."""
 
 _log = get_log("http")
 
@@ -141,26 +145,30 @@
             The chunk, `None` at the end of a whole body; or the fault, after which nothing follows.
             No `Result`, as a stream's every event passes here.
         """
-        queue = self._response.queue
+        response = self._response
         try:
-            if not queue.empty():
-                chunk = queue.get_nowait()
+            if not response.queue.empty():
+                chunk = response.queue.get_nowait()
             elif silence_timeout_ms == math.inf:
-                chunk = await queue.get()
+                chunk = await response.queue.get()
             else:
                 # Not wait_for: it loses a cancel that comes in the same turn as a chunk.
                 async with asyncio.timeout(silence_timeout_ms / MS_PER_S):
-                    chunk = await queue.get()
+                    chunk = await response.queue.get()
         except TimeoutError:
             return CallFault(True, True, f"no byte for {silence_timeout_ms:.0f} ms")
-        if chunk is None and not self._response.whole:
+        if chunk is not None:
+            response.note_taken(chunk)
+        elif not response.whole:
             return CallFault(True, False, "the connection closed inside the response")
         return chunk
 
     def close(self) -> None:
         """Drop the connection."""
         self._stream.close()
-        if self._reader is not None and not self._reader.done():
+        # A reader that waits for room goes on and finds its connection closed.
+        is_resumed = self._response.drop()
+        if self._reader is not None and not self._reader.done() and not is_resumed:
             self._reader.cancel()
 
     async def _send(self, request: CallRequest) -> None:
@@ -317,13 +325,27 @@
 class _Response(HTTPMessageDelegate):
     """Receives one response and queues its chunks; `None` marks the end."""
 
-    __slots__ = ("_stream", "header", "headers", "queue", "status", "whole")
+    __slots__ = (
+        "_is_dropped",
+        "_queued_bytes",
+        "_room",
+        "_stream",
+        "header",
+        "headers",
+        "queue",
+        "status",
+        "whole",
+    )
 
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
+        self._queued_bytes = 0
+        self._is_dropped = False
+        self._room: asyncio.Future[None] | None = None
+        """Resolved once there is room in the queue; `None` while there is."""
         self.header: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.headers = HTTPHeaders()
-        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(_QUEUED_CHUNKS)
+        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.status = 0
         self.whole = False
 
@@ -339,16 +361,42 @@
         if not self.header.done():
             self.header.set_result(None)
 
-    def data_received(self, chunk: bytes) -> Awaitable[None]:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Queue a chunk; the connection waits while the queue is full."""
-        return self.queue.put(chunk)
+        if self._is_dropped:
+            return None
+        self.queue.put_nowait(chunk)
+        self._queued_bytes += len(chunk) + _CHUNK_OVERHEAD_BYTES
+        if self._queued_bytes < MAX_QUEUED_BYTES:
+            return None
+        self._room = asyncio.get_running_loop().create_future()
+        return self._room
+
+    def note_taken(self, chunk: bytes) -> None:
+        """Note that a chunk was taken from the queue."""
+        self._queued_bytes -= len(chunk) + _CHUNK_OVERHEAD_BYTES
+        if self._queued_bytes < MAX_QUEUED_BYTES:
+            self._resume()
+
+    def drop(self) -> bool:
+        """Drop what comes from now on; return whether the connection waited for room."""
+        self._is_dropped = True
+        return self._resume()
+
+    def _resume(self) -> bool:
+        """Let the connection go on if it waits for room; return whether it did."""
+        room, self._room = self._room, None
+        if room is None or room.done():
+            return False
+        room.set_result(None)
+        return True
 
     def finish(self) -> None:
         """Note that the body is whole.
 
         One without a length ends with its connection, which a reset must not pass for.
         """
-        self.whole = self._stream.error is None
+        self.whole = self._stream.error is None and not self._is_dropped
 
     def end(self, reader: asyncio.Future[bool]) -> None:
         """Mark the end once the connection's reader is done, however it ended."""
@@ -357,13 +405,4 @@
             self.header.set_exception(error or StreamClosedError())
             # Nobody may be waiting any more after a time-out.
             self.header.exception()
-        if self.queue.full():
-            # The reader is behind; a task hands over the mark once there is room.
-            _end_tasks.add(task := asyncio.ensure_future(self.queue.put(None)))
-            task.add_done_callback(_end_tasks.discard)
-        else:
-            self.queue.put_nowait(None)
-
-
-_end_tasks: set[asyncio.Future[None]] = set()
-"""Tasks that hand over an end mark, kept so that they are not collected."""
+        self.queue.put_nowait(None)
