Let the server furthest beyond its usual length give way when bodies fill their memory

Now a body of the server that is furthest beyond what it usually sends in all gives way, its longest one; while all are within that, the server that holds most. The log names the server, its usual length and how many bodies were held.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -47,6 +47,19 @@
       | chunks                  |
       | chunks of one byte      |
 
+  # Guards against sound responses that fail because a faulty server fills the memory they share.
+  Scenario Outline: sound responses of 0.1 to 4 MB are whole while <callers> calls read ones without end
+    Given four sound servers, and one that sends chunks without end
+    When 8 callers read sound responses of 0.1 to 4 MB for 4 s, beside <callers> of the faulty server
+    Then every sound response was whole, and there were at least 60
+    And the process grew by less than 128 MB
+
+    Examples:
+      | callers |
+      | 2       |
+      | 8       |
+      | 24      |
+
   Scenario: short responses are read while endless ones use up the shared buffer space
     Given a server that sends chunks without end
     When 12 concurrent calls wait for a complete response
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -25,6 +25,8 @@
     from collections.abc import Iterable
 
 TIMEOUT_MS: Final = 6_000.0
+SOUND_S: Final = 0.16
+SOUND_PIECES: Final = 8
 BLOCK: Final = b"x" * 16_384
 OK_HEADER: Final = b"HTTP/1.1 200 OK\r\n"
 CHUNKED: Final = OK_HEADER + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -94,6 +96,83 @@
     opened.ok.close()
 
 
+@given("four sound servers, and one that sends chunks without end")
+def choose_servers(context: Any) -> None:
+    context.payload = PAYLOADS["chunks"]
+    context.address = Address(context.site.ip(8), 9001)
+    context.sound_addresses = [Address(context.site.ip(10 + n), 9001) for n in range(4)]
+    context.opened = context.closed = 0
+
+
+@when(
+    "{count:d} callers read sound responses of 0.1 to 4 MB for {seconds:d} s, beside {faulty:d} of the"
+    " faulty server"
+)
+def read_beside(context: Any, count: int, seconds: int, faulty: int) -> None:
+    context.sound, context.lost = 0, []
+    rng = context.site.rng
+
+    async def serve_sound(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await reader.readuntil(b"\r\n\r\n")
+        left = int(request.split(b" ")[1][1:])
+        piece = b"s" * (left // SOUND_PIECES)
+        with contextlib.suppress(OSError):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % left)
+            while left:
+                writer.write(piece[:left])
+                left -= min(left, len(piece))
+                await writer.drain()
+                await asyncio.sleep(SOUND_S / SOUND_PIECES)
+        writer.close()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await answer(context, reader, writer)
+
+    async def read_sound(end_s: float) -> None:
+        while time.monotonic() < end_s:
+            length = rng.randrange(100_000, 4_000_000)
+            request = CallRequest(method="GET", path=f"/{length}")
+            reply = await fetch(rng.choice(context.sound_addresses), request, TIMEOUT_MS)
+            if reply.is_ok() and len(reply.ok.body) == length:
+                context.sound += 1
+            else:
+                context.lost.append(reply)
+
+    async def read_faulty(end_s: float) -> None:
+        while time.monotonic() < end_s:
+            reply = await fetch_endless(context.address)
+            assert reply.is_error(), "a response without end was whole"
+
+    async def watch(process: psutil.Process) -> None:
+        while True:
+            context.most_bytes = max(context.most_bytes, process.memory_info().rss)
+            await asyncio.sleep(0.02)
+
+    async def run() -> None:
+        servers = [await asyncio.start_server(serve, context.address.ip, context.address.port)]
+        for address in context.sound_addresses:
+            servers.append(await asyncio.start_server(serve_sound, address.ip, address.port))
+        process = psutil.Process()
+        before_bytes = context.most_bytes = process.memory_info().rss
+        watching = asyncio.create_task(watch(process))
+        end_s = time.monotonic() + seconds
+        work = [read_sound(end_s) for _ in range(count)]
+        await asyncio.gather(*work, *(read_faulty(end_s) for _ in range(faulty)))
+        context.grown_bytes = context.most_bytes - before_bytes
+        watching.cancel()
+        for server in servers:
+            server.close()
+
+    asyncio.run(run())
+
+
+@then("every sound response was whole, and there were at least {least:d}")
+def check_all_sound(context: Any, least: int) -> None:
+    print(f"{context.sound} whole, {len(context.lost)} failed")
+    assert not context.lost, context.lost[0]
+    assert context.sound >= least, context.sound
+
+
 @when("{count:d} streams are opened at it as at an engine")
 def open_streams(context: Any, count: int) -> None:
     context.count = count
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -18,9 +18,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from pimentodale.clients.body_memory import FREE_BYTES, MAX_COLLECTED_BYTES, body_memory
+from pimentodale.clients.body_memory import body_memory
 from pimentodale.clock import MS_PER_S
-from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -46,8 +45,6 @@
 _CHUNK_OVERHEAD_BYTES: Final = 128
 """What a queued chunk takes besides its content."""
 
-_log = get_log("http")
-
 
 class CallFault(msgspec.Struct, frozen=True):
     """Why an exchange failed."""
@@ -245,27 +242,24 @@
     Returns:
         The body, or the fault; a body that is too long is one.
     """
+    share = body_memory.open(call.address, call.close)
     body = bytearray()
-    counted = 0
+    is_whole = False
     try:
         async for chunk in call.chunks(silence_timeout_ms):
+            if chunk.is_ok():
+                share.grow(len(chunk.ok))
+            if share.is_abandoned:
+                return Error(CallFault(True, False, f"a response of over {share.body_bytes} bytes"))
             if chunk.is_error():
                 return Error(chunk.error)
             body += chunk.ok
-            beyond = max(0, len(body) - FREE_BYTES) - counted
-            if len(body) > MAX_COLLECTED_BYTES or not body_memory.try_take(beyond):
-                body_memory.abandoned += 1
-                _log.warning(
-                    "A response body was abandoned because it is too long.",
-                    address=str(call.address),
-                    body_bytes=len(body),
-                    collected_bytes=body_memory.taken_bytes,
-                )
-                return Error(CallFault(True, False, f"a response of over {len(body)} bytes"))
-            counted += beyond
+        is_whole = not share.is_abandoned
     finally:
-        body_memory.give_back(counted)
+        share.end(is_whole=is_whole)
         call.close()
+    if not is_whole:
+        return Error(CallFault(True, False, f"a response of over {share.body_bytes} bytes"))
     return Ok(bytes(body))
 
 
