Blame a rarer part only for crashes under several requests, and count what survives on a part

Cause: a part of one unlucky stream was convicted by the same three crashes within 64 ms, and as the rarer part it excused the deadly one; in the storm that followed others did. Now a rarer part is blamed only if it was at four fifths of the crashes, under two requests or more. Besides, a part isn't refused while as many sends survive on it as replicas crashed under it, and a request with two refused parts gets no trial: a request with the deadly part used up the trial of the common one.

Ruled out, by trials: survivals alone.

Also: a step of http_call.feature awaited the queue of chunks, which no longer waits where there is room.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -71,7 +71,7 @@
     Examples:
       | what                                            |
       | writes                                          |
-      | is whole by the second of its sends             |
+      | is whole by 5 events of the second of its sends |
       | is whole and its replica crashes 1.2 s later    |
 
   # Guards against streams that had been writing when their replica crashed, and suffer for it.
@@ -96,26 +96,32 @@
       | 6 streams have written 4 events on the part a |
       | 1 stream has written 15 events on the part a  |
 
-  # Guards against a site that has just started and refuses a common part for the crashes of a deadly one beside it.
-  Scenario: of two parts with the same crashes the rarer one is refused, and the other one for its own crashes alone
+  # Guards against a site that has just started, whose requests are all cut by the crashes of a deadly part beside them.
+  Scenario: a part is not refused while as many sends brought requests to their end as replicas crashed
+    Given a host that has just started
+    When 5 requests with the part a are whole, each by the second of its sends
+    And 5 streams with the parts a and x lose their replica after they have written 12 events
+    Then a request with the parts a and b is not refused, and one with a and x is
+    When 2 streams with the parts a lose their replica after they have written 12 events
+    Then a request with the parts a and b is refused
+
+  # Guards against a part of one stream that crashed beside a deadly part, and excuses it.
+  Scenario: of two parts with the same crashes the rarer one is refused, unless it is that of one request alone
     Given a host that has just started
     When a request with the parts a and b comes
     And 5 streams with the parts a and x lose their replica after they have written 12 events
     Then a request with the parts a and b is not refused, and one with a and x is
+    When one request with the part r crashes a replica together with each of 6 requests with the part y
+    Then a request with the parts y and c is refused
     When 5 streams with the parts a lose their replica after they have written 12 events
     Then a request with the parts a and b is refused
 
-  # Guards against a rare part of streams that crashed beside a deadly part, and excuses it.
-  Scenario: a rarer part with most of the crashes excuses a deadly one only until more crashes follow
+  # Guards against the trial of a common part that is used up by a request with the deadly one.
+  Scenario: a request with two refused parts gets no trial, and one with the common part alone does
     Given a host that has just started
-    When a request with the parts a and b comes
-    And a request with the parts x comes
-    And 3 requests with the part x crash a replica each together with one with the part r
-    Then a request with the parts x and c is not refused
-    When 2 requests with the part x crash a replica each
-    Then a request with the parts x and c is refused
-    When 5 requests with the parts a and x crash a replica each
-    Then a request with the parts a and b is not refused, and one with x and c is
+    When 5 streams with the parts a and x lose their replica after they have written 12 events
+    And 1.2 s pass
+    Then a request with the parts a and x gets no trial, and one with a and c does
 
   # Guards against a part that stays refused for good although it crashes nothing any more.
   Scenario: a refused part runs in two trials on the whole site, and is served once one is whole
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -341,7 +341,7 @@
         is_refused = await detector.is_refused(routed)
         if not is_refused:
             await asyncio.sleep(answer_ms / 1_000.0)
-            detector.note_whole(routed, [], is_single_run=True)
+            detector.note_whole(routed, [], events=0, runs=1)
         return is_refused, routed.is_on_trial, (time.monotonic() - started_s) * 1_000.0
 
     return await asyncio.gather(send_one(), send_one())
--- a/features/steps/deadly_parts.py
+++ b/features/steps/deadly_parts.py
@@ -179,12 +179,12 @@
         )
 
     async def end_whole(
-        self, request: SentRequest, *, is_single_run: bool = True, is_lost: bool = False
+        self, request: SentRequest, *, events: int = 40, runs: int = 1, is_lost: bool = False
     ) -> None:
         """End a request as whole, and wait until its replica has lived on, unless that is lost."""
         name = next(iter(self.replicas))
         executed_on = self.detector.list_alive([name])
-        self.detector.note_whole(request, executed_on, is_single_run=is_single_run)
+        self.detector.note_whole(request, executed_on, events=events, runs=runs)
         self.clock.advance(SURVIVAL_MS - 300.0)
         if is_lost:
             self.replicas[name] = replica(name, "a", "card", None, started_ms=99)
@@ -379,9 +379,9 @@
     context.host.detector.note_writing_ended(request, send)
 
 
-@when("a third one is whole by the second of its sends")
-def resume_third(context: Any) -> None:
-    asyncio.run(context.host.end_whole(create_request("a x", 2), is_single_run=False))
+@when("a third one is whole by {events:d} events of the second of its sends")
+def resume_third(context: Any, events: int) -> None:
+    asyncio.run(context.host.end_whole(create_request("a x", 2), events=events, runs=2))
 
 
 @when("a third one is whole and its replica crashes 1.2 s later")
@@ -394,28 +394,39 @@
     asyncio.run(context.host.crash_under([create_request("a x", 3)]))
 
 
-@when("{count:d} requests with the part x crash a replica each together with one with the part r")
+@when("a request with the parts {parts} comes")
+def come(context: Any, parts: str) -> None:
+    assert not is_refused(context.host, as_ids(parts))
+
+
+@when(
+    "one request with the part r crashes a replica together with each of {count:d} requests with the"
+    " part y"
+)
 def crash_together(context: Any, count: int) -> None:
+    come(context, "y")
     for number in range(count):
-        host, requests = context.host, [create_request("x", number), create_request("r", number)]
-        asyncio.run(host.crash_together(requests))
+        requests = [create_request("y", 40 + number), create_request("r", 50)]
+        asyncio.run(context.host.crash_together(requests))
 
 
-@when("{count:d} requests with the part x crash a replica each")
-def crash_alone(context: Any, count: int) -> None:
-    for number in range(count):
-        asyncio.run(context.host.crash_under([create_request("x", 10 + number)]))
+@when("1.2 s pass")
+def pass_early(context: Any) -> None:
+    context.clock.advance(1_200.0)
 
 
-@when("{count:d} requests with the parts a and x crash a replica each")
-def crash_both_parts(context: Any, count: int) -> None:
-    for number in range(count):
-        asyncio.run(context.host.crash_under([create_request("a x", 20 + number)]))
+@then("a request with the parts a and x gets no trial, and one with a and c does")
+def check_trials(context: Any) -> None:
+    deadly, common = create_request("a x", 60), create_request("a c", 61)
+    assert asyncio.run(context.host.detector.is_refused(deadly))
+    assert not asyncio.run(context.host.detector.is_refused(common))
+    assert common.is_on_trial
 
 
-@when("a request with the parts {parts} comes")
-def come(context: Any, parts: str) -> None:
-    assert not is_refused(context.host, as_ids(parts))
+@when("{count:d} requests with the part a are whole, each by the second of its sends")
+def survive(context: Any, count: int) -> None:
+    for number in range(count):
+        asyncio.run(context.host.end_whole(create_request("a", 30 + number), events=8, runs=2))
 
 
 @when(
--- a/features/steps/http_call.py
+++ b/features/steps/http_call.py
@@ -38,7 +38,7 @@
         first_came = asyncio.Event()
         reader = asyncio.create_task(read(call, first_came))
         await first_came.wait()
-        await call._response.data_received(b"two")
+        assert call._response.data_received(b"two") is None, "the connection waits for room"
         # One turn later the reader's wait is over, but the reader itself has not run yet.
         await asyncio.sleep(0)
         reader.cancel()
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from pimentodale.logs import get_log
-from pimentodale.quarantine.crash_record import crash_name
+from pimentodale.quarantine.crash_record import MAX_REQUESTS_OF_PART, crash_name
 from pimentodale.quarantine.prompt_parts import create_sound_parts, is_part_key
 from pimentodale.quarantine.retrials import EARLY_TRIAL_AFTER_MS
 from pimentodale.site.replica_health import incarnation_of
@@ -62,9 +62,12 @@
 """How long the replicas of a whole request have to live on before it vindicates the parts of its
 prompt: one that crashes under it is known by then, as a probe of an unresponsive replica takes less."""
 
-MIN_SHARED_FRACTION: Final = 0.75
+MIN_SHARED_FRACTION: Final = 0.8
 """Fraction of a part's crashes at which a rarer part has to be present to be blamed for them."""
 
+MIN_SURVIVED_FRACTION: Final = 0.5
+"""A whole send with a larger fraction of the events of the longest one that crashed survives."""
+
 _log = get_log("crashes")
 
 
@@ -144,20 +147,23 @@
         return replica is not None and incarnation_of(replica) != incarnation
 
     def note_whole(
-        self, routed: RoutedRequest, executed_on: Collection[Incarnation], *, is_single_run: bool
+        self, routed: RoutedRequest, executed_on: Collection[Incarnation], *, events: int, runs: int
     ) -> None:
         """Clear the crashes of a request that has completed, except those of this attempt.
 
         Args:
             routed: The request.
             executed_on: Replicas of all sends of the attempt.
-            is_single_run: Whether one run brought the answer from its start to its end. Only that
-                vindicates the parts of the prompt: the last of several sends may have been too
-                short for a crash.
+            events: Number of events of the last send; 0 unless it wrote the answer to its end.
+            runs: Number of sends of the attempt that may have run. Only a single run vindicates the
+                parts of the prompt: the last of several may have been too short for a crash.
         """
         kept = [crash_name(*incarnation) for incarnation in executed_on]
         self.record.clear(routed.fingerprint, kept)
-        if not is_single_run or not executed_on or not routed.part_keys:
+        for key in routed.part_keys:
+            if events > MIN_SURVIVED_FRACTION * self.record.most_events(key):
+                self.sound_parts.note_survival(key)
+        if events == 0 or runs != 1 or not executed_on or not routed.part_keys:
             return
         due_ms = self.clock.now_ms() + SURVIVAL_MS
         self._survivors.append(_Survivor(due_ms, routed.part_keys, tuple(executed_on)))
@@ -204,7 +210,7 @@
             # A stream that had been writing tells less of the parts that it shares with others.
             suspects[key] = is_fresh and not routed.has_progressed
         self._pending.update(suspects.keys())
-        work = self._observe(suspects, executed_on, events)
+        work = self._observe(routed.fingerprint, suspects, executed_on, events)
         self.background.start(work, "crash detector")
 
     async def is_refused(self, routed: RoutedRequest) -> bool:
@@ -213,8 +219,6 @@
         Args:
             routed: The request; a quarantined one may be granted a trial run.
         """
-        if routed.sends == 0:
-            self.sound_parts.note_request(routed.part_keys)
         end_ms = self.clock.now_ms() + VERDICT_TIMEOUT_MS
         is_granted = await self._acquire_trial(routed)
         while not is_granted and self._is_undecided(routed) and self.clock.now_ms() < end_ms:
@@ -222,6 +226,8 @@
             is_granted = await self._acquire_trial(routed)
         suspect = self._convicted_suspect(routed)
         if suspect is None:
+            if routed.sends == 0:
+                self.sound_parts.note_request(routed.part_keys)
             return False
         is_refused = routed.sends > 0 or not routed.is_on_trial
         if is_refused:
@@ -237,7 +243,7 @@
         if self._awaits_verdict_on(routed.fingerprint, routed.sends):
             return True
         return any(
-            self._awaits_verdict_on(key, routed.sends) and not self._is_written_on(key)
+            self._awaits_verdict_on(key, routed.sends) and not self._is_survived(key)
             for key in self._doubted_parts(routed)
         )
 
@@ -259,7 +265,11 @@
         """Return the fingerprint of a convicted request, or the key of a convicted part of it."""
         if self.record.is_convicted(routed.fingerprint):
             return routed.fingerprint
-        return next(filter(self._is_refused_part, self._doubted_parts(routed)), None)
+        return next(iter(self._convicted_parts(routed)), None)
+
+    def _convicted_parts(self, routed: RoutedRequest) -> list[str]:
+        """Return the keys of the convicted parts of a request's prompt."""
+        return list(filter(self._is_refused_part, self._doubted_parts(routed)))
 
     def _is_refused_part(self, key: str) -> bool:
         """Whether requests with a part have to be refused.
@@ -267,31 +277,34 @@
         Requests with a deadly part have common parts too, with the same crashes. Of these the rarer
         part is refused first: if the common one is the cause, more crashes follow without the other.
         """
-        if not self.record.is_convicted(key) or self._is_written_on(key):
+        if not self.record.is_convicted(key) or self._is_survived(key):
             return False
-        return not any(self._explains(other, key) for other in self.record.list_convicted())
+        return not any(self._is_blamed_for(other, key) for other in self.record.list_convicted())
 
-    def _explains(self, other: str, key: str) -> bool:
+    def _is_blamed_for(self, other: str, key: str) -> bool:
         """Whether a rarer part is the likelier cause of the crashes under another one.
 
-        A deadly part is present at nearly all of them. The parts of streams that crashed beside it
-        are rarer still, but missed more of them.
+        A part of a single stream that crashed beside a deadly one is rarer still, so the crashes have
+        to be under several requests.
         """
-        if not is_part_key(other) or not self.sound_parts.is_rarer(other, key):
+        entry = self.record.find(other)
+        if entry is None or not is_part_key(other) or len(entry.requests) < MAX_REQUESTS_OF_PART:
             return False
-        if self.sound_parts.has(other):
+        if self.sound_parts.has(other) or not self.sound_parts.is_rarer(other, key):
             return False
         crashes = self.record.open_crashes(key)
-        shared = crashes & self.record.open_crashes(other)
-        return len(shared) >= MIN_SHARED_FRACTION * len(crashes) and self.record.is_explained(
-            key, [other]
-        )
+        return len(crashes & entry.open_crashes) >= MIN_SHARED_FRACTION * len(crashes)
 
     async def _acquire_trial(self, routed: RoutedRequest) -> bool:
         """Acquire a trial run of a convicted request that has not been sent, if one is due."""
         suspect = self._convicted_suspect(routed)
         if suspect is None or routed.sends > 0 or routed.is_on_trial:
             return False
+        parts = self._convicted_parts(routed)
+        if len(parts) > 1:
+            # A common part is tried by requests without the deadly one, not the other way round.
+            return False
+        suspect = next(iter(parts), suspect)
         if not await self.retrials.acquire(suspect):
             return False
         routed.trial_of = suspect
@@ -318,18 +331,18 @@
         self._settle_survivors()
         return [key for key in routed.part_keys if not self.sound_parts.has(key)]
 
-    def _is_written_on(self, key: str) -> bool:
-        """Whether requests go on with a part on which replicas have crashed.
+    def _is_survived(self, key: str) -> bool:
+        """Whether at least as many sends survive on a part as replicas have crashed under it.
 
-        After a start of this host no request is whole for a while. Until then this tells a part that
-        all requests share from one that each of its requests crashes a replica on.
+        After a start of this host no request has vindicated any part for a while. Until then this
+        tells a part that all requests share from one that each of its requests crashes a replica on.
         """
-        if any(key in each.part_keys and self._lives_on(each) for each in self._survivors):
-            return True
         writing = self._writing.get(key, ())
         crashes = len(self.record.open_crashes(key)) + self._pending[key]
+        if len(writing) + self.sound_parts.survivals(key) >= max(1, crashes):
+            return True
         outlived = self.record.most_events(key) + MIN_PROGRESS_EVENTS
-        return len(writing) >= max(1, crashes) or any(send.events >= outlived for send in writing)
+        return any(send.events >= outlived for send in writing)
 
     def _lives_on(self, survivor: _Survivor) -> bool:
         """Whether no replica of a whole request has ended since."""
@@ -372,11 +385,16 @@
         return sends > 0 or self.record.has_open_crash(suspect)
 
     async def _observe(
-        self, suspects: Mapping[str, bool], executed_on: Sequence[Incarnation], events: int
+        self,
+        fingerprint: str,
+        suspects: Mapping[str, bool],
+        executed_on: Sequence[Incarnation],
+        events: int,
     ) -> None:
         """Check until a replica has crashed or time is up; a send counts at most one crash.
 
         Args:
+            fingerprint: Fingerprint of the request.
             suspects: The request's fingerprint and the keys of parts, each with whether a crash
                 counts as one shortly after the start.
             executed_on: Replicas on the path.
@@ -392,7 +410,10 @@
                 if ended is not None:
                     for suspect, is_fresh in suspects.items():
                         crash = crash_name(*ended)
-                        self.record.strike(suspect, crash, is_fresh=is_fresh, events=events)
+                        request = "" if suspect == fingerprint else fingerprint
+                        self.record.strike(
+                            suspect, crash, is_fresh=is_fresh, events=events, request=request
+                        )
                         self._note_presumed(ended, suspect)
                     return
                 if is_pending and waited_ms >= VERDICT_TIMEOUT_MS:
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -315,8 +315,10 @@
         if send.is_past_start:
             ctx.crashes.note_writing_ended(self._routed, send)
         if end in (SendEnd.WHOLE, SendEnd.PASSED_ON):
-            is_single_run = end is SendEnd.WHOLE and send.events > 0 and state.possible_runs == 1
-            ctx.crashes.note_whole(self._routed, state.executed_on, is_single_run=is_single_run)
+            events = send.events if end is SendEnd.WHOLE else 0
+            ctx.crashes.note_whole(
+                self._routed, state.executed_on, events=events, runs=state.possible_runs
+            )
             return
         waited_ms = ctx.clock.now_ms() - send.active_ms
         if end is SendEnd.NOT_SENT or _is_healthy_end(ctx, send, end, waited_ms):
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -33,6 +33,9 @@
 MAX_REQUESTS: Final = 5_000
 """Maximum number of entries; the oldest are evicted first."""
 
+MAX_REQUESTS_OF_PART: Final = 2
+"""Maximum number of requests kept for a part of prompts."""
+
 MAX_CRASHES: Final = 32
 """Maximum number of crashes of each kind kept for a request; the oldest are dropped first."""
 
@@ -57,6 +60,9 @@
     most_events: int = 0
     """Most events of a send under which a replica crashed."""
 
+    requests: list[str] = []
+    """For a part of prompts, fingerprints of some requests under which replicas crashed."""
+
     @property
     def open_crashes(self) -> set[str]:
         """Crashes that have not been cleared."""
@@ -107,23 +113,6 @@
         """Return the fingerprints of the convicted requests, and the keys of the convicted parts."""
         return [fingerprint for fingerprint in list(self._convicted) if self.find(fingerprint)]
 
-    def is_explained(
-        self, fingerprint: str, others: Iterable[str], unproved: Iterable[str] = ()
-    ) -> bool:
-        """Whether a request would not be convicted without the crashes that others may have caused.
-
-        Args:
-            fingerprint: Fingerprint of a convicted request.
-            others: Fingerprints of others.
-            unproved: Names of crashes that may not have happened.
-        """
-        entry = self.find(fingerprint)
-        if entry is None:
-            return False
-        shared = set(unproved).union(*map(self.open_crashes, others))
-        cleared = [*entry.cleared, *shared]
-        return not CrashEntry(fingerprint, entry.fresh, entry.late, cleared).is_convicted
-
     def open_crashes(self, fingerprint: str) -> set[str]:
         """Return the names of a request's crashes that have not been cleared."""
         entry = self.find(fingerprint)
@@ -138,7 +127,13 @@
         """
         if not self.is_convicted(fingerprint):
             return False
-        return self.is_explained(fingerprint, self._convicted - {fingerprint}, unproved)
+        doubtful = set(unproved)
+        for other in [self.find(each) for each in self._convicted - {fingerprint}]:
+            if other is not None:
+                doubtful |= other.open_crashes
+        entry = self._entries[fingerprint]
+        cleared = [*entry.cleared, *doubtful]
+        return not CrashEntry(fingerprint, entry.fresh, entry.late, cleared).is_convicted
 
     def has_open_crash(self, fingerprint: str) -> bool:
         """Whether a request has a crash that has not been cleared."""
@@ -167,17 +162,21 @@
         entry = self.find(fingerprint)
         return 0 if entry is None else entry.most_events
 
-    def strike(self, fingerprint: str, crash: str, *, is_fresh: bool, events: int = 0) -> None:
+    def strike(
+        self, fingerprint: str, crash: str, *, is_fresh: bool, events: int = 0, request: str = ""
+    ) -> None:
         """Attribute a crash to a request.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the request, or the key of a part of its prompt.
             crash: Name of the crash, the same on every host.
             is_fresh: Whether the replica had just started to run the request.
             events: Number of events that it had written.
+            request: For a part, the fingerprint of the request.
         """
         fresh, late = ([crash], []) if is_fresh else ([], [crash])
-        self._apply(CrashEntry(fingerprint, fresh, late, most_events=events), told_by="")
+        requests = [request] if request else []
+        self._apply(CrashEntry(fingerprint, fresh, late, [], events, requests), told_by="")
 
     def clear(self, fingerprint: str, kept: Collection[str] = ()) -> None:
         """Clear the crashes of a request that has completed: it did not cause them.
@@ -295,6 +294,7 @@
         _union(one.late, other.late),
         _union(one.cleared, other.cleared),
         max(one.most_events, other.most_events),
+        sorted({*one.requests, *other.requests})[:MAX_REQUESTS_OF_PART],
     )
 
 
--- a/src/pimentodale/quarantine/prompt_parts.py
+++ b/src/pimentodale/quarantine/prompt_parts.py
@@ -24,7 +24,7 @@
 """Maximum number of sound parts that are remembered; the least recently used go first."""
 
 MAX_COUNTED_PARTS: Final = 20_000
-"""Maximum number of parts whose requests are counted; the least recently used go first."""
+"""Maximum number of parts whose requests, and survivals, are counted; the least recently used go first."""
 
 PREFIX: Final = "part-"
 """Prefix of the keys under which crashes of parts are recorded, beside those of requests."""
@@ -34,13 +34,14 @@
 
 
 class SoundParts:
-    """Parts on which requests have run to their end through this host, and how common parts are."""
+    """Parts on which requests have run to their end through this host."""
 
-    __slots__ = ("_clock", "_requests", "_until_ms")
+    __slots__ = ("_clock", "_requests", "_survivals", "_until_ms")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._requests: OrderedDict[str, int] = OrderedDict()
+        self._survivals: OrderedDict[str, int] = OrderedDict()
         self._until_ms: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
@@ -61,17 +62,22 @@
         return self._until_ms.get(key, 0.0) > self._clock.now_ms()
 
     def note_request(self, keys: Iterable[str]) -> None:
-        """Count a request with these parts."""
+        """Count a request with these parts that may be sent."""
         for key in keys:
-            self._requests[key] = self._requests.get(key, 0) + 1
-            self._requests.move_to_end(key)
-        while len(self._requests) > MAX_COUNTED_PARTS:
-            self._requests.popitem(last=False)
+            _count(self._requests, key)
 
     def is_rarer(self, key: str, other: str) -> bool:
         """Return whether fewer requests had a part than another one."""
         return self._requests.get(key, 0) < self._requests.get(other, 0)
 
+    def note_survival(self, key: str) -> None:
+        """Count a send with a part that brought its request to the end."""
+        _count(self._survivals, key)
+
+    def survivals(self, key: str) -> int:
+        """Return the number of sends with a part that brought their request to the end."""
+        return self._survivals.get(key, 0)
+
 
 def create_sound_parts(clock: Clock) -> SoundParts:
     """Return an empty record of sound parts."""
@@ -88,6 +94,14 @@
     return suspect.startswith(PREFIX)
 
 
+def _count(counts: OrderedDict[str, int], key: str) -> None:
+    """Add one to a part's count, and drop the least recently used one if there are too many."""
+    counts[key] = counts.get(key, 0) + 1
+    counts.move_to_end(key)
+    if len(counts) > MAX_COUNTED_PARTS:
+        counts.popitem(last=False)
+
+
 def _shorten(part_id: str) -> str:
     """Return a part's id, or a hash of it if it is long."""
     if len(part_id) <= MAX_ID_LENGTH and part_id.isascii() and part_id.isalnum():
