--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -373,7 +373,7 @@
         self._settle_survivors()
 
     def _vindicate(self, entry: CrashEntry) -> None:
-        """Clear a part that another host convicts, if requests write on it through this one."""
+        """Clear a part that another host convicts, if requests run to their end on it through this one."""
         if entry.is_convicted and self.sound_parts.has(entry.fingerprint):
             self.record.clear(entry.fingerprint)
 
