--- a/features/steps/starting_signals.py
+++ b/features/steps/starting_signals.py
@@ -17,7 +17,7 @@
     from features.support.site import Program
 
 HANGUP_BIT: Final = 1 << (signal.SIGHUP - 1)
-BOOT_CPU_S: Final = 0.2
+BOOT_CPU_S: Final = 0.4
 """Processor time after which the interpreter runs a program's code in any case; its imports take more."""
 
 PARALLEL: Final = 5
--- a/src/pimentodale/starts.py
+++ b/src/pimentodale/starts.py
@@ -42,8 +42,8 @@
     The default action of SIGHUP would end the program. A program that is asked to stop has taken
     nothing yet, so it ends at once.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _end_start)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _end_start(_number: int, _frame: FrameType | None) -> None:
