Give an early trial too where the request that caused the crashes is not refused

Cause: a refused request gets its first trial after 1 s if its crashes are those of another refused one. The store was away as both hosts stopped, so the third crash of the poison request and the clearing of the harmless one's were stored nowhere. The hosts that started read two crashes of each, a third one met the harmless request, and nothing that was refused explained it: its first trial was due after 30 s.

Now a request with two open crashes explains those of another one as well, refused or not. One crash doesn't, as every request on a replica has it. Parts of prompts are judged as before. The number of trials is bounded as before: three at most.

Ruled out: crashes that were none (all three replicas had ended), trials that the store had lost.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -122,6 +122,19 @@
       | 1      | 1       | 2      |
       | 0      | 30      | 2      |
 
+  # Guards against harmless requests that stay refused because the hosts started anew since the crashes
+  # and lack the last one of the request that caused them, which so isn't refused (soak, seed 2).
+  Scenario Outline: a request <shared> of whose three crashes are those of a request that is not refused gets its first trial after <after_s> s
+    Given 6 hosts, one of which can't reach the store, that refuse a request
+    And another request that they don't refuse has <shared> of its crashes
+    When it is sent to each of them every second for 300 s and crashes a replica in each trial
+    Then it has run in 2 trials, the first of them after <after_s> s
+
+    Examples:
+      | shared | after_s |
+      | 2      | 1       |
+      | 1      | 30      |
+
   # Guards against requests that are refused while a trial that is due shows them to be harmless.
   Scenario: a request that ran beside one that crashes replicas waits for the trial of another client's
     Given a host that refuses two requests for the same three crashes
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -304,6 +304,14 @@
             record.strike(HARMLESS, crash, is_fresh=True)
 
 
+@given("another request that they don't refuse has {count:d} of its crashes")
+def crash_beside_unrefused(context: Any, count: int) -> None:
+    for record in context.records:
+        for number in range(count):
+            record.strike(HARMLESS, f"replica-{number}", is_fresh=True)
+        assert not record.is_convicted(HARMLESS)
+
+
 @then("it has run in {trials:d} trials, the first of them after {after_s:d} s")
 def check_first_trial(context: Any, trials: int, after_s: int) -> None:
     assert len(context.trials_s) == trials, context.trials_s
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -13,6 +13,7 @@
 
 from pimentodale.foreign_bytes import UNREADABLE
 from pimentodale.logs import get_log
+from pimentodale.quarantine.prompt_parts import is_part_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -27,6 +28,10 @@
 """Total crashes after which a request is refused when some of the replicas had run it for longer.
 The limit is higher because a long-running request is present at more crashes by chance."""
 
+REPEATED_CRASHES: Final = 2
+"""Crashes from which on a request that is not refused may be the cause of another one's: a host that
+has started anew may lack its further crashes. Every request on a crashing replica has one."""
+
 CRASH_RETENTION_MS: Final = 600_000.0
 """How long crashes are kept after the last one; the maximum lease of the platform's store."""
 
@@ -79,12 +84,21 @@
 class CrashRecord:
     """Crash entries of one host, by fingerprint."""
 
-    __slots__ = ("_clock", "_convicted", "_entries", "_expire_ms", "_receivers", "_subscribers")
+    __slots__ = (
+        "_clock",
+        "_convicted",
+        "_entries",
+        "_expire_ms",
+        "_receivers",
+        "_repeated",
+        "_subscribers",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, CrashEntry] = {}
         self._convicted: set[str] = set()
+        self._repeated: set[str] = set()
         self._expire_ms: dict[str, float] = {}
         self._subscribers: list[Callable[[CrashEntry], None]] = []
         self._receivers: list[Callable[[CrashEntry], None]] = []
@@ -128,7 +142,8 @@
         if not self.is_convicted(fingerprint):
             return False
         doubtful = set(unproved)
-        for other in [self.find(each) for each in self._convicted - {fingerprint}]:
+        others = self._convicted if is_part_key(fingerprint) else self._convicted | self._repeated
+        for other in map(self.find, others - {fingerprint}):
             if other is not None:
                 doubtful |= other.open_crashes
         entry = self._entries[fingerprint]
@@ -226,6 +241,10 @@
             self._convicted.add(entry.fingerprint)
         else:
             self._convicted.discard(entry.fingerprint)
+        if len(merged.open_crashes) >= REPEATED_CRASHES and not is_part_key(entry.fingerprint):
+            self._repeated.add(entry.fingerprint)
+        else:
+            self._repeated.discard(entry.fingerprint)
         self._expire_ms[entry.fingerprint] = self._clock.now_ms() + CRASH_RETENTION_MS
         _log.info(
             "The crash entry of a request has changed.",
@@ -252,6 +271,7 @@
         self._entries.pop(fingerprint, None)
         self._expire_ms.pop(fingerprint, None)
         self._convicted.discard(fingerprint)
+        self._repeated.discard(fingerprint)
 
 
 def crash_name(replica_id: str, started_ms: int) -> str:
