Take no trial while no path is complete, and let a request that a trial may clear come back

Cause: the trial was taken without a path and given back, every 70 ms, each with two writes to the store; who came meanwhile was refused for good.

Now a trial waits until the model is covered, and as long as one may clear the request, its refusal is 503, not run, with a Retry-After of 1 to 2 s. Requests that no other one explains, whose trials are used up, or that have a refused part still get 502.

Evidence: the new scenario fails on the code before.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -154,6 +154,13 @@
     When a replica rejects one of them in its trial, and it is sent again after 2100 ms
     Then it runs in a trial again
 
+  # Guards against trials that are taken and given back as long as no path is complete, and harmless
+  # requests that are told meanwhile that they crash replicas (soak, seed 2).
+  Scenario: a stream that may be harmless gets no trial while the model isn't loaded, and may come back
+    Given a host that refuses two requests for the same three crashes
+    When one of them is sent as a stream after 1100 ms, and no path is complete
+    Then it is answered 503 with a Retry-After, and its trial is left
+
   # Guards against requests that are refused while a trial that is due shows them to be harmless.
   Scenario: a request that ran beside one that crashes replicas waits for the trial of another client's
     Given a host that refuses two requests for the same three crashes
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -11,7 +11,8 @@
 import time
 from dataclasses import dataclass, field
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
+from unittest.mock import patch
 
 from behave import given, then, when
 from features.support.engine_fleet import replica
@@ -24,6 +25,7 @@
 from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.forwarding.crash_detector import create_crash_detector
+from pimentodale.forwarding.streams import serve_stream
 from pimentodale.leaving.leaving_servers import create_leaving_servers
 from pimentodale.mirror.mirror import create_mirror
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
@@ -55,6 +57,8 @@
     rejections: int = 0
     trial_of: str = ""
     history: list[str] = field(default_factory=list)
+    service: Any = None
+    exchange: Any = None
 
     @property
     def is_on_trial(self) -> bool:
@@ -395,6 +399,40 @@
     return is_refused, (time.monotonic() - started_s) * 1_000.0
 
 
+@when("one of them is sent as a stream after {after_ms:d} ms, and no path is complete")
+def send_without_path(context: Any, after_ms: int) -> None:
+    context.answers = []
+    asyncio.run(stream_without_path(context, after_ms))
+
+
+async def stream_without_path(context: Any, after_ms: int) -> None:
+    """Serve a stream of a model whose layers are not all held."""
+
+    async def answer(status: int, headers: list[tuple[str, str]], _body: bytes) -> None:
+        context.answers.append((status, dict(headers)))
+
+    routed = SentRequest(POISON)
+    routed.service = SimpleNamespace(engine=SimpleNamespace(layers=8))
+    routed.exchange = SimpleNamespace(request=None, answer=answer, is_begun=False)
+    ctx: Any = SimpleNamespace(crashes=context.detector, rng=random.Random(context.site.seed))
+    await asyncio.sleep(after_ms / 1_000.0)
+    with (
+        patch("pimentodale.forwarding.streams.covers_model", return_value=False),
+        patch("pimentodale.forwarding.error_responses.log_end"),
+    ):
+        await serve_stream(ctx, cast("Any", None), cast("Any", routed))
+    context.repeated = SentRequest(POISON)
+    await context.detector.is_refused(context.repeated)
+
+
+@then("it is answered 503 with a Retry-After, and its trial is left")
+def check_may_come_back(context: Any) -> None:
+    ((status, headers),) = context.answers
+    assert status == 503, status
+    assert 1.0 <= float(headers["Retry-After"]) <= 2.0, headers
+    assert context.repeated.is_on_trial
+
+
 @when("a replica rejects one of them in its trial, and it is sent again after {after_ms:d} ms")
 def reject_in_trial(context: Any, after_ms: int) -> None:
     context.repeated = asyncio.run(send_after_rejection(context.detector, after_ms))
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -175,6 +175,12 @@
         """Whether a request, or a part of its prompt, has crashed too many replicas."""
         return self._convicted_suspect(routed) is not None
 
+    def may_be_cleared(self, routed: RoutedRequest) -> bool:
+        """Whether a request is refused for crashes that may not be its own, and a trial may show it."""
+        if not self.retrials.may_clear(routed.fingerprint):
+            return False
+        return not self._convicted_parts(routed)
+
     def note_writing(self, routed: RoutedRequest, send: StreamSend) -> None:
         """Note that a send is past the start of its request; call `note_writing_ended` at its end."""
         routed.has_progressed = True
--- a/src/pimentodale/forwarding/error_responses.py
+++ b/src/pimentodale/forwarding/error_responses.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from pimentodale.clock import MS_PER_S
 from pimentodale.forwarding.context import log_end
+from pimentodale.quarantine.retrials import EARLY_TRIAL_AFTER_MS
 from pimentodale.results import Ran, ResultCode, create_refusal
 
 if TYPE_CHECKING:
@@ -15,6 +16,9 @@
     from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
     from pimentodale.results import Refusal
 
+TRIAL_SPREAD: Final = 2.0
+"""Range of the random factor for retries of requests that a trial may clear."""
+
 
 async def send_refusal(
     exchange: ClientExchange,
@@ -57,7 +61,26 @@
 
 
 async def refuse_quarantined(ctx: ForwardingContext, routed: RoutedRequest) -> None:
-    """Answer a quarantined request: it crashes its replicas, so an unchanged retry is pointless."""
+    """Answer a quarantined request.
+
+    It may come back if a trial may yet clear it. Otherwise it crashes its replicas, so an unchanged
+    retry is pointless.
+    """
+    if routed.sends == 0 and ctx.crashes.may_be_cleared(routed):
+        log_end(ctx, routed, ResultCode.QUARANTINED, 503)
+        message = (
+            "It may have crashed replicas, which a trial will show; it has not run, come back."
+        )
+        # A trial may be under way on any host, and takes about a second.
+        retry_after_ms = EARLY_TRIAL_AFTER_MS * ctx.rng.uniform(1.0, TRIAL_SPREAD)
+        await send_refusal(
+            routed.exchange,
+            ResultCode.QUARANTINED,
+            message,
+            retry_after_ms=retry_after_ms,
+            status=503,
+        )
+        return
     log_end(ctx, routed, ResultCode.QUARANTINED, 502)
     message = "This request crashed the replicas that ran it; change it before sending it."
     await send_failure(routed.exchange, ResultCode.QUARANTINED, message)
--- a/src/pimentodale/forwarding/streams.py
+++ b/src/pimentodale/forwarding/streams.py
@@ -45,6 +45,10 @@
         log_end(ctx, routed, ResultCode.UNKNOWN_MODEL, 502)
         await send_failure(routed.exchange, ResultCode.UNKNOWN_MODEL, "The service runs no engine.")
         return
+    if ctx.crashes.may_be_cleared(routed) and not covers_model(ctx, routed.service):
+        # A trial needs a path.
+        await refuse_quarantined(ctx, routed)
+        return
     state = StreamState(request.last_event_id, tokens_held(engine, request))
     while True:
         if await ctx.crashes.is_refused(routed):
--- a/src/pimentodale/quarantine/retrials.py
+++ b/src/pimentodale/quarantine/retrials.py
@@ -124,6 +124,11 @@
             for trial in range(1, trials + 1):
                 await self._create(f"{RETRIAL_PREFIX}{fingerprint}/{trial}")
 
+    def may_clear(self, fingerprint: str) -> bool:
+        """Whether a request is convicted for crashes that may not be its own, and has trials left."""
+        taken = self._taken.get(fingerprint, 0)
+        return taken <= len(TRIALS_AFTER_MS) and self._record.is_doubtful(fingerprint)
+
     def _count_due(self, fingerprint: str) -> int:
         """Return the number of trials that a convicted request may have had by now."""
         ms_since_change = self._record.ms_since_change(fingerprint)
