Leave it to a few hosts to store crashes that many observe

Now an entry that convicts nobody waits for a random time, 2 s at most, with an exponential distribution, and isn't written if the store holds its content by then. Convictions are written at once, as before. The most events of a send under which a replica crashed is no news for other hosts by itself.

Ruled out: one lease for several batches, as ids of leases are given out again after the store's return.

Evidence: in the new scenario 40 of 40 hosts write 120 keys without the delay, and 1 host writes 3 with it.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -88,6 +88,15 @@
     When a request is running at two crashes observed by the first host, and at one observed by the second
     Then both hosts refuse it
 
+  # Guards against a store that every host writes to as replicas crash together: their streams share
+  # parts of prompts, so that all hosts observe the same crashes of the same parts.
+  Scenario: hosts that observe the same crashes leave it to a few of them to store these
+    Given 40 hosts that follow one store
+    When all of them observe 2 crashes of 3 parts within 300 ms
+    Then within 3 s the store holds all these crashes, and at most 10 hosts have written any
+    When one of them observes a third crash of each
+    Then the store holds all these crashes within 200 ms
+
   # Guards against entries that depend on the order in which hosts receive them.
   Scenario: crash entries of a request merge to the same result in any order
     Then entries that are received in any order, and more than once, merge to the same result
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -20,6 +20,7 @@
 from features.support.memory_store import MemoryState, MemoryStore
 from features.support.replica_view import create_replica_view
 from features.support.site import wait_until
+from features.support.virtual_time import VirtualClock, VirtualTimeLoop, run_virtually
 
 from pimentodale.background import create_background_tasks
 from pimentodale.clients.key_value import KeyValue, StoreFault
@@ -36,8 +37,9 @@
     create_crash_record,
     fingerprint_of,
 )
-from pimentodale.quarantine.crash_sharing import merge_crashes, share_crashes
+from pimentodale.quarantine.crash_sharing import CRASH_PREFIX, merge_crashes, share_crashes
 from pimentodale.quarantine.retrials import create_retrials
+from pimentodale.quarantine.spread_writes import create_spread_writes
 from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.site.replica_health import create_replica_health
 from pimentodale.site.view import SiteRecords, create_site_view
@@ -252,6 +254,105 @@
         task.cancel()
 
 
+MIRROR_INTERVAL_MS = 500.0
+"""Interval at which hosts hear of changes in the store."""
+
+PARTS = [f"part-{number}" for number in range(3)]
+
+
+@given("{count:d} hosts that follow one store")
+def make_following(context: Any, count: int) -> None:
+    loop = context.loop = VirtualTimeLoop()
+    clock, rng = VirtualClock(loop), random.Random(context.site.seed)
+    state = context.state = MemoryState(clock)
+    context.background = create_background_tasks()
+    peers = SimpleNamespace(publish=lambda *_, **__: None, subscribe=lambda *_: None)
+    context.records = []
+    mirror: dict[str, bytes] = {}
+
+    async def follow() -> None:
+        while True:
+            await clock.sleep_ms(MIRROR_INTERVAL_MS)
+            mirror.update({item.key: item.value for item in state.items.values()})
+
+    async def start() -> None:
+        context.background.start(follow(), "mirror")
+        for number in range(count):
+            record = create_crash_record(clock)
+            writer = create_store_writer(clock, MemoryStore(state), CRASH_RETENTION_MS)
+            context.background.start(writer.run(), "writer")
+            share_crashes(
+                record,
+                peers,
+                writer.put,
+                f"h{number}",
+                schedule=create_spread_writes(clock, context.background, rng).schedule,
+                find_stored=lambda part: [
+                    mirror[key] for key in mirror if key.startswith(f"{CRASH_PREFIX}{part}/")
+                ],
+            )
+            context.records.append(record)
+
+    run_virtually(loop, start())
+
+
+@when("all of them observe {crashes:d} crashes of 3 parts within {within_ms:d} ms")
+def observe_together(context: Any, crashes: int, within_ms: int) -> None:
+    async def observe(record: Any, delay_ms: float) -> None:
+        await asyncio.sleep(delay_ms / 1_000.0)
+        for part in PARTS:
+            for number in range(crashes):
+                record.strike(part, f"r{number}/1", is_fresh=True, events=number, request="f")
+
+    async def observe_all() -> None:
+        rng = random.Random(context.site.seed)
+        delays_ms = [rng.uniform(0.0, within_ms) for _ in context.records]
+        await asyncio.gather(*map(observe, context.records, delays_ms))
+
+    context.crashes = {f"r{number}/1" for number in range(crashes)}
+    run_virtually(context.loop, observe_all())
+
+
+@then(
+    "within {within_s:d} s the store holds all these crashes, and at most {most:d} hosts"
+    " have written any"
+)
+def check_few_wrote(context: Any, within_s: int, most: int) -> None:
+    run_virtually(context.loop, asyncio.sleep(within_s))
+    check_stored(context)
+    hosts = {key.rpartition("/")[2] for key in context.state.items}
+    print(f"{len(hosts)} hosts have written {len(context.state.items)} keys")
+    assert len(hosts) <= most, hosts
+
+
+@when("one of them observes a third crash of each")
+def observe_third(context: Any) -> None:
+    async def observe() -> None:
+        for part in PARTS:
+            context.records[0].strike(part, "third/1", is_fresh=True)
+
+    context.crashes |= {"third/1"}
+    run_virtually(context.loop, observe())
+
+
+@then("the store holds all these crashes within {within_ms:d} ms")
+def check_stored_soon(context: Any, within_ms: int) -> None:
+    run_virtually(context.loop, asyncio.sleep(within_ms / 1_000.0))
+    check_stored(context)
+    context.background.cancel()
+    run_virtually(context.loop, asyncio.sleep(0.0))
+    context.loop.close()
+
+
+def check_stored(context: Any) -> None:
+    """Check that a host that starts now reads all crashes of the parts."""
+    record = create_crash_record(ManualClock(1_000.0))
+    for item in context.state.items.values():
+        merge_crashes(record, item.value, item.key)
+    for part in PARTS:
+        assert record.open_crashes(part) == context.crashes, record.find(part)
+
+
 @given("{count:d} hosts, one of which can't reach the store, that refuse a request")
 def make_refusing(context: Any, count: int) -> None:
     context.clock = ManualClock(1_000.0)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -31,6 +31,7 @@
 from pimentodale.gateway.metrics import create_gateway_metrics
 from pimentodale.gateway.registration import keep_registered
 from pimentodale.gateway.state_sharing import (
+    find_stored_crashes,
     follow_stored_crashes,
     share_lease,
     share_replica_health,
@@ -50,6 +51,7 @@
 from pimentodale.quarantine.crash_record import CRASH_RETENTION_MS, create_crash_record
 from pimentodale.quarantine.crash_sharing import share_crashes
 from pimentodale.quarantine.retrials import create_retrials
+from pimentodale.quarantine.spread_writes import create_spread_writes
 from pimentodale.quarantine.store_writer import create_store_writer
 from pimentodale.results import ResultCode
 from pimentodale.site.domain_outages import detect_domain_outages
@@ -242,7 +244,15 @@
     detect_domain_outages(replica_health, view.replicas.values, settings.failure_domain, clock)
     writer = create_store_writer(clock, gateway.platform.store, CRASH_RETENTION_MS)
     gateway.background.start(writer.run(), "crash writer")
-    rewrite_crashes = share_crashes(record, peers, writer.put, settings.host)
+    spread_writes = create_spread_writes(clock, gateway.background, gateway.rng)
+    rewrite_crashes = share_crashes(
+        record,
+        peers,
+        writer.put,
+        settings.host,
+        schedule=spread_writes.schedule,
+        find_stored=lambda fingerprint: find_stored_crashes(view.mirror, fingerprint),
+    )
     follow_stored_crashes(record, view.mirror)
     store, mirror = gateway.platform.store, view.mirror
     retrials = create_retrials(settings.host, clock, record, store, mirror.has_settled)
--- a/src/pimentodale/gateway/state_sharing.py
+++ b/src/pimentodale/gateway/state_sharing.py
@@ -100,6 +100,12 @@
     peers.subscribe(PACE_TOPIC, receive_pace)
 
 
+def find_stored_crashes(mirror: Mirror, fingerprint: str) -> list[bytes]:
+    """Return the crash entries of a request in the mirror of the store, one for each host that wrote it."""
+    prefix = f"{CRASH_PREFIX}{fingerprint}/"
+    return [item.value for key, item in mirror.items.items() if key.startswith(prefix)]
+
+
 def follow_stored_crashes(record: CrashRecord, mirror: Mirror) -> None:
     """Record crashes found in the mirror of the store, in case no peer has reported them."""
 
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -234,6 +234,12 @@
         merged = entry if known is None else _merge(known, entry)
         if merged == known:
             return
+        if known is not None and merged == msgspec.structs.replace(
+            known, most_events=merged.most_events
+        ):
+            # No other host has to know it before the next crash.
+            self._entries[entry.fingerprint] = merged
+            return
         if known is None and len(self._entries) >= MAX_REQUESTS:
             self._remove(next(iter(self._entries)))
         self._entries[entry.fingerprint] = merged
@@ -306,6 +312,21 @@
         return None
 
 
+def has_all_crashes(entries: Iterable[bytes], entry: CrashEntry) -> bool:
+    """Return whether encoded entries of a request together hold all that another one tells of crashes."""
+    known = CrashEntry(entry.fingerprint)
+    for each in map(unpack_crashes, entries):
+        if each is not None:
+            known = _merge(known, each)
+    return not any(
+        (
+            set(entry.fresh).difference(known.fresh),
+            set(entry.late).difference(known.late),
+            set(entry.cleared).difference(known.cleared),
+        )
+    )
+
+
 def _merge(one: CrashEntry, other: CrashEntry) -> CrashEntry:
     """Return the union of two entries of a request; items of `one` keep their order."""
     return CrashEntry(
--- a/src/pimentodale/quarantine/crash_sharing.py
+++ b/src/pimentodale/quarantine/crash_sharing.py
@@ -11,12 +11,13 @@
 from pimentodale.quarantine.crash_record import (
     CRASH_RETENTION_MS,
     MAX_REQUESTS,
+    has_all_crashes,
     pack_crashes,
     unpack_crashes,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from pimentodale.peers.membership import EntryUpdate
     from pimentodale.peers.peers import Peers
@@ -37,8 +38,19 @@
 _log = get_log("crashes")
 
 
+def write_at_once(fingerprint: str, write: Callable[[str], None]) -> None:
+    """Write an entry without delay."""
+    write(fingerprint)
+
+
 def share_crashes(
-    record: CrashRecord, peers: Peers, put: Callable[[str, bytes], None], host: str
+    record: CrashRecord,
+    peers: Peers,
+    put: Callable[[str, bytes], None],
+    host: str,
+    *,
+    schedule: Callable[[str, Callable[[str], None]], None] = write_at_once,
+    find_stored: Callable[[str], Iterable[bytes]] = lambda _: (),
 ) -> Callable[[], None]:
     """Publish local changes of the record to peers and the store, and merge the updates of peers.
 
@@ -47,12 +59,21 @@
         peers: The peer network.
         put: Queues a key and its value for writing to the store.
         host: Name of this host.
+        schedule: Calls a function with a fingerprint to write an entry that convicts nobody, which
+            may be later.
+        find_stored: Returns the entries of a request that the store is known to hold, of all hosts.
 
     Returns:
         Writes this host's entries to the store again, in case it has lost them.
     """
     stored: dict[str, None] = {}
 
+    def write(fingerprint: str) -> None:
+        entry = record.find(fingerprint)
+        if entry is None or has_all_crashes(find_stored(fingerprint), entry):
+            return
+        put(f"{CRASH_PREFIX}{fingerprint}/{host}", pack_crashes(entry))
+
     def publish(entry: CrashEntry) -> None:
         octets = pack_crashes(entry)
         # Cleared crashes are counted too, so that a stored entry is overwritten once it is cleared.
@@ -60,12 +81,16 @@
         ttl_ms = CRASH_RETENTION_MS if is_stored else SINGLE_CRASH_TTL_MS
         is_urgent = bool(entry.open_crashes)
         peers.publish(CRASH_TOPIC, entry.fingerprint, octets, ttl_ms, urgent=is_urgent)
-        if is_stored:
-            put(f"{CRASH_PREFIX}{entry.fingerprint}/{host}", octets)
-            stored.pop(entry.fingerprint, None)
-            stored[entry.fingerprint] = None
-            if len(stored) > MAX_REQUESTS:
-                del stored[next(iter(stored))]
+        if not is_stored:
+            return
+        stored.pop(entry.fingerprint, None)
+        stored[entry.fingerprint] = None
+        if len(stored) > MAX_REQUESTS:
+            del stored[next(iter(stored))]
+        if entry.is_convicted:
+            write(entry.fingerprint)
+        else:
+            schedule(entry.fingerprint, write)
 
     def merge_update(update: EntryUpdate) -> None:
         merge_crashes(record, update.value, update.owner)
