Take a key as removed only if that is its last change in a batch of the store's

Cause: both clients of the store sorted the events of a batch into writes and removals, and the mirror applied all writes first.

Now one function makes the batch for both, with the last change of each key by revision. The changes that hosts exchange were right: they hold the state of keys.

--- a/features/site_mirror.feature
+++ b/features/site_mirror.feature
@@ -16,6 +16,17 @@
     Given a mirror with a key that was removed after revision 10
     Then a host at revision 10 no longer has it after an update
 
+  # Guards against a key that is missing until its next write, as it was removed and written again
+  # within one batch of a watch, or that stays although it was removed.
+  Scenario Outline: a mirror equals the store whatever <store> reports together
+    When 300 drawn histories of <store> are reported in drawn batches, each in a drawn order
+    Then the mirror equals the store after each batch, and so does that of a host which follows it
+
+    Examples:
+      | store               |
+      | the platform's store |
+      | the own store        |
+
   Scenario: a replica whose record expired in a store outage is kept for 2 s
     Given a view of a site with one replica
     When the store answers again after an outage and the replica's record is missing
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -7,14 +7,29 @@
 import json
 import random
 from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
 
 import msgspec
 from behave import given, then, when
+from expression import Ok
 from features.support.memory_store import MemoryState, MemoryStore
 from features.support.mirror_fakes import CountingStore, FakePeers
 from features.support.mirror_site import MirrorSite
 from features.support.virtual_time import run_virtually
-
+from hypothesis import given as given_drawn
+from hypothesis import settings as drawn_settings
+from hypothesis import strategies as st
+
+from pimentodale.addresses import Address
+from pimentodale.clients.etcd_gateway import read_watch_line
+from pimentodale.clients.etcd_messages import (
+    EtcdKeyValue,
+    Header,
+    WatchEvent,
+    WatchLine,
+    WatchResponse,
+)
+from pimentodale.clients.http_call import CallReply
 from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.gateway.registration import keep_registered
@@ -22,14 +37,18 @@
 from pimentodale.mirror.mirror import Mirror, create_mirror
 from pimentodale.peers.mesh import choose_watchers
 from pimentodale.peers.messages import MemberState
+from pimentodale.platform import store as platform_store
 from pimentodale.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from pimentodale.platform.replica_records import REPLICA_PREFIX, decode_replica
+from pimentodale.platform.store import PlatformStore
 from pimentodale.site.view import HOST_PREFIX, SiteRecords, create_site_view
 from pimentodale.standin.platform_store_state import StoreTxn
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pimentodale.clients.key_value import WatchBatch
+
 RECORDS = SiteRecords(CONFIGURATION_KEY, REPLICA_PREFIX, decode_configuration, decode_replica)
 REPLICA_KEY = REPLICA_PREFIX + "i-1"
 
@@ -113,6 +132,93 @@
     assert behind.items == {}
 
 
+WRITES = st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=14)
+"""Drawn histories: keys in the order in which they are written or removed."""
+
+
+@when("{count:d} drawn histories of {store} are reported in drawn batches, each in a drawn order")
+def report_histories(context: Any, count: int, store: str) -> None:
+    decode = decode_platform_batch if store == "the platform's store" else decode_own_batch
+    context.drawn = 0
+
+    @drawn_settings(max_examples=count, derandomize=True, deadline=None, database=None)
+    @given_drawn(WRITES, st.randoms(use_true_random=False))
+    def report(writes: list[tuple[str, bool]], rng: random.Random) -> None:
+        context.drawn += 1
+        compare_after_each(writes, rng, decode)
+
+    report()
+
+
+@then("the mirror equals the store after each batch, and so does that of a host which follows it")
+def check_drawn(context: Any) -> None:
+    print(f"{context.drawn} histories")
+    assert context.drawn > 100, context.drawn
+
+
+def compare_after_each(
+    writes: list[tuple[str, bool]],
+    rng: random.Random,
+    decode: Callable[[list[tuple[str, int, bool]], int], WatchBatch],
+) -> None:
+    """Report changes in batches; compare the mirror, and at times a follower, with the store."""
+    mirror, behind = create_mirror(ManualClock()), create_mirror(ManualClock())
+    held: dict[str, int] = {}
+    batch: list[tuple[str, int, bool]] = []
+    for revision, (key, is_removed) in enumerate(writes, 2):
+        if is_removed and held.pop(key, None) is None:
+            continue
+        if not is_removed:
+            held[key] = revision
+        batch.append((key, revision, is_removed))
+        if rng.random() < 0.6 and revision <= len(writes):
+            continue
+        rng.shuffle(batch)
+        changes = decode(batch, revision)
+        mirror.apply_changes(changes.revision, changes.puts, changes.deletes)
+        batch = []
+        assert {key: item.mod_revision for key, item in mirror.items.items()} == held
+        if rng.random() < 0.5:
+            behind.apply(mirror.changes_since(behind.revision), "h1")
+            assert behind.items == mirror.items
+
+
+def decode_platform_batch(changes: list[tuple[str, int, bool]], revision: int) -> WatchBatch:
+    """Return a batch as the platform's adapter reads it from an answer to a watch."""
+    events = [
+        {"key": key, "revision": changed}
+        | ({"deleted": True} if is_removed else {"value": "dg==", "created": changed})
+        for key, changed, is_removed in changes
+    ]
+    body = json.dumps({"events": events, "at": revision}).encode()
+
+    async def answer(*_arguments: object) -> Any:
+        return Ok(CallReply(200, {}, body))
+
+    async def watch() -> WatchBatch:
+        store = PlatformStore(Address("127.0.0.1", 1))
+        async for batch in store.watch("", 1, 5_000.0):
+            return batch.ok
+        raise AssertionError("the watch ended")
+
+    with patch.object(platform_store, "fetch", answer):
+        return asyncio.run(watch())
+
+
+def decode_own_batch(changes: list[tuple[str, int, bool]], revision: int) -> WatchBatch:
+    """Return a batch as the client of the own key-value service reads it from a line of a watch."""
+    events = [
+        WatchEvent(
+            "DELETE" if is_removed else "PUT",
+            EtcdKeyValue(key.encode(), mod_revision=str(changed)),
+        )
+        for key, changed, is_removed in changes
+    ]
+    header = Header(revision=str(revision))
+    line = msgspec.json.encode(WatchLine(WatchResponse(header=header, events=events)))
+    return read_watch_line(line).ok
+
+
 @given("a view of a site with one replica")
 def view_with_replica(context: Any) -> None:
     context.clock = ManualClock(100_000.0)
--- a/src/pimentodale/clients/etcd_gateway.py
+++ b/src/pimentodale/clients/etcd_gateway.py
@@ -39,6 +39,7 @@
     StoreFault,
     TxnReply,
     WatchBatch,
+    create_watch_batch,
     prefix_end,
 )
 from pimentodale.clock import MS_PER_S
@@ -157,7 +158,7 @@
                     return
                 *lines, buffer = buffer.split(b"\n")
                 for line in lines:
-                    batch = _read_line(line)
+                    batch = read_watch_line(line)
                     yield batch
                     if batch.is_error():
                         return
@@ -238,7 +239,7 @@
     return StoreFault(write and reply.status >= 500, text)
 
 
-def _read_line(line: bytes) -> Result[WatchBatch, StoreFault]:
+def read_watch_line(line: bytes) -> Result[WatchBatch, StoreFault]:
     """Read one line of a watch."""
     try:
         response = msgspec.json.decode(line, type=WatchLine).result
@@ -246,9 +247,8 @@
         return Error(StoreFault(False, f"a line of the watch can't be read: {error}"))
     if response.canceled:
         return Error(_cancelled(response))
-    puts = [_import(event.kv) for event in response.events if event.type == "PUT"]
-    deletes = [event.kv.key.decode() for event in response.events if event.type == "DELETE"]
-    return Ok(WatchBatch(int(response.header.revision), puts, deletes))
+    changes = [(_import(event.kv), event.type == "DELETE") for event in response.events]
+    return Ok(create_watch_batch(int(response.header.revision), changes))
 
 
 def _cancelled(response: WatchResponse) -> StoreFault:
--- a/src/pimentodale/clients/key_value.py
+++ b/src/pimentodale/clients/key_value.py
@@ -124,12 +124,33 @@
     """Keys written, in order."""
 
     deletes: list[str]
-    """Keys removed."""
+    """Keys that were removed, and not written again since."""
 
     era: int = 0
     """The service's era, as in `RangeReply`."""
 
 
+def create_watch_batch(
+    revision: int, changes: Sequence[tuple[KeyValue, bool]], era: int = 0
+) -> WatchBatch:
+    """Return changes reported together as a batch.
+
+    A key counts as removed if that is its last change by revision, in whatever order they come.
+
+    Args:
+        revision: The service's revision up to which changes have been reported.
+        changes: The keys as changed, each with whether it was removed.
+        era: The service's era.
+    """
+    last: dict[str, tuple[int, bool]] = {}
+    for item, is_removed in changes:
+        if item.mod_revision >= last.get(item.key, (0, False))[0]:
+            last[item.key] = (item.mod_revision, is_removed)
+    puts = [item for item, is_removed in changes if not is_removed]
+    deletes = [key for key, (_, is_removed) in last.items() if is_removed]
+    return WatchBatch(revision, puts, deletes, era)
+
+
 class KeyValueStore(Protocol):
     """What the project asks of the key-value service. Every call is bounded in time."""
 
--- a/src/pimentodale/platform/store.py
+++ b/src/pimentodale/platform/store.py
@@ -19,6 +19,7 @@
     StoreFault,
     TxnReply,
     WatchBatch,
+    create_watch_batch,
     prefix_end,
 )
 from pimentodale.foreign_bytes import UNREADABLE
@@ -258,9 +259,8 @@
                 return
             events, era = reply.ok
             after = max(after, events.at)
-            puts = [_key_value(item) for item in events.events if not item.deleted]
-            deletes = [item.key for item in events.events if item.deleted]
-            yield Ok(WatchBatch(after, puts, deletes, era))
+            changes = [(_key_value(item), item.deleted) for item in events.events]
+            yield Ok(create_watch_batch(after, changes, era))
 
     async def _read_one(self, key: str) -> Result[RangeReply, StoreFault]:
         """Read one key."""
