Give back a trial after a rejected one without losing its turn, and take none without a replica

What callers could see: a harmless request waited for its next trial until 30 s after the last crash where the trial after a rejected one reached no replica, or its key couldn't be stored.

Cause: the note of the rejection went with any change of the number of trials. It tells now which trial it is about, and counts as long as that one is the last.

Evidence: the new scenario and the row of the plain request fail on the code before (run with each part of the change taken out) and hold now.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -165,11 +165,22 @@
 
   # Guards against trials that are taken and given back as long as no path is complete, and harmless
   # requests that are told meanwhile that they crash replicas (soak, seed 2).
-  Scenario: a stream that may be harmless gets no trial while the model isn't loaded, and may come back
+  Scenario Outline: a <kind> that may be harmless gets no trial while nothing can run it, and may come back
     Given a host that refuses two requests for the same three crashes
-    When one of them is sent as a stream after 1100 ms, and no path is complete
+    When one of them is sent as a <kind> after 1100 ms, and nothing can run it
     Then it is answered 503 with a Retry-After, and its trial is left
 
+    Examples:
+      | kind          |
+      | stream        |
+      | plain request |
+
+  # Guards against harmless requests that wait for 30 s, as the trial after a rejected one was given back.
+  Scenario: a trial that follows a rejected one and reaches no replica is not used up
+    Given a host that refuses two requests for the same three crashes
+    When a replica rejects one of them in its trial, and after 2100 ms the next trial reaches none
+    Then it runs in a trial again
+
   # Guards against requests that are refused while a trial that is due shows them to be harmless.
   Scenario: a request that ran beside one that crashes replicas waits for the trial of another client's
     Given a host that refuses two requests for the same three crashes
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -26,6 +26,7 @@
 from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.forwarding.crash_detector import create_crash_detector
+from pimentodale.forwarding.plain_requests import serve_plain
 from pimentodale.forwarding.streams import serve_stream
 from pimentodale.leaving.leaving_servers import create_leaving_servers
 from pimentodale.mirror.mirror import create_mirror
@@ -500,28 +501,48 @@
     return is_refused, (time.monotonic() - started_s) * 1_000.0
 
 
-@when("one of them is sent as a stream after {after_ms:d} ms, and no path is complete")
-def send_without_path(context: Any, after_ms: int) -> None:
+@when("one of them is sent as a {kind} after {after_ms:d} ms, and nothing can run it")
+def send_in_vain(context: Any, kind: str, after_ms: int) -> None:
     context.answers = []
-    asyncio.run(stream_without_path(context, after_ms))
+    asyncio.run(serve_in_vain(context, kind, after_ms))
 
 
-async def stream_without_path(context: Any, after_ms: int) -> None:
-    """Serve a stream of a model whose layers are not all held."""
+async def serve_in_vain(context: Any, kind: str, after_ms: int) -> None:
+    """Serve a request whose replicas don't hold the whole model, or that has no replica."""
 
     async def answer(status: int, headers: list[tuple[str, str]], _body: bytes) -> None:
         context.answers.append((status, dict(headers)))
 
-    routed = SentRequest(POISON)
-    routed.service = SimpleNamespace(engine=SimpleNamespace(layers=8))
+    routed: Any = SentRequest(POISON)
+    routed.service = SimpleNamespace(name="s", engine=SimpleNamespace(layers=8))
     routed.exchange = SimpleNamespace(request=None, answer=answer, is_begun=False)
     ctx: Any = SimpleNamespace(crashes=context.detector, rng=random.Random(context.site.seed))
     await asyncio.sleep(after_ms / 1_000.0)
     with (
         patch("pimentodale.forwarding.streams.covers_model", return_value=False),
+        patch("pimentodale.forwarding.plain_requests.choose_replica", return_value=None),
         patch("pimentodale.forwarding.error_responses.log_end"),
     ):
-        await serve_stream(ctx, cast("Any", None), cast("Any", routed))
+        if kind == "stream":
+            await serve_stream(ctx, cast("Any", None), routed)
+        else:
+            await serve_plain(ctx, routed)
+    context.repeated = SentRequest(POISON)
+    await context.detector.is_refused(context.repeated)
+
+
+@when(
+    "a replica rejects one of them in its trial, and after {after_ms:d} ms the next trial reaches none"
+)
+def reach_none_in_second(context: Any, after_ms: int) -> None:
+    asyncio.run(send_after_unused_trial(context, after_ms))
+
+
+async def send_after_unused_trial(context: Any, after_ms: int) -> None:
+    """Send a request after a trial that a replica rejected and one that reached none."""
+    unused = await send_after_rejection(context.detector, after_ms)
+    assert unused.is_on_trial
+    await note_ended(context, unused)
     context.repeated = SentRequest(POISON)
     await context.detector.is_refused(context.repeated)
 
--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -71,6 +71,10 @@
 
 async def serve_plain(ctx: ForwardingContext, routed: RoutedRequest) -> None:
     """Answer a request with the response of a replica of a plain service."""
+    if ctx.crashes.may_be_cleared(routed) and not choose_replica(ctx, routed.service.name, set()):
+        # A trial needs a replica.
+        await refuse_quarantined(ctx, routed)
+        return
     sends = _PlainSends(ctx, routed)
     try:
         while True:
--- a/src/pimentodale/quarantine/retrials.py
+++ b/src/pimentodale/quarantine/retrials.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-import math
 import secrets
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from pimentodale.clients.key_value import Compare, Delete, Put
 from pimentodale.logs import get_log
@@ -43,6 +42,18 @@
 _log = get_log("crashes")
 
 
+class _Rejection(NamedTuple):
+    """A trial that a replica rejected, by its number, and when."""
+
+    trial: int
+    at_ms: float
+
+    @property
+    def next_ms(self) -> float:
+        """Earliest time of the next trial."""
+        return self.at_ms + EARLY_TRIAL_AFTER_MS * BACKOFF_FACTOR**self.trial
+
+
 class Retrials:
     """Acquires trials of convicted requests for one host."""
 
@@ -51,7 +62,7 @@
         "_is_store_settled",
         "_owner_id",
         "_record",
-        "_rejected_ms",
+        "_rejected",
         "_store",
         "_store_retry_at_ms",
         "_taken",
@@ -68,7 +79,7 @@
         self._owner_id = f"{host}/{secrets.token_hex(8)}".encode()
         self._clock = clock
         self._record = record
-        self._rejected_ms: dict[str, float] = {}
+        self._rejected: dict[str, _Rejection] = {}
         self._store = store
         self._is_store_settled = is_store_settled
         self._taken: dict[str, int] = {}
@@ -99,13 +110,14 @@
 
         It counts as one, but if the request may be harmless its next trial is allowed soon.
         """
-        if self._taken.get(fingerprint, 0) == 0:
+        trial = self._taken.get(fingerprint, 0)
+        if trial == 0:
             return
-        self._rejected_ms[fingerprint] = self._clock.now_ms()
+        self._rejected[fingerprint] = _Rejection(trial, self._clock.now_ms())
         _log.info(
             "A replica rejected a convicted request in its trial.",
             fingerprint=fingerprint,
-            trial=self._taken[fingerprint],
+            trial=trial,
         )
 
     async def release(self, fingerprint: str) -> None:
@@ -136,13 +148,12 @@
         if ms_since_change < EARLY_TRIAL_AFTER_MS or not self._record.is_doubtful(fingerprint):
             return due
         due += 1
-        taken = self._taken.get(fingerprint, 0)
-        rejected_ms = self._rejected_ms.get(fingerprint, math.inf)
-        if taken <= len(TRIALS_AFTER_MS) and self._clock.now_ms() >= rejected_ms + _backoff_ms(
-            taken
-        ):
-            return max(due, taken + 1)
-        return due
+        rejection = self._rejected.get(fingerprint)
+        if rejection is None or rejection.trial != self._taken.get(fingerprint, 0):
+            return due
+        if rejection.trial > len(TRIALS_AFTER_MS) or self._clock.now_ms() < rejection.next_ms:
+            return due
+        return max(due, rejection.trial + 1)
 
     async def _create(self, key: str) -> bool | None:
         """Create the key of a trial; False if another host did, `None` if the store call failed."""
@@ -159,19 +170,13 @@
     def _note_taken(self, fingerprint: str, trials: int) -> None:
         """Record the number of acquired trials of a request, evicting the oldest entry if full."""
         self._taken.pop(fingerprint, None)
-        self._rejected_ms.pop(fingerprint, None)
         if len(self._taken) >= MAX_REQUESTS:
             oldest = next(iter(self._taken))
             del self._taken[oldest]
-            self._rejected_ms.pop(oldest, None)
+            self._rejected.pop(oldest, None)
         self._taken[fingerprint] = trials
 
 
-def _backoff_ms(trials: int) -> float:
-    """Return the time from a rejected trial to the next one, by the number of trials so far."""
-    return EARLY_TRIAL_AFTER_MS * BACKOFF_FACTOR**trials
-
-
 def create_retrials(
     host: str,
     clock: Clock,
