--- a/features/steps/http_call.py
+++ b/features/steps/http_call.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from pathlib import Path
 from typing import Any
 
 from behave import given, then, when
@@ -54,3 +56,52 @@
 @then("the reader ends as cancelled")
 def check_cancelled(context: Any) -> None:
     assert context.cancelled
+
+
+@when(
+    "{rate:d} calls a second go for {length_s:d} s to an address that swallows packets, and {what}"
+    " after {after_ms:d} ms"
+)
+def call_in_vain(context: Any, rate: int, length_s: int, what: str, after_ms: int) -> None:
+    # A listener whose backlog is full drops what else arrives.
+    listener = socket.create_server((context.site.ip(7), 9000), backlog=0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+    try:
+        timeout_ms = 60_000.0 if "left" in what else float(after_ms)
+        asyncio.run(call_for(context, rate, length_s, after_ms, timeout_ms))
+    finally:
+        for each in (listener, *fillers):
+            each.close()
+
+
+async def call_for(
+    context: Any, rate: int, length_s: int, after_ms: int, timeout_ms: float
+) -> None:
+    """Start calls at a rate, cancel each after a time, and note the most descriptors in use."""
+    address, request = Address(context.site.ip(7), 9000), CallRequest(method="GET", path="/")
+    running: set[asyncio.Task[Any]] = set()
+    loop = asyncio.get_running_loop()
+    before = count_descriptors()
+    context.most = 0
+    for _ in range(rate * length_s):
+        call = asyncio.create_task(open_call(address, request, 60_000.0, timeout_ms))
+        running.add(call)
+        call.add_done_callback(running.discard)
+        loop.call_later(1.5 * after_ms / 1_000.0, call.cancel)
+        await asyncio.sleep(1.0 / rate)
+        context.most = max(context.most, count_descriptors() - before)
+    assert running, "the calls have ended at once"
+    await asyncio.wait(running)
+
+
+def count_descriptors() -> int:
+    return len(list(Path("/proc/self/fd").iterdir()))
+
+
+@then("the process never had more than {most:d} descriptors beyond those of before")
+def check_descriptors(context: Any, most: int) -> None:
+    print(f"at most {context.most} descriptors")
+    assert 0 < context.most <= most, context.most
