Let no part excuse another one for crashes in which its own streams had been writing

The deadly part crashed eleven replicas until 22 s.

Its streams had been writing (up to 45 events) as the replicas went, while the deadly one's requests had no event at all.

Now a part can explain only crashes that didn't come later in its own requests than in those of the part that it excuses. A common part has all crashes of the deadly one's requests, at the same events, so that the deadly part still excuses it, also where it crashes after some events.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -116,6 +116,13 @@
     When 5 streams with the parts a lose their replica after they have written 12 events
     Then a request with the parts a and b is refused
 
+  # Guards against parts of streams that had been writing on the replicas of a deadly part, and excuse it
+  # (the day of issue 31, seed 3).
+  Scenario: a part isn't excused by a rarer one whose streams had been writing as replicas crashed
+    Given a host that has just started
+    When two streams with the part w that had written lose their replica with each of 6 requests with the part y
+    Then a request with the parts y and c is refused
+
   # Guards against the trial of a common part that is used up by a request with the deadly one.
   Scenario: a request with two refused parts gets no trial, and one with the common part alone does
     Given a host that has just started
--- a/features/steps/deadly_parts.py
+++ b/features/steps/deadly_parts.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from behave import given, then, when
 from features.steps.crashing_requests import SentRequest
@@ -24,6 +24,9 @@
 from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.site.replica_health import create_replica_health
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 SOUND_CALLERS = 4
 """Callers of sound requests at each gateway."""
 
@@ -195,12 +198,17 @@
         if is_lost:
             del self.replicas[name]
 
-    async def crash_together(self, requests: list[SentRequest]) -> None:
-        """Crash one replica under several requests."""
+    async def crash_together(
+        self, requests: list[SentRequest], writing: Sequence[SentRequest] = ()
+    ) -> None:
+        """Crash one replica under several requests, and streams that had been writing."""
         name = next(iter(self.replicas))
         executed_on = self.detector.list_alive([name])
         for request in requests:
             self.detector.observe_send(request, executed_on)
+        for request in writing:
+            request.has_progressed = True
+            self.detector.observe_send(request, executed_on, events=WRITTEN_EVENTS)
         self.replicas[name] = replica(name, "a", "card", None, started_ms=99)
         for _ in range(30):
             await asyncio.sleep(0)
@@ -410,6 +418,21 @@
         asyncio.run(context.host.crash_together(requests))
 
 
+@when(
+    "two streams with the part w that had written lose their replica with each of {count:d} requests"
+    " with the part y"
+)
+def crash_beside_writing(context: Any, count: int) -> None:
+    come(context, "w")
+    for _ in range(2):
+        come(context, "y")
+    for number in range(count):
+        writing = [create_request("w", 50), create_request("w", 51)]
+        asyncio.run(context.host.crash_together([create_request("y", 40 + number)], writing))
+    entry = context.host.record.find(part_keys(["w"])[0])
+    assert entry is not None and entry.is_convicted, entry
+
+
 @when("1.2 s pass")
 def pass_early(context: Any) -> None:
     context.clock.advance(1_200.0)
--- a/src/pimentodale/forwarding/crash_detector.py
+++ b/src/pimentodale/forwarding/crash_detector.py
@@ -297,13 +297,19 @@
         A part of a single stream that crashed beside a deadly one is rarer still, so the crashes have
         to be under several requests.
         """
-        entry = self.record.find(other)
-        if entry is None or not is_part_key(other) or len(entry.requests) < MAX_REQUESTS_OF_PART:
+        entry, own = self.record.find(other), self.record.find(key)
+        if entry is None or own is None or not is_part_key(other):
             return False
-        if self.sound_parts.has(other) or not self.sound_parts.is_rarer(other, key):
+        if len(entry.requests) < MAX_REQUESTS_OF_PART or self.sound_parts.has(other):
             return False
-        crashes = self.record.open_crashes(key)
-        return len(crashes & entry.open_crashes) >= MIN_SHARED_FRACTION * len(crashes)
+        if not self.sound_parts.is_rarer(other, key):
+            return False
+        # Streams that had been writing when a replica crashed at the start of another request are
+        # not the cause.
+        later = set(entry.late).difference(own.late)
+        crashes = own.open_crashes
+        shared = crashes.intersection(entry.open_crashes) - later
+        return len(shared) >= MIN_SHARED_FRACTION * len(crashes)
 
     async def _acquire_trial(self, routed: RoutedRequest) -> bool:
         """Acquire a trial run of a convicted request that has not been sent, if one is due."""
