Tell a request whose trial was rejected that it may come back

Cause: the refusal that a trial may yet lift was kept for requests that hadn't been sent. Now for those whose sends were all rejected: 503, not run, is true of them. Where one may have run it is 502 as before.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -175,6 +175,18 @@
       | stream        |
       | plain request |
 
+  # Guards against the request of a rejected trial that is told it crashed replicas (soak, seed 507).
+  Scenario Outline: a refused request that may be harmless and was <what> is answered <status>
+    Given a host that refuses two requests for the same three crashes
+    When one of them is refused after <sends> sends, of which <rejections> were rejected
+    Then it is answered with status <status>
+
+    Examples:
+      | what              | sends | rejections | status |
+      | not sent          | 0     | 0          | 503    |
+      | rejected          | 1     | 1          | 503    |
+      | perhaps run       | 2     | 1          | 502    |
+
   # Guards against harmless requests that wait for 30 s, as the trial after a rejected one was given back.
   Scenario: a trial that follows a rejected one and reaches no replica is not used up
     Given a host that refuses two requests for the same three crashes
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -26,6 +26,7 @@
 from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.forwarding.crash_detector import create_crash_detector
+from pimentodale.forwarding.error_responses import refuse_quarantined
 from pimentodale.forwarding.plain_requests import serve_plain
 from pimentodale.forwarding.streams import serve_stream
 from pimentodale.leaving.leaving_servers import create_leaving_servers
@@ -547,6 +548,25 @@
     await context.detector.is_refused(context.repeated)
 
 
+@when("one of them is refused after {sends:d} sends, of which {rejections:d} were rejected")
+def refuse_after(context: Any, sends: int, rejections: int) -> None:
+    context.answers = []
+
+    async def answer(status: int, headers: list[tuple[str, str]], _body: bytes) -> None:
+        context.answers.append((status, dict(headers)))
+
+    routed: Any = SentRequest(POISON, sends=sends, rejections=rejections)
+    routed.exchange = SimpleNamespace(answer=answer, is_begun=False)
+    ctx: Any = SimpleNamespace(crashes=context.detector, rng=random.Random(context.site.seed))
+    with patch("pimentodale.forwarding.error_responses.log_end"):
+        asyncio.run(refuse_quarantined(ctx, routed))
+
+
+@then("it is answered with status {status:d}")
+def check_status(context: Any, status: int) -> None:
+    assert [each for each, _ in context.answers] == [status], context.answers
+
+
 @then("it is answered 503 with a Retry-After, and its trial is left")
 def check_may_come_back(context: Any) -> None:
     ((status, headers),) = context.answers
--- a/src/pimentodale/forwarding/error_responses.py
+++ b/src/pimentodale/forwarding/error_responses.py
@@ -66,7 +66,7 @@
     It may come back if a trial may yet clear it. Otherwise it crashes its replicas, so an unchanged
     retry is pointless.
     """
-    if routed.sends == 0 and ctx.crashes.may_be_cleared(routed):
+    if routed.rejections == routed.sends and ctx.crashes.may_be_cleared(routed):
         log_end(ctx, routed, ResultCode.QUARANTINED, 503)
         message = (
             "It may have crashed replicas, which a trial will show; it has not run, come back."
