Give each layer a second holder where a failure domain has memory for two copies

Cause: on a site of 99 replicas with kinds of 3.1, 15 and 16 times the step time, the planner gave the first layers of each failure domain to one fast replica and everything else up to six holders. A head takes 96 streams, so bursts waited for its slots (median first event 412 to 555 ms, targets 500 and 600), and its loss ended all paths of the domain. Ruled out: memory (two holders of each range hold over 200 streams) and the links (45 of 2,100 streams crossed).

Change: for empty replicas a layer with a single holder counts as slow (pace 200) where the domain's replicas have memory for 2.25 copies. Smaller domains, also those of the first sites, are placed as before.

The new scenario fails before. A threshold of exactly two copies failed the comparison with an exhaustive search on small fleets, as ranges don't tile the layers.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -36,6 +36,16 @@
     Then only the fast replica was moved
     And a token takes at most 0.75 times as long as before
 
+  # Guards against a single holder of the first layers: its slots limited a failure domain to 96
+  # streams, so that bursts waited for them, and its loss ended every path within the domain.
+  Scenario: failure domains with memory for two copies hold each layer twice
+    Given a fleet whose kinds of accelerators are spread unevenly over three failure domains
+    When layers are placed until nothing changes
+    Then each layer has at least two holders in each failure domain
+    And no replica holds more layers than fit in memory together with its requests
+    And after the loss of any replica there is still a path within each failure domain
+    And each failure domain serves 150 streams at once, each event of two tokens within 125 ms
+
   Scenario: a stable placement is planned again only after a change
     Given a fleet like Trekvast's with its layers placed
     Then it is planned once while nothing changes, and again after each change
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -11,10 +11,13 @@
 
 from behave import given, then, when
 from features.support.engine_fleet import (
+    UNEVEN,
     create_engine,
+    create_holders,
     create_small_engine,
     create_trekvast_holders,
     create_trekvast_stages,
+    create_uneven_engine,
     place_until_stable,
     replica,
 )
@@ -217,6 +220,57 @@
     assert pace <= 0.75 * context.pace_before, (pace, context.pace_before)
 
 
+@given("a fleet whose kinds of accelerators are spread unevenly over three failure domains")
+def uneven_fleet(context: Any) -> None:
+    context.engine = create_uneven_engine()
+    context.holders = create_holders(UNEVEN)
+
+
+@then("each layer has at least two holders in each failure domain")
+def check_two_holders(context: Any) -> None:
+    counts: Counter[tuple[str, int]] = Counter()
+    for holder in context.holders:
+        for layer in range(holder.held.first, holder.held.end):
+            counts[holder.failure_domain, layer] += 1
+    layers = range(context.engine.layers)
+    single = [key for key in itertools.product(UNEVEN, layers) if counts[key] < 2]
+    assert not single, single
+
+
+@then("after the loss of any replica there is still a path within each failure domain")
+def check_paths_after_loss(context: Any) -> None:
+    for lost in context.holders:
+        stages = [
+            stage
+            for stage in create_trekvast_stages(context.holders)
+            if stage.record.failure_domain == lost.failure_domain
+            if stage.record.replica_id != lost.replica_id
+        ]
+        requirements = PathRequirements(lost.failure_domain, 900.0)
+        assert find_path(context.engine, stages, requirements) is not None, lost
+
+
+@then(
+    "each failure domain serves {count:d} streams at once, each event of two tokens within {limit_ms:d} ms",
+)
+def check_concurrent_streams(context: Any, count: int, limit_ms: int) -> None:
+    for domain in UNEVEN:
+        stages = [
+            stage
+            for stage in create_trekvast_stages(context.holders)
+            if stage.record.failure_domain == domain
+        ]
+        by_id = {stage.record.replica_id: stage for stage in stages}
+        for _ in range(count):
+            path = find_path(context.engine, stages, PathRequirements(domain, 900.0))
+            assert path is not None and 2 * path.token_ms <= limit_ms, (domain, path)
+            for index, part in enumerate(path.parts):
+                stage = by_id[part.replica_id]
+                stage.streams += 1
+                stage.headed += index == 0
+                stage.kv_in_use += 900.0 * len(part.layers)
+
+
 @then("it is planned once while nothing changes, and again after each change")
 def check_plan_cache(context: Any) -> None:
     made = []
--- a/features/support/engine_fleet.py
+++ b/features/support/engine_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
 from pimentodale.addresses import Address
@@ -16,6 +17,13 @@
 }
 """Replicas by failure domain and kind."""
 
+UNEVEN: Final = {
+    "north": {"a100s": 1, "l4": 22, "t4": 12},
+    "south": {"a100s": 4, "l4": 9, "t4": 14},
+    "east": {"a100s": 2, "l4": 13, "t4": 22},
+}
+"""Replicas of a larger fleet whose kinds are spread unevenly over its failure domains."""
+
 MAX_ROUNDS: Final = 20
 """Plans after which a placement must have come to rest."""
 
@@ -79,16 +87,46 @@
     return ReplicaRecord(name, "lm", address, domain, False, started_ms, kind, held, 96)
 
 
-def create_trekvast_holders() -> list[LayerHolder]:
-    """Return the replicas of a fleet like Trekvast's, all empty."""
+def create_uneven_engine() -> EngineModel:
+    """Return the engine of a larger fleet whose kinds differ five times in pace."""
+    return replace(
+        create_engine(),
+        step_ms=0.85,
+        per_sequence_ms=0.00234,
+        per_context_k_ms=0.00313,
+        prefill_tokens_per_ms=321.0,
+        tokens_per_event=2,
+        kv_bytes_per_token=360_000.0,
+        mean_answer_tokens=138.0,
+        kinds={
+            "a100s": AcceleratorKind(36_000.0, 3.1, 3.2),
+            "l4": AcceleratorKind(21_600.0, 16.0, 8.2),
+            "t4": AcceleratorKind(14_400.0, 15.0, 15.0),
+        },
+        activation_bytes=18_000.0,
+        pipe_mbps=2_720.0,
+    )
+
+
+def create_holders(fleet: dict[str, dict[str, int]]) -> list[LayerHolder]:
+    """Return the replicas of a fleet, all empty.
+
+    Args:
+        fleet: Number of replicas by failure domain and kind.
+    """
     holders = []
-    for domain, kinds in TREKVAST.items():
+    for domain, kinds in fleet.items():
         for kind, count in kinds.items():
             for number in range(count):
                 holders.append(LayerHolder(f"{domain}-{kind}-{number}", domain, kind, None))
     return holders
 
 
+def create_trekvast_holders() -> list[LayerHolder]:
+    """Return the replicas of a fleet like Trekvast's, all empty."""
+    return create_holders(TREKVAST)
+
+
 def create_trekvast_stages(holders: list[LayerHolder]) -> list[StageLoad]:
     """Return the holders as replicas without load."""
     return [
--- a/src/pimentodale/placement/planner.py
+++ b/src/pimentodale/placement/planner.py
@@ -31,6 +31,16 @@
 """Pace of a layer that no replica holds. A pace is a relative time per token, so lower is faster;
 those of accelerators are about 1 to 20."""
 
+SINGLE_HOLDER_PACE: Final = 200.0
+"""Pace of a layer with a single holder, for empty replicas of a failure domain with memory for two
+copies. The loss of that holder would end all paths within the domain, and a single holder of the
+first layer limits the domain to the streams that one replica may head."""
+
+REDUNDANT_COPIES: Final = 2.25
+"""Copies of the model that a failure domain must have memory for before its layers get a second
+holder. Ranges overlap, so memory for exactly two copies leaves some layers with one holder and
+takes speed from the others."""
+
 MIN_MOVE_GAIN: Final = GAP_PACE / 2
 """Minimum gain for which a replica is moved to close a gap."""
 
@@ -125,6 +135,7 @@
 def _fill_empty(engine: EngineModel, members: list[LayerHolder]) -> list[Assignment]:
     """Assign layers to every empty replica of a failure domain, fastest replicas first."""
     fraction = _weights_fraction(engine, members)
+    single_pace = SINGLE_HOLDER_PACE if _holds_copies(engine, members, REDUNDANT_COPIES) else 0.0
     assignments = []
     placed = [holder for holder in members if holder.held is not None]
     is_covered = not find_gaps(engine, placed)
@@ -136,7 +147,8 @@
             # Wait until it is known which peer it replaces.
             continue
         others = [other for other in members if other not in peers] if len(peers) == 1 else members
-        best, _ = _best_range(engine, holder.kind, _layer_paces(engine, others), fraction)
+        paces = _layer_paces(engine, others, single_pace)
+        best, _ = _best_range(engine, holder.kind, paces, fraction)
         if best is None:
             continue
         _assign(holder, best)
@@ -282,20 +294,42 @@
 
 def _weights_fraction(engine: EngineModel, members: Sequence[LayerHolder]) -> float:
     """Return the memory fraction for weights; larger if the usual one can't hold every layer."""
+    holds_copy = _holds_copies(engine, members, 1)
+    return WEIGHTS_FRACTION if holds_copy else TIGHT_WEIGHTS_FRACTION
+
+
+def _holds_copies(engine: EngineModel, members: Sequence[LayerHolder], copies: float) -> bool:
+    """Whether the usual memory fraction of a failure domain's replicas holds complete copies."""
     usual = sum(max_layers(engine, holder.kind, WEIGHTS_FRACTION) for holder in members)
-    return WEIGHTS_FRACTION if usual >= engine.layers else TIGHT_WEIGHTS_FRACTION
+    return usual >= copies * engine.layers
+
 
+def _layer_paces(
+    engine: EngineModel, holders: Sequence[LayerHolder], single_pace: float = 0.0
+) -> list[float]:
+    """Return the combined pace of the holders of each layer; `GAP_PACE` if there are none.
 
-def _layer_paces(engine: EngineModel, holders: Sequence[LayerHolder]) -> list[float]:
-    """Return the combined pace of the holders of each layer; `GAP_PACE` if there are none."""
+    Args:
+        engine: Performance figures of the model.
+        holders: The replicas that count.
+        single_pace: Lowest pace of a layer with a single holder.
+    """
     rates = [0.0] * engine.layers
+    counts = [0] * engine.layers
     for holder in holders:
         if holder.held is None:
             continue
         rate = 1.0 / engine.kinds[holder.kind].pace
         for layer in range(holder.held.first, min(holder.held.end, engine.layers)):
             rates[layer] += rate
-    return [1.0 / rate if rate > 0 else GAP_PACE for rate in rates]
+            counts[layer] += 1
+    paces = [1.0 / rate if rate > 0 else GAP_PACE for rate in rates]
+    if single_pace > 0.0:
+        paces = [
+            max(pace, single_pace) if count == 1 else pace
+            for pace, count in zip(paces, counts, strict=True)
+        ]
+    return paces
 
 
 def _best_range(
