Check the gateway's configuration record for what hosts refuse or ignore

Cause: hosts take records with negative timeouts, shadowed routes or a body limit of 0 without a word, and a decoding error names no line.

Errors come from the decoder that hosts use; what it accepts stays accepted and is at most a warning. Fields that the decoder clamps are read from the wire record, so its types are public within the package now.

--- a/src/pimentodale/ctl/main.py
+++ b/src/pimentodale/ctl/main.py
@@ -8,6 +8,7 @@
 import cappa
 
 from pimentodale import VERSION
+from pimentodale.ctl.check import GatewayCheckCommand, run_gateway_check
 from pimentodale.ctl.config import run_config
 from pimentodale.ctl.config_commands import ConfigCommand
 from pimentodale.ctl.explain import ExplainCommand, run_explain
@@ -21,7 +22,9 @@
 class CtlCommand:
     """Arguments of the program; a new group joins the union here and `main` below."""
 
-    command: cappa.Subcommands[ConfigCommand | HostStatusCommand | TokenCommand | ExplainCommand]
+    command: cappa.Subcommands[
+        ConfigCommand | GatewayCheckCommand | HostStatusCommand | TokenCommand | ExplainCommand
+    ]
 
 
 def main() -> None:
@@ -30,6 +33,8 @@
     command = cappa.parse(CtlCommand, version=VERSION).command
     if isinstance(command, ConfigCommand):
         sys.exit(run_config(command))
+    if isinstance(command, GatewayCheckCommand):
+        sys.exit(run_gateway_check(command))
     if isinstance(command, HostStatusCommand):
         sys.exit(run_status(command))
     if isinstance(command, ExplainCommand):
--- a/src/pimentodale/platform/configuration.py
+++ b/src/pimentodale/platform/configuration.py
@@ -24,19 +24,24 @@
 CONFIGURATION_KEY = "op/config"
 """Store key of the current configuration."""
 
-_REPEATABILITY = {
+REPEATABILITY = {
     "idempotent": Repeatability.IDEMPOTENT,
     "non_idempotent": Repeatability.ONCE,
     "streaming": Repeatability.STREAM,
 }
+"""Repeatability by the platform's word for a route's kind."""
 
 
-class _Split(msgspec.Struct):
+class WireSplit(msgspec.Struct):
+    """A service's share of a route, as the platform writes it."""
+
     service: str
     weight: float = 1.0
 
 
-class _Route(msgspec.Struct):
+class WireRoute(msgspec.Struct):
+    """A route, as the platform writes it."""
+
     host: str
     path_prefix: str
     name: str = ""
@@ -45,14 +50,16 @@
     target_latency_ms: float = 1_000.0
     priority: int = 5
     service: str = ""
-    traffic_split: list[_Split] = []
+    traffic_split: list[WireSplit] = []
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
 
 
-class _Kind(msgspec.Struct):
+class WireKind(msgspec.Struct):
+    """An accelerator kind, as the platform writes it."""
+
     name: str
     # Memory for layers and requests, in MB.
     mb: float
@@ -76,7 +83,9 @@
     delay_ms: float = 0.0
 
 
-class _Engine(msgspec.Struct):
+class WireEngine(msgspec.Struct):
+    """An engine's parameters, as the platform writes them."""
+
     slots: int = 1
     layers: int = 1
     layer_mb: float = 0.0
@@ -101,35 +110,58 @@
     delays: list[_Delay] = []
     usual: _TypicalRequest = msgspec.field(default_factory=_TypicalRequest)
     models: list[_Model] = []
-    kinds: list[_Kind] = []
+    kinds: list[WireKind] = []
+
 
+class WireService(msgspec.Struct):
+    """A service, as the platform writes it."""
 
-class _Service(msgspec.Struct):
     name: str
     health_path: str = "/health"
     max_conns: int = 0
-    engine: _Engine | None = None
+    engine: WireEngine | None = None
 
 
-class _Tenant(msgspec.Struct):
+class WireTenant(msgspec.Struct):
+    """A workspace, as the platform writes it."""
+
     name: str
     api_keys: list[str] = []
     priority: int | None = None
 
 
-class _Limits(msgspec.Struct):
+class WireLimits(msgspec.Struct):
+    """Limits on client requests, as the platform writes them."""
+
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
 
 
-class _Configuration(msgspec.Struct):
+class WireConfiguration(msgspec.Struct):
+    """The whole record, as the platform writes it."""
+
     version: int
-    routes: list[_Route] = []
-    services: list[_Service] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] | None = None
+
+
+def read_record(value: bytes) -> Result[WireConfiguration, str]:
+    """Read the record without translating it.
+
+    Args:
+        value: The record's JSON.
+
+    Returns:
+        The record, or the decoder's message.
+    """
+    try:
+        return Ok(msgspec.json.decode(value, type=WireConfiguration))
+    except UNREADABLE as error:
+        return Error(str(error))
 
 
 def decode_configuration(value: bytes) -> Result[SiteConfiguration, str]:
@@ -141,10 +173,10 @@
     Returns:
         The configuration, or the reason why it can't be decoded.
     """
-    try:
-        raw = msgspec.json.decode(value, type=_Configuration)
-    except UNREADABLE as error:
-        return Error(f"the configuration can't be read: {error}")
+    read = read_record(value)
+    if read.is_error():
+        return Error(f"the configuration can't be read: {read.error}")
+    raw = read.ok
     workspaces: dict[str, WorkspaceAccess] = {}
     for tenant in raw.tenants or []:
         access = WorkspaceAccess(tenant.name, tenant.priority)
@@ -161,19 +193,19 @@
     )
 
 
-def _limits_by_name(limits: _Limits) -> dict[str, Any]:
+def _limits_by_name(limits: WireLimits) -> dict[str, Any]:
     """Return the limits by name; the platform and `ClientLimits` use the same names."""
     return msgspec.structs.asdict(limits)
 
 
-def _route(raw: _Route) -> RouteRule:
+def _route(raw: WireRoute) -> RouteRule:
     """Translate one route."""
-    splits = raw.traffic_split or [_Split(raw.service)]
+    splits = raw.traffic_split or [WireSplit(raw.service)]
     return RouteRule(
         name=raw.name,
         host=raw.host.lower(),
         path_prefix=raw.path_prefix,
-        repeatability=_REPEATABILITY.get(raw.kind, Repeatability.ONCE),
+        repeatability=REPEATABILITY.get(raw.kind, Repeatability.ONCE),
         timeout_ms=math.inf if raw.timeout_ms is None else raw.timeout_ms,
         target_latency_ms=raw.target_latency_ms,
         priority=raw.priority,
@@ -185,13 +217,13 @@
     )
 
 
-def _service(raw: _Service) -> BackendService:
+def _service(raw: WireService) -> BackendService:
     """Translate one service."""
     engine = None if raw.engine is None else _engine(raw.engine)
     return BackendService(raw.name, raw.health_path, raw.max_conns, engine)
 
 
-def _engine(raw: _Engine) -> EngineModel:
+def _engine(raw: WireEngine) -> EngineModel:
     """Translate an engine's parameters."""
     load_s = max((model.load_s for model in raw.models), default=0.0)
     kinds = {
