--- a/features/ctl_check.feature
+++ b/features/ctl_check.feature
@@ -67,6 +67,7 @@
       | $.services[0].engine.layers is 0                      | limit   | is under 1               | "layers"              |
       | $.services[0].engine.step_ms is 0                     | limit   | must be over 0           | "step_ms"             |
       | $.services[0].engine.pipe_mbps is -1                  | limit   | is under 0               | "pipe_mbps"           |
+      | $.services[0].engine.kinds[0].pace is 0               | limit   | must be over 0           | "pace"                |
       | $.tenants[0].priority is -1                           | limit   | is under 0               | "priority": -1        |
       | $.limits.max_header_bytes is 0                        | limit   | is under 1               | "max_header_bytes"    |
       | $.limits.max_body_bytes is 0                          | limit   | is under 1               | "max_body_bytes"      |
--- a/src/pimentodale/platform/configuration_check.py
+++ b/src/pimentodale/platform/configuration_check.py
@@ -363,6 +363,11 @@
     if not engine.kinds:
         report.limit(f"{path}.kinds", f"the engine of {name} has no kinds; no replica fits it")
         return
+    for index, kind in enumerate(engine.kinds):
+        for field_name in ("mb", "pace", "read_x"):
+            if getattr(kind, field_name) <= 0:
+                message = f"{field_name} of a kind of the engine of {name} must be over 0"
+                report.limit(f"{path}.kinds[{index}].{field_name}", message)
     most_mb = max(kind.mb for kind in engine.kinds)
     if engine.layer_mb >= most_mb:
         message = (
