Draw API keys only where keys stand in the property test of the check

Change: that text is drawn in `api_keys` alone, there also in wrong forms (a string, an object, a nested list) and as a key of another workspace. The assertions are unchanged.

--- a/features/steps/ctl_check.py
+++ b/features/steps/ctl_check.py
@@ -191,7 +191,15 @@
     st.integers(-(10**400), 10**400),
     st.floats(allow_nan=False, allow_infinity=False),
     st.text(max_size=9),
-    st.sampled_from([[], {}, [[]], [SECRET + "2"], SECRET + "2", {SECRET + "2": SECRET + "3"}]),
+    st.sampled_from([[], {}, [[]], ["odd"], {"odd": "odd"}]),
+)
+KEYS: Final = st.sampled_from(
+    [[SECRET + "2"], [SECRET + "1"], [[SECRET + "2"]], SECRET + "2", {SECRET + "2": SECRET + "3"}]
+)
+EDITS: Final = st.one_of(
+    st.tuples(st.sampled_from(PATHS), VALUES),
+    # Secrets are drawn only where keys stand, also in a wrong form: elsewhere a text is no key.
+    st.tuples(st.sampled_from(["$.tenants[0].api_keys", "$.tenants[1].api_keys"]), KEYS),
 )
 
 
@@ -200,7 +208,7 @@
     """Draw a configuration with up to three odd values, perhaps with an odd byte or cut short."""
     document = copy.deepcopy(SOUND)
     document["version"] = draw(st.sampled_from([8, 9, 7, 6]))
-    for path, value in draw(st.lists(st.tuples(st.sampled_from(PATHS), VALUES), max_size=3)):
+    for path, value in draw(st.lists(EDITS, max_size=3)):
         # An earlier edit may have removed what this one would change.
         with contextlib.suppress(KeyError, IndexError, TypeError, AttributeError):
             apply_edit(document, path, value)
