Move streams before their replicas exit, and at once after a loss

Cause: streams behind a leaving replica ran there until it exited. A loss was noticed at the next check, up to 100 ms late. A move whose best new part had become full was answered 409 and given up, as all hosts choose by loads that lag by up to 500 ms.

Change: an index of the running sends by replica wakes the streams concerned when a replica begins to drain, counts as down or loses its record. A stream of a lost replica is examined as soon as it has been silent for 90 ms. If a 409 names a part, that part is avoided and excluded for 150 ms, and one more path is tried. pimentodale_moves counts moves by reason.

--- a/features/steps/stalled_streams.py
+++ b/features/steps/stalled_streams.py
@@ -20,7 +20,7 @@
     StreamState,
     create_shared_stream_state,
 )
-from pimentodale.placement.messages import EngineReport, OrderOutcome, PathPart
+from pimentodale.placement.messages import EngineReport, OrderOutcome, PathPart, RepathAnswer
 from pimentodale.placement.paths import Path
 from pimentodale.site.model import LayerRange
 from pimentodale.site.replica_health import create_replica_health, incarnation_of
@@ -42,7 +42,7 @@
 
     async def repath(_record: Any, attempt_id: str, parts: Any, _fence: int) -> Any:
         context.moved.append((attempt_id, [part.replica_id for part in parts]))
-        return Ok(OrderOutcome.DONE)
+        return Ok(RepathAnswer(OrderOutcome.DONE))
 
     context.ctx = SimpleNamespace(
         clock=clock,
--- a/src/pimentodale/forwarding/overlapping_sends.py
+++ b/src/pimentodale/forwarding/overlapping_sends.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from pimentodale.clock import MS_PER_S
 from pimentodale.forwarding.context import log_failed_send, log_kept_send, log_successor
@@ -22,10 +22,13 @@
 from pimentodale.forwarding.path_requests import create_path_request
 from pimentodale.forwarding.path_selection import CAPACITY_WAIT_MS, count_crossings, note_prefill
 from pimentodale.forwarding.slow_streams import SlowStreamDetector, search_slow_replicas
+from pimentodale.forwarding.stalls import find_down_part
 from pimentodale.forwarding.stream_monitor import (
+    DOWN_PAUSE_MS,
     PAUSE_MS,
     Pause,
     examine_pause,
+    leave_departing,
     observe_silent,
 )
 from pimentodale.forwarding.stream_relay import relay_stream
@@ -39,6 +42,9 @@
 CHECK_INTERVAL_MS: Final = 100.0
 """Interval at which a stream is checked."""
 
+MIN_WAIT_MS: Final = 1.0
+"""Shortest wait for a check, so that rounding makes no busy loop."""
+
 MAX_SENDS: Final = 6
 """Maximum number of sends for a client's attempt, including refused ones."""
 
@@ -139,6 +145,7 @@
         ctx.replica_health.hold_offs.note_sent(send.head)
         self._shared.queue.started(routed.workspace or "", state.tokens)
         ctx.loads.add(send.path.parts, state.tokens)
+        self._shared.running.add(send.path.parts, state.alerts)
         note_prefill(ctx, routed.service, send.path.parts, state.tokens)
         state.relayed_from = None
         state.active.append(send)
@@ -147,12 +154,31 @@
         self._running.append(_Running(send, relay, SlowStreamDetector(send.sent_ms)))
 
     async def wait(self) -> None:
-        """Wait until a send ends or the next check is due."""
+        """Wait until a send ends, a replica of the stream leaves or is lost, or a check is due."""
+        relays: set[asyncio.Future[Any]] = {running.relay for running in self._running}
         await asyncio.wait(
-            {running.relay for running in self._running},
-            timeout=CHECK_INTERVAL_MS / MS_PER_S,
+            relays | {self._state.alerts.wait()},
+            timeout=self._check_after_ms() / MS_PER_S,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        self._state.alerts.note_awake()
+
+    def _check_after_ms(self) -> float:
+        """Return the time until the next check; a lost or leaving replica makes it shorter."""
+        alerts, now_ms = self._state.alerts, self._ctx.clock.now_ms()
+        wait_ms = CHECK_INTERVAL_MS
+        move_at_ms = alerts.next_move_ms()
+        if move_at_ms is not None and move_at_ms > now_ms:
+            wait_ms = min(wait_ms, move_at_ms - now_ms)
+        if alerts.is_part_lost:
+            send = self._running[-1].send
+            left_ms = DOWN_PAUSE_MS - self._ctx.own_pauses.silence_ms(send.active_ms)
+            if left_ms <= 0 or find_down_part(self._ctx, send.path) is None:
+                # An examination has just been made, or the stream doesn't pass there any more.
+                alerts.is_part_lost = False
+            else:
+                wait_ms = min(wait_ms, left_ms)
+        return max(MIN_WAIT_MS, wait_ms)
 
     def collect_ended(self) -> SendEnd | None:
         """Remove the sends that have ended or are superseded.
@@ -196,6 +222,8 @@
         if send.is_writing:
             return None
         self._search_if_slow(running)
+        if state.alerts.departures and len(self._running) == 1 and self._search is None:
+            await leave_departing(ctx, self._shared, routed, state, send)
         pause = await examine_pause(ctx, self._shared, routed, state, send)
         if pause is Pause.LOST:
             if running in self._running and not running.relay.done():
@@ -293,6 +321,7 @@
         self._running.remove(running)
         state.active.remove(send)
         ctx.loads.remove(send.path.parts, state.tokens)
+        self._shared.running.remove(send.path.parts, state.alerts)
         held_ms = ctx.clock.now_ms() - send.sent_ms
         self._shared.queue.ended(routed.workspace or "", state.tokens, held_ms)
         routed.history.append(describe_send(ctx, send, end))
--- a/src/pimentodale/forwarding/path_selection.py
+++ b/src/pimentodale/forwarding/path_selection.py
@@ -35,13 +35,19 @@
 """Upper bound of the random factor between the end of a hold-off and the Retry-After time."""
 
 
-def tokens_held(engine: EngineModel, request: ClientRequest) -> float:
-    """Estimate the tokens that a request holds on average while it runs."""
+def answer_tokens(engine: EngineModel, request: ClientRequest) -> float:
+    """Estimate the tokens of a request's whole answer."""
     answer = engine.mean_answer_tokens
     if request.length_hint_tokens is not None:
         answer = request.length_hint_tokens
     if request.max_answer_tokens > 0:
         answer = min(answer, request.max_answer_tokens)
+    return answer
+
+
+def tokens_held(engine: EngineModel, request: ClientRequest) -> float:
+    """Estimate the tokens that a request holds on average while it runs."""
+    answer = answer_tokens(engine, request)
     prompt = request.prompt_tokens or engine.mean_prompt_tokens
     return prompt + answer * MEAN_ANSWER_FRACTION
 
--- a/src/pimentodale/forwarding/stalls.py
+++ b/src/pimentodale/forwarding/stalls.py
@@ -19,13 +19,20 @@
     from expression import Result
 
     from pimentodale.forwarding.context import ForwardingContext
-    from pimentodale.placement.messages import EngineReport, PathPart
+    from pimentodale.placement.messages import EngineReport, PathPart, RepathAnswer
     from pimentodale.placement.paths import Path
     from pimentodale.site.model import BackendService, ReplicaRecord
 
 REPORT_INTERVAL_MS: Final = 200.0
 """How long a replica's report is reused for all its streams; reports lag by as much."""
 
+MAX_ORDERS: Final = 2
+"""Maximum number of orders for one move. All streams of a lost replica choose new parts by loads
+that lag by some 500 ms, so that the first choice may be full by then."""
+
+REJECTED_BACKOFF_MS: Final = 150.0
+"""How long a replica that rejected a move gets no new requests, as after a refusal."""
+
 _log = get_log("stall")
 
 
@@ -174,26 +181,133 @@
     if not may_move():
         return StallCheck(StallVerdict.WAIT, "it may crash another replica")
     lost = frozenset(part.replica_id for part in path.parts if str(part.address) == faulty)
-    kept = tuple(part for part in path.parts if part.replica_id not in lost)
-    moved = choose_path(ctx, service, tokens, {*avoid, *lost}, kept)
-    if moved is None or moved.parts[0] != path.parts[0]:
-        return StallCheck(StallVerdict.SILENT, f"it stalls on {faulty}, no other path", None, lost)
-    if _prompt_crosses_domains(ctx, path, moved) and _may_resume(
-        ctx, service, tokens, {*avoid, *lost}
-    ):
-        # A new send prefills within one domain, which saves bandwidth between the two.
-        return StallCheck(
-            StallVerdict.SILENT,
-            f"it stalls on {faulty}, moving would cross failure domains",
-            None,
-            lost,
-        )
-    outcome = await ctx.engines.repath(head, attempt_id, moved.parts, ctx.fence())
-    if outcome.is_error():
-        return StallCheck(StallVerdict.SILENT, f"it stalls on {faulty}, no answer", None, lost)
-    if outcome.ok not in (OrderOutcome.DONE, OrderOutcome.BEGUN):
-        return StallCheck(
-            StallVerdict.SILENT, f"it stalls on {faulty}, {outcome.ok.value}", None, lost
-        )
-    _log.info("A stream was moved.", request=attempt_id, past=faulty, parts=len(moved.parts))
+    moved, reason, lost = await _repath(
+        ctx, service, head, path, attempt_id, tokens, {*avoid}, lost, is_precaution=False
+    )
+    if moved is None:
+        return StallCheck(StallVerdict.SILENT, f"it stalls on {faulty}, {reason}", None, lost)
+    _log.info(
+        "A stream was moved.",
+        kind="stalled",
+        request=attempt_id,
+        past=faulty,
+        parts=len(moved.parts),
+    )
     return StallCheck(StallVerdict.MOVED, f"it was moved past {faulty}", moved, lost)
+
+
+async def move_before_exit(
+    ctx: ForwardingContext,
+    service: BackendService,
+    path: Path,
+    attempt_id: str,
+    tokens: float,
+    leaving: PathPart,
+    avoid: Collection[str],
+) -> StallCheck:
+    """Move a stream away from a replica that is leaving but still runs it.
+
+    The stream stays if there is no other path with the same head in its failure domains.
+
+    Args:
+        ctx: State shared by all requests.
+        service: The stream's service.
+        path: The stream's path.
+        attempt_id: Id of the client's attempt.
+        tokens: Tokens that the stream holds.
+        leaving: The part on the leaving replica; not the head.
+        avoid: Ids of replicas that must not be used.
+    """
+    head = ctx.view.replicas.get(path.parts[0].replica_id)
+    if head is None:
+        return StallCheck(StallVerdict.WAIT, "its head replica has no record")
+    lost = frozenset({leaving.replica_id})
+    moved, reason, _ = await _repath(
+        ctx, service, head, path, attempt_id, tokens, {*avoid}, lost, is_precaution=True
+    )
+    if moved is None:
+        _log.info(
+            "A stream stays on a leaving replica.",
+            request=attempt_id,
+            replica=leaving.replica_id,
+            reason=reason,
+        )
+        return StallCheck(StallVerdict.WAIT, reason)
+    _log.info(
+        "A stream was moved.",
+        kind="leaving",
+        request=attempt_id,
+        past=str(leaving.address),
+        parts=len(moved.parts),
+    )
+    reason = f"it was moved past {leaving.address}, which is leaving"
+    return StallCheck(StallVerdict.MOVED, reason, moved)
+
+
+async def _repath(
+    ctx: ForwardingContext,
+    service: BackendService,
+    head: ReplicaRecord,
+    path: Path,
+    attempt_id: str,
+    tokens: float,
+    avoid: set[str],
+    lost: frozenset[str],
+    *,
+    is_precaution: bool,
+) -> tuple[Path | None, str, frozenset[str]]:
+    """Order a head replica to move a stream, twice if a part of the first path rejects it.
+
+    Args:
+        ctx: State shared by all requests.
+        service: The stream's service.
+        head: The stream's head replica.
+        path: The stream's path.
+        attempt_id: Id of the client's attempt.
+        tokens: Tokens that the stream holds.
+        avoid: Ids of replicas that must not be used.
+        lost: Ids of the replicas that the stream is moved away from.
+        is_precaution: Whether the stream runs on, so that no prompt is carried to another domain.
+
+    Returns:
+        The new path, or `None`; the reason if there is none; the lost replicas, with one that
+        rejected the stream.
+    """
+    reason = ""
+    for _ in range(MAX_ORDERS):
+        kept = tuple(part for part in path.parts if part.replica_id not in lost)
+        excluded = avoid | lost
+        moved = choose_path(ctx, service, tokens, excluded, kept)
+        if moved is None or moved.parts[0] != path.parts[0]:
+            return None, reason or "no other path", lost
+        if _prompt_crosses_domains(ctx, path, moved) and (
+            is_precaution or _may_resume(ctx, service, tokens, excluded)
+        ):
+            # A new send prefills within one domain, which saves bandwidth between the two.
+            return None, reason or "moving would cross failure domains", lost
+        answer = await ctx.engines.repath(head, attempt_id, moved.parts, ctx.fence())
+        if answer.is_error():
+            return None, "no answer", lost
+        if answer.ok.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN):
+            return moved, "", lost
+        reason = answer.ok.outcome.value
+        rejecting = _find_rejecting(ctx, moved, answer.ok)
+        if rejecting is None:
+            break
+        reason = f"{reason} at {answer.ok.faulty_address}"
+        ctx.replica_health.exclude_for(incarnation_of(rejecting), REJECTED_BACKOFF_MS)
+        ctx.replica_health.request_probe_unless_answered(incarnation_of(rejecting))
+        lost |= {rejecting.replica_id}
+    return None, reason, lost
+
+
+def _find_rejecting(
+    ctx: ForwardingContext, moved: Path, answer: RepathAnswer
+) -> ReplicaRecord | None:
+    """Return the replica behind the head that a rejected move names."""
+    if answer.outcome is not OrderOutcome.CONFLICT:
+        return None
+    for part in moved.parts[1:]:
+        if str(part.address) == answer.faulty_address:
+            return ctx.view.replicas.get(part.replica_id)
+    return None
--- a/src/pimentodale/forwarding/stream_monitor.py
+++ b/src/pimentodale/forwarding/stream_monitor.py
@@ -5,14 +5,22 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.path_selection import note_prefill
+from pimentodale.forwarding.path_selection import answer_tokens, note_prefill
 from pimentodale.forwarding.slow_streams import search_slow_replicas
-from pimentodale.forwarding.stalls import StallVerdict, check_stall, find_down_part
+from pimentodale.forwarding.stalls import (
+    StallVerdict,
+    check_stall,
+    find_down_part,
+    move_before_exit,
+)
+from pimentodale.site.replica_health import incarnation_of
 
 if TYPE_CHECKING:
     from pimentodale.forwarding.context import ForwardingContext, RoutedRequest
     from pimentodale.forwarding.stream_state import SharedStreamState, StreamSend, StreamState
+    from pimentodale.placement.messages import PathPart
     from pimentodale.placement.paths import Path
+    from pimentodale.site.replica_health import Incarnation
 
 FIRST_EVENT_PAUSE_MS: Final = 380.0
 """Wait for the first event after which the cause is investigated."""
@@ -33,6 +41,15 @@
 """Fraction of the retry budget share that streams with an overdue first event may use; the rest is
 reserved for streams that have lost a replica."""
 
+LENGTH_MARGIN: Final = 1.1
+"""Factor on the expected length of an answer, which is only an estimate of the client or a mean."""
+
+OVERRUN_FACTOR: Final = 1.1
+"""Expected length of an answer, relative to what is written, that exceeds the estimate."""
+
+MIN_RATE_EVENTS: Final = 4
+"""Number of events from which the rate of a stream is known from its own events."""
+
 
 class Pause(Enum):
     """What a pause of a send means."""
@@ -176,12 +193,102 @@
         return Pause.LOST
     if check.verdict is StallVerdict.SILENT or check.path is None:
         return Pause.SILENT
-    _note_moved(ctx, routed, state, send, check.path)
+    observe_silent(ctx, routed, send)
+    _note_moved(ctx, shared_streams, routed, state, send, check.path)
+    ctx.metrics.moves["stalled"] += 1
     return Pause.SHORT
 
 
+async def leave_departing(
+    ctx: ForwardingContext,
+    shared_streams: SharedStreamState,
+    routed: RoutedRequest,
+    state: StreamState,
+    send: StreamSend,
+) -> None:
+    """Move a stream away from the leaving replicas whose time to do so has come.
+
+    Each departure is examined once, so that no stream is moved twice for it.
+
+    Args:
+        ctx: State shared by all requests.
+        shared_streams: State shared by all streams.
+        routed: The client's request.
+        state: The stream.
+        send: The only send of the stream.
+    """
+    if ctx.own_pauses.silence_ms(send.active_ms) >= DOWN_PAUSE_MS:
+        # A move would hide for how long the stream has been silent, so the pause is examined first.
+        return
+    now_ms = ctx.clock.now_ms()
+    departures = state.alerts.departures
+    for incarnation in [key for key in departures if departures[key].move_at_ms <= now_ms]:
+        left_ms = departures.pop(incarnation).exit_ms - now_ms
+        part = find_leaving_part(ctx, send.path, incarnation)
+        if part is None or expected_rest_ms(ctx, routed, state, send) <= left_ms:
+            continue
+        if ctx.crashes.awaits_verdict(routed) or ctx.crashes.is_convicted(routed):
+            continue
+        check = await move_before_exit(
+            ctx,
+            routed.service,
+            send.path,
+            routed.exchange.request.attempt_id,
+            state.tokens,
+            part,
+            state.avoid,
+        )
+        routed.history.append(check.reason)
+        if check.path is None:
+            continue
+        # The replicas of the old path still ran the stream, so none is observed for a crash.
+        _note_moved(ctx, shared_streams, routed, state, send, check.path)
+        ctx.metrics.moves["leaving"] += 1
+
+
+def find_leaving_part(
+    ctx: ForwardingContext, path: Path, incarnation: Incarnation
+) -> PathPart | None:
+    """Return the part behind the head that runs on a replica which still drains."""
+    replica = ctx.view.replicas.get(incarnation[0])
+    if replica is None or incarnation_of(replica) != incarnation or not replica.is_draining:
+        return None
+    return next((part for part in path.parts[1:] if part.replica_id == incarnation[0]), None)
+
+
+def expected_rest_ms(
+    ctx: ForwardingContext, routed: RoutedRequest, state: StreamState, send: StreamSend
+) -> float:
+    """Estimate for how long a stream goes on, rather too long than too short.
+
+    A move that was not needed costs a prefill, while a stream that still runs as its replica exits
+    pauses for longer than it may.
+
+    Args:
+        ctx: State shared by all requests.
+        routed: The client's request.
+        state: The stream.
+        send: Its send.
+    """
+    engine = routed.service.engine
+    if engine is None:
+        return 0.0
+    request = routed.exchange.request
+    written = float(state.events * engine.tokens_per_event)
+    rest = max(answer_tokens(engine, request) * LENGTH_MARGIN, written * OVERRUN_FACTOR) - written
+    if request.max_answer_tokens > 0:
+        rest = min(rest, request.max_answer_tokens - written)
+    token_ms = send.path.token_ms
+    if routed.first_event_ms is not None and state.events >= MIN_RATE_EVENTS:
+        began_ms = request.received_ms + routed.first_event_ms
+        last_ms = routed.last_event_ms or ctx.clock.now_ms()
+        token_ms = (last_ms - began_ms) / ((state.events - 1) * engine.tokens_per_event)
+    return max(0.0, rest) * token_ms
+
+
 def _note_moved(
     ctx: ForwardingContext,
+    shared_streams: SharedStreamState,
     routed: RoutedRequest,
     state: StreamState,
     send: StreamSend,
@@ -192,8 +299,9 @@
     ctx.loads.remove(path.parts, state.tokens)
     send.path = moved
     ctx.loads.add(moved.parts, state.tokens)
+    shared_streams.running.remove(path.parts, state.alerts)
+    shared_streams.running.add(moved.parts, state.alerts)
     new_parts = [part for part in moved.parts if part not in path.parts]
-    observe_silent(ctx, routed, send)
     send.executed_on = ctx.crashes.list_alive(part.replica_id for part in moved.parts)
     send.is_observed = False
     state.executed_on.update(send.executed_on)
--- a/src/pimentodale/forwarding/stream_state.py
+++ b/src/pimentodale/forwarding/stream_state.py
@@ -7,11 +7,16 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from pimentodale.forwarding.first_events import FirstEventTimes
 from pimentodale.forwarding.path_queue import PathQueue, create_path_queue
 from pimentodale.forwarding.retry_schedule import RetrySchedule, create_retry_schedule
+from pimentodale.forwarding.running_sends import (
+    RunningSends,
+    StreamAlerts,
+    create_running_sends,
+)
 from pimentodale.forwarding.stalls import StallReports
 from pimentodale.forwarding.used_heads import UsedHeads
 
@@ -22,6 +27,10 @@
     from pimentodale.site.replica_health import Incarnation
 
 
+DEFAULT_DRAIN_MS: Final = 2_000.0
+"""Drain time of replicas unless the settings say otherwise."""
+
+
 class SendEnd(Enum):
     """How one send of a stream ended."""
 
@@ -51,6 +60,9 @@
     queue: PathQueue
     """Streams that wait for capacity."""
 
+    running: RunningSends
+    """Index of the running sends by replica."""
+
     reports: StallReports = field(default_factory=StallReports)
     """Cache of recent replica reports."""
 
@@ -58,9 +70,20 @@
     """Recent times to the first event."""
 
 
-def create_shared_stream_state(clock: Clock) -> SharedStreamState:
-    """Return the initial shared state."""
-    return SharedStreamState(create_retry_schedule(clock), create_path_queue(clock))
+def create_shared_stream_state(
+    clock: Clock, drain_ms: float = DEFAULT_DRAIN_MS
+) -> SharedStreamState:
+    """Return the initial shared state.
+
+    Args:
+        clock: Tells the time.
+        drain_ms: How long a replica serves on after it has announced its departure.
+    """
+    return SharedStreamState(
+        create_retry_schedule(clock),
+        create_path_queue(clock),
+        create_running_sends(clock, drain_ms),
+    )
 
 
 @dataclass(slots=True, eq=False)
@@ -142,6 +165,9 @@
     broken_at_start: int = 0
     """Number of sends that failed before the first event: the request may crash its replicas."""
 
+    alerts: StreamAlerts = field(default_factory=StreamAlerts)
+    """Replicas of its sends that leave or are lost."""
+
     active: list[StreamSend] = field(default_factory=list)
     """Sends in progress, oldest first."""
 
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -139,7 +139,7 @@
 
     def __post_init__(self) -> None:
         """Create the empty shared stream state."""
-        self.shared_streams = create_shared_stream_state(self.clock)
+        self.shared_streams = create_shared_stream_state(self.clock, self.settings.drain_ms)
 
 
 async def run_gateway(settings: GatewaySettings, platform: PlatformAdapter) -> int:
@@ -164,6 +164,9 @@
     platform.engines.subscribe_leaving(view.note_leaving)
     ctx = _create_forwarding_context(gateway, view, peers)
     ctx.metrics.leaving_signs = leaving.signal_counts
+    running = gateway.shared_streams.running
+    ctx.replica_health.subscribe_down(running.note_lost)
+    view.subscribe_departures(running.note_leaving, running.note_lost)
     follower = create_mirror_follower(mirror, platform.store, peers, gateway.clock, gateway.rng)
     ctx.metrics.add_gauge("mirror_skipped_watchers", lambda: follower.skipped_watchers)
     placer = Placer(
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -25,6 +25,7 @@
         "events",
         "first_event",
         "leaving_signs",
+        "moves",
         "request",
         "results",
         "silent_sends",
@@ -39,6 +40,8 @@
         """Number of stream events relayed to clients."""
         self.silent_sends: Counter[str] = Counter()
         """Silent sends of streams: kept without a successor, succeeded by one, and superseded."""
+        self.moves: Counter[str] = Counter()
+        """Moves of streams to another path with the same head replica, by reason."""
         self.unfinished: Counter[str] = Counter()
         """Connections that closed before their response was complete, by who closed them."""
         self.request = Latency()
@@ -78,6 +81,7 @@
             ("pimentodale_store_calls", "Calls to the store, by kind.", self.store_calls),
             ("pimentodale_leaving_signs", "Signs of leaving, by their source.", self.leaving_signs),
             ("pimentodale_silent_sends", "Silent sends, by what followed.", self.silent_sends),
+            ("pimentodale_moves", "Moved streams, by reason.", self.moves),
             ("pimentodale_unfinished", "Unfinished answers, by who left.", self.unfinished),
         )
         for name, text, counts in counted:
--- a/src/pimentodale/placement/messages.py
+++ b/src/pimentodale/placement/messages.py
@@ -90,6 +90,16 @@
     UNKNOWN_REQUEST = "unknown request"
 
 
+@dataclass(slots=True, frozen=True)
+class RepathAnswer:
+    """Answer of a head replica to the order to move a request."""
+
+    outcome: OrderOutcome
+
+    faulty_address: str = ""
+    """`IP:PORT` of the part that is not there or has no memory; empty if none is named."""
+
+
 class EngineClient(Protocol):
     """Client for engine reports and orders; an error describes why there is no reply."""
 
@@ -109,5 +119,5 @@
 
     async def repath(
         self, head: ReplicaRecord, attempt_id: str, parts: tuple[PathPart, ...], fence: int
-    ) -> Result[OrderOutcome, str]:
+    ) -> Result[RepathAnswer, str]:
         """Move a running request to other replicas, keeping the first one."""
--- a/src/pimentodale/platform/engine_client.py
+++ b/src/pimentodale/platform/engine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
@@ -14,6 +15,7 @@
 from pimentodale.placement.messages import (
     EngineReport,
     OrderOutcome,
+    RepathAnswer,
     StalledRequest,
 )
 from pimentodale.platform.leaving_signal import LEAVING, is_leaving_signal
@@ -29,8 +31,14 @@
 CALL_TIMEOUT_MS: Final = 500.0
 """Timeout of reports and orders; replicas answer both within milliseconds and without a slot."""
 
+MAX_REASON_BYTES: Final = 1_000
+"""How much of the body of a rejected move is searched for the address of the part at fault."""
+
 EXPECT_REPLICA: Final = "Pimentodale-Expect-Replica"
 
+FAULTY_ADDRESS: Final = "At-Server"
+"""Header with the address of the replica at fault."""
+
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.BEGUN,
@@ -41,6 +49,9 @@
 }
 
 
+_ADDRESS: Final = re.compile(r"[^\s\"',;=(){}]+:\d+")
+
+
 class _StalledRequest(msgspec.Struct):
     id: str
     # Address of the replica that the request waits for.
@@ -126,15 +137,33 @@
 
     async def repath(
         self, head: ReplicaRecord, attempt_id: str, parts: tuple[PathPart, ...], fence: int
-    ) -> Result[OrderOutcome, str]:
+    ) -> Result[RepathAnswer, str]:
         """Move a running request to other replicas while keeping its first stage."""
         order = {"operation": "repath", "id": attempt_id, "path": format_path(parts)}
-        return await self._order(head, {**order, "fence": fence})
+        reply = await self._send_order(head, {**order, "fence": fence})
+        if reply.is_error():
+            return Error(reply.error)
+        outcome = _read_outcome(head, reply.ok)
+        if outcome.is_error():
+            return Error(outcome.error)
+        faulty = (
+            _find_faulty_address(reply.ok, parts) if outcome.ok is OrderOutcome.CONFLICT else ""
+        )
+        return Ok(RepathAnswer(outcome.ok, faulty))
 
     async def _order(
         self, replica: ReplicaRecord, order: dict[str, Any]
     ) -> Result[OrderOutcome, str]:
         """Send one order; without a reply it is unknown whether the order is carried out."""
+        reply = await self._send_order(replica, order)
+        if reply.is_error():
+            return Error(reply.error)
+        return _read_outcome(replica, reply.ok)
+
+    async def _send_order(
+        self, replica: ReplicaRecord, order: dict[str, Any]
+    ) -> Result[CallReply, str]:
+        """Send one order and return the answer, whatever its status."""
         headers = {"Content-Type": "application/json", EXPECT_REPLICA: replica.replica_id}
         request = CallRequest(
             method="POST", path="/api/order", headers=headers, body=msgspec.json.encode(order)
@@ -143,10 +172,7 @@
         if reply.is_error():
             return Error(reply.error.message)
         self._check_leaving(replica, reply.ok)
-        outcome = _OUTCOMES.get(reply.ok.status)
-        if outcome is None:
-            return Error(f"{replica.address} answered {reply.ok.status}: {reply.ok.body[:200]!r}")
-        return Ok(outcome)
+        return Ok(reply.ok)
 
     async def _ask_report(self, replica: ReplicaRecord) -> Result[CallReply, str]:
         """Request a report and return the answer, whatever its status."""
@@ -166,6 +192,22 @@
             self._note_leaving(replica)
 
 
+def _read_outcome(replica: ReplicaRecord, reply: CallReply) -> Result[OrderOutcome, str]:
+    """Return the outcome that the status of an answer to an order stands for."""
+    outcome = _OUTCOMES.get(reply.status)
+    if outcome is None:
+        return Error(f"{replica.address} answered {reply.status}: {reply.body[:200]!r}")
+    return Ok(outcome)
+
+
+def _find_faulty_address(reply: CallReply, parts: tuple[PathPart, ...]) -> str:
+    """Return the address of the part that a rejected move names, in its header or its body."""
+    named = reply.headers.get(FAULTY_ADDRESS) or ""
+    text = f"{named} {reply.body[:MAX_REASON_BYTES].decode('utf-8', 'replace')}"
+    mentioned = set(_ADDRESS.findall(text))
+    return next((str(part.address) for part in parts if str(part.address) in mentioned), "")
+
+
 def _read_report(replica: ReplicaRecord, body: bytes) -> Result[_Report, str]:
     """Decode the body of a report."""
     try:
--- a/src/pimentodale/platform/header_codec.py
+++ b/src/pimentodale/platform/header_codec.py
@@ -6,7 +6,7 @@
 
 from pimentodale.clients.retry_after import RETRY_AFTER, read_retry_after_ms
 from pimentodale.forwarding.messages import BackendAnswer, ClientRequest, RefusalReason
-from pimentodale.platform.engine_client import EXPECT_REPLICA, format_path
+from pimentodale.platform.engine_client import EXPECT_REPLICA, FAULTY_ADDRESS, format_path
 from pimentodale.platform.leaving_signal import LEAVING, is_leaving_signal
 
 if TYPE_CHECKING:
@@ -24,8 +24,6 @@
 WORKSPACE: Final = "Pimentodale-Tenant"
 # Carries the replicas of a pipeline and their layers, despite the header's name.
 PATH: Final = "Pimentodale-Hop-Count"
-# Address of the replica at fault.
-FAULTY_ADDRESS: Final = "At-Server"
 # Number of prompt tokens and maximum number of answer tokens, separated by a comma.
 TOKEN_COUNT: Final = "Pimentodale-Token-Count"
 # The client's estimate of the number of answer tokens.
--- a/src/pimentodale/site/replica_health.py
+++ b/src/pimentodale/site/replica_health.py
@@ -94,6 +94,7 @@
     hold_offs: HoldOffs[Incarnation] = field(init=False)
     """Replicas that asked this host to hold off requests for a while."""
 
+    _down_subscribers: list[Callable[[Incarnation], None]] = field(default_factory=list)
     _down: dict[Incarnation, _Down] = field(default_factory=dict)
     _pending_probes: set[Incarnation] = field(default_factory=set)
     _excluded_until_ms: dict[Incarnation, float] = field(default_factory=dict)
@@ -106,6 +107,10 @@
         """Create the empty hold-offs."""
         self.hold_offs = create_hold_offs(self.clock)
 
+    def subscribe_down(self, callback: Callable[[Incarnation], None]) -> None:
+        """Register a callback for each replica that begins to count as down."""
+        self._down_subscribers.append(callback)
+
     def is_tracked(self, replica: ReplicaRecord) -> bool:
         """Return whether there is any entry for a replica; most replicas have none."""
         incarnation = incarnation_of(replica)
@@ -210,6 +215,8 @@
             return
         self._down[incarnation] = _Down(reason, self.clock.now_ms())
         _log.warning("A replica counts as down.", replica=incarnation[0], reason=reason)
+        for callback in self._down_subscribers:
+            callback(incarnation)
         self._broadcast_down_once(incarnation, reason)
         self.note_silent(incarnation)
 
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -87,6 +87,8 @@
     """Replicas whose record is gone."""
 
     _subscribers: list[Callable[[], None]] = field(default_factory=list)
+    _leaving_subscribers: list[Callable[[Incarnation], None]] = field(default_factory=list)
+    _gone_subscribers: list[Callable[[Incarnation], None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Create the empty memory of departed replicas."""
@@ -96,6 +98,20 @@
         """Register a callback that is called after each change."""
         self._subscribers.append(callback)
 
+    def subscribe_departures(
+        self,
+        note_leaving: Callable[[Incarnation], None],
+        note_gone: Callable[[Incarnation], None],
+    ) -> None:
+        """Register callbacks for departures.
+
+        Args:
+            note_leaving: Called with each replica that begins to drain.
+            note_gone: Called with each replica whose record is gone.
+        """
+        self._leaving_subscribers.append(note_leaving)
+        self._gone_subscribers.append(note_gone)
+
     def replicas_of(self, service: str) -> list[ReplicaRecord]:
         """Return the replicas of a service that accept new work."""
         self._drop_expired()
@@ -132,7 +148,8 @@
             return
         # Its record has expired and the replica is kept for now; a new record would be applied as
         # usual.
-        self.replicas[replica_id] = self._with_departure_notice(known)
+        record = self.replicas[replica_id] = self._with_departure_notice(known)
+        self._notify_leaving(known, record)
         self.changed_ms = self.clock.now_ms()
         self._notify_subscribers()
 
@@ -152,6 +169,16 @@
         for callback in self._subscribers:
             callback()
 
+    def _notify_leaving(self, known: ReplicaRecord | None, record: ReplicaRecord) -> None:
+        """Call the subscribers if a replica has begun to drain."""
+        if not record.is_draining:
+            return
+        incarnation = incarnation_of(record)
+        if known is not None and known.is_draining and incarnation_of(known) == incarnation:
+            return
+        for callback in self._leaving_subscribers:
+            callback(incarnation)
+
     def _apply_configuration(self) -> None:
         """Apply a new configuration."""
         item = self.mirror.items.get(self.records.configuration_key)
@@ -199,6 +226,7 @@
         self.departed.note_registered(record)
         if known is not None and incarnation_of(known) != incarnation_of(record):
             self._remember_departed(known)
+        self._notify_leaving(known, record)
         if known is None or known.is_draining != record.is_draining:
             _log.info(
                 "A replica is registered.",
@@ -258,6 +286,8 @@
             return False
         self._remember_departed(known)
         self.departed.note_gone(known)
+        for callback in self._gone_subscribers:
+            callback(incarnation_of(known))
         return True
 
     def _drop_expired(self) -> None:
--- a/src/pimentodale/standin/platform_replica.py
+++ b/src/pimentodale/standin/platform_replica.py
@@ -359,7 +359,9 @@
             self.refuse(404, "no such request")
             return
         path = parse_path(order.path)
-        if find_fault(path):
+        fault = find_fault(path)
+        if fault:
+            self.set_header("At-Server", fault)
             self.refuse(409, "a part is not there")
             return
         run = part.running[order.id]
