Draw by share whether a path is searched at home or in another failure domain

Cause: on sites of more than 60 replicas every search covered home and one other domain drawn at random, so hosts left their domain regardless of need, and prompts that cross midway could fill the link between two domains.

The load table counts streams over links, by domain of entry and waiting ones; the load exchange carries these keys. Paths may not cross a link whose quota is used up. Sites of up to 60 replicas search as before. The fake view of load_exchange.feature now has a record with a failure domain, as the real one has.

--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -20,6 +20,7 @@
 )
 
 from pimentodale.clock import ManualClock
+from pimentodale.forwarding.domain_choice import create_domain_choice
 from pimentodale.forwarding.load_table import ReplicaLoad, create_load_table
 from pimentodale.forwarding.path_selection import choose_path, domain_of
 from pimentodale.placement.domain_history import create_domain_history
@@ -660,6 +661,7 @@
         slow_replicas=create_slow_replicas(clock),
         loads=loads,
         failure_domain="a",
+        domain_choice=create_domain_choice(),
         view=SimpleNamespace(
             replicas=replicas, replicas_of=lambda _service: list(replicas.values())
         ),
--- a/features/support/load_fakes.py
+++ b/features/support/load_fakes.py
@@ -59,7 +59,7 @@
         self.members.append(record)
         board = create_load_table(self.clock)
         board.add((_PART,), 100.0)
-        view = SimpleNamespace(replicas={REPLICA: None})
+        view = SimpleNamespace(replicas={REPLICA: SimpleNamespace(failure_domain="d0")})
         peers: Any = _Peers(self, record)
         self.exchanges[host] = create_load_exchange(
             board, view, peers, self.clock, random.Random(1)  # type: ignore[arg-type]
--- a/src/pimentodale/forwarding/context.py
+++ b/src/pimentodale/forwarding/context.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from pimentodale.clock import whole_ms
+from pimentodale.forwarding.domain_choice import DomainChoice, create_domain_choice
 from pimentodale.logs import get_log
 from pimentodale.quarantine.crash_record import fingerprint_of
 from pimentodale.quarantine.prompt_parts import part_keys
@@ -67,6 +68,9 @@
 
     rng: random.Random = field(default_factory=random.SystemRandom)
 
+    domain_choice: DomainChoice = field(default_factory=create_domain_choice)
+    """Shares of new streams that begin in other failure domains, on large sites."""
+
     in_progress: dict[asyncio.Task[Any], RoutedRequest] = field(default_factory=dict)
     """Admitted requests without a whole answer so far, by the task that serves them."""
 
--- a/src/pimentodale/forwarding/load_table.py
+++ b/src/pimentodale/forwarding/load_table.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field
+from itertools import pairwise, permutations
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -14,6 +15,9 @@
     from pimentodale.clock import Clock
     from pimentodale.placement.messages import PathPart
 
+LINK_PREFIX: Final = "link/"
+"""Prefix of the keys that count streams by link, as if the link were a replica."""
+
 KV_UNIT: Final = 1_000.0
 """Unit of reported KV loads, in tokens x layers."""
 
@@ -27,6 +31,11 @@
 """How long load inferred from a refusal counts: half the usual duration of a request."""
 
 
+MAX_COUNTED_DOMAINS: Final = 16
+"""Number of failure domains above which streams are not counted by domain; the number of keys grows
+with its square."""
+
+
 class ReplicaLoad(msgspec.Struct, array_like=True):
     """Load of one host on one replica."""
 
@@ -73,6 +82,21 @@
     own: dict[str, ReplicaLoad] = field(default_factory=dict)
     """Load of this host's requests."""
 
+    home: str = ""
+    """Failure domain of this host; empty if requests are not counted by domain."""
+
+    domain_of: Callable[[str], str] = lambda _replica_id: ""
+    """Returns a replica's failure domain; empty if unknown."""
+
+    count_waiting: Callable[[], int] = lambda: 0
+    """Returns the number of streams that wait for a path at this host."""
+
+    _domains: dict[str, str] = field(default_factory=dict)
+    """Failure domains of the replicas in `own`, as they were when the first request started."""
+
+    _reported_links: dict[str, int] = field(default_factory=dict)
+    """This host's streams by link key, as of its last report."""
+
     _subscribers: list[Callable[[], None]] = field(default_factory=list)
     _inferred: dict[str, _InferredLoad] = field(default_factory=dict)
     _prefill_until_ms: dict[str, float] = field(default_factory=dict)
@@ -88,21 +112,32 @@
 
     def add(self, parts: Iterable[PathPart], tokens: float) -> None:
         """Add the load of a request that starts on a path."""
-        for index, part in enumerate(parts):
+        listed = tuple(parts)
+        for index, part in enumerate(listed):
             load = self.own.setdefault(part.replica_id, ReplicaLoad())
             load.streams += 1
             load.headed += index == 0
             load.kv_in_use += tokens * len(part.layers)
+            if self.home and part.replica_id not in self._domains:
+                self._domains[part.replica_id] = self.domain_of(part.replica_id)
+        for key in self._domain_keys(listed):
+            self.own.setdefault(key, ReplicaLoad()).streams += 1
 
     def remove(self, parts: Iterable[PathPart], tokens: float) -> None:
         """Remove the load of a request that has ended; call it once for each `add`."""
-        for index, part in enumerate(parts):
+        listed = tuple(parts)
+        for key in self._domain_keys(listed):
+            self.own[key].streams -= 1
+            if self.own[key].streams <= 0:
+                del self.own[key]
+        for index, part in enumerate(listed):
             load = self.own[part.replica_id]
             load.streams -= 1
             load.headed -= index == 0
             load.kv_in_use -= tokens * len(part.layers)
             if load.streams <= 0:
                 del self.own[part.replica_id]
+                self._domains.pop(part.replica_id, None)
         self._notify_capacity()
 
     def note_prefill(self, replica_id: str, work_ms: float) -> None:
@@ -189,16 +224,54 @@
             own.kv_in_use + known.kv_in_use,
         )
 
+    def has_reports(self) -> bool:
+        """Whether any other host's loads are known."""
+        return len(self._all_loads()) > 1
+
+    def unreported_streams(self, key: str) -> int:
+        """Return this host's streams over a link that its last report did not contain."""
+        own = self.own.get(key)
+        return 0 if own is None else max(0, own.streams - self._reported_links.get(key, 0))
+
+    def note_waiting(self) -> None:
+        """Count the streams that wait for a path at this host."""
+        waiting = self.count_waiting() if self.home else 0
+        if waiting > 0:
+            self.own[waiting_key(self.home)] = ReplicaLoad(waiting)
+        else:
+            self.own.pop(waiting_key(self.home), None)
+
     def direct_loads(self) -> dict[str, ReplicaLoad]:
         """Return the summed load of this host and of the hosts that report to it directly."""
+        self._note_report()
         return _sum([self.own, *self._current(self._by_host)])
 
     def total_excluding(self, host: str) -> dict[str, ReplicaLoad]:
         """Return the summed load of all hosts but one that reports its own load to this host."""
+        self._note_report()
         reported = self._by_host.get(host)
         left_out = None if reported is None else reported.loads
         return _sum(loads for loads in self._all_loads() if loads is not left_out)
 
+    def _domain_keys(self, parts: tuple[PathPart, ...]) -> list[str]:
+        """Return the keys under which a path is counted by failure domains."""
+        if not self.home or not parts:
+            return []
+        domains = [self._domains.get(part.replica_id, "") for part in parts]
+        if "" in domains:
+            return []
+        keys = [link_key(before, after) for before, after in pairwise(domains) if before != after]
+        if domains[0] != self.home:
+            keys.append(entry_key(self.home, domains[0]))
+        return keys
+
+    def _note_report(self) -> None:
+        """Note which of this host's streams a report contains."""
+        self.note_waiting()
+        self._reported_links = {
+            key: load.streams for key, load in self.own.items() if key.startswith(LINK_PREFIX)
+        }
+
     def _note_change(self) -> None:
         """Invalidate the cached sum of the other hosts' loads, and notify the subscribers."""
         self._others = None
@@ -235,6 +308,31 @@
         return [report.loads for report in reported.values()]
 
 
+def link_key(domain: str, other: str) -> str:
+    """Return the key that counts the hops of streams between two failure domains."""
+    return f"{LINK_PREFIX}{min(domain, other)}|{max(domain, other)}"
+
+
+def entry_key(source: str, target: str) -> str:
+    """Return the key that counts the streams of one domain's hosts that begin in another domain."""
+    return f"entry/{source}>{target}"
+
+
+def waiting_key(domain: str) -> str:
+    """Return the key that counts the streams that wait for a path at a domain's hosts."""
+    return f"wait/{domain}"
+
+
+def list_domain_keys(domains: Iterable[str]) -> list[str]:
+    """Return all keys that count streams by failure domain; none for too many domains."""
+    names = sorted(set(domains) - {""})
+    if len(names) > MAX_COUNTED_DOMAINS:
+        return []
+    pairs = list(permutations(names, 2))
+    links = {link_key(*pair) for pair in pairs}
+    return [*links, *(entry_key(*pair) for pair in pairs), *map(waiting_key, names)]
+
+
 def create_load_table(clock: Clock) -> LoadTable:
     """Return an empty table."""
     return LoadTable(clock)
--- a/src/pimentodale/forwarding/path_requests.py
+++ b/src/pimentodale/forwarding/path_requests.py
@@ -44,7 +44,9 @@
         tokens=tokens,
         usual_tokens=usual,
         is_begun=routed.exchange.is_begun,
-        find=lambda: choose_path(ctx, service, tokens, avoid, heads=heads),
+        find=lambda: choose_path(
+            ctx, service, tokens, avoid, heads=heads, is_begun=routed.exchange.is_begun
+        ),
         is_feasible=lambda: covers_model(ctx, service, max_hold_off_ms=HOLD_OFF_WAIT_MS),
         reserve=lambda path: ctx.loads.add(path.parts, tokens),
         release=lambda path: ctx.loads.remove(path.parts, tokens),
--- a/src/pimentodale/forwarding/path_selection.py
+++ b/src/pimentodale/forwarding/path_selection.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.domain_choice import find_closed_links, first_domain
 from pimentodale.placement.paths import PathRequirements, StageLoad, find_path, prefill_ms
 from pimentodale.site.replica_health import incarnation_of
 
@@ -119,6 +121,8 @@
     avoid: Collection[str],
     kept: tuple[PathPart, ...] = (),
     heads: Collection[str] | None = None,
+    *,
+    is_begun: bool = False,
 ) -> Path | None:
     """Choose a path by the currently known loads.
 
@@ -129,16 +133,29 @@
         avoid: Ids of replicas that must not be used.
         kept: Parts that already run the request.
         heads: Ids of the replicas that may be the head; `None` for any.
+        is_begun: Whether the stream has begun and is resumed.
     """
-    if service.engine is None:
+    engine = service.engine
+    if engine is None:
         return None
     requirements = PathRequirements(ctx.failure_domain, tokens, avoid, kept, heads)
     stages = list_candidates(ctx, service, kept=[part.replica_id for part in kept])
-    if not kept and len(stages) > FULL_SEARCH_REPLICAS:
-        path = find_path(service.engine, _sample_domains(ctx, stages), requirements)
+    if len(stages) <= FULL_SEARCH_REPLICAS:
+        return find_path(engine, stages, requirements)
+    if not kept and heads is None:
+        domain = first_domain(ctx, service.name, engine, stages)
+        # A domain without a path at the last update is searched together with another one.
+        if domain is not None:
+            path = find_path(engine, _in_domains(stages, {domain}), requirements)
+            if path is not None:
+                return path
+    closed = find_closed_links(ctx, service.name, engine, is_begun=is_begun or bool(kept))
+    requirements = replace(requirements, closed_links=closed)
+    if not kept:
+        path = find_path(engine, _sample_domains(ctx, stages), requirements)
         if path is not None:
             return path
-    return find_path(service.engine, stages, requirements)
+    return find_path(engine, stages, requirements)
 
 
 def _sample_domains(ctx: ForwardingContext, stages: list[StageLoad]) -> list[StageLoad]:
@@ -150,7 +167,12 @@
     searched = {ctx.failure_domain, *others[:1]}
     if len(others) > 1:
         searched = {ctx.failure_domain, ctx.rng.choice(others)}
-    return [stage for stage in stages if stage.record.failure_domain in searched]
+    return _in_domains(stages, searched)
+
+
+def _in_domains(stages: list[StageLoad], domains: Collection[str]) -> list[StageLoad]:
+    """Return the replicas of some failure domains."""
+    return [stage for stage in stages if stage.record.failure_domain in domains]
 
 
 def service_hold_off_ms(ctx: ForwardingContext, service: str) -> float:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -18,6 +18,7 @@
 from pimentodale.clock import MS_PER_S, Clock, create_clock
 from pimentodale.forwarding.context import ForwardingContext
 from pimentodale.forwarding.crash_detector import create_crash_detector
+from pimentodale.forwarding.domain_choice import count_crossing_streams
 from pimentodale.forwarding.error_responses import send_refusal
 from pimentodale.forwarding.forwarder import STOPPING_RETRY_AFTER_MS, end_unfinished, forward
 from pimentodale.forwarding.front_server import create_front_server
@@ -177,6 +178,7 @@
         lambda: _rank_hosts(peers).index(settings.host),
     )
     ctx.loads.subscribe(gateway.shared_streams.queue.wake)
+    _count_by_domain(gateway, ctx, peers)
     share_lease(placer, peers, lambda: _rank_hosts(peers))
     server = _serve_clients(gateway, ctx)
     _serve_readiness(gateway, ctx)
@@ -314,6 +316,23 @@
     )
 
 
+def _count_by_domain(gateway: Gateway, ctx: ForwardingContext, peers: Peers) -> None:
+    """Have streams counted by failure domain, and add the metrics of those that leave theirs."""
+    choice, loads, view = ctx.domain_choice, ctx.loads, ctx.view
+
+    def domain_of(replica_id: str) -> str:
+        record = view.replicas.get(replica_id)
+        return "" if record is None else record.failure_domain
+
+    loads.home = ctx.failure_domain
+    loads.domain_of = domain_of
+    loads.count_waiting = lambda: len(gateway.shared_streams.queue)
+    choice.count_hosts = lambda: max(1, len(peers.live_members()))
+    ctx.metrics.list_domain_shares = choice.list_shares
+    ctx.metrics.count_crossing_streams = lambda: count_crossing_streams(ctx)
+    ctx.metrics.add_gauge("crossing_refused", lambda: choice.refused)
+
+
 def _configuration_version(view: SiteView) -> int:
     """Return the version of the configuration in force, 0 without one."""
     return view.configuration.version if view.configuration else 0
--- a/src/pimentodale/gateway/load_exchange.py
+++ b/src/pimentodale/gateway/load_exchange.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from pimentodale.foreign_bytes import UNREADABLE
-from pimentodale.forwarding.load_table import KV_UNIT, ReplicaLoad
+from pimentodale.forwarding.load_table import KV_UNIT, ReplicaLoad, list_domain_keys
 from pimentodale.logs import get_log
 from pimentodale.peers.mesh import rank
 
@@ -125,7 +125,7 @@
         failure domain gets the total of this one.
         """
         received = _request_decoder.decode(body)
-        loads = decode_loads(received.loads, self.view.replicas)
+        loads = decode_loads(received.loads, self._known_keys())
         if received.failure_domain == self.peers.own.failure_domain:
             self.board.set_host_loads(received.host, loads, self._report_ttl_ms())
             return msgspec.msgpack.encode(encode_loads(self.board.total_excluding(received.host)))
@@ -171,13 +171,19 @@
         problem = "" if reply.is_ok() else reply.error.message
         if reply.is_ok():
             try:
-                return decode_loads(_response_decoder.decode(reply.ok), self.view.replicas)
+                return decode_loads(_response_decoder.decode(reply.ok), self._known_keys())
             except UNREADABLE as error:
                 problem = f"its answer can't be decoded: {error}"
         self._skipped_until_ms[host] = self.clock.now_ms() + UNRESPONSIVE_SKIP_MS
         _log.info("Skipping an unresponsive host in the load exchange.", host=host, reason=problem)
         return None
 
+    def _known_keys(self) -> list[str]:
+        """Return the ids of the known replicas and the keys that count streams by domain."""
+        domains = {member.failure_domain for member in self.peers.live_members()}
+        domains.update(record.failure_domain for record in self.view.replicas.values())
+        return [*self.view.replicas, *list_domain_keys(domains)]
+
     def _is_available(self, host: str) -> bool:
         """Whether a host is currently not skipped."""
         return self._skipped_until_ms.get(host, 0.0) <= self.clock.now_ms()
@@ -222,11 +228,11 @@
     }
 
 
-def decode_loads(encoded: EncodedLoads, replica_ids: Iterable[str]) -> dict[str, ReplicaLoad]:
-    """Decode loads by replica id; loads of replicas unknown to this host are dropped."""
+def decode_loads(encoded: EncodedLoads, keys: Iterable[str]) -> dict[str, ReplicaLoad]:
+    """Decode loads by replica id or domain key; those unknown to this host are dropped."""
     loads = {}
-    for replica_id in replica_ids:
-        load = encoded.get(crc32(replica_id.encode()))
+    for key in keys:
+        load = encoded.get(crc32(key.encode()))
         if load is not None:
-            loads[replica_id] = ReplicaLoad(load[0], load[1], load[2] * KV_UNIT)
+            loads[key] = ReplicaLoad(load[0], load[1], load[2] * KV_UNIT)
     return loads
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -21,10 +21,12 @@
     __slots__ = (
         "_gauges",
         "between_events",
+        "count_crossing_streams",
         "count_hold_offs",
         "events",
         "first_event",
         "leaving_signs",
+        "list_domain_shares",
         "request",
         "results",
         "silent_sends",
@@ -53,6 +55,10 @@
         """Number of signals that a replica is leaving, by source."""
         self.count_hold_offs: Callable[[], int] = lambda: 0
         """Returns the number of answers that carried Retry-After."""
+        self.list_domain_shares: Callable[[], Mapping[tuple[str, str], float]] = dict
+        """Returns the shares of new streams that begin in another domain, by pair of domains."""
+        self.count_crossing_streams: Callable[[], Mapping[tuple[str, str], float]] = dict
+        """Returns the number of streams that began in another domain, by pair of domains."""
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def note_end(self, code: ResultCode, elapsed_ms: float) -> None:
@@ -94,6 +100,15 @@
         )
         for name, latency in latencies:
             yield from latency_families(name, latency)
+        by_pair = (
+            ("domain_share", self.list_domain_shares()),
+            ("crossing_streams", self.count_crossing_streams()),
+        )
+        for name, values in by_pair:
+            gauge = GaugeMetricFamily(f"pimentodale_{name}", name, labels=["from", "to"])
+            for pair, value in sorted(values.items()):
+                gauge.add_metric(list(pair), value)
+            yield gauge
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f"pimentodale_{name}", name, value=read())
 
--- a/src/pimentodale/placement/paths.py
+++ b/src/pimentodale/placement/paths.py
@@ -92,6 +92,9 @@
     heads: Collection[str] | None = None
     """Ids of the replicas at which the path may start; `None` for any."""
 
+    closed_links: Collection[tuple[str, str]] = ()
+    """Pairs of failure domains, sorted, between which no prompt may be transferred."""
+
 
 @dataclass(slots=True, frozen=True)
 class Path:
@@ -175,7 +178,7 @@
     active: list[_Segment] = []
     for first, end in pairwise(boundaries):
         active = [segment for segment in active if segment.end > first] + starting.get(first, [])
-        _extend_to_boundary(active, first, end, prefixes)
+        _extend_to_boundary(active, first, end, prefixes, requirements.closed_links)
     return _reconstruct_path(engine, prefixes)
 
 
@@ -301,7 +304,11 @@
 
 
 def _extend_to_boundary(
-    active: Sequence[_Segment], first: int, end: int, prefixes: dict[int, dict[str, _BestPrefix]]
+    active: Sequence[_Segment],
+    first: int,
+    end: int,
+    prefixes: dict[int, dict[str, _BestPrefix]],
+    closed_links: Collection[tuple[str, str]],
 ) -> None:
     """Extend the lowest-cost partial paths from one layer boundary to the next.
 
@@ -311,6 +318,7 @@
         end: Next boundary.
         prefixes: Lowest-cost partial paths by boundary and failure domain; receives those to
             `end`.
+        closed_links: Pairs of failure domains that the paths may not cross.
     """
     prefixes_here = prefixes.get(first, {})
     cheapest_domain = min(
@@ -323,7 +331,12 @@
         if end - segment.entered_at > segment.most_layers:
             segment.cost_ms = math.inf
         if prefixes_here and count <= segment.most_layers and (segment.may_be_first or first > 0):
-            _enter_segment(segment, domain, first, prefixes_here, cheapest_domain)
+            source: str | None = cheapest_domain
+            # A kept segment has the prompt already, and a path's head gets it as text.
+            if closed_links and first > 0 and not segment.is_kept:
+                source = _cheapest_open(domain, prefixes_here, closed_links)
+            if source is not None:
+                _enter_segment(segment, domain, first, prefixes_here, source)
         if segment.cost_ms == math.inf:
             continue
         segment.cost_ms += count * segment.layer_ms
@@ -338,6 +351,21 @@
         prefixes[end] = prefixes_there
 
 
+def _cheapest_open(
+    domain: str,
+    prefixes_here: dict[str, _BestPrefix],
+    closed_links: Collection[tuple[str, str]],
+) -> str | None:
+    """Return the domain of the cheapest partial path that may be continued in a domain."""
+    cheapest: str | None = None
+    for source, prefix in prefixes_here.items():
+        if (min(source, domain), max(source, domain)) in closed_links:
+            continue
+        if cheapest is None or prefix.cost_ms < prefixes_here[cheapest].cost_ms:
+            cheapest = source
+    return cheapest
+
+
 def _enter_segment(
     segment: _Segment,
     domain: str,
