Send no streams to a failure domain whose hosts no longer report loads

Cause: without its reports a domain looks idle, and its share would rise.

Change: the load exchange counts the hosts whose loads are known by domain. A domain that has reported before and has none is left out, which sets its share to 0 at once and logs it. A host without any report divides the capacity by the hosts registered, also those it doesn't reach.

--- a/features/domain_shares.feature
+++ b/features/domain_shares.feature
@@ -43,6 +43,14 @@
     When one of these falls silent and the other has no path
     Then no stream is sent to either
 
+  # Guards against a domain that is taken for idle because its reports no longer arrive.
+  Scenario: a domain whose hosts no longer report gets no streams
+    Given a host of a large site of 3 failure domains whose own domain is full and all hosts report
+    When it chooses 100 paths
+    Then both other domains have a share
+    When domain b reports no longer and 250 ms pass
+    Then only domain c has a share, which is logged
+
   # Guards against a host without reports that takes the others for idle.
   Scenario: a host without reports sends no more than its part of the free capacity
     Given one of 72 hosts that knows only its own streams, and whose domain has no path
--- a/features/steps/domain_shares.py
+++ b/features/steps/domain_shares.py
@@ -23,8 +23,8 @@
 from features.support.load_fakes import LoadNetwork
 
 from pimentodale.forwarding import domain_choice, path_selection
-from pimentodale.forwarding.domain_choice import find_closed_links
-from pimentodale.forwarding.load_table import entry_key, link_key
+from pimentodale.forwarding.domain_choice import MIN_LOGGED_CHANGE, find_closed_links
+from pimentodale.forwarding.load_table import ReplicaLoad, entry_key, hosts_key, link_key
 from pimentodale.forwarding.path_selection import FULL_SEARCH_REPLICAS, choose_path, domain_of
 from pimentodale.placement.domain_shares import (
     SLOT_FILL,
@@ -213,6 +213,58 @@
     assert all(share.value == 0 for share in context.shares.values()), context.shares
 
 
+@given(
+    "a host of a large site of {count:d} failure domains whose own domain is full and all hosts "
+    "report"
+)
+def make_full_site(context: Any, count: int) -> None:
+    context.host_state, context.service = create_large_site(count, full=set("a"))
+    loads = context.host_state.loads
+    loads.home = "a"
+    context.full = loads.total_excluding("")
+    report_hosts(context, "bc")
+
+
+def report_hosts(context: Any, domains: str) -> None:
+    """Have the hosts of some other domains report."""
+    hosts = {hosts_key(domain): ReplicaLoad(24) for domain in domains}
+    context.host_state.loads.set_remaining_loads({**context.full, **hosts}, 1e9)
+
+
+@when("it chooses {count:d} paths")
+def choose_several(context: Any, count: int) -> None:
+    for _ in range(count):
+        assert choose_path(context.host_state, context.service, 900.0, ()) is not None
+
+
+@then("both other domains have a share")
+def check_both(context: Any) -> None:
+    shares = context.host_state.domain_choice.list_shares()
+    assert shares["a", "b"] >= MIN_LOGGED_CHANGE, shares
+    assert shares["a", "c"] >= MIN_LOGGED_CHANGE, shares
+
+
+@when("domain b reports no longer and 250 ms pass")
+def stop_reports(context: Any) -> None:
+    report_hosts(context, "c")
+    context.host_state.clock.advance(250.0)
+    # Loggers that were used before may be cached, so that capturing the lines misses them.
+    with patch.object(domain_choice, "_log") as log:
+        choose_several(context, 1)
+    context.lines = [call.kwargs for call in log.info.call_args_list]
+
+
+@then("only domain c has a share, which is logged")
+def check_one(context: Any) -> None:
+    shares = context.host_state.domain_choice.list_shares()
+    assert shares.get(("a", "b"), 0.0) == 0.0, shares
+    assert shares["a", "c"] > 0, shares
+    lines = [line for line in context.lines if line.get("to") == "b"]
+    assert [(line["share"], line["reason"]) for line in lines] == [
+        (0.0, "no reports from there")
+    ], context.lines
+
+
 @given("one of 72 hosts that knows only its own streams, and whose domain has no path")
 def make_lone_host(context: Any) -> None:
     idle = DomainState(IDLE_TOKEN_MS, IDLE_TOKEN_MS, 0.0, 96.0, 0.0)
--- a/src/pimentodale/forwarding/domain_choice.py
+++ b/src/pimentodale/forwarding/domain_choice.py
@@ -11,7 +11,7 @@
 from itertools import combinations, permutations
 from typing import TYPE_CHECKING, Final
 
-from pimentodale.forwarding.load_table import entry_key, link_key, waiting_key
+from pimentodale.forwarding.load_table import entry_key, hosts_key, link_key, waiting_key
 from pimentodale.logs import get_log
 from pimentodale.placement.domain_shares import (
     BEGUN_LINK_FILL,
@@ -28,7 +28,7 @@
 from pimentodale.placement.paths import PathRequirements, StageLoad, find_path
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from pimentodale.forwarding.context import ForwardingContext
     from pimentodale.site.model import EngineModel
@@ -43,6 +43,8 @@
 MIN_LOGGED_CHANGE: Final = 0.05
 """Smallest change of a share that is logged."""
 
+_UNKNOWN_STATE: Final = DomainState(None, None, 0.0, 0.0, 0.0)
+
 _log = get_log("routing")
 
 
@@ -84,11 +86,14 @@
     """State of the choice between failure domains."""
 
     count_hosts: Callable[[], int] = lambda: 1
-    """Returns the number of live hosts of the site."""
+    """Returns the number of the site's hosts; also those that this host doesn't reach."""
 
     refused: int = 0
     """Number of searches in which a link was closed because it was too busy."""
 
+    reported: set[str] = field(default_factory=set)
+    """Failure domains whose hosts have reported loads at any time."""
+
     by_service: dict[str, _ServiceChoice] = field(default_factory=dict)
 
     def list_shares(self) -> dict[tuple[str, str], float]:
@@ -167,13 +172,16 @@
     if now_ms - choice.updated_ms < UPDATE_INTERVAL_MS:
         return choice
     choice.updated_ms = now_ms
-    ctx.loads.note_waiting()
+    ctx.loads.note_host()
     by_domain: dict[str, list[StageLoad]] = {ctx.failure_domain: []}
     for stage in stages:
         # The backlog is only that of this host's prompts; all hosts need equal sums.
         by_domain.setdefault(stage.record.failure_domain, []).append(replace(stage, backlog_ms=0.0))
+    silent = _silent_domains(ctx, by_domain)
     choice.states = {
-        domain: _read_state(ctx, choice, engine, domain, by_domain) for domain in sorted(by_domain)
+        domain: _read_state(ctx, choice, engine, domain, by_domain)
+        for domain in sorted(by_domain)
+        if domain not in silent
     }
     hosts = ctx.domain_choice.count_hosts()
     choice.shares = update_shares(
@@ -187,6 +195,24 @@
     return choice
 
 
+def _silent_domains(ctx: ForwardingContext, domains: Collection[str]) -> set[str]:
+    """Return the other domains whose hosts have stopped reporting, so that their loads are unknown.
+
+    While no host's reports arrive, none counts as silent: the capacity is then divided by the
+    number of hosts instead.
+    """
+    if not ctx.loads.has_reports():
+        return set()
+    reported = ctx.domain_choice.reported
+    silent: set[str] = set()
+    for domain in domains:
+        if ctx.loads.total(hosts_key(domain)).streams > 0:
+            reported.add(domain)
+        elif domain in reported and domain != ctx.failure_domain:
+            silent.add(domain)
+    return silent
+
+
 def _read_state(
     ctx: ForwardingContext,
     choice: _ServiceChoice,
@@ -251,13 +277,14 @@
 
 def _log_changes(ctx: ForwardingContext, choice: _ServiceChoice) -> None:
     """Log each share of this host's domain that has changed since it was last logged."""
-    for pair, share in choice.shares.items():
+    for pair in sorted({*choice.shares, *choice.logged}):
         home, other = pair
+        share = choice.shares.get(pair, DomainShare(0.0, "no reports from there"))
         before = choice.logged.get(pair, 0.0)
         if home != ctx.failure_domain or abs(share.value - before) < MIN_LOGGED_CHANGE:
             continue
         choice.logged[pair] = share.value
-        state, there = choice.states[home], choice.states[other]
+        state, there = choice.states[home], choice.states.get(other, _UNKNOWN_STATE)
         _log.info(
             "The share of streams that leave the failure domain has changed.",
             to=other,
--- a/src/pimentodale/forwarding/load_table.py
+++ b/src/pimentodale/forwarding/load_table.py
@@ -233,9 +233,12 @@
         own = self.own.get(key)
         return 0 if own is None else max(0, own.streams - self._reported_links.get(key, 0))
 
-    def note_waiting(self) -> None:
-        """Count the streams that wait for a path at this host."""
-        waiting = self.count_waiting() if self.home else 0
+    def note_host(self) -> None:
+        """Count this host and the streams that wait for a path at it."""
+        if not self.home:
+            return
+        self.own[hosts_key(self.home)] = ReplicaLoad(1)
+        waiting = self.count_waiting()
         if waiting > 0:
             self.own[waiting_key(self.home)] = ReplicaLoad(waiting)
         else:
@@ -267,7 +270,7 @@
 
     def _note_report(self) -> None:
         """Note which of this host's streams a report contains."""
-        self.note_waiting()
+        self.note_host()
         self._reported_links = {
             key: load.streams for key, load in self.own.items() if key.startswith(LINK_PREFIX)
         }
@@ -323,6 +326,11 @@
     return f"wait/{domain}"
 
 
+def hosts_key(domain: str) -> str:
+    """Return the key that counts the hosts of a domain whose loads are known."""
+    return f"hosts/{domain}"
+
+
 def list_domain_keys(domains: Iterable[str]) -> list[str]:
     """Return all keys that count streams by failure domain; none for too many domains."""
     names = sorted(set(domains) - {""})
@@ -330,7 +338,12 @@
         return []
     pairs = list(permutations(names, 2))
     links = {link_key(*pair) for pair in pairs}
-    return [*links, *(entry_key(*pair) for pair in pairs), *map(waiting_key, names)]
+    return [
+        *links,
+        *(entry_key(*pair) for pair in pairs),
+        *map(waiting_key, names),
+        *map(hosts_key, names),
+    ]
 
 
 def create_load_table(clock: Clock) -> LoadTable:
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -327,7 +327,7 @@
     loads.home = ctx.failure_domain
     loads.domain_of = domain_of
     loads.count_waiting = lambda: len(gateway.shared_streams.queue)
-    choice.count_hosts = lambda: max(1, len(peers.live_members()))
+    choice.count_hosts = lambda: max(1, len(peers.live_members()), len(view.peer_addresses))
     ctx.metrics.list_domain_shares = choice.list_shares
     ctx.metrics.count_crossing_streams = lambda: count_crossing_streams(ctx)
     ctx.metrics.add_gauge("crossing_refused", lambda: choice.refused)
