--- a/src/pimentodale/entry/membership.py
+++ b/src/pimentodale/entry/membership.py
@@ -15,7 +15,7 @@
 from pimentodale.leaving.leaving_servers import TOPIC as LEAVING_TOPIC
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
-from pimentodale.quarantine.crash_sharing import share_crashes
+from pimentodale.quarantine.crash_sharing import create_run_later, share_crashes
 from pimentodale.quarantine.entries import pack_entry, unpack_entry
 from pimentodale.quarantine.entry_sharing import follow_entries, share_entries
 from pimentodale.quarantine.register import CONVICTION_RETENTION_MS, STRIKE_RETENTION_MS
@@ -133,7 +133,8 @@
             quarantine.trials.claims.receive(claim)
 
     share_entries(register, writer)
-    share_crashes(crashes, peers, writer.put, peers.own.host)
+    run_later = create_run_later(clock, background)
+    share_crashes(crashes, peers, writer.put, peers.own.host, run_later=run_later)
     register.subscribe(publish_entry)
     quarantine.trials.claims.connect(publish_claim)
     peers.subscribe(QUARANTINE_TOPIC, receive_entry)
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -49,7 +49,7 @@
 from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
 from pimentodale.process_signals import create_stop_event
 from pimentodale.quarantine.crash_record import CRASH_RETENTION_MS, create_crash_record
-from pimentodale.quarantine.crash_sharing import share_crashes
+from pimentodale.quarantine.crash_sharing import create_run_later, share_crashes
 from pimentodale.quarantine.retrials import create_retrials
 from pimentodale.quarantine.spread_writes import create_spread_writes
 from pimentodale.quarantine.store_writer import create_store_writer
@@ -252,6 +252,7 @@
         settings.host,
         schedule=spread_writes.schedule,
         find_stored=lambda fingerprint: find_stored_crashes(view.mirror, fingerprint),
+        run_later=create_run_later(clock, gateway.background),
     )
     follow_stored_crashes(record, view.mirror)
     store, mirror = gateway.platform.store, view.mirror
--- a/src/pimentodale/quarantine/crash_record.py
+++ b/src/pimentodale/quarantine/crash_record.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -44,6 +45,9 @@
 MAX_CRASHES: Final = 32
 """Maximum number of crashes of each kind kept for a request; the oldest are dropped first."""
 
+MAX_LOGGED_CRASHES: Final = 8
+"""Maximum number of crashes named in the line on entries that other hosts published."""
+
 _log = get_log("crashes")
 
 
@@ -81,6 +85,17 @@
         return len(fresh) >= CONVICTING_CRASHES or enough_late
 
 
+@dataclass(slots=True)
+class _ReceivedChanges:
+    """Changes by merges that are not logged yet."""
+
+    entries: int = 0
+    """Number of changed entries."""
+
+    crashes: set[str] = field(default_factory=set)
+    """Names of some of their crashes."""
+
+
 class CrashRecord:
     """Crash entries of one host, by fingerprint."""
 
@@ -89,6 +104,8 @@
         "_convicted",
         "_entries",
         "_expire_ms",
+        "_log_later",
+        "_received",
         "_receivers",
         "_repeated",
         "_subscribers",
@@ -102,6 +119,16 @@
         self._expire_ms: dict[str, float] = {}
         self._subscribers: list[Callable[[CrashEntry], None]] = []
         self._receivers: list[Callable[[CrashEntry], None]] = []
+        self._received = _ReceivedChanges()
+        self._log_later: Callable[[Callable[[], None]], None] | None = None
+
+    def aggregate_log(self, log_later: Callable[[Callable[[], None]], None]) -> None:
+        """Log entries with a single crash that other hosts published in one line for all.
+
+        Args:
+            log_later: Calls the function that writes the line after the interval of the lines.
+        """
+        self._log_later = log_later
 
     def subscribe(self, callback: Callable[[CrashEntry], None]) -> None:
         """Register a callback for entries that this host changed, or convicted by a merge."""
@@ -231,6 +258,13 @@
     def _apply(self, entry: CrashEntry, told_by: str) -> None:
         """Merge an entry; notify the subscribers of changes that other hosts may not know."""
         known = self.find(entry.fingerprint)
+        if known is not None and has_all_of(known, entry):
+            # No other host has to know `most_events` before the next crash.
+            if entry.most_events > known.most_events:
+                self._entries[entry.fingerprint] = msgspec.structs.replace(
+                    known, most_events=entry.most_events
+                )
+            return
         merged = entry if known is None else _merge(known, entry)
         if merged == known:
             return
@@ -252,16 +286,7 @@
         else:
             self._repeated.discard(entry.fingerprint)
         self._expire_ms[entry.fingerprint] = self._clock.now_ms() + CRASH_RETENTION_MS
-        _log.info(
-            "The crash entry of a request has changed.",
-            fingerprint=entry.fingerprint,
-            crashes=sorted(merged.open_crashes),
-            late=len(merged.late),
-            most_events=merged.most_events,
-            cleared=len(merged.cleared),
-            convicted=merged.is_convicted,
-            told_by=told_by,
-        )
+        self._log_change(merged, told_by)
         was_convicted = known is not None and known.is_convicted
         # Entries of several hosts may convict only together, which the sender does not know.
         is_news = merged.is_convicted and not was_convicted and not entry.is_convicted
@@ -272,6 +297,37 @@
             for callback in self._receivers:
                 callback(merged)
 
+    def _log_change(self, entry: CrashEntry, told_by: str) -> None:
+        """Log a changed entry, or count it if it has a single crash and another host published it."""
+        crashes = {*entry.fresh, *entry.late}
+        if told_by and len(crashes) < REPEATED_CRASHES and self._log_later is not None:
+            received = self._received
+            received.entries += 1
+            if len(received.crashes) < MAX_LOGGED_CRASHES:
+                received.crashes |= crashes
+            if received.entries == 1:
+                self._log_later(self._log_received)
+            return
+        _log.info(
+            "The crash entry of a request has changed.",
+            fingerprint=entry.fingerprint,
+            crashes=sorted(entry.open_crashes),
+            late=len(entry.late),
+            most_events=entry.most_events,
+            cleared=len(entry.cleared),
+            convicted=entry.is_convicted,
+            told_by=told_by,
+        )
+
+    def _log_received(self) -> None:
+        """Log the changes by merges since the last such line."""
+        received, self._received = self._received, _ReceivedChanges()
+        _log.info(
+            "Crash entries with a single crash have changed by other hosts' word.",
+            entries=received.entries,
+            crashes=sorted(received.crashes),
+        )
+
     def _remove(self, fingerprint: str) -> None:
         """Remove the entry of a request, if there is one."""
         self._entries.pop(fingerprint, None)
@@ -327,6 +383,17 @@
     )
 
 
+def has_all_of(entry: CrashEntry, other: CrashEntry) -> bool:
+    """Return whether a merge with another entry of the request would change at most `most_events`."""
+    pairs = (
+        (entry.fresh, other.fresh),
+        (entry.late, other.late),
+        (entry.cleared, other.cleared),
+        (entry.requests, other.requests),
+    )
+    return all(name in names for names, others in pairs for name in others)
+
+
 def _merge(one: CrashEntry, other: CrashEntry) -> CrashEntry:
     """Return the union of two entries of a request; items of `one` keep their order."""
     return CrashEntry(
