--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -165,8 +165,10 @@
             path = self.site.write(f"{process}.yaml", {"parts": own})
             self.site.start(process, "pimentodale-standin", str(path))
 
-    def start_gateway(self, name: str, store: str = "") -> Program:
-        """Start one gateway."""
+    def start_gateway(
+        self, name: str, store: str = "", extra: dict[str, object] | None = None
+    ) -> Program:
+        """Start one gateway; `extra` are further settings."""
         ip = self.ip(name)
         settings = {
             "host": name,
@@ -179,7 +181,7 @@
             "stop_timeout_s": 8,
             "stall_ms": 2_500,
         }
-        path = self.site.write(f"{name}.yaml", settings)
+        path = self.site.write(f"{name}.yaml", settings | (extra or {}))
         return self.site.start(name, "pimentodale-gateway", str(path))
 
     def start_all(self, events: int = 20, event_ms: float = 10.0) -> None:
