Bound the memory and connections that clients hold

Bodies of uncontrolled clients filled a process: each was collected up to max_body_bytes, whatever the others held, and none was ended when it stopped.

One account (forwarding/client_memory.py, a third of what memory_mb leaves beyond 64 MB) is reserved before a body is read; a full account answers 503 or drops the slowest body. Bodies that stop are answered 408, bodies of tiny chunks 400. Three quarters of max_fds are for clients; the idle ones are closed first. Unfinished messages of peers have 8 MB, readiness checks no body. The allocator maps buffers over 320 KB on their own, and long answers are written in pieces, since copies took more than what was held.

--- a/features/steps/platform_adapter.py
+++ b/features/steps/platform_adapter.py
@@ -199,6 +199,8 @@
         "bounds.budget_ratio": "0.2",
         "bounds.budget_slack": "196",
         "bounds.budget_window_s": "10",
+        "limits.memory_mb": "200",
+        "limits.max_fds": "512",
     }
     text = (ROOT / "deploy" / "gateway.yaml").read_text()
     context.filled = re.sub(r"\{\{([^}]+)\}\}", lambda found: values[found[1]], text)
@@ -210,6 +212,8 @@
     assert settings.failure_domain == "delft-a"
     assert settings.stop_timeout_s == 8.5
     assert settings.replica_heartbeat_ms == 1_000.0
+    assert settings.memory_mb == 200.0
+    assert settings.max_fds == 512
     lines = [line for line in context.filled.splitlines() if not line.startswith("store:")]
     missing = parse_yaml("\n".join(lines), GatewaySettings, "settings")
     assert missing.is_error()
--- a/src/pimentodale/callers/app.py
+++ b/src/pimentodale/callers/app.py
@@ -17,11 +17,14 @@
 )
 from pimentodale.callers.services import ServiceHandler
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.client_stream import ClientStream
 from pimentodale.tracking_server import TrackingServer
 
 if TYPE_CHECKING:
+    from tornado.iostream import IOStream
 
     from pimentodale.callers.context import CallerContext
+    from pimentodale.forwarding.client_connections import ClientConnections
 
 MAX_DRAINED_BYTES: Final = 256 * 1024 * 1024
 """How much of a refused body is read and dropped before its connection is closed."""
@@ -60,10 +63,32 @@
     )
 
 
-def create_server(application: Application) -> TrackingServer:
+class CallerServer(TrackingServer):
+    """Accepts callers' connections."""
+
+    connections: ClientConnections
+    """The callers' connections."""
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a connection."""
+        client = self.connections.admit(
+            lambda: ClientStream(stream.socket, _awaits_no_header, self.connections.note_closed)
+        )
+        if client is not None:
+            super().handle_stream(client, address)
+
+
+def _awaits_no_header(_stream: ClientStream) -> bool:
+    """Leave the answer to an oversized header to Tornado."""
+    return False
+
+
+def create_server(application: Application, connections: ClientConnections) -> TrackingServer:
     """Return the HTTP server; the handlers bound each body themselves."""
-    return TrackingServer(
+    server = CallerServer(
         application,
         max_body_size=MAX_DRAINED_BYTES,
         idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_MS / MS_PER_S,
     )
+    server.connections = connections
+    return server
--- a/src/pimentodale/callers/base.py
+++ b/src/pimentodale/callers/base.py
@@ -13,6 +13,13 @@
 from tornado.web import HTTPError, RequestHandler, stream_request_body
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.client_memory import (
+    MIN_PACE_BYTES_PER_S,
+    PACE_WINDOW_MS,
+    STALL_CHECK_MS,
+    STALL_MS,
+)
+from pimentodale.forwarding.client_stream import MIN_CHUNK_BYTES, ClientStream
 from pimentodale.ledger.refusals import adapt_to_unread_key
 from pimentodale.logs import get_log
 from pimentodale.results import Ran, Refusal, ResultCode, create_refusal
@@ -32,6 +39,12 @@
 MAX_KEY_CHARS: Final = 255
 """Longest Idempotency-Key or request id."""
 
+LINGER_MS: Final = 1_000.0
+"""How long the rest of a refused body is read and discarded before its connection is closed."""
+
+MEMORY_RETRY_AFTER_MS: Final = 1_000.0
+"""When a caller may come back that was refused as the memory for requests is full."""
+
 _VISIBLE_ASCII: Final = re.compile(r"^[\x21-\x7e]+$")
 _log = get_log("callers")
 
@@ -106,6 +119,10 @@
         self.request_id = ""
         self.handed_over = False
         self.refused_early = False
+        self._share = context.client_memory.open(self._drop)
+        self._checking: asyncio.TimerHandle | None = None
+        self._window_ms = self.accepted_ms
+        self._window_bytes = 0
         self._body_read = False
         self._counted = False
         self._is_cut = False
@@ -123,18 +140,102 @@
             "request", self.request_id, parent, path=self.request.path
         )
         self.set_header("traceparent", self._span.context().header())
+        stream = self._client_stream()
+        if stream is not None:
+            self.context.connections.note_busy(stream)
+            if "Transfer-Encoding" in self.request.headers:
+                stream.count_chunks(self._refuse_chunks)
         length = self.request.headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self.context.max_body_bytes:
+        if length.isdecimal() and int(length) > self.context.max_body_bytes:
             self.refuse(self._too_large())
+        elif length.isdecimal() and not self._share.reserve(int(length)):
+            self._refuse_crowd("memory", _memory_full())
+        elif length != "0" or "Transfer-Encoding" in self.request.headers:
+            self._check_later()
 
     def data_received(self, chunk: bytes) -> None:
         """Take a piece of the body; after a refusal the rest is read and dropped."""
         if self.refused_early:
             return
-        self.body += chunk
-        if len(self.body) > self.context.max_body_bytes:
-            self.body.clear()
+        if len(self.body) + len(chunk) > self.context.max_body_bytes:
+            self._release()
             self.refuse(self._too_large())
+        elif not self._share.receive(len(chunk), self.context.clock.now_ms()):
+            self._refuse_crowd("memory", _memory_full())
+        else:
+            self.body += chunk
+
+    def _client_stream(self) -> ClientStream | None:
+        """Return the caller's connection."""
+        stream = getattr(self.request.connection, "stream", None)
+        return stream if isinstance(stream, ClientStream) else None
+
+    def _release(self) -> None:
+        """Return the memory of the body."""
+        self.body.clear()
+        self._share.end()
+        if self._checking is not None:
+            self._checking.cancel()
+            self._checking = None
+
+    def _drop(self) -> None:
+        """Refuse a slow request, as another one needs its memory."""
+        if not self.refused_early and not self._body_read:
+            self._refuse_crowd("memory", _memory_full())
+
+    def _refuse_chunks(self) -> None:
+        """Refuse a request with many tiny chunks."""
+        if not self.refused_early:
+            message = f"Send chunks of at least {MIN_CHUNK_BYTES} bytes on average; it has not run."
+            self._refuse_crowd("chunks", create_refusal(ResultCode.MALFORMED_REQUEST, message))
+
+    def _refuse_crowd(self, kind: str, refusal: Refusal) -> None:
+        """Refuse a request while its body arrives, and close its connection soon."""
+        memory = self.context.client_memory
+        memory.refusals[kind] += 1
+        _log.info(
+            "A request was refused while its body arrived.",
+            request=self.request_id,
+            kind=kind,
+            received_bytes=self._share.received_bytes,
+            held_bytes=memory.held_bytes,
+            limit_bytes=memory.limit_bytes,
+        )
+        self._release()
+        self.set_header("Connection", "close")
+        self.refuse(refusal)
+        stream = self._client_stream()
+        if stream is not None:
+            asyncio.get_running_loop().call_later(LINGER_MS / MS_PER_S, self._end_lingering, stream)
+
+    def _end_lingering(self, stream: ClientStream) -> None:
+        """Close the connection of a refused request whose body still has not ended."""
+        if not self._body_read:
+            stream.close()
+
+    def _check_later(self) -> None:
+        """Schedule the next check of whether the body has stalled."""
+        loop = asyncio.get_running_loop()
+        self._checking = loop.call_later(STALL_CHECK_MS / MS_PER_S, self._check_pace)
+
+    def _check_pace(self) -> None:
+        """Refuse the request if its body has stalled or is too slow."""
+        self._checking = None
+        if self.refused_early or self._body_read:
+            return
+        now_ms = self.context.clock.now_ms()
+        received_bytes = self._share.received_bytes
+        window_ms = now_ms - self._window_ms
+        is_slow = now_ms - self._share.last_ms >= STALL_MS
+        if window_ms >= PACE_WINDOW_MS:
+            pace = (received_bytes - self._window_bytes) * MS_PER_S / window_ms
+            is_slow = is_slow or pace < MIN_PACE_BYTES_PER_S
+            self._window_ms, self._window_bytes = now_ms, received_bytes
+        if not is_slow:
+            self._check_later()
+            return
+        message = "The body came too slowly; the request has not run."
+        self._refuse_crowd("slow", create_refusal(ResultCode.BODY_TOO_SLOW, message))
 
     def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> Future[None]:
         """Finish the answer; the work of a request that was answered for a stop may end later."""
@@ -158,6 +259,7 @@
 
     def count_off(self) -> None:
         """Count the request off; every verb does so at its end."""
+        self._share.end()
         self.context.end_unfinished.discard(self._end_unfinished)
         if self._counted:
             self._counted = False
@@ -166,11 +268,13 @@
     def on_connection_close(self) -> None:
         """Count off a request whose caller went away before its verb ran."""
         if not self._body_read:
+            self._release()
             self.count_off()
 
     def ended_early(self) -> bool:
         """Finish, now that the body is read, if the answer went out before it; every verb asks."""
         self._body_read = True
+        self._share.keep()
         if self.refused_early:
             self.finish()
         return self.refused_early
@@ -203,7 +307,11 @@
         return Ran.MAY_HAVE_RUN if self.handed_over else Ran.NOT_RUN
 
     def on_finish(self) -> None:
-        """Close the request's span."""
+        """Close the request's span, and return the memory of its body."""
+        self._share.end()
+        stream = self._client_stream()
+        if stream is not None:
+            self.context.connections.note_idle(stream)
         if not self._body_read:
             self.count_off()
         if self._span is None:
@@ -263,3 +371,9 @@
         """Refuse a body over the bound."""
         message = f"The body is over {self.context.max_body_bytes} bytes; send a smaller one."
         return create_refusal(ResultCode.BODY_TOO_LARGE, message)
+
+
+def _memory_full() -> Refusal:
+    """Return the refusal of a request for which there is no memory."""
+    message = "The memory for requests is full; this one has not run, come back."
+    return create_refusal(ResultCode.MEMORY_FULL, message, retry_after_ms=MEMORY_RETRY_AFTER_MS)
--- a/src/pimentodale/callers/context.py
+++ b/src/pimentodale/callers/context.py
@@ -13,6 +13,8 @@
     from pimentodale.callers.authentication import Authenticator
     from pimentodale.clock import Clock
     from pimentodale.configuration.documents import Configuration
+    from pimentodale.forwarding.client_connections import ClientConnections
+    from pimentodale.forwarding.client_memory import ClientMemory
     from pimentodale.leaving.in_flight_requests import InFlightRequests
     from pimentodale.ledger.interface import Ledger
     from pimentodale.metrics import Metrics
@@ -71,6 +73,12 @@
     max_body_bytes: int
     """Largest request body."""
 
+    client_memory: ClientMemory
+    """Account of the memory that callers hold."""
+
+    connections: ClientConnections
+    """The callers' connections."""
+
     end_unfinished: set[Callable[[], None]] = field(default_factory=set)
     """Answer each request in progress whose answer has not begun; called as the host's time to stop
     is over."""
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -35,6 +35,8 @@
     start_routing,
 )
 from pimentodale.entry.status import StatusHandler, create_status_reader
+from pimentodale.forwarding.client_connections import ClientConnections, max_connections_of
+from pimentodale.forwarding.client_memory import create_client_memory
 from pimentodale.leaving.graceful_shutdown import (
     GracefulShutdown,
     ShutdownSteps,
@@ -146,7 +148,7 @@
     crashes = create_crash_record(host.clock)
     context = _create_context(host, store, follower, routing, crashes)
     handlers = _create_operator_handlers(context, follower, peers, routing.fleet)
-    server = create_server(create_application(context, handlers))
+    server = create_server(create_application(context, handlers), context.connections)
     server.add_sockets(sockets)
     quarantine = create_quarantine(settings.host, host.clock, host.background, store)
     context.pipelines.quarantine = quarantine
@@ -216,6 +218,10 @@
     tracer = create_tracer(host.clock, settings.host, settings.trace_spans)
     metrics = create_metrics()
     add_body_gauges(metrics.add_gauge)
+    client_memory = create_client_memory(host.clock, settings.memory_mb)
+    metrics.client_refusals = client_memory.refusals
+    metrics.add_gauge("client_bytes", lambda: client_memory.held_bytes)
+    metrics.add_gauge("client_bytes_limit", lambda: client_memory.limit_bytes)
     pipelines = PipelineContext(
         clock=host.clock,
         tracer=tracer,
@@ -258,6 +264,8 @@
         readiness=lambda: host.readiness(follower.current()),
         is_stopping=lambda: host.stop.is_stopping,
         max_body_bytes=settings.max_body_bytes,
+        client_memory=client_memory,
+        connections=ClientConnections(client_memory.refusals, max_connections_of(settings.max_fds)),
     )
 
 
--- a/src/pimentodale/entry/settings.py
+++ b/src/pimentodale/entry/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from pimentodale.logs import LogFormat, LogLevel
@@ -43,6 +45,13 @@
     max_body_bytes: int = 8 * 1024 * 1024
     """Maximum size of a request body."""
 
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    """Memory of the process; 0 if unknown. Callers may hold a third of what it leaves beyond 64 MB."""
+
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """File descriptors of the process, three quarters of them for callers; 0 for the system's
+    limit."""
+
     stop_timeout_ms: float = 600_000.0
     """How long a graceful shutdown waits for work in progress."""
 
--- a/src/pimentodale/forwarding/client_exchange.py
+++ b/src/pimentodale/forwarding/client_exchange.py
@@ -10,7 +10,7 @@
 from tornado.iostream import StreamClosedError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Callable
 
     from tornado.httputil import HTTPConnection
 
@@ -21,6 +21,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    408: "Request Timeout",
     413: "Content Too Large",
     429: "Too Many Requests",
     500: "Internal Server Error",
@@ -30,6 +31,10 @@
 }
 
 
+PIECE_BYTES: Final = 64 * 1024
+"""Most of a long response that is copied at once."""
+
+
 class ClientGoneError(Exception):
     """The client has closed its connection."""
 
@@ -37,11 +42,26 @@
 class ClientExchange:
     """A client request and the connection on which its response is written."""
 
-    __slots__ = ("_connection", "is_begun", "is_closed_by_host", "is_ended", "is_last", "request")
-
-    def __init__(self, connection: HTTPConnection, request: ClientRequest) -> None:
+    __slots__ = (
+        "_connection",
+        "hold_answer",
+        "is_begun",
+        "is_closed_by_host",
+        "is_ended",
+        "is_last",
+        "request",
+    )
+
+    def __init__(
+        self,
+        connection: HTTPConnection,
+        request: ClientRequest,
+        hold_answer: Callable[[int], bool] = lambda _size: True,
+    ) -> None:
         self._connection = connection
         self.request = request
+        self.hold_answer = hold_answer
+        """Reserves the memory of a complete response of this size; returns whether there is some."""
         self.is_begun = False
         """Whether the response header has been written."""
         self.is_ended = False
@@ -52,11 +72,26 @@
         """Whether the connection closes after this response."""
 
     async def answer(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
-        """Write a complete response."""
+        """Write a complete response; the connection is closed instead if there is no memory for it.
+
+        Raises:
+            ClientGoneError: If the connection was closed.
+        """
+        if not self.hold_answer(len(body)):
+            # The request may have run, so that no status could say that it has not.
+            self.abort()
+            raise ClientGoneError
         fields = self._headers(headers)
         fields["Content-Length"] = str(len(body))
-        self.is_begun = self.is_ended = True
-        await self._write(self._connection.write_headers(_start_line(status), fields, body or None))
+        self.is_begun = True
+        # A long body is written piece by piece, as Tornado would copy the whole of it.
+        first = body if len(body) <= PIECE_BYTES else b""
+        self.is_ended = len(first) == len(body)
+        header = self._connection.write_headers(_start_line(status), fields, first or None)
+        await self._write(header)
+        for start in range(len(first), len(body), PIECE_BYTES):
+            await self._write(self._connection.write(body[start : start + PIECE_BYTES]))
+        self.is_ended = True
         self._finish()
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -17,8 +17,18 @@
 )
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.forwarding.client_connections import ClientConnections, max_connections_of
 from pimentodale.forwarding.client_exchange import ClientExchange, ClientGoneError
-from pimentodale.forwarding.client_stream import ClientStream
+from pimentodale.forwarding.client_memory import (
+    MIN_PACE_BYTES_PER_S,
+    PACE_WINDOW_MS,
+    SMALL_BYTES,
+    STALL_CHECK_MS,
+    STALL_MS,
+    ClientMemory,
+    create_client_memory,
+)
+from pimentodale.forwarding.client_stream import MIN_CHUNK_BYTES, ClientStream
 from pimentodale.forwarding.error_responses import refusal_parts
 from pimentodale.logs import get_log
 from pimentodale.results import Ran, ResultCode, create_refusal
@@ -33,11 +43,18 @@
 
     from pimentodale.clock import Clock
     from pimentodale.forwarding.messages import ClientRequest, ExchangeCodec
+    from pimentodale.results import Refusal
 
 LINGER_MS: Final = 1_000.0
 """How long the rest of a refused body is read and discarded. Closing a connection with unread bytes
 resets it, and the client may lose the response. Clients on the site's network send 4 MB in less."""
 
+YIELD_BYTES: Final = 64 * 1024
+"""Bytes of a body after which other clients have their turn. Tornado yields after 256 chunks."""
+
+MEMORY_RETRY_AFTER_MS: Final = 1_000.0
+"""When a client may come back that was refused as the account is full."""
+
 _NO_BODY_LIMIT_BYTES: Final = 2**62
 """Body size limit given to Tornado, which would answer 400; the limit is enforced here instead."""
 
@@ -47,16 +64,20 @@
 class FrontServer(TrackingServer):
     """Accepts client connections."""
 
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Initialize with the arguments of Tornado's server."""
-        super().initialize(*args, **kwargs)
-        self.shared = SharedServerState()
-        """State shared by the connections of this server."""
+    shared: SharedServerState
+    """State shared by the connections of this server."""
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection."""
         busy = self.shared.busy_streams
-        client = ClientStream(stream.socket, lambda waiting: waiting not in busy)
+        connections = self.shared.connections
+        client = connections.admit(
+            lambda: ClientStream(
+                stream.socket, lambda waiting: waiting not in busy, connections.note_closed
+            )
+        )
+        if client is None:
+            return
         client.set_nodelay(True)
         super().handle_stream(client, address)
 
@@ -92,9 +113,28 @@
 class SharedServerState:
     """State shared by all connections of a server."""
 
-    __slots__ = ("busy_streams", "is_closing", "limits", "used_streams")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_checking",
+        "arriving",
+        "busy_streams",
+        "clock",
+        "connections",
+        "is_closing",
+        "limits",
+        "memory",
+        "used_streams",
+    )
+
+    def __init__(self, clock: Clock, memory: ClientMemory, connections: ClientConnections) -> None:
+        self.clock = clock
+        """Source of time."""
+        self.memory = memory
+        """Account of the memory that clients hold."""
+        self.connections = connections
+        """The client connections."""
+        self.arriving: set[_Receiver] = set()
+        """Requests whose bodies are arriving."""
+        self._checking: asyncio.TimerHandle | None = None
         self.used_streams: WeakSet[IOStream] = WeakSet()
         """Connections that have received a request."""
         self.busy_streams: WeakKeyDictionary[IOStream, _Receiver] = WeakKeyDictionary()
@@ -105,6 +145,31 @@
         self.is_closing = False
         """Whether the server closes all connections, as the host's time to stop is over."""
 
+    def find_slowest(self) -> ClientStream | None:
+        """Return the connection of the body that has been silent for longest."""
+        slowest = min(self.arriving, key=_last_byte_ms, default=None)
+        return None if slowest is None else slowest.stream
+
+    def note_arriving(self, receiver: _Receiver) -> None:
+        """Check a body for stalls until it has arrived."""
+        self.arriving.add(receiver)
+        if self._checking is None:
+            self._check_later()
+
+    def _check_later(self) -> None:
+        """Schedule the next check."""
+        loop = asyncio.get_running_loop()
+        self._checking = loop.call_later(STALL_CHECK_MS / MS_PER_S, self._check)
+
+    def _check(self) -> None:
+        """End bodies that have stalled or are too slow."""
+        now_ms = self.clock.now_ms()
+        for receiver in list(self.arriving):
+            receiver.check_pace(now_ms)
+        self._checking = None
+        if self.arriving:
+            self._check_later()
+
 
 class _Connections(HTTPServerConnectionDelegate):
     """Creates a receiver for each request."""
@@ -145,8 +210,11 @@
         self._clock = clock
         self._handle = handle
         self._request: ClientRequest | None = None
-        self._parts: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._share = shared.memory.open(self._drop)
+        self._window_ms = clock.now_ms()
+        self._window_bytes = 0
+        self._unyielded_bytes = 0
         self._body_ended = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._exchange: ClientExchange | None = None
@@ -163,40 +231,122 @@
             self._shared.busy_streams[self._connection.stream] = self
             self._shared.used_streams.add(self._connection.stream)
         length = headers.get("Content-Length", "")
+        if self.stream is not None:
+            self._shared.connections.note_busy(self.stream)
+            if not length and "Transfer-Encoding" in headers:
+                self.stream.count_chunks(self._refuse_chunks)
         if length.isdecimal() and int(length) > self._shared.limits.max_body_bytes:
             self._start(self._refuse_body)
+            return
+        if length.isdecimal() and not self._share.reserve(int(length)):
+            self._start(self._refuse_for_memory)
+            return
+        self._shared.note_arriving(self)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Collect a chunk of the body; refuse the request once it exceeds a limit.
 
-    def data_received(self, chunk: bytes) -> None:
-        """Collect a chunk of the body; refuse the request once it exceeds the limit."""
+        Other clients have their turn after each 64 KB.
+        """
+        self._unyielded_bytes += len(chunk)
+        turn: Awaitable[None] | None = None
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            turn = asyncio.sleep(0)
         if self._task is not None:
-            return
-        self._body_bytes += len(chunk)
-        self._parts.append(chunk)
-        if self._body_bytes > self._shared.limits.max_body_bytes:
+            return turn
+        total_bytes = len(self._body) + len(chunk)
+        if total_bytes > self._shared.limits.max_body_bytes:
             self._start(self._refuse_body)
+        elif not self._share.receive(len(chunk), self._clock.now_ms()):
+            self._start(self._refuse_for_memory)
+        else:
+            self._body += chunk
+        return turn
 
     def finish(self) -> None:
         """Handle the complete request in a task."""
         self._body_ended.set()
         if self._request is None or self._task is not None:
             return
-        self._request.body = b"".join(self._parts)
+        self._share.keep()
+        self._request.body = bytes(self._body)
         self._start(self._handle)
         if isinstance(self._connection, HTTP1Connection):
             self._connection.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
         """Cancel the request of a connection that has closed."""
+        self._shared.arriving.discard(self)
+        self._body_ended.set()
         if self._exchange is not None:
             self._exchange.is_closed_by_host = self._shared.is_closing
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._share.end()
+
+    @property
+    def stream(self) -> ClientStream | None:
+        """The client's connection."""
+        if not isinstance(self._connection, HTTP1Connection):
+            return None
+        stream = self._connection.stream
+        return stream if isinstance(stream, ClientStream) else None
+
+    @property
+    def last_ms(self) -> float:
+        """When the last bytes of the body arrived."""
+        return self._share.last_ms
+
+    def check_pace(self, now_ms: float) -> None:
+        """Refuse the request if its body has stalled or is too slow."""
+        received_bytes = self._share.received_bytes
+        window_ms = now_ms - self._window_ms
+        is_slow = now_ms - self._share.last_ms >= STALL_MS
+        if window_ms >= PACE_WINDOW_MS:
+            pace = (received_bytes - self._window_bytes) * MS_PER_S / window_ms
+            is_slow = is_slow or pace < MIN_PACE_BYTES_PER_S
+            self._window_ms, self._window_bytes = now_ms, received_bytes
+        if is_slow and self._task is None:
+            self._start(self._refuse_slow)
+
+    def _drop(self) -> None:
+        """Refuse a slow request, as another one needs its memory."""
+        if self._task is None and self._request is not None:
+            self._start(self._refuse_for_memory)
+
+    def _refuse_chunks(self) -> None:
+        """Refuse a request whose chunks are tiny."""
+        if self._task is None and self._request is not None:
+            self._start(self._refuse_for_chunks)
+
+    def _hold_answer(self, answer_bytes: int) -> bool:
+        """Reserve the memory of an answer in place of the body; short ones are not counted."""
+        exchange = self._exchange
+        if exchange is None or answer_bytes <= SMALL_BYTES:
+            return True
+        # The whole answer is here, so that the body isn't sent again.
+        exchange.request.body = b""
+        is_held = self._share.hold_answer(answer_bytes, exchange.abort, self._clock.now_ms())
+        if not is_held:
+            self._shared.memory.refusals["memory"] += 1
+            _log.info(
+                "A response was dropped, as unread responses fill the memory for clients.",
+                request=exchange.request.attempt_id,
+                answer_bytes=answer_bytes,
+            )
+        return is_held
 
     def _start(self, handle: Callable[[ClientExchange], Awaitable[None]]) -> None:
         """Start the task that answers the request."""
         assert self._request is not None
-        self._parts.clear()
-        exchange = self._exchange = ClientExchange(self._connection, self._request)
+        self._shared.arriving.discard(self)
+        self._body = bytearray()
+        if not self._body_ended.is_set():
+            self._share.end()
+        exchange = ClientExchange(self._connection, self._request, self._hold_answer)
+        self._exchange = exchange
         self._task = asyncio.ensure_future(self._run(exchange, handle))
 
     async def _refuse_body(self, exchange: ClientExchange) -> None:
@@ -209,6 +359,44 @@
             request=exchange.request.attempt_id,
             limit_bytes=limit_bytes,
         )
+        await self._refuse(exchange, refusal)
+
+    async def _refuse_for_memory(self, exchange: ClientExchange) -> None:
+        """Refuse a request as the memory for clients is full."""
+        message = "The memory for requests is full; this one has not run, come back."
+        refusal = create_refusal(
+            ResultCode.MEMORY_FULL, message, retry_after_ms=MEMORY_RETRY_AFTER_MS
+        )
+        await self._refuse_crowd(exchange, refusal, "memory")
+
+    async def _refuse_for_chunks(self, exchange: ClientExchange) -> None:
+        """Refuse a request with many tiny chunks."""
+        message = f"Send chunks of at least {MIN_CHUNK_BYTES} bytes on average; it has not run."
+        refusal = create_refusal(ResultCode.MALFORMED_REQUEST, message)
+        await self._refuse_crowd(exchange, refusal, "chunks")
+
+    async def _refuse_slow(self, exchange: ClientExchange) -> None:
+        """Refuse a request whose body has stalled."""
+        message = "The body came too slowly; the request has not run."
+        refusal = create_refusal(ResultCode.BODY_TOO_SLOW, message)
+        await self._refuse_crowd(exchange, refusal, "slow")
+
+    async def _refuse_crowd(self, exchange: ClientExchange, refusal: Refusal, kind: str) -> None:
+        """Count and log a refusal, and send it."""
+        memory = self._shared.memory
+        memory.refusals[kind] += 1
+        _log.info(
+            "A request was refused while its body arrived.",
+            request=exchange.request.attempt_id,
+            kind=kind,
+            received_bytes=self._share.received_bytes,
+            held_bytes=memory.held_bytes,
+            limit_bytes=memory.limit_bytes,
+        )
+        await self._refuse(exchange, refusal)
+
+    async def _refuse(self, exchange: ClientExchange, refusal: Refusal) -> None:
+        """Send a refusal while the body arrives, and read the rest of it for a while."""
         status, headers, body = refusal_parts(refusal)
         exchange.is_last = True
         await exchange.begin(status, [*headers, ("Content-Length", str(len(body)))])
@@ -233,6 +421,7 @@
         finally:
             if not exchange.is_ended:
                 exchange.abort()
+            self._share.end()
             self._note_answered()
 
     def _note_answered(self) -> None:
@@ -242,10 +431,21 @@
         busy = self._shared.busy_streams
         if busy.get(self._connection.stream) is self:
             del busy[self._connection.stream]
+            if self.stream is not None:
+                self._shared.connections.note_idle(self.stream)
+
+
+def _last_byte_ms(receiver: _Receiver) -> float:
+    """Return when the last bytes of a body arrived."""
+    return receiver.last_ms
 
 
 def create_front_server(
-    codec: ExchangeCodec, clock: Clock, handle: Callable[[ClientExchange], Awaitable[None]]
+    codec: ExchangeCodec,
+    clock: Clock,
+    handle: Callable[[ClientExchange], Awaitable[None]],
+    memory: ClientMemory | None = None,
+    max_fds: int = 0,
 ) -> FrontServer:
     """Return a server that does not listen yet.
 
@@ -253,8 +453,14 @@
         codec: Translates headers.
         clock: Source of time.
         handle: Answers one request; cancelled when the client disconnects.
+        memory: Account of the memory that clients hold; one of its own by default.
+        max_fds: Descriptors of the process; 0 for the system's limit.
     """
-    shared = SharedServerState()
+    if memory is None:
+        memory = create_client_memory(clock, 0)
+    connections = ClientConnections(memory.refusals, max_connections_of(max_fds))
+    shared = SharedServerState(clock, memory, connections)
+    connections.find_slowest = shared.find_slowest
     server = FrontServer(_Connections(codec, clock, handle, shared))
     server.shared = shared
     return server
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -6,7 +6,7 @@
 import random
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -16,6 +16,7 @@
 from pimentodale.background import BackgroundTasks, create_background_tasks
 from pimentodale.clients.body_memory import add_body_gauges
 from pimentodale.clock import MS_PER_S, Clock, create_clock
+from pimentodale.forwarding.client_memory import create_client_memory
 from pimentodale.forwarding.context import ForwardingContext
 from pimentodale.forwarding.crash_detector import create_crash_detector
 from pimentodale.forwarding.error_responses import send_refusal
@@ -47,6 +48,7 @@
 from pimentodale.peers.peers import create_peers
 from pimentodale.peers.settings import PeersSettings
 from pimentodale.placement.placer import LEASE_NAME, Placer, highest_fence
+from pimentodale.process_memory import map_large_buffers
 from pimentodale.process_signals import create_stop_event
 from pimentodale.quarantine.crash_record import CRASH_RETENTION_MS, create_crash_record
 from pimentodale.quarantine.crash_sharing import share_crashes
@@ -63,6 +65,7 @@
     from collections.abc import Mapping
 
     from tornado.httputil import HTTPServerRequest
+    from tornado.iostream import IOStream
 
     from pimentodale.addresses import Address
     from pimentodale.clients.key_value import KeyValueStore
@@ -99,6 +102,17 @@
 METRICS_TYPE: Final = "text/plain; version=0.0.4"
 """Content type of the Prometheus text format; readiness answers carry it too."""
 
+READINESS_MAX_BODY_BYTES: Final = 0
+"""Readiness checks and requests for metrics have no body."""
+
+READINESS_MAX_HEADER_BYTES: Final = 16 * 1024
+
+READINESS_IDLE_MS: Final = 60_000.0
+"""Maximum idle time of a connection for readiness checks, which come every second."""
+
+READINESS_CONNECTIONS: Final = 32
+"""Maximum number of connections for readiness checks and metrics; the oldest is closed."""
+
 _log = get_log("gateway")
 
 
@@ -122,6 +136,27 @@
     """Number of calls to the store so far, by kind."""
 
 
+class ReadinessServer(HTTPServer):
+    """Answers readiness checks and requests for metrics on a bounded number of connections."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Initialize with the arguments of Tornado's server."""
+        super().initialize(*args, **kwargs)
+        self.accepted: dict[IOStream, None] = {}
+        """Open connections, the oldest first, and some that have closed since the last accept."""
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a connection."""
+        for known in [known for known in self.accepted if known.closed()]:
+            del self.accepted[known]
+        if len(self.accepted) >= READINESS_CONNECTIONS:
+            oldest = next(iter(self.accepted))
+            del self.accepted[oldest]
+            oldest.close()
+        self.accepted[stream] = None
+        super().handle_stream(stream, address)
+
+
 @dataclass(slots=True)
 class Gateway:
     """State of one running gateway."""
@@ -152,6 +187,7 @@
     Returns:
         The program's exit code.
     """
+    map_large_buffers()
     stop = create_stop_event(_note_hangup)
     gateway = Gateway(settings, platform)
     mirror = create_mirror(gateway.clock, settings.replica_heartbeat_ms)
@@ -333,14 +369,21 @@
         with gateway.work.counted():
             await forward(ctx, gateway.shared_streams, exchange)
 
-    server = create_front_server(gateway.platform.codec, gateway.clock, handle)
+    settings = gateway.settings
+    memory = create_client_memory(gateway.clock, settings.memory_mb)
+    ctx.metrics.client_refusals = memory.refusals
+    ctx.metrics.add_gauge("client_bytes", lambda: memory.held_bytes)
+    ctx.metrics.add_gauge("client_bytes_limit", lambda: memory.limit_bytes)
+    server = create_front_server(
+        gateway.platform.codec, gateway.clock, handle, memory, settings.max_fds
+    )
 
     def apply_limits() -> None:
         if ctx.view.configuration is not None:
             server.apply_limits(ctx.view.configuration.limits)
 
     ctx.view.subscribe(apply_limits)
-    listen = parse_address(gateway.settings.client_listen)
+    listen = parse_address(settings.client_listen)
     server.add_sockets(bind_sockets(listen.port, listen.ip))
     return server
 
@@ -364,7 +407,12 @@
         connection.finish()
 
     # tornado.web is avoided for just two paths: importing it is a tenth of the start-up imports.
-    server = HTTPServer(answer)
+    server = ReadinessServer(
+        answer,
+        max_body_size=READINESS_MAX_BODY_BYTES,
+        max_header_size=READINESS_MAX_HEADER_BYTES,
+        idle_connection_timeout=READINESS_IDLE_MS / MS_PER_S,
+    )
     settings = gateway.settings
     addresses = {settings.ready_listen, settings.metrics_listen} - {""}
     for text in sorted(addresses):
--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "_gauges",
         "between_events",
+        "client_refusals",
         "count_hold_offs",
         "events",
         "first_event",
@@ -51,6 +52,8 @@
         """Number of calls to the store by kind."""
         self.leaving_signs: Mapping[str, int] = {}
         """Number of signals that a replica is leaving, by source."""
+        self.client_refusals: Mapping[str, int] = {}
+        """Number of clients refused or closed to bound their memory and connections, by kind."""
         self.count_hold_offs: Callable[[], int] = lambda: 0
         """Returns the number of answers that carried Retry-After."""
         self._gauges: dict[str, Callable[[], float]] = {}
@@ -79,6 +82,7 @@
             ("pimentodale_leaving_signs", "Signs of leaving, by their source.", self.leaving_signs),
             ("pimentodale_silent_sends", "Silent sends, by what followed.", self.silent_sends),
             ("pimentodale_unfinished", "Unfinished answers, by who left.", self.unfinished),
+            ("pimentodale_client_refusals", "Refused clients, by limit.", self.client_refusals),
         )
         for name, text, counts in counted:
             family = CounterMetricFamily(name, text, labels=["kind"])
--- a/src/pimentodale/gateway/settings.py
+++ b/src/pimentodale/gateway/settings.py
@@ -12,6 +12,10 @@
 """A duration; must be greater than 0."""
 
 
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+"""A number that must not be less than 0."""
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Contents of a gateway's settings file; unknown fields are ignored."""
 
@@ -63,5 +67,12 @@
     retry_window_s: Positive = 10.0
     """Length of the window over which both retry limits apply."""
 
+    memory_mb: NotNegative = 0.0
+    """Memory of the process; 0 if unknown. Clients may hold a third of what it leaves beyond 64 MB."""
+
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """File descriptors of the process, three quarters of them for clients; 0 for the system's
+    limit."""
+
     log_level: LogLevel = "info"
     """Minimum severity of log messages."""
--- a/src/pimentodale/metrics.py
+++ b/src/pimentodale/metrics.py
@@ -8,7 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterator, Mapping
 
     from prometheus_client.metrics_core import Metric
 
@@ -57,6 +57,7 @@
     __slots__ = (
         "_gauges",
         "between_tokens",
+        "client_refusals",
         "first_token",
         "request",
         "results",
@@ -77,6 +78,8 @@
         """From accepting a request to its first token."""
         self.between_tokens = Latency()
         """From a token to the next."""
+        self.client_refusals: Mapping[str, int] = {}
+        """Number of callers refused or closed to bound their memory and connections, by kind."""
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -101,6 +104,12 @@
         for cause, count in sorted(self.retries.items()):
             retries.add_metric([cause], count)
         yield retries
+        refusals = CounterMetricFamily(
+            "pimentodale_client_refusals", "Refused callers, by limit.", labels=["kind"]
+        )
+        for kind, count in sorted(self.client_refusals.items()):
+            refusals.add_metric([kind], count)
+        yield refusals
         yield CounterMetricFamily("pimentodale_tokens", "Tokens passed on.", value=self.tokens)
         for name, latency in self._latencies():
             yield from latency_families(name, latency)
--- a/src/pimentodale/peers/message_stream.py
+++ b/src/pimentodale/peers/message_stream.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
 import msgpack
 import msgspec
 
 from pimentodale.clock import MS_PER_S
+from pimentodale.logs import get_log
 from pimentodale.peers.messages import Message
 
 if TYPE_CHECKING:
@@ -21,22 +23,70 @@
 MAX_WRITE_BUFFER_BYTES: Final = 4 * 1024 * 1024
 """Maximum number of unsent bytes for a peer before its connection is dropped."""
 
+MAX_RECEIVED_BYTES: Final = 8 * 1024 * 1024
+"""Maximum number of bytes of unfinished messages on all accepted connections."""
+
+FREE_RECEIVED_BYTES: Final = 64 * 1024
+"""Unfinished messages up to this size are not counted; the usual messages are shorter."""
+
 _LENGTH_BYTES: Final = 4
 _READ_BYTES: Final = 64 * 1024
 
 
+_log = get_log("peers")
+
+
 class BadMessageError(Exception):
     """The other side sent bytes that are not a valid message."""
 
 
+class ReceiveBudget:
+    """Bounds the bytes of unfinished messages on all accepted connections.
+
+    Four bytes announce a message of up to 2 MB, and connections may stop just short of its end. When
+    the budget is used up, the connection that has been silent for longest is closed.
+    """
+
+    __slots__ = ("_unfinished", "closed", "held_bytes")
+
+    def __init__(self) -> None:
+        self._unfinished: OrderedDict[MessageStream, int] = OrderedDict()
+        self.held_bytes = 0
+        """Bytes of unfinished messages beyond `FREE_RECEIVED_BYTES`."""
+        self.closed = 0
+        """Connections that were closed as the budget was used up."""
+
+    def note(self, stream: MessageStream, unfinished_bytes: int) -> None:
+        """Note how much of a message a connection holds after a read."""
+        self.held_bytes -= self._unfinished.pop(stream, 0)
+        if unfinished_bytes > FREE_RECEIVED_BYTES:
+            self._unfinished[stream] = unfinished_bytes
+            self.held_bytes += unfinished_bytes
+        while self.held_bytes > MAX_RECEIVED_BYTES:
+            silent, count = self._unfinished.popitem(last=False)
+            self.held_bytes -= count
+            self.closed += 1
+            _log.warning(
+                "A connection was closed, as unfinished messages fill the memory for peers.",
+                unfinished_bytes=count,
+                connections=len(self._unfinished),
+            )
+            silent.close()
+
+
 class MessageStream:
     """Reads and writes messages; `close` may be called repeatedly."""
 
-    __slots__ = ("_buffer", "_counters", "_reader", "_writer")
+    __slots__ = ("_budget", "_buffer", "_counters", "_reader", "_writer")
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counters: PeerCounters
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        counters: PeerCounters,
+        budget: ReceiveBudget | None = None,
     ) -> None:
+        self._budget = budget
         self._reader = reader
         self._writer = writer
         self._buffer = bytearray()
@@ -61,6 +111,8 @@
                 raise ConnectionResetError("the connection ended")
             self._counters.received_bytes += len(chunk)
             self._buffer += chunk
+            if self._budget is not None:
+                self._budget.note(self, len(self._buffer))
 
     async def read_within(self, timeout_ms: float) -> Message:
         """Read the next message within a time limit.
@@ -103,12 +155,20 @@
 
     def close_when_sent(self) -> None:
         """Close the connection after sending what is queued."""
+        self._discard()
         self._writer.close()
 
     def close(self) -> None:
         """Abort the connection and discard unsent data."""
+        self._discard()
         self._writer.transport.abort()
 
+    def _discard(self) -> None:
+        """Discard an unfinished message."""
+        self._buffer.clear()
+        if self._budget is not None:
+            self._budget.note(self, 0)
+
     def _take_message(self) -> Message | None:
         """Remove and decode the next complete message of the buffer, if there is one."""
         if len(self._buffer) < _LENGTH_BYTES:
@@ -121,6 +181,8 @@
             return None
         body = bytes(self._buffer[_LENGTH_BYTES:end])
         del self._buffer[:end]
+        if self._budget is not None:
+            self._budget.note(self, len(self._buffer))
         self._counters.received_messages += 1
         return unpack(body)
 
--- a/src/pimentodale/peers/peers.py
+++ b/src/pimentodale/peers/peers.py
@@ -19,7 +19,12 @@
 from pimentodale.peers.membership import Membership
 from pimentodale.peers.mesh import choose_watchers
 from pimentodale.peers.mesh_manager import MeshManager
-from pimentodale.peers.message_stream import BadMessageError, MessageStream, connect
+from pimentodale.peers.message_stream import (
+    BadMessageError,
+    MessageStream,
+    ReceiveBudget,
+    connect,
+)
 from pimentodale.peers.messages import (
     MAX_VALUE_BYTES,
     PROTOCOL,
@@ -87,6 +92,7 @@
         "_links",
         "_membership",
         "_mesh_manager",
+        "_receive_budget",
         "_server",
         "_serving",
         "_settings",
@@ -123,6 +129,7 @@
         self._stop = asyncio.Event()
         self._handshaking = 0
         self._serving = 0
+        self._receive_budget = ReceiveBudget()
         self._connection_pool = ConnectionPool()
         self._flush_timer: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
@@ -310,7 +317,8 @@
             writer.transport.abort()
             return
         self._handshaking += 1
-        self._tasks.start(self._handshake(MessageStream(reader, writer, self.counters)), "greet")
+        stream = MessageStream(reader, writer, self.counters, self._receive_budget)
+        self._tasks.start(self._handshake(stream), "greet")
 
     async def _handshake(self, stream: MessageStream) -> None:
         """Read the first message and answer it, or pass the stream to a link."""
