--- a/src/pimentodale/callers/base.py
+++ b/src/pimentodale/callers/base.py
@@ -192,15 +192,17 @@
     def _refuse_crowd(self, kind: str, refusal: Refusal) -> None:
         """Refuse a request while its body arrives, and close its connection soon."""
         memory = self.context.client_memory
-        memory.refusals[kind] += 1
-        _log.info(
-            "A request was refused while its body arrived.",
-            request=self.request_id,
-            kind=kind,
-            received_bytes=self._share.received_bytes,
-            held_bytes=memory.held_bytes,
-            limit_bytes=memory.limit_bytes,
-        )
+        refusals = memory.count_refusal(kind)
+        if refusals:
+            _log.info(
+                "A request was refused while its body arrived.",
+                request=self.request_id,
+                kind=kind,
+                refusals=refusals,
+                received_bytes=self._share.received_bytes,
+                held_bytes=memory.held_bytes,
+                limit_bytes=memory.limit_bytes,
+            )
         self._release()
         self.set_header("Connection", "close")
         self.refuse(refusal)
--- a/src/pimentodale/entry/host.py
+++ b/src/pimentodale/entry/host.py
@@ -265,7 +265,7 @@
         is_stopping=lambda: host.stop.is_stopping,
         max_body_bytes=settings.max_body_bytes,
         client_memory=client_memory,
-        connections=ClientConnections(client_memory.refusals, max_connections_of(settings.max_fds)),
+        connections=ClientConnections(client_memory, max_connections_of(settings.max_fds)),
     )
 
 
--- a/src/pimentodale/forwarding/client_connections.py
+++ b/src/pimentodale/forwarding/client_connections.py
@@ -9,9 +9,9 @@
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
-    from collections import Counter
     from collections.abc import Callable
 
+    from pimentodale.forwarding.client_memory import ClientMemory
     from pimentodale.forwarding.client_stream import ClientStream
 
 CLIENT_PART: Final = 0.75
@@ -27,10 +27,10 @@
 class ClientConnections:
     """The client connections of a process."""
 
-    __slots__ = ("_refusals", "find_slowest", "idle_streams", "max_connections", "open_connections")
+    __slots__ = ("_memory", "find_slowest", "idle_streams", "max_connections", "open_connections")
 
-    def __init__(self, refusals: Counter[str], max_connections: int) -> None:
-        self._refusals = refusals
+    def __init__(self, memory: ClientMemory, max_connections: int) -> None:
+        self._memory = memory
         self.max_connections = max_connections
         """Maximum number of client connections."""
         self.open_connections = 0
@@ -78,14 +78,16 @@
 
     def _close_one(self) -> bool:
         """Close a connection; returns whether one could be closed."""
-        self._refusals["connections"] += 1
         idle = next(iter(self.idle_streams), None)
         closed = self.find_slowest() if idle is None else idle
-        _log.info(
-            "There are too many client connections; one was closed.",
-            connections=self.open_connections,
-            was_idle=idle is not None,
-        )
+        refusals = self._memory.count_refusal("connections")
+        if refusals:
+            _log.info(
+                "There are too many client connections; one was closed.",
+                refusals=refusals,
+                connections=self.open_connections,
+                was_idle=idle is not None,
+            )
         if closed is None or closed.closed():
             return False
         closed.close()
--- a/src/pimentodale/forwarding/client_memory.py
+++ b/src/pimentodale/forwarding/client_memory.py
@@ -30,6 +30,9 @@
 COPIES: Final = 3
 """A body that is sent on exists up to three times: here, encoded, and in the buffer of the send."""
 
+LOG_INTERVAL_MS: Final = 1_000.0
+"""Interval between two log lines on refusals of one kind, as a crowd causes thousands a second."""
+
 SMALL_BYTES: Final = 64 * 1024
 """Largest request that may use the reserved part."""
 
@@ -154,7 +157,16 @@
 class ClientMemory:
     """The account of a process."""
 
-    __slots__ = ("_clock", "_shares", "held_bytes", "large_bytes", "limit_bytes", "refusals")
+    __slots__ = (
+        "_clock",
+        "_logged_ms",
+        "_shares",
+        "_unlogged",
+        "held_bytes",
+        "large_bytes",
+        "limit_bytes",
+        "refusals",
+    )
 
     def __init__(self, clock: Clock, limit_bytes: int) -> None:
         self._clock = clock
@@ -167,6 +179,25 @@
         """Bytes of these held by requests over `SMALL_BYTES`."""
         self.refusals: Counter[str] = Counter()
         """Refused or closed clients, by kind: memory, slow, chunks, connections."""
+        self._unlogged: Counter[str] = Counter()
+        self._logged_ms: dict[str, float] = {}
+
+    def count_refusal(self, kind: str) -> int:
+        """Count a refusal.
+
+        Args:
+            kind: The limit that was reached.
+
+        Returns:
+            The number of refusals that the next log line stands for; 0 if none is due.
+        """
+        self.refusals[kind] += 1
+        self._unlogged[kind] += 1
+        now_ms = self._clock.now_ms()
+        if now_ms - self._logged_ms.get(kind, -LOG_INTERVAL_MS) < LOG_INTERVAL_MS:
+            return 0
+        self._logged_ms[kind] = now_ms
+        return self._unlogged.pop(kind)
 
     def open(self, drop: Callable[[], None]) -> MemoryShare:
         """Begin to count a request.
--- a/src/pimentodale/forwarding/front_server.py
+++ b/src/pimentodale/forwarding/front_server.py
@@ -330,12 +330,14 @@
         exchange.request.body = b""
         is_held = self._share.hold_answer(answer_bytes, exchange.abort, self._clock.now_ms())
         if not is_held:
-            self._shared.memory.refusals["memory"] += 1
-            _log.info(
-                "A response was dropped, as unread responses fill the memory for clients.",
-                request=exchange.request.attempt_id,
-                answer_bytes=answer_bytes,
-            )
+            refusals = self._shared.memory.count_refusal("memory")
+            if refusals:
+                _log.info(
+                    "A response was dropped, as unread responses fill the memory for clients.",
+                    request=exchange.request.attempt_id,
+                    refusals=refusals,
+                    answer_bytes=answer_bytes,
+                )
         return is_held
 
     def _start(self, handle: Callable[[ClientExchange], Awaitable[None]]) -> None:
@@ -384,15 +386,17 @@
     async def _refuse_crowd(self, exchange: ClientExchange, refusal: Refusal, kind: str) -> None:
         """Count and log a refusal, and send it."""
         memory = self._shared.memory
-        memory.refusals[kind] += 1
-        _log.info(
-            "A request was refused while its body arrived.",
-            request=exchange.request.attempt_id,
-            kind=kind,
-            received_bytes=self._share.received_bytes,
-            held_bytes=memory.held_bytes,
-            limit_bytes=memory.limit_bytes,
-        )
+        refusals = memory.count_refusal(kind)
+        if refusals:
+            _log.info(
+                "A request was refused while its body arrived.",
+                request=exchange.request.attempt_id,
+                kind=kind,
+                refusals=refusals,
+                received_bytes=self._share.received_bytes,
+                held_bytes=memory.held_bytes,
+                limit_bytes=memory.limit_bytes,
+            )
         await self._refuse(exchange, refusal)
 
     async def _refuse(self, exchange: ClientExchange, refusal: Refusal) -> None:
@@ -458,7 +462,7 @@
     """
     if memory is None:
         memory = create_client_memory(clock, 0)
-    connections = ClientConnections(memory.refusals, max_connections_of(max_fds))
+    connections = ClientConnections(memory, max_connections_of(max_fds))
     shared = SharedServerState(clock, memory, connections)
     connections.find_slowest = shared.find_slowest
     server = FrontServer(_Connections(codec, clock, handle, shared))
