--- a/src/pimentodale/gateway/metrics.py
+++ b/src/pimentodale/gateway/metrics.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "_gauges",
         "between_events",
+        "client_refusals",
         "count_crossing_streams",
         "count_hold_offs",
         "events",
@@ -56,6 +57,8 @@
         """Number of calls to the store by kind."""
         self.leaving_signs: Mapping[str, int] = {}
         """Number of signals that a replica is leaving, by source."""
+        self.client_refusals: Mapping[str, int] = {}
+        """Number of clients refused or closed to bound their memory and connections, by kind."""
         self.count_hold_offs: Callable[[], int] = lambda: 0
         """Returns the number of answers that carried Retry-After."""
         self.list_domain_shares: Callable[[], Mapping[tuple[str, str], float]] = dict
@@ -89,6 +92,7 @@
             ("pimentodale_silent_sends", "Silent sends, by what followed.", self.silent_sends),
             ("pimentodale_moves", "Moved streams, by reason.", self.moves),
             ("pimentodale_unfinished", "Unfinished answers, by who left.", self.unfinished),
+            ("pimentodale_client_refusals", "Refused clients, by limit.", self.client_refusals),
         )
         for name, text, counts in counted:
             family = CounterMetricFamily(name, text, labels=["kind"])
--- a/src/pimentodale/platform/configuration_check.py
+++ b/src/pimentodale/platform/configuration_check.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.foreign_bytes import shorten
+from pimentodale.forwarding.client_memory import RESERVED_PART, limit_bytes_of
 from pimentodale.platform import configuration as wire
 from pimentodale.platform.json_positions import MAX_DEPTH, JsonPositions, locate_values
 
@@ -26,18 +27,6 @@
 
     from pimentodale.site.model import SiteConfiguration
 
-BYTES_PER_MB: Final = 1_000_000
-"""Bytes in a MB of `memory_mb`."""
-
-PROCESS_MB: Final = 64.0
-"""Memory that a host keeps for the process itself, by docs/design/overload-and-links.md, part A."""
-
-MIN_ACCOUNT_MB: Final = 16.0
-"""Minimum size of the account of client memory, by the same part."""
-
-LARGE_BODY_SHARE: Final = 7 / 8
-"""Share of the account that bodies over 64 KB may use, by the same part."""
-
 MIN_NAME_LIKENESS: Final = 0.8
 """Likeness from which an unknown field counts as a misspelled one; the platform has other fields."""
 
@@ -420,8 +409,8 @@
         report.limit("$.limits.idle_timeout_ms", message)
     if memory_mb is None:
         return
-    account_mb = max(MIN_ACCOUNT_MB, (memory_mb - PROCESS_MB) / 3)
-    most_bytes = int(account_mb * LARGE_BODY_SHARE * BYTES_PER_MB)
+    limit_bytes = limit_bytes_of(memory_mb)
+    most_bytes = limit_bytes - limit_bytes // RESERVED_PART
     if limits.max_body_bytes > most_bytes:
         message = (
             f"max_body_bytes is {limits.max_body_bytes}, but a host of {memory_mb:g} MB holds"
