Probe suspected replicas at once

Cause: a host probed what a refusal or another host had named at the next check, up to 100 ms later. Ruled out: the gossip, which took 10 to 50 ms.

Change: a requested probe wakes the loop of the probes; rounds are 20 ms apart at least, and take at most 8 suspected replicas.

The new rows fail before.

--- a/features/departing_replicas.feature
+++ b/features/departing_replicas.feature
@@ -119,3 +119,22 @@
     Then its departure is notified once, and its removal once
     When it has started again and another host reports that it is leaving
     Then the departure of the new run is notified once
+
+  # Guards against streams that pause for 300 to 450 ms after a crash: each host waited up to 100 ms
+  # until it probed the replica that others or a refusal had named, and so did the first host.
+  Scenario Outline: a replica that is suspected is probed at once
+    Given a host that probes replicas, of which 20 are known
+    When 1 replica is suspected <after> ms after the start, and each probe fails after 2 ms
+    Then it counts as down within 10 ms, and was probed once
+
+    Examples:
+      | after |
+      | 35    |
+      | 101   |
+      | 190   |
+
+  # Guards against a storm of probes where many requests name replicas one after the other.
+  Scenario: replicas that are suspected one after the other are probed in bounded rounds
+    Given a host that probes replicas, of which 20 are known
+    When 20 replicas are suspected one each 2 ms, and each probe fails after 2 ms
+    Then all count as down within 120 ms, and at most 16 were probed at once
--- a/features/steps/departing_replicas.py
+++ b/features/steps/departing_replicas.py
@@ -12,7 +12,7 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from expression import Ok
+from expression import Error, Ok
 from features.support.engine_fleet import create_small_engine, replica
 from features.support.virtual_time import VirtualClock, VirtualTimeLoop, run_virtually
 
@@ -23,6 +23,7 @@
 from pimentodale.clock import MS_PER_S, ManualClock
 from pimentodale.forwarding import overlapping_sends
 from pimentodale.forwarding.load_table import create_load_table
+from pimentodale.forwarding.probes import run_probes
 from pimentodale.forwarding.stream_state import (
     SendEnd,
     StreamSend,
@@ -482,3 +483,85 @@
 @then("the departure of the new run is notified once")
 def check_new_run(context: Any) -> None:
     assert context.left == [("r1", 1), ("r1", 2)], context.left
+
+
+@given("a host that probes replicas, of which {count:d} are known")
+def make_probing_host(context: Any, count: int) -> None:
+    context.loop = VirtualTimeLoop()
+    context.clock = VirtualClock(context.loop)
+    records = [replica(f"r{number}", "a", "fast", HALVES[0]) for number in range(count)]
+    context.records = records
+    context.probed_ms, context.down_ms = [], {}
+    context.probing = context.most_probing = 0
+
+    async def probe(_record: Any) -> Any:
+        context.probed_ms.append(context.clock.now_ms())
+        context.probing += 1
+        context.most_probing = max(context.most_probing, context.probing)
+        await context.clock.sleep_ms(context.probe_ms)
+        context.probing -= 1
+        return Error("no connection")
+
+    async def ask(question: Any) -> Any:
+        return await question()
+
+    health = create_replica_health(context.clock)
+    health.subscribe_down(
+        lambda incarnation: context.down_ms.update({incarnation: context.clock.now_ms()})
+    )
+    context.host = SimpleNamespace(
+        clock=context.clock,
+        replica_health=health,
+        view=SimpleNamespace(replicas={record.replica_id: record for record in records}),
+        engines=SimpleNamespace(probe=probe),
+        own_pauses=SimpleNamespace(ask=ask),
+    )
+
+
+@when("1 replica is suspected {after:d} ms after the start, and each probe fails after {time:d} ms")
+def suspect_one(context: Any, after: int, time: int) -> None:
+    context.probe_ms = float(time)
+    suspect_each(context, 1, float(after), 0.0)
+
+
+@when(
+    "{count:d} replicas are suspected one each {gap:d} ms, and each probe fails after {time:d} ms"
+)
+def suspect_many(context: Any, count: int, gap: int, time: int) -> None:
+    context.probe_ms = float(time)
+    suspect_each(context, count, 35.0, float(gap))
+
+
+def suspect_each(context: Any, count: int, after_ms: float, gap_ms: float) -> None:
+    """Suspect replicas one after the other while the host probes, as other hosts report them."""
+    context.suspected_ms = {}
+
+    async def play() -> None:
+        work = asyncio.ensure_future(run_probes(context.host))
+        await context.clock.sleep_ms(after_ms)
+        for record in context.records[:count]:
+            incarnation = incarnation_of(record)
+            context.suspected_ms[incarnation] = context.clock.now_ms()
+            context.host.replica_health.mark_suspect(incarnation, "told", by_peer="h2")
+            await context.clock.sleep_ms(gap_ms)
+        await context.clock.sleep_ms(200.0)
+        work.cancel()
+
+    run_virtually(context.loop, play())
+
+
+@then("it counts as down within {limit_ms:d} ms, and was probed once")
+def check_down_at_once(context: Any, limit_ms: int) -> None:
+    ((incarnation, suspected_ms),) = context.suspected_ms.items()
+    assert context.down_ms[incarnation] - suspected_ms <= limit_ms, context.down_ms
+    early = [at_ms for at_ms in context.probed_ms if at_ms <= suspected_ms + limit_ms]
+    assert len(early) == 1, context.probed_ms
+
+
+@then("all count as down within {limit_ms:d} ms, and at most {most:d} were probed at once")
+def check_bounded_rounds(context: Any, limit_ms: int, most: int) -> None:
+    assert set(context.down_ms) == set(context.suspected_ms)
+    first_ms = min(context.suspected_ms.values())
+    assert max(context.down_ms.values()) - first_ms <= limit_ms, context.down_ms
+    # 8 that are suspected and 8 that are down already.
+    assert context.most_probing <= most, context.most_probing
--- a/src/pimentodale/forwarding/probes.py
+++ b/src/pimentodale/forwarding/probes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from pimentodale.site.replica_health import incarnation_of
 
@@ -15,6 +15,28 @@
     from pimentodale.site.replica_health import Incarnation
 
 
+PROBE_TICK_MS: Final = 100.0
+"""Interval between checks for replicas that are due for a probe while none is requested."""
+
+MIN_ROUND_MS: Final = 20.0
+"""Minimum time between two rounds of requested probes, as many requests may ask for the same ones."""
+
+
+async def run_probes(ctx: ForwardingContext) -> None:
+    """Probe replicas until cancelled: requested ones at once, others when they are due.
+
+    Streams that a lost replica interrupts go on elsewhere only once a probe has shown the loss.
+
+    Args:
+        ctx: State shared by all requests.
+    """
+    while True:
+        is_requested = await ctx.replica_health.wait_for_probe_request(PROBE_TICK_MS)
+        await probe_due_replicas(ctx)
+        if is_requested:
+            await ctx.clock.sleep_ms(MIN_ROUND_MS)
+
+
 async def probe_due_replicas(ctx: ForwardingContext) -> None:
     """Probe the replicas that are due, and update what is known of them.
 
--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -25,7 +25,7 @@
 from pimentodale.forwarding.front_server import create_front_server
 from pimentodale.forwarding.load_table import create_load_table
 from pimentodale.forwarding.own_pauses import create_own_pauses
-from pimentodale.forwarding.probes import probe_due_replicas
+from pimentodale.forwarding.probes import run_probes
 from pimentodale.forwarding.retry_budget_share import create_retry_budget_share
 from pimentodale.forwarding.slow_streams import recheck_slow_replicas
 from pimentodale.forwarding.stream_state import SharedStreamState, create_shared_stream_state
@@ -95,7 +95,7 @@
 for notifying peers."""
 
 HEALTH_TICK_MS: Final = 100.0
-"""Interval between checks for replicas that are due for a probe or a pace check."""
+"""Interval between checks for replicas that are due for a pace check."""
 
 STOP_POLL_INTERVAL_MS: Final = 50.0
 
@@ -240,7 +240,7 @@
     load_exchange = create_load_exchange(ctx.loads, view, peers, gateway.clock, gateway.rng)
     start(load_exchange.run(), "loads")
     start(ctx.own_pauses.run(), "own pauses")
-    start(_probe_replicas(ctx), "probes")
+    start(run_probes(ctx), "probes")
     start(_recheck_slow_replicas(ctx, gateway.shared_streams.reports), "paces")
     start(placer.run(), "placement")
     _log.info("The gateway listens.", host=settings.host, address=settings.client_listen)
@@ -443,13 +443,6 @@
         server.listen(listen.port, listen.ip)
 
 
-async def _probe_replicas(ctx: ForwardingContext) -> None:
-    """Probe replicas that are due until cancelled."""
-    while True:
-        await ctx.clock.sleep_ms(HEALTH_TICK_MS)
-        await probe_due_replicas(ctx)
-
-
 async def _recheck_slow_replicas(ctx: ForwardingContext, reports: StallReports) -> None:
     """Recheck replicas marked as slow until cancelled."""
     while True:
--- a/src/pimentodale/site/replica_health.py
+++ b/src/pimentodale/site/replica_health.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from pimentodale.admission.hold_offs import HoldOffs, create_hold_offs
+from pimentodale.clock import MS_PER_S
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -97,6 +100,7 @@
     _down_subscribers: list[Callable[[Incarnation], None]] = field(default_factory=list)
     _down: dict[Incarnation, _Down] = field(default_factory=dict)
     _pending_probes: set[Incarnation] = field(default_factory=set)
+    _probe_requested: asyncio.Event = field(default_factory=asyncio.Event)
     _excluded_until_ms: dict[Incarnation, float] = field(default_factory=dict)
     _peer_report_ms: dict[Incarnation, float] = field(default_factory=dict)
     _answered_ms: dict[Incarnation, float] = field(default_factory=dict)
@@ -148,6 +152,7 @@
         """
         if incarnation not in self._down and self.hold_offs.left_ms(incarnation) <= 0.0:
             self._pending_probes.add(incarnation)
+            self._probe_requested.set()
 
     def has_answered_since(self, incarnation: Incarnation, since_ms: float) -> bool:
         """Return whether a replica has answered a probe of this host since a time."""
@@ -178,6 +183,7 @@
             told_by=by_peer,
         )
         self._pending_probes.add(incarnation)
+        self._probe_requested.set()
         self._suspect_until_ms[incarnation] = self.clock.now_ms() + SUSPICION_MS
         if by_peer:
             return
@@ -227,6 +233,21 @@
             until_ms, self._excluded_until_ms.get(incarnation, 0.0)
         )
 
+    async def wait_for_probe_request(self, timeout_ms: float) -> bool:
+        """Wait until a probe of a replica is requested.
+
+        Args:
+            timeout_ms: Longest wait.
+
+        Returns:
+            Whether one was requested since the last call.
+        """
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._probe_requested.wait(), timeout_ms / MS_PER_S)
+        is_requested = self._probe_requested.is_set()
+        self._probe_requested.clear()
+        return is_requested
+
     def due_probes(self) -> list[Incarnation]:
         """Return the replicas that are due for a probe, and mark them as probed."""
         now_ms = self.clock.now_ms()
@@ -238,6 +259,8 @@
             self._down[key].probe_at_ms = now_ms + interval_ms * self.rng.uniform(0.8, 1.2)
         suspects = list(self._pending_probes)[:MAX_CONCURRENT_PROBES]
         self._pending_probes.difference_update(suspects)
+        if self._pending_probes:
+            self._probe_requested.set()
         return due + suspects
 
     def note_failed_probe(self, incarnation: Incarnation, reason: str) -> None:
