--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -25,6 +25,8 @@
 
 from pimentodale.callers.app import create_server
 from pimentodale.clock import ManualClock, create_clock
+from pimentodale.forwarding.client_connections import ClientConnections, max_connections_of
+from pimentodale.forwarding.client_memory import create_client_memory
 from pimentodale.leaving.leaving_servers import LeavingServers, create_leaving_servers
 from pimentodale.logs import configure_logs
 
@@ -361,7 +363,9 @@
 
 
 async def read_slowly(ip: str) -> int:
-    server = create_server(Application([("/", LargeHandler)]))
+    memory = create_client_memory(create_clock(), 0.0)
+    connections = ClientConnections(memory, max_connections_of(0))
+    server = create_server(Application([("/", LargeHandler)]), connections)
     server.add_sockets(bind_sockets(8080, ip))
     reader, writer = await asyncio.open_connection(ip, 8080, limit=SLOW_READ_LIMIT_BYTES)
     writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
