--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -23,7 +23,6 @@
 HOST = "site.example"
 KEY = "key-one"
 LATENCY_S = 0.004
-HEARTBEAT_S = 1.2
 
 
 def free_port() -> int:
@@ -80,9 +79,10 @@
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    if writer.transport.is_closing():
+        return
+    linger = b"\1\0\0\0\0\0\0\0"
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
@@ -279,7 +279,6 @@
         self.layers: dict | None = None
         self.sequence = self.fence = 0
         self.born = int(time.time() * 1000)
-        self.registered = True
         self.active = 0
         self.waiting = 0
         self.free = asyncio.Event()
@@ -291,11 +290,10 @@
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen, register and begin the heartbeat."""
+        """Listen and register; a heartbeat that tells nothing new changes no entry."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         self.register()
-        asyncio.ensure_future(self._beat())
 
     def register(self) -> None:
         """Write the entry."""
@@ -307,12 +305,6 @@
             entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
         self.rig.store.put(f"servers/{self.name}", json.dumps(entry).encode())
 
-    async def _beat(self) -> None:
-        while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            if self.registered:
-                self.register()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections.add(writer)
         try:
