--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,91 +1,105 @@
-"""LOST: a HEAD request that ends with an answer of the gateway's own loses its connection instead."""
+"""DRAIN: a replica's departure is hidden from hosts whose watcher reads the store anew meanwhile."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
 
-from rig import HOST, Gateway, Replica, Rig, plain_route, plain_service, read_head, run_case  # noqa: E402
+from rig import Gateway, Replica, Rig, plain_route, plain_service, request, run_case  # noqa: E402
 
-TIMEOUT_MS = 1_000
-USUAL_S = 0.0225
-LONG_S = 3.0
-REQUESTS = 20
+REPLICAS = 300
+SERVING = 60  # Of these serve the requests, the others another service.
+PAGE_ITEMS = 50
+DAY_S = 40.0
+LEAVE_AFTER_S = (0.045, 0.055)  # A host reads anew 15 to 45 ms after its watch was cut.
+DRAIN_S = 2.0
+LINGER_S = 3.0
+PAUSE_S = 1.0
+REQUEST_GAP_S = 0.005
 
 
-async def run_request(
-    replica: Replica,
-    attempt: str,
-    headers: dict[str, str],
-    _body: bytes,
-    _reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> bool:
-    """Run a HEAD request as a sound replica; every second one takes longer when there is trouble."""
-    replica.runs.append((replica.rig.record.now(), attempt))
-    is_long = replica.trouble and int(attempt[1:]) % 2 == 0
-    await asyncio.sleep(min(LONG_S, int(headers["pimentodale-deadline-ms"]) / 1000) if is_long else USUAL_S)
-    status = 504 if is_long else 200
-    writer.write(
-        (
-            f"HTTP/1.1 {status} X\r\nContent-Length: 100\r\nPimentodale-Attempt-Id: {attempt}\r\n"
-            f"Pimentodale-Replica-Stamp: {replica.name}.{attempt}.{status}\r\n\r\n"
-        ).encode()
-    )
-    await writer.drain()
-    return True
+async def release(
+    rig: Rig, rng: random.Random, acknowledged: dict[str, float], *, trouble: bool
+) -> None:
+    """Let one replica after the other leave, with the watches cut shortly before."""
+    staying = rig.replicas[-SERVING:]
+    while staying:
+        if trouble:
+            rig.record.write(f"{rig.store.cut_watches()} watches are cut")
+        await asyncio.sleep(rng.uniform(*LEAVE_AFTER_S))
+        old = staying.pop(rng.randrange(len(staying)))
+        old.state = "draining"
+        old.register()
+        acknowledged[old.name] = rig.record.now()
+        rig.record.write(f"the store accepts that {old.name} is draining")
+        await end(rig, old)
+        await asyncio.sleep(PAUSE_S)
+
 
+async def end(rig: Rig, old: Replica) -> None:
+    """Let a replica serve for the drain time and a little longer, then exit."""
+    await asyncio.sleep(DRAIN_S + LINGER_S)
+    old.state = "gone"
+    rig.store.remove(f"servers/{old.name}")
+    old.crash()
 
-async def call(rig: Rig, gateway: Gateway, results: list[tuple[str, int, bool]]) -> None:
-    """Send HEAD requests on a kept connection, and open another one when it is closed."""
-    connection, answered = None, 0
-    for _ in range(REQUESTS):
-        if connection is None:
-            connection, answered = await asyncio.open_connection("127.0.0.1", gateway.port), 0
-        reader, writer = connection
-        attempt = rig.attempt()
-        writer.write(
-            (
-                f"HEAD /status/x HTTP/1.1\r\nHost: {HOST}\r\nPimentodale-Attempt-Id: {attempt}\r\n"
-                "Pimentodale-Deadline-Ms: 4000\r\n\r\n"
-            ).encode()
-        )
-        got = await asyncio.wait_for(read_head(reader), 6.0)
-        result = got[0].split(" ")[1] if got else "closed"
-        runs = sum(each == attempt for replica in rig.replicas for _, each in replica.runs)
-        results.append((result, runs, answered > 0))
-        rig.record.write(f"HEAD {attempt}, {answered} answered before: {result}; run {runs} times")
-        answered += 1
-        if got is None:
-            writer.close()
-            connection = None
+
+async def send(rig: Rig, rng: random.Random, sent: dict[str, tuple[float, str]]) -> None:
+    """Send one request."""
+    gateway = rng.choice(rig.gateways)
+    attempt = rig.attempt()
+    sent[attempt] = (rig.record.now(), gateway.name)
+    headers = {"Pimentodale-Attempt-Id": attempt, "Pimentodale-Deadline-Ms": "4000"}
+    await request(gateway.port, "GET", "/status/x", headers, timeout_s=4.0)
 
 
 async def case(rig: Rig, trouble: bool) -> bool:
     """Return whether the rule was broken."""
-    route = plain_route("/status/", "idempotent", timeout_ms=TIMEOUT_MS, target_latency_ms=125)
-    rig.configuration([route], [plain_service()])
-    for name in ("p1", "p2", "p3"):
-        replica = Replica(rig, name, "plain", "za")
-        replica.hook, replica.trouble = run_request, trouble
+    rng = random.Random()
+    rig.configuration([plain_route("/status/", "idempotent")], [plain_service(), plain_service() | {"name": "other"}])
+    for number in range(REPLICAS):
+        service = "plain" if number >= REPLICAS - SERVING else "other"
+        replica = Replica(rig, f"r{number:03d}", service, "za")
         await replica.start()
         rig.replicas.append(replica)
-    gateway = Gateway(rig, "g1", "za")
-    rig.gateways = [gateway]
-    await gateway.start()
-    await gateway.wait_ready()
+    rig.gateways = [Gateway(rig, name, "za") for name in ("g1", "g2", "g3")]
+    for gateway in rig.gateways:
+        await gateway.start()
+    for gateway in rig.gateways:
+        await gateway.wait_ready()
     await asyncio.sleep(4.0)
-    results: list[tuple[str, int, bool]] = []
-    await call(rig, gateway, results)
-    lost = sum(result == "closed" and runs > 0 and kept for result, runs, kept in results)
-    rig.record.write(f"{len(results)} sent; {lost} run and closed on a kept connection")
-    # "passes a request from a kept connection on to a sound replica and closes that connection
-    # without an answer, more than three times"
-    return lost > 3
+    acknowledged: dict[str, float] = {}
+    sent: dict[str, tuple[float, str]] = {}
+    releasing = asyncio.ensure_future(release(rig, rng, acknowledged, trouble=trouble))
+    end_s = rig.record.now() + DAY_S
+    while rig.record.now() < end_s:
+        asyncio.ensure_future(send(rig, rng, sent))
+        await asyncio.sleep(REQUEST_GAP_S)
+    releasing.cancel()
+    await asyncio.sleep(1.0)
+    late = 0
+    for replica in rig.replicas:
+        at = acknowledged.get(replica.name)
+        if at is None:
+            continue
+        for arrived, attempt in replica.arrivals:
+            # "A request reaches a replica later than drain_ms after [...] acknowledged"
+            if sent[attempt][0] > at + DRAIN_S:
+                late += 1
+                rig.record.write(
+                    f"{attempt} reached {replica.name} from {sent[attempt][1]} at {arrived:.3f}, "
+                    f"{arrived - at:.3f} s after the acknowledgement at {at:.3f}"
+                )
+    rig.record.write(
+        f"{len(sent)} requests sent, {len(acknowledged)} replicas left; "
+        f"{late} requests reached a replica too late"
+    )
+    return late > 0
 
 
-run_case(case, FOLDER)
+run_case(case, FOLDER, page_items=PAGE_ITEMS)
