--- a/review/9/case.py
+++ b/review/9/case.py
@@ -15,9 +15,9 @@
 REPLICAS = 300
 SERVING = 60  # Of these serve the requests, the others another service.
 PAGE_ITEMS = 50
-DAY_S = 40.0
+DAY_S = 50.0
 LEAVE_AFTER_S = (0.045, 0.055)  # A host reads anew 15 to 45 ms after its watch was cut.
-DRAIN_S = 2.0
+DRAIN_S = 4.0
 LINGER_S = 3.0
 PAUSE_S = 1.0
 REQUEST_GAP_S = 0.005
@@ -67,7 +67,7 @@
         replica = Replica(rig, f"r{number:03d}", service, "za")
         await replica.start()
         rig.replicas.append(replica)
-    rig.gateways = [Gateway(rig, name, "za") for name in ("g1", "g2", "g3")]
+    rig.gateways = [Gateway(rig, name, "za", {"drain_ms": 4000}) for name in ("g1", "g2", "g3")]
     for gateway in rig.gateways:
         await gateway.start()
     for gateway in rig.gateways:
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,13 +24,23 @@
 HOST = "site.example"
 KEY = "key-one"
 LATENCY_S = 0.004
+PORTS = (12_000, 32_000)
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a free loopback port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a free loopback port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Record:
