--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -529,6 +529,7 @@
         self.store = Store(**store_options)
         self.replicas: list[Replica] = []
         self.gateways: list[Gateway] = []
+        self.crowds: list[asyncio.subprocess.Process] = []
         self.version = 0
         self.attempts = 0
 
@@ -547,9 +548,8 @@
         return f"a{self.attempts:06d}"
 
     async def close(self) -> None:
-        """End the gateways and remove the folder."""
-        for gateway in self.gateways:
-            process = gateway.process
+        """End all processes and remove the folder."""
+        for process in [*(gateway.process for gateway in self.gateways), *self.crowds]:
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
@@ -650,7 +650,10 @@
         raise KeyboardInterrupt
 
     signal.signal(signal.SIGTERM, stop)
-    code = asyncio.run(main())
+    try:
+        code = asyncio.run(main())
+    except KeyboardInterrupt:
+        code = 2
     print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
     sys.stdout.flush()
     os._exit(code)
