--- a/src/pimentodale/gateway/host.py
+++ b/src/pimentodale/gateway/host.py
@@ -314,6 +314,7 @@
     metrics.add_gauge("mirror_revision", lambda: view.mirror.revision)
     metrics.add_gauge("mirror_era", lambda: view.mirror.era)
     metrics.add_gauge("mirror_ignored_answers", lambda: view.mirror.ignored_answers)
+    metrics.add_gauge("mirror_early_items", lambda: view.mirror.early_items)
     metrics.add_gauge("configuration_version", lambda: _configuration_version(view))
     metrics.add_gauge("convicted_requests", record.count_convicted)
     add_body_gauges(metrics.add_gauge)
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -35,6 +35,9 @@
 FIRST_ERA: Final = 1
 """Highest era of a store that has never returned from a copy."""
 
+MAX_LOGGED_KEYS: Final = 4
+"""Maximum number of keys in a log line."""
+
 STORE: Final = "store"
 """Source of what this host read from the store itself; other sources are names of hosts."""
 
@@ -99,6 +102,9 @@
     ignored_answers: int = 0
     """Number of answers that were ignored because they are older than this mirror."""
 
+    early_items: int = 0
+    """Number of items that snapshots contained at a later revision than their own."""
+
     era_entered_ms: float = float("-inf")
     """Time at which this host saw that the store had returned from an older copy, or may have."""
 
@@ -152,6 +158,7 @@
         if (era, revision) < (self.era, self.revision):
             self._note_ignored(era, revision, source)
             return
+        self._note_early(revision, items, source)
         if self.revision == 0 and era > FIRST_ERA:
             # The store may have returned from a copy just before this host started.
             self.era_entered_ms = self.clock.now_ms()
@@ -265,6 +272,22 @@
             age_ms=whole_ms(self.age_ms()),
         )
 
+    def _note_early(self, revision: int, items: Sequence[KeyValue], source: str) -> None:
+        """Count and log items that were written while a snapshot was read in pages."""
+        early = [item for item in items if item.mod_revision > revision]
+        if not early:
+            return
+        self.early_items += len(early)
+        _log.info(
+            "A snapshot contains changes after its revision.",
+            keys=[item.key for item in early[:MAX_LOGGED_KEYS]],
+            count=len(early),
+            newest=max(item.mod_revision for item in early),
+            snapshot_revision=revision,
+            revision=self.revision,
+            source=source,
+        )
+
     def _apply(
         self,
         revision: int,
--- a/src/pimentodale/site/view.py
+++ b/src/pimentodale/site/view.py
@@ -234,6 +234,8 @@
                 draining=record.is_draining,
                 failure_domain=record.failure_domain,
                 revision=item.mod_revision,
+                mirror_revision=self.mirror.revision,
+                source=self.mirror.source,
             )
         elif known.started_ms != record.started_ms:
             _log.info(
