Derive what a follower lacks from the keys' own revisions

A key that is written between two pages is read at a later revision than that of the read. The mirror filed it in its history under the read's revision, which its followers had passed already; the watch then reported it as known, and nothing was filed under its own revision. A key removed between two pages was lost to followers in the same way.

Change: a mirror has no history of writes any more; what another host lacks are the items with a later revision than its own. Removals are kept under the revision at which they are reported, also if the key is missing already. A removal no longer drops a key that was written after it. The stand-in of the store gives pages.

--- a/features/site_mirror.feature
+++ b/features/site_mirror.feature
@@ -57,6 +57,35 @@
       | the watches are cut                  |
       | the watches are cut again and again  |
 
+  # Guards against a departure that the followers of a watcher never hear of, as it was written while
+  # the watcher read the store in pages.
+  Scenario Outline: a replica that leaves as <what> between two pages of a read gets no work later than drain_ms
+    Given hosts of three failure domains that follow the store, and six replicas
+    And the store gives pages of 2 items
+    When the watches are cut, and between two pages of the read after that <what>
+    Then no host sends it work later than 1.5 s after that, and the others are used all the while
+    And all hosts have the same keys as the store
+
+    Examples:
+      | what                                                    |
+      | its record says draining                                |
+      | its record is removed                                   |
+      | its record says draining and others are written         |
+      | its record is removed and others are written            |
+      | its record says draining and then is removed            |
+      | others are written and its record says draining         |
+      | others are written and its record is removed            |
+      | its record says draining and the history is forgotten   |
+      | its record is removed and the history is forgotten      |
+      | its record says draining and the watcher is lost        |
+      | its record is removed and the watcher is lost           |
+      | the store returns from a copy and its record says draining |
+
+  # Guards against a host that lacks a change from before its revision, whoever it has its keys from.
+  Scenario: a mirror has all changes up to its revision, wherever they come from
+    When 2000 drawn histories reach three hosts by reads in pages, watches and each other
+    Then at each moment each host has every change up to its revision, and none that never was
+
   # Guards against hosts that lose all replicas as the store returns and the records have lapsed.
   Scenario Outline: replicas whose records lapsed while the store was away for <away_s> s are kept by every host
     Given hosts of three failure domains that follow the store, and six replicas
--- a/features/steps/site_mirror.py
+++ b/features/steps/site_mirror.py
@@ -14,6 +14,7 @@
 from expression import Ok
 from features.support.memory_store import MemoryState, MemoryStore
 from features.support.mirror_fakes import CountingStore, FakePeers
+from features.support.mirror_model import play_history
 from features.support.mirror_site import MirrorSite
 from features.support.virtual_time import run_virtually
 from hypothesis import given as given_drawn
@@ -33,6 +34,7 @@
 from pimentodale.clients.key_value import KeyValue, StoreFault
 from pimentodale.clock import ManualClock, create_clock
 from pimentodale.gateway.registration import keep_registered
+from pimentodale.mirror import mirror as mirror_module
 from pimentodale.mirror.follower import WATCHER_SKIP_MS, WATCHERS, create_mirror_follower
 from pimentodale.mirror.mirror import Mirror, create_mirror
 from pimentodale.peers.mesh import choose_watchers
@@ -42,10 +44,10 @@
 from pimentodale.platform.replica_records import REPLICA_PREFIX, decode_replica
 from pimentodale.platform.store import PlatformStore
 from pimentodale.site.view import HOST_PREFIX, SiteRecords, create_site_view
-from pimentodale.standin.platform_store_state import StoreTxn
+from pimentodale.standin.platform_store_state import StorePut, StoreTxn
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from pimentodale.clients.key_value import WatchBatch
 
@@ -270,7 +272,7 @@
 @when("a replica leaves by the removal of its record as {what}")
 def leave(context: Any, what: str) -> None:
     site = context.site_mirror
-    context.removed_ms = site.clock.now_ms()
+    context.removed_ms, context.leaving = site.clock.now_ms(), 0
     if what == "the watches are cut":
         site.cut_watches()
         site.remove(f"{REPLICA_PREFIX}i-0")
@@ -290,11 +292,97 @@
         site.run(25.0)
         late_ms = site.clock.now_ms() - context.removed_ms
         for host in site.hosts.values():
-            assert not has_replica(host, 0) or late_ms <= 1_500.0, (host.name, late_ms)
-            assert all(has_replica(host, number) for number in range(1, 6)), host.name
+            if host.name in site.lost:
+                continue
+            assert not has_replica(host, context.leaving) or late_ms <= 1_500.0, (
+                host.name,
+                late_ms,
+            )
+            staying = set(range(6)) - {context.leaving}
+            assert all(has_replica(host, number) for number in staying), host.name
     site.stop()
 
 
+@given("the store gives pages of {count:d} items")
+def set_page_items(context: Any, count: int) -> None:
+    context.site_mirror.state.page_items = count
+
+
+@when("the watches are cut, and between two pages of the read after that {what}")
+def leave_between_pages(context: Any, what: str) -> None:
+    site = context.site_mirror
+    # The last key, so that a read that has begun still meets it.
+    context.leaving = 5
+    actions = between_pages(site)
+    site.between_pages.extend(actions[phrase] for phrase in what.split(" and "))
+    site.cut_watches()
+    while site.between_pages:
+        site.run(1.0)
+    context.removed_ms = site.clock.now_ms()
+
+
+def between_pages(site: MirrorSite) -> dict[str, Callable[[], Awaitable[object]]]:
+    """Return what may happen at the store between two pages, by its description."""
+    key = f"{REPLICA_PREFIX}i-5"
+    copy = site.state.copy()
+
+    def write(number: int, **changes: object) -> StorePut:
+        value = replica_value(address=f"10.0.0.{number + 1}:80", **changes)
+        return StorePut(f"{REPLICA_PREFIX}i-{number}", base64.b64encode(value).decode())
+
+    def drain() -> Awaitable[object]:
+        return site.state.transact(StoreTxn(puts=[write(5, state="draining")]))
+
+    def remove() -> Awaitable[object]:
+        return site.state.transact(StoreTxn(remove=[key]))
+
+    async def write_others() -> None:
+        for number in range(1, 5):
+            await site.state.transact(StoreTxn(puts=[write(number)]))
+
+    async def forget() -> None:
+        site.state.forget_history()
+
+    async def lose_reader() -> None:
+        site.lose(site.page_reader)
+
+    return {
+        "its record says draining": drain,
+        "its record is removed": remove,
+        "then is removed": remove,
+        "others are written": write_others,
+        "the history is forgotten": forget,
+        "the watcher is lost": lose_reader,
+        "the store returns from a copy": lambda: site.state.restore(copy),
+    }
+
+
+@then("all hosts have the same keys as the store")
+def check_same_as_store(context: Any) -> None:
+    site = context.site_mirror
+    stored = {key: item.revision for key, item in site.state.items.items()}
+    for host in site.hosts.values():
+        if host.name in site.lost:
+            continue
+        held = {key: item.mod_revision for key, item in host.view.mirror.items.items()}
+        assert held == stored, host.name
+
+
+@when("{count:d} drawn histories reach three hosts by reads in pages, watches and each other")
+def play_histories(context: Any, count: int) -> None:
+    context.early = 0
+    for number in range(count):
+        rng = random.Random(f"{context.site.seed}/{number}")
+        # A short history makes hosts send all keys to others that are behind.
+        with patch.object(mirror_module, "HISTORY_LENGTH", rng.choice((2, 2_000))):
+            context.early += play_history(rng, 120)
+
+
+@then("at each moment each host has every change up to its revision, and none that never was")
+def check_histories(context: Any) -> None:
+    assert context.early > 100, "the histories hardly meet writes between two pages"
+
+
 @when("the store is away for {away_s:d} s, and the records of all replicas lapse in that time")
 def lapse(context: Any, away_s: int) -> None:
     site = context.site_mirror
--- a/features/support/mirror_site.py
+++ b/features/support/mirror_site.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import random
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -135,6 +136,8 @@
                 await site.wait_reachable(self._host)
                 if call == "page" and site.cuts_after_page:
                     site.cut_off.add(self._host)
+                if call == "page":
+                    await site.act_between_pages(self._host)
         except TimeoutError:
             return Error(StoreFault(method != "GET", "no whole response in time", silent=True))
         octets = msgspec.json.encode(answer.body)
@@ -209,6 +212,12 @@
         self.cuts_after_page = False
         """Whether a host loses the store once it has a page."""
 
+        self.between_pages: deque[Callable[[], Awaitable[object]]] = deque()
+        """What happens at the store while a host reads it, one after each of its pages."""
+
+        self.page_reader = ""
+        """The host whose pages these are."""
+
         self.reply_ms = PEER_MS / 2
         """Time that another host's reply is on its way."""
 
@@ -331,6 +340,13 @@
         txn = StoreTxn(remove=[key])
         assert run_virtually(self.loop, self.state.transact(txn)).status == 200
 
+    async def act_between_pages(self, host: str) -> None:
+        """Let the next of `between_pages` happen if it is due after this host's page."""
+        if not self.between_pages or host != (self.page_reader or host):
+            return
+        self.page_reader = host
+        await self.between_pages.popleft()()
+
     async def answer(self, call: str, work: Coroutine[Any, Any, StoreAnswer]) -> StoreAnswer | None:
         """Answer a call; `None` for a watch that is cut."""
         if call != "watch":
--- a/src/pimentodale/clients/key_value.py
+++ b/src/pimentodale/clients/key_value.py
@@ -52,10 +52,11 @@
 
 
 class RangeReply(msgspec.Struct, frozen=True):
-    """Keys read at one revision."""
+    """Keys of a range."""
 
     revision: int
-    """The service's revision when they were read."""
+    """The service's revision when the read began: every change up to it is included. A service that
+    answers in pages may also include later changes, each at its own `mod_revision`."""
 
     items: list[KeyValue]
     """The keys in order."""
--- a/src/pimentodale/mirror/mirror.py
+++ b/src/pimentodale/mirror/mirror.py
@@ -18,10 +18,9 @@
     from pimentodale.clock import Clock
 
 HISTORY_LENGTH: Final = 2_000
-"""Number of changes kept for other hosts; a host that is further behind gets a snapshot of all
+"""Number of removals kept for other hosts; a host that is further behind gets a snapshot of all
 keys."""
 
-
 HEARTBEAT_MS: Final = 1_200.0
 """Usual interval at which replicas write their records."""
 
@@ -70,16 +69,22 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Change:
-    """One entry of the change history."""
+class _Removal:
+    """A removed key."""
 
     revision: int
+    """Revision at which the removal was reported; it happened then or earlier."""
+
     key: str
 
 
 @dataclass(slots=True)
 class Mirror:
-    """Keys of the store as of a revision."""
+    """Keys of the store as of a revision.
+
+    The mirror has every change up to its revision. It may also have later ones, as the store is read
+    in pages: each item tells by its own revision when it was written.
+    """
 
     clock: Clock
     """Source of the current time."""
@@ -122,8 +127,10 @@
     """Time at which the store last confirmed this content after an outage so long that records may
     have lapsed in it. The end of a watch by itself shows no outage."""
 
-    _history: deque[_Change] = field(default_factory=lambda: deque(maxlen=HISTORY_LENGTH))
-    _history_start: int = 0
+    _removals: deque[_Removal] = field(default_factory=lambda: deque(maxlen=HISTORY_LENGTH))
+    _removals_start: int = 0
+    """Revision after which all removals are kept."""
+
     _subscribers: list[Callable[[set[str]], None]] = field(default_factory=list)
     _return_subscribers: list[Callable[[], None]] = field(default_factory=list)
 
@@ -170,9 +177,8 @@
             if key not in present and item.mod_revision <= revision
         ]
         if revision > self.revision:
-            # The individual changes in between are unknown.
-            self._history.clear()
-            self._history_start = revision
+            # Keys may have been written and removed in between.
+            self._forget_removals(revision)
         self._apply(revision, items, gone, age_ms, source)
 
     def apply_changes(
@@ -193,12 +199,13 @@
     def changes_since(self, revision: int, era: int = 0) -> MirrorChanges:
         """Return the changes that a host at the given revision of an era is missing."""
         age_ms = max(0.0, self.age_ms())
-        if era != self.era or not self._history_start <= revision <= self.revision:
+        if era != self.era or not self._removals_start <= revision <= self.revision:
             items = list(self.items.values())
             return MirrorChanges(self.revision, True, items, [], age_ms, self.era)
-        keys = {change.key for change in self._history if change.revision > revision}
-        items = [self.items[key] for key in keys if key in self.items]
-        deletes = [key for key in keys if key not in self.items]
+        # The items' own revisions count, not those at which this host received them.
+        items = [item for item in self.items.values() if item.mod_revision > revision]
+        removed = {removal.key for removal in self._removals if removal.revision > revision}
+        deletes = [key for key in removed if key not in self.items]
         return MirrorChanges(self.revision, False, items, deletes, age_ms, self.era)
 
     def apply(self, changes: MirrorChanges, host: str) -> None:
@@ -240,8 +247,7 @@
         )
         self.items = restored
         self.era, self.revision = era, revision
-        self._history.clear()
-        self._history_start = revision
+        self._forget_removals(revision)
         self.verified_ms, self.source = now_ms - age_ms, source
         self.outage_ended_ms = self.era_entered_ms = now_ms
         for callback in self._subscribers:
@@ -296,7 +302,7 @@
         age_ms: float,
         source: str,
     ) -> None:
-        """Apply changes, add them to the history, and notify the subscribers."""
+        """Apply changes and notify the subscribers."""
         self._note_gap(self.clock.now_ms() - age_ms, revision, source)
         changed: set[str] = set()
         for item in puts:
@@ -306,6 +312,11 @@
             self.items[item.key] = item
             changed.add(item.key)
         for key in deletes:
+            known = self.items.get(key)
+            if known is not None and known.mod_revision > revision:
+                continue
+            # Other hosts may still have a key that is already missing here.
+            self._note_removal(revision, key)
             if self.items.pop(key, None) is not None:
                 changed.add(key)
         for key in changed:
@@ -315,15 +326,22 @@
         if confirmed_ms >= self.verified_ms:
             self.verified_ms = confirmed_ms
             self.source = source
-        for key in changed:
-            if len(self._history) == HISTORY_LENGTH:
-                self._history_start = self._history[0].revision
-            self._history.append(_Change(revision, key))
         if not changed:
             return
         for callback in self._subscribers:
             callback(changed)
 
+    def _note_removal(self, revision: int, key: str) -> None:
+        """Keep a removal for hosts that are behind."""
+        if len(self._removals) == self._removals.maxlen:
+            self._removals_start = self._removals[0].revision
+        self._removals.append(_Removal(revision, key))
+
+    def _forget_removals(self, revision: int) -> None:
+        """Drop all removals; a host behind the given revision gets a snapshot of all keys."""
+        self._removals.clear()
+        self._removals_start = revision
+
     def _note_gap(self, confirmed_ms: float, revision: int, source: str) -> None:
         """Note for how long the store had confirmed nothing, and whether records may have lapsed."""
         if self.revision == 0 or confirmed_ms < self.verified_ms:
--- a/src/pimentodale/standin/platform_store_state.py
+++ b/src/pimentodale/standin/platform_store_state.py
@@ -27,6 +27,9 @@
 DEFAULT_HISTORY: Final = 1_000
 """Number of changes that watches can go back."""
 
+DEFAULT_PAGE_ITEMS: Final = 500
+"""Maximum number of items in a page of a range."""
+
 
 class StoreItem(msgspec.Struct):
     """One key on the wire."""
@@ -111,6 +114,9 @@
     era: int = 1
     """Rises each time that the store returns from a copy."""
 
+    page_items: int = DEFAULT_PAGE_ITEMS
+    """Maximum number of items in a page of a range."""
+
     dropped: int = 0
     """Changes up to this revision are no longer in the history."""
 
@@ -123,13 +129,14 @@
         return _error(NOT_FOUND, "no such key") if item is None else StoreAnswer(OK, item)
 
     def read_range(self, prefix: str, after: str) -> StoreAnswer:
-        """Read the keys under a prefix."""
+        """Read one page of the keys under a prefix."""
         items = [
             item
             for key, item in sorted(self.items.items())
             if key.startswith(prefix) and key > after
         ]
-        return StoreAnswer(OK, {"items": items, "has_more": False, "at": self.revision})
+        page, has_more = items[: self.page_items], len(items) > self.page_items
+        return StoreAnswer(OK, {"items": page, "has_more": has_more, "at": self.revision})
 
     async def watch(self, prefix: str, after: int, wait_ms: float) -> StoreAnswer:
         """Wait for changes under a prefix."""
