Refuse answers whose status, field names or values are not valid HTTP

Cause: nothing checks that a status or a field name is one.

A status without a length made the next answer on the connection its body. A probe took 000 as a sign of life, and a write to the own store that got 000 counted as not applied.

Change: each head is checked (`clients/response_head`), interim ones too; an invalid one ends the exchange as one that was sent, and its connection. An engine with such an answer has answered wrongly; it has not crashed. The request's log line says why a send failed.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -80,6 +80,75 @@
       | /lm/    | after an interim head           |
     Then each is answered 502
 
+  # Guards against a status of 000, or a line that is no header field, that reaches a client as an answer.
+  Scenario: a gateway passes on no answer that is not valid HTTP
+    Given a gateway before raw replicas
+    When every replica gives each of these odd answers to these requests
+      | requests                  | odd answer                            |
+      | /note/ /read/ /once/ /lm/ | status 000                            |
+      | /note/ /read/ /once/ /lm/ | status 000 ahead of a sound answer    |
+      | /note/ /read/             | status 001                            |
+      | /note/ /lm/               | status 099                            |
+      | /note/ /read/ /lm/        | status 101 ahead of a sound answer    |
+      | /note/ /read/ /once/ /lm/ | status 600                            |
+      | /note/ /lm/               | status 999                            |
+      | /note/ /read/ /once/ /lm/ | a blank in a name                     |
+      | /note/ /lm/               | a blank before a colon                |
+      | /note/ /read/ /lm/        | 0x01 in a name                        |
+      | /note/                    | 0x0b in a name                        |
+      | /note/                    | CR in a name                          |
+      | /note/                    | an empty name                         |
+      | /note/ /lm/               | a blank ahead of a name               |
+      | /note/ /lm/               | NUL in a value                        |
+      | /note/ /lm/               | a blank in a name of an interim head  |
+      | /note/ /lm/               | a blank before the length's colon     |
+      | /note/ /lm/               | a blank before the coding's colon     |
+      | /note/ /read/             | a blank in a trailer's name           |
+    Then each is answered 502
+    When the first replica gives each of these odd answers, and the next one is sound
+      | requests   | odd answer                         |
+      | /note/     | status 000                         |
+      | /once/     | status 000 ahead of a sound answer |
+      | /note/     | a blank in a name                  |
+      | /once/     | 0x01 in a name                     |
+    Then each is answered 502 and was sent once
+    When the first replica gives each of these odd answers, and the next one is sound
+      | requests   | odd answer                         |
+      | /read/ /lm/ | status 000                         |
+      | /read/ /lm/ | status 000 ahead of a sound answer |
+      | /read/ /lm/ | status 600                         |
+      | /read/ /lm/ | a blank in a name                  |
+      | /read/ /lm/ | 0x01 in a name                     |
+    Then each is answered 200 in full and was sent twice
+
+  # Guards against beliefs about replicas and the store that rest on an answer that is none.
+  Scenario: no part of the product takes an answer that is not valid HTTP for one
+    When each of these gets an answer with each odd status, with odd names, or with an odd length
+      | caller                               |
+      | a probe of a replica                 |
+      | a replica's report                   |
+      | an order to a replica                |
+      | a move of a stream                   |
+      | a read of the platform's store       |
+      | a page of the platform's store       |
+      | a watch on the platform's store      |
+      | a write to the platform's store      |
+      | a lease of the platform's store      |
+      | a renewal at the platform's store    |
+      | a read of the own store              |
+      | a watch on the own store             |
+      | a write to the own store             |
+      | a lease of the own store             |
+      | the host list                        |
+      | a reservation at the weight store    |
+      | an engine's load                     |
+      | an engine's progress                 |
+      | an engine's state                    |
+      | an order to an engine                |
+      | a cancel at an engine                |
+      | an operator's question to a host     |
+    Then each call failed, and a write to a store counts as one that may have been applied
+
   # Guards against a promise "not run" that rests on an engine's refusal of an earlier attempt.
   Scenario: an entry host takes no refusal of another attempt for one of its own
     When an entry host sends attempt 2 of "job-1" to an engine that refuses in each of these ways
@@ -107,6 +176,11 @@
     When an entry host calls a service that writes each answer twice, 503 to every second call
     Then each of 20 calls has its own answer and ran once
 
+  # Guards against a 2xx made of an answer whose head or body is not whole.
+  Scenario: an entry host passes on no answer that is not valid HTTP
+    When an entry host calls a service and an engine that give each odd answer
+    Then each call failed as one that may have run, and was sent once
+
   # Guards against a 2xx made of an answer whose head or body is not whole.
   Scenario: an entry host passes on no answer that was cut
     When an entry host calls a service and an engine that cut their answers
--- a/features/steps/faulty_answers.py
+++ b/features/steps/faulty_answers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import contextlib
 import http.client
 import json
 import socket
@@ -19,10 +18,11 @@
 from behave import given, then, when
 from features.support.gateway_site import LAYERS, GatewaySite, create_gateway_site
 from features.support.memory_store import MemoryState, MemoryStore
+from features.support.odd_answers import list_odd_answers
+from features.support.raw_server import CLOSE_DELAY_S, PAUSE, RESET, RawServer, build_answer
 from features.support.site import http as call
 from features.support.site import wait_until
 
-from pimentodale.addresses import Address
 from pimentodale.background import create_background_tasks
 from pimentodale.clients.engine_client import EngineToken, open_stream
 from pimentodale.clients.engine_messages import EngineCall, Hop
@@ -38,6 +38,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from pimentodale.addresses import Address
+
 PORT: Final = 8000
 EVENTS: Final = 5
 HEADS: Final = ("e1", "e2", "e3")
@@ -47,25 +49,11 @@
 SETTLE_S: Final = 0.3
 """Time between two requests, in which a replica that refused may be used again."""
 
-CLOSE_DELAY_S: Final = 0.03
-"""Time from an answer to the end of its connection."""
-
 PLAIN_BODY: Final = b"the whole body of an answer"
 OWN: Final = b"Pimentodale-Attempt-Id: ID\r\n"
 OTHER: Final = b"Pimentodale-Attempt-Id: an-earlier-one\r\n"
 NOT_RUN: Final = b"Pimentodale-Not-Executed: 1\r\n"
 SIGNED: Final = OWN + b"Pimentodale-Replica-Stamp: s1\r\n"
-RESET: Final = b"RESET"
-"""At the end of an answer: the connection is reset instead of closed."""
-
-PAUSE: Final = b"PAUSE"
-"""Within an answer: what follows is sent a little later."""
-
-
-def build_answer(status: str, headers: bytes, body: bytes = b"") -> bytes:
-    """Return an answer with a length."""
-    length = b"Content-Length: %d\r\n" % len(body)
-    return b"HTTP/1.1 " + status.encode() + b"\r\n" + headers + length + b"\r\n" + body
 
 
 def build_chunk(piece: bytes) -> bytes:
@@ -80,11 +68,17 @@
     return b"HTTP/1.1 200 OK\r\n" + headers + chunked + chunks + end
 
 
+EVENT_TYPE: Final = b"Content-Type: text/event-stream\r\n"
+
+
 def build_events(first: int, last: int, end: bytes = b"0\r\n\r\n") -> bytes:
     """Return a stream with the events of a range."""
     numbers = range(first, last + 1)
     pieces = [b"id: %d\ndata: d%d\n\n" % (number, number) for number in numbers]
-    return build_chunks(pieces, SIGNED + b"Content-Type: text/event-stream\r\n", end)
+    return build_chunks(pieces, SIGNED + EVENT_TYPE, end)
+
+
+EVENT_BODY: Final = b"".join(b"id: %d\ndata: d%d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
 
 HEAD: Final = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"Content-Length: 27\r\n\r\n"
@@ -394,6 +388,29 @@
     )
 
 
+@when("every replica gives each of these odd answers to these requests")
+def ask_odd(context: Any) -> None:
+    ask_odd_rows(context, lambda answer: Plan(answer, answer))
+
+
+@when("the first replica gives each of these odd answers, and the next one is sound")
+def ask_odd_first(context: Any) -> None:
+    ask_odd_rows(context, lambda answer: Plan(first=answer))
+
+
+def ask_odd_rows(context: Any, build_plan: Callable[[bytes], Plan]) -> None:
+    """Send the requests of each row of the table while replicas give its odd answer."""
+    for row in context.table:
+        name = row["odd answer"]
+        for prefix in row["requests"].split():
+            # A stream's sound answer has events, so that only the oddity spoils it.
+            is_stream = prefix in ("/lm/", "/once/")
+            body = EVENT_BODY if is_stream else PLAIN_BODY
+            fields = SIGNED + (EVENT_TYPE if is_stream else b"")
+            odd = dict(list_odd_answers(fields, body, build_answer("200 OK", fields, body)))
+            context.faulty.ask(prefix, name, build_plan(odd[name]))
+
+
 @when("every replica cuts its answers to each of these requests")
 def ask_cut(context: Any) -> None:
     for row in context.table:
@@ -424,52 +441,6 @@
 """What follows the tokens of an engine's stream, by name."""
 
 
-@dataclass
-class RawServer:
-    """A server in this process that counts the requests it reads."""
-
-    answers: Callable[[int], bytes]
-    """Returns what to write to the request of a number, from 0."""
-
-    arrivals: int = 0
-    connections: list[asyncio.Task[None]] = field(default_factory=list)
-    server: asyncio.Server | None = None
-
-    async def start(self) -> Address:
-        """Listen."""
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return Address("127.0.0.1", self.server.sockets[0].getsockname()[1])
-
-    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Begin to serve a connection."""
-        self.connections.append(asyncio.ensure_future(self._serve(reader, writer)))
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer one connection."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            number, self.arrivals = self.arrivals, self.arrivals + 1
-            answer = self.answers(number)
-            for piece in answer.removesuffix(RESET).split(PAUSE):
-                writer.write(piece)
-                await writer.drain()
-                # What was sent is read before the next piece or the end of the connection.
-                await asyncio.sleep(CLOSE_DELAY_S)
-            if answer.endswith(RESET):
-                linger = struct.pack("ii", 1, 0)
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-
-    async def close(self) -> None:
-        """Stop listening, once all connections have ended."""
-        await asyncio.gather(*self.connections)
-        if self.server is not None:
-            self.server.close()
-
-
 async def open_attempt(address: Address) -> Any:
     """Send an attempt to an engine."""
     path = "/v1/chat/completions"
@@ -599,6 +570,24 @@
     context.streams = {name: asyncio.run(run(ANSWERS[name], read_events)) for name in names}
 
 
+@when("an entry host calls a service and an engine that give each odd answer")
+def call_odd(context: Any) -> None:
+    body = json.dumps({"pimentodale": {"busy": "e1"}}).encode()
+    odd = list(list_odd_answers(b"X-Host: a\r\n", body, build_answer("200 OK", b"", body)))
+
+    async def run(ask: Callable[[Address], Any]) -> dict[str, tuple[Any, int]]:
+        server = RawServer(lambda number: odd[number][1])
+        address = await server.start()
+        ends = {}
+        for name, _ in odd:
+            before = server.arrivals
+            ends[name] = (await ask(address), server.arrivals - before)
+        await server.close()
+        return ends
+
+    context.calls, context.streams = asyncio.run(run(call_service)), asyncio.run(run(read_events))
+
+
 @then("each call failed as one that may have run, and was sent once")
 def check_cut_calls(context: Any) -> None:
     for name, (end, arrivals) in context.calls.items():
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -355,4 +355,4 @@
 
 def _fault_of(fault: CallFault) -> EngineFault:
     """Turn a connection's fault into a stream's."""
-    return EngineFault(fault.message, sent=fault.sent, silent=fault.silent)
+    return EngineFault(fault.message, sent=fault.sent, silent=fault.silent, malformed=fault.invalid)
--- a/src/pimentodale/clients/http_call.py
+++ b/src/pimentodale/clients/http_call.py
@@ -19,6 +19,7 @@
 from tornado.tcpclient import TCPClient
 
 from pimentodale.clients.body_memory import body_memory
+from pimentodale.clients.response_head import INTERIM_STATUSES, find_head_problem
 from pimentodale.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -58,6 +59,9 @@
     message: str
     """What happened, in a short sentence."""
 
+    invalid: bool = False
+    """Whether the other side answered with a header that is not valid HTTP."""
+
 
 class CallRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What to send."""
@@ -223,7 +227,10 @@
     except TimeoutError:
         call.close()
         return Error(CallFault(True, True, f"{address} sent no header in time"))
-    except (OSError, StreamClosedError, HTTPInputError, EOFError) as error:
+    except HTTPInputError as error:
+        call.close()
+        return Error(CallFault(True, False, f"{address} gave no valid response: {error}", True))
+    except (OSError, StreamClosedError, EOFError) as error:
         call.close()
         return Error(CallFault(True, False, f"{address} gave no response: {error}"))
     except asyncio.CancelledError:
@@ -346,9 +353,13 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Take the header; an interim response is passed over."""
+        """Take the header; an interim response is passed over, an invalid one ends the exchange."""
         code = getattr(start_line, "code", 0)
-        if 100 <= code < 200:
+        problem = find_head_problem(code, headers.get_all())
+        if problem is not None:
+            self._refuse(problem)
+            return
+        if code in INTERIM_STATUSES:
             return
         self.status = code
         self.headers = headers
@@ -377,6 +388,13 @@
         self._is_dropped = True
         return self._resume()
 
+    def _refuse(self, problem: str) -> None:
+        """End the exchange; what follows on the connection can't be told apart from the header."""
+        if not self.header.done():
+            self.header.set_exception(HTTPInputError(problem))
+        self.drop()
+        self._stream.close()
+
     def _resume(self) -> bool:
         """Let the connection go on if it waits for room; return whether it did."""
         room, self._room = self._room, None
@@ -394,9 +412,10 @@
 
     def end(self, reader: asyncio.Future[bool]) -> None:
         """Mark the end once the connection's reader is done, however it ended."""
-        error = None if reader.cancelled() else reader.exception()
+        error = StreamClosedError() if reader.cancelled() else reader.exception()
         if not self.header.done():
-            self.header.set_exception(error or StreamClosedError())
+            # The connection's reader ends without an exception if it has refused the header.
+            self.header.set_exception(error or HTTPInputError("its header can't be parsed"))
             # Nobody may be waiting any more after a time-out.
             self.header.exception()
         self.queue.put_nowait(None)
--- a/src/pimentodale/forwarding/plain_requests.py
+++ b/src/pimentodale/forwarding/plain_requests.py
@@ -329,6 +329,7 @@
     )
     opened = await open_call(replica.address, call_request, left_ms, CONNECT_TIMEOUT_MS)
     if opened.is_error():
+        routed.history.append(opened.error.message)
         return PlainReply(SendResult.BROKEN if opened.error.sent else SendResult.NOT_SENT)
     call = opened.ok
     try:
--- a/src/pimentodale/forwarding/stream_relay.py
+++ b/src/pimentodale/forwarding/stream_relay.py
@@ -61,6 +61,7 @@
         head.address, call_request, left_ms, CONNECT_TIMEOUT_MS, before_send=note_sent
     )
     if opened.is_error():
+        routed.history.append(opened.error.message)
         return SendEnd.BROKEN if opened.error.sent else SendEnd.NOT_SENT
     call = opened.ok
     try:
