Read an engine's load and cache events only from successful answers

Cause: the entry host decoded these two bodies whatever the status was, so that a failure with such a body counted as the engine's state. In turn an engine that answered a probe with anything else counted as crashed, which strikes the requests that ran on it.

Change: another status than 200 counts as an answer that is not in the protocol; an engine that gave such an answer has not crashed.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -149,6 +149,17 @@
       | an operator's question to a host     |
     Then each call failed, and a write to a store counts as one that may have been applied
 
+  # Guards against a failure whose body is taken for what was asked.
+  Scenario: an engine's load and cache events count only if the engine says that it succeeded
+    When an engine gives a load and cache events with each of these statuses
+      | status |
+      | 201    |
+      | 302    |
+      | 404    |
+      | 500    |
+      | 503    |
+    Then neither counts, and the engine does not count as crashed
+
   # Guards against a promise "not run" that rests on an engine's refusal of an earlier attempt.
   Scenario: an entry host takes no refusal of another attempt for one of its own
     When an entry host sends attempt 2 of "job-1" to an engine that refuses in each of these ways
--- a/features/steps/odd_answers.py
+++ b/features/steps/odd_answers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+import random
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
@@ -14,7 +16,7 @@
 from features.support.raw_server import RawServer, build_answer
 
 from pimentodale.clients.engine_client import cancel_request, read_load, read_progress
-from pimentodale.clients.engine_messages import EngineLoad, EngineOrder
+from pimentodale.clients.engine_messages import CacheEvents, EngineLoad, EngineOrder, Hop
 from pimentodale.clients.engine_orders import read_engine_state, send_order
 from pimentodale.clients.etcd_gateway import create_etcd_gateway
 from pimentodale.clients.host_list import create_host_list_reader
@@ -23,8 +25,10 @@
 from pimentodale.clock import create_clock
 from pimentodale.configuration.follower import FollowerStatus
 from pimentodale.ctl.ask_hosts import ask_hosts
+from pimentodale.pipelines.loss_diagnosis import crashed_replicas
 from pimentodale.platform.engine_client import create_platform_engine_client
 from pimentodale.platform.store import create_platform_store
+from pimentodale.routing.load_poller import create_load_poller
 from pimentodale.site.model import LayerRange
 
 if TYPE_CHECKING:
@@ -44,6 +48,9 @@
 """An engine's load, the one body that would be of use with any status."""
 
 
+EVENTS: Final = msgspec.json.encode(CacheEvents(events=[], next=7))
+
+
 def own_store(address: Address) -> KeyValueStore:
     """Return a client of the own store."""
     return create_etcd_gateway([address], create_clock())
@@ -125,6 +132,47 @@
     context.ends = {caller: asyncio.run(run(caller)) for caller in rows}
 
 
+@when("an engine gives a load and cache events with each of these statuses")
+def give_failures(context: Any) -> None:
+    async def run(status: str) -> tuple[Any, list[Any], Any]:
+        sound = build_answer("200 OK", FIELD, LOAD)
+        answers = [
+            build_answer(f"{status} X", FIELD, LOAD),
+            sound,
+            build_answer(f"{status} X", FIELD, EVENTS),
+            build_answer(f"{status} X", FIELD, LOAD),
+        ]
+        server = RawServer(lambda number: answers[number])
+        address = await server.start()
+        load = await read_load(address, TIMEOUT_MS)
+        applied: list[Any] = []
+        is_polled = asyncio.Event()
+        prefixes = SimpleNamespace(apply_events=lambda *events: applied.append(events))
+        fleet = SimpleNamespace(apply_load=lambda _load: None)
+        engines = [SimpleNamespace(replica="e1", address=address)]
+        poller = create_load_poller(
+            fleet, prefixes, lambda: engines, is_polled.set, create_clock(), random.Random(1)
+        )
+        polling = asyncio.create_task(poller.run())
+        await is_polled.wait()
+        polling.cancel()
+        ctx = SimpleNamespace(pending_probes={}, boot_id_of=lambda _replica: "b1")
+        hop = Hop(replica="e1", address=str(address), first_layer=0, last_layer=8)
+        crashed = await crashed_replicas(ctx, SimpleNamespace(hops=[hop]))
+        await server.close()
+        return load, applied, crashed
+
+    context.given = {row["status"]: asyncio.run(run(row["status"])) for row in context.table}
+
+
+@then("neither counts, and the engine does not count as crashed")
+def check_failures(context: Any) -> None:
+    for status, (load, applied, crashed) in context.given.items():
+        assert load.is_error(), (status, load)
+        assert applied == [], (status, applied)
+        assert crashed == [], (status, crashed)
+
+
 @then("each call failed, and a write to a store counts as one that may have been applied")
 def check_failed(context: Any) -> None:
     for caller, ends in context.ends.items():
--- a/src/pimentodale/clients/engine_client.py
+++ b/src/pimentodale/clients/engine_client.py
@@ -251,6 +251,8 @@
     reply = await fetch(address, request, timeout_ms)
     if reply.is_error():
         return Error(_fault_of(reply.error))
+    if reply.ok.status != HTTP_OK:
+        return Error(EngineFault(f"answered HTTP {reply.ok.status}", malformed=True))
     try:
         return Ok(msgspec.json.decode(reply.ok.body, type=EngineLoad))
     except UNREADABLE as error:
--- a/src/pimentodale/pipelines/loss_diagnosis.py
+++ b/src/pimentodale/pipelines/loss_diagnosis.py
@@ -83,4 +83,7 @@
     if report.is_ok():
         restarted = bool(boot_id) and report.ok.boot_id != boot_id
         return Loss.CRASHED if restarted else Loss.NONE
+    if report.error.malformed:
+        # Its process runs, as it has answered.
+        return Loss.NONE
     return Loss.UNKNOWN if report.error.silent else Loss.CRASHED
--- a/src/pimentodale/routing/load_poller.py
+++ b/src/pimentodale/routing/load_poller.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pimentodale.clients.engine_client import read_load
+from pimentodale.clients.engine_client import HTTP_OK, read_load
 from pimentodale.clients.engine_messages import CacheEvents
 from pimentodale.clients.http_call import CallRequest, fetch
 from pimentodale.clock import MS_PER_S
@@ -87,7 +87,7 @@
         path = f"/v1/pimentodale/cache_events?after={after}"
         request = CallRequest(method="GET", path=path)
         reply = await fetch(engine.address, request, READ_TIMEOUT_MS)
-        if reply.is_error():
+        if reply.is_error() or reply.ok.status != HTTP_OK:
             return
         try:
             found = msgspec.json.decode(reply.ok.body, type=CacheEvents)
