Count a write as not applied only if the own store rejected it

Callers saw: nothing reported; found when every reader of answers was looked at for statuses that nobody checks.

Cause: the client of the own store took every status below 500 other than 200 for "nothing was done", 2xx and 3xx too. Who relies on that may make the same write again, or say that a request has not run.

Change: only a 4xx counts as a rejection.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -160,6 +160,19 @@
       | 503    |
     Then neither counts, and the engine does not count as crashed
 
+  # Guards against a write that counts as not applied though nothing says so.
+  Scenario: a write to the own store counts as not applied only if the store rejected it
+    When writes to the own store are answered with each of these statuses
+      | status | counts as            |
+      | 201    | may have been applied |
+      | 202    | may have been applied |
+      | 302    | may have been applied |
+      | 400    | not applied          |
+      | 404    | not applied          |
+      | 500    | may have been applied |
+      | 503    | may have been applied |
+    Then each counts as that
+
   # Guards against a promise "not run" that rests on an engine's refusal of an earlier attempt.
   Scenario: an entry host takes no refusal of another attempt for one of its own
     When an entry host sends attempt 2 of "job-1" to an engine that refuses in each of these ways
--- a/features/steps/odd_answers.py
+++ b/features/steps/odd_answers.py
@@ -173,6 +173,23 @@
         assert crashed == [], (status, crashed)
 
 
+@when("writes to the own store are answered with each of these statuses")
+def answer_writes(context: Any) -> None:
+    async def run(status: str) -> str:
+        server = RawServer(lambda _number: build_answer(f"{status} X", FIELD, b"{}"))
+        address = await server.start()
+        written = await CALLERS["a write to the own store"](address)
+        await server.close()
+        return "may have been applied" if written.error.may_have_applied else "not applied"
+
+    context.counted = [(row["counts as"], asyncio.run(run(row["status"]))) for row in context.table]
+
+
+@then("each counts as that")
+def check_counted(context: Any) -> None:
+    assert all(expected == found for expected, found in context.counted), context.counted
+
+
 @then("each call failed, and a write to a store counts as one that may have been applied")
 def check_failed(context: Any) -> None:
     for caller, ends in context.ends.items():
--- a/src/pimentodale/clients/etcd_gateway.py
+++ b/src/pimentodale/clients/etcd_gateway.py
@@ -230,13 +230,14 @@
 
 
 def _refused(reply: CallReply, write: bool) -> StoreFault:
-    """Explain an answer that is not 200; below 500 the service did nothing."""
+    """Explain an answer that is not 200; only with a 4xx the service says that it did nothing."""
     try:
         message = msgspec.json.decode(reply.body, type=GatewayError).error
     except UNREADABLE:
         message = "no reason given"
     text = f"the service answered HTTP {reply.status}: {message}"
-    return StoreFault(write and reply.status >= 500, text)
+    is_rejected = 400 <= reply.status < 500
+    return StoreFault(write and not is_rejected, text)
 
 
 def read_watch_line(line: bytes) -> Result[WatchBatch, StoreFault]:
