--- a/features/steps/stream_repeats.py
+++ b/features/steps/stream_repeats.py
@@ -272,6 +272,7 @@
         workspace="w1",
         sends=0,
         rejections=0,
+        history=[],
         left_ms=lambda _now_ms: 5_000.0,
     )
     view = SimpleNamespace(replicas={})
