Read event ids and stored numbers by one function that rejects odd digits

Callers saw: a stream broke off, or ended as if complete, where an event had an id such as "²" or a word.

Cause: ids were tested with `str.isdigit`, which is true of superscripts, and read with `int`, which refuses these and numbers of over 4,300 digits. The exception ended the request though it could go on elsewhere. An id that is no number was compared only for being different, so that a word after a number passed as the next event, and the stream's end as its whole end.

Change: `read_whole_number` reads ASCII digits, 18 at most. After a number only the next number follows. The fencing number, the accepted revision and announced revisions are read by it too.

--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -47,6 +47,17 @@
       | no further event             |
     Then each client has events 1 to 5 and sees the stream end
 
+  # Guards against an exception, or a lost event, where the id of an event is no number.
+  Scenario: a stream goes on elsewhere after an event whose id does not follow
+    Given a gateway before raw replicas
+    When streams have 2 of 5 events and then one with each of these ids, and the next replica is sound
+      | id                    |
+      | a superscript two     |
+      | 5,000 digits          |
+      | a word                |
+      | the fifth number      |
+    Then each is answered 200 in full and was sent twice
+
   # Guards against a 2xx made of an answer whose head or body is not whole.
   Scenario: a gateway passes on no answer that was cut
     Given a gateway before raw replicas
--- a/features/steps/faulty_answers.py
+++ b/features/steps/faulty_answers.py
@@ -68,6 +68,7 @@
     return b"HTTP/1.1 200 OK\r\n" + headers + chunked + chunks + end
 
 
+LAST_CHUNK: Final = b"0\r\n\r\n"
 EVENT_TYPE: Final = b"Content-Type: text/event-stream\r\n"
 
 
@@ -411,6 +412,26 @@
             context.faulty.ask(prefix, name, build_plan(odd[name]))
 
 
+ODD_EVENT_IDS: Final = {
+    "a superscript two": b"\xb2",
+    "5,000 digits": b"3" * 5_000,
+    "a word": b"three",
+    "the fifth number": b"5",
+}
+"""Ids that don't follow the second event."""
+
+
+@when(
+    "streams have {count:d} of 5 events and then one with each of these ids, and the next replica"
+    " is sound"
+)
+def ask_odd_ids(context: Any, count: int) -> None:
+    for row in context.table:
+        odd = build_chunk(b"id: %s\ndata: odd\n\n" % ODD_EVENT_IDS[row["id"]])
+        first = build_events(1, count, odd + LAST_CHUNK)
+        context.faulty.ask("/lm/", row["id"], Plan(first=first))
+
+
 @when("every replica cuts its answers to each of these requests")
 def ask_cut(context: Any) -> None:
     for row in context.table:
@@ -429,7 +450,6 @@
 HOPS: Final = [Hop(replica="e1", address="127.0.0.1:1", first_layer=0, last_layer=8)]
 CALL: Final = EngineCall(request_id="job-1", attempt=2, route=HOPS)
 STREAM_HEAD: Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-LAST_CHUNK: Final = b"0\r\n\r\n"
 FURTHER_BYTES: Final = {
     "a text": build_chunk(FAULT_TEXT + b"\n\n") + LAST_CHUNK,
     "a whole error answer": build_answer("500 Error", b"", FAULT_TEXT),
--- a/features/steps/forwarding.py
+++ b/features/steps/forwarding.py
@@ -74,6 +74,11 @@
     assert follows("4", "3")
     assert not follows("3", "3")
     assert not follows("5", "3")
+    assert follows("b", "a")
+    assert not follows("a", "a")
+    assert not follows("\xb2", "1")
+    assert not follows("a", "3")
+    assert not follows("4" * 5_000, "3")
 
 
 @given("6 hosts with a retry budget of 0.2 for each request plus 196 in 10 s")
--- a/src/pimentodale/configuration/folder_store.py
+++ b/src/pimentodale/configuration/folder_store.py
@@ -9,6 +9,7 @@
 
 from pimentodale.clients.key_value import Compare, Delete, Put, prefix_end
 from pimentodale.configuration.snapshots import Snapshot, decode_snapshot, encode_snapshot
+from pimentodale.foreign_bytes import read_whole_number
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -149,8 +150,7 @@
     reply = await store.read(ACCEPTED_REVISION_KEY)
     if reply.is_error():
         return Error(reply.error)
-    digits = reply.ok.items[0].value if reply.ok.items else b""
-    return Ok(int(digits) if digits.isdigit() else 0)
+    return Ok(read_whole_number(reply.ok.items[0].value if reply.ok.items else b"") or 0)
 
 
 async def read_accepted(store: KeyValueStore) -> Result[Snapshot, StoreFault]:
--- a/src/pimentodale/configuration/sharing.py
+++ b/src/pimentodale/configuration/sharing.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from pimentodale.foreign_bytes import read_whole_number
 from pimentodale.logs import get_log
 
 if TYPE_CHECKING:
@@ -79,9 +80,10 @@
 
     def note_revision(self, host: str, value: bytes) -> None:
         """Record another host's announced revision; an invalid value is ignored."""
-        if not value.isdigit():
+        revision = read_whole_number(value)
+        if revision is None:
             return
-        self._announced_revisions[host] = int(value)
+        self._announced_revisions[host] = revision
         if self._newest_announcer() is not None:
             self._update_available.set()
 
--- a/src/pimentodale/foreign_bytes.py
+++ b/src/pimentodale/foreign_bytes.py
@@ -16,6 +16,9 @@
 MAX_COUNT: Final = 2**31
 """Maximum of other numbers of things that is believed."""
 
+MAX_DIGITS: Final = 18
+"""Maximum length of a whole number that is read; such a number fits into 64 bits."""
+
 MAX_SHOWN_CHARACTERS: Final = 80
 """Maximum length of foreign text in a log line or a message."""
 
@@ -52,6 +55,16 @@
     return None
 
 
+def read_whole_number(text: str | bytes) -> int | None:
+    """Read a number of ASCII digits; `None` for any other text.
+
+    Args:
+        text: The text. `str.isdigit` accepts characters that `int` doesn't, such as superscripts.
+    """
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
+
+
 def shorten(text: str) -> str:
     """Return foreign text cut to the length in which it is shown."""
     return text if len(text) <= MAX_SHOWN_CHARACTERS else text[:MAX_SHOWN_CHARACTERS] + "..."
--- a/src/pimentodale/forwarding/event_stream.py
+++ b/src/pimentodale/forwarding/event_stream.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from pimentodale.foreign_bytes import read_whole_number
+
 MAX_EVENT_BYTES: Final = 256 * 1024
 """Maximum size of an event, and maximum number of bytes accepted without a complete one; a token
 takes a few bytes."""
@@ -80,10 +82,14 @@
         event_id: Id of the event.
         last_event_id: Id of the preceding event; `None` at the start of a stream, where any id is
             valid.
+
+    Returns:
+        After a number, whether the event has the next one; after another id, whether it differs.
     """
-    if last_event_id is None or not (event_id.isdigit() and last_event_id.isdigit()):
+    last_number = None if last_event_id is None else read_whole_number(last_event_id)
+    if last_number is None:
         return event_id != last_event_id
-    return int(event_id) == int(last_event_id) + 1
+    return read_whole_number(event_id) == last_number + 1
 
 
 def _is_comment(data: bytes) -> bool:
--- a/src/pimentodale/steward/lease.py
+++ b/src/pimentodale/steward/lease.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from pimentodale.clients.key_value import Compare, Put, StoreFault, fencing_number
+from pimentodale.foreign_bytes import read_whole_number
 
 if TYPE_CHECKING:
     from pimentodale.clients.key_value import KeyValueStore
@@ -199,8 +200,8 @@
         raised = await store.read(key + FENCING_NUMBER_SUFFIX)
         if raised.is_ok():
             digits = raised.ok.items[0].value if raised.ok.items else b""
-            own_number = fencing_number(taken.ok.era, revision)
-            number = max(own_number, int(digits) + 1 if digits.isdigit() else 0)
+            highest = read_whole_number(digits) or 0
+            number = max(fencing_number(taken.ok.era, revision), highest + 1)
             lease = HeldLease(
                 store, clock, key, granted.ok, revision, number, ttl_ms, margin_ms, asked_ms
             )
