--- a/features/faulty_answers.feature
+++ b/features/faulty_answers.feature
@@ -211,7 +211,7 @@
     When an entry host calls a service that writes each answer twice, 503 to every second call
     Then each of 20 calls has its own answer and ran once
 
-  # Guards against a 2xx made of an answer whose head or body is not whole.
+  # Guards against a status of 000, or a line that is no header field, that passes for an answer.
   Scenario: an entry host passes on no answer that is not valid HTTP
     When an entry host calls a service and an engine that give each odd answer
     Then each call failed as one that may have run, and was sent once
--- a/features/http_call.feature
+++ b/features/http_call.feature
@@ -22,6 +22,7 @@
     When a server sends each kind of odd answer to a call and to a stream
     Then each failed at once as a call that was sent
 
+  # Guards against a check of heads that refuses valid answers.
   Scenario: valid answers of unusual form are taken
     When a server sends each of these answers to a call and to a stream
       | answer                                  |
